--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+GO ?= go
+TOOL = $(GO) tool -modfile=tools/go.mod
+BIN = bin
+
+.PHONY: build test demo check generate clean
+
+build:
+	$(GO) build -o $(BIN)/jaylink ./cmd/jaylink
+
+test:
+	$(GO) run ./internal/testrun ./...
+
+demo: build
+	$(GO) run ./examples/demo -binary $(BIN)/jaylink -examples examples
+
+check:
+	@test -z "$$(gofmt -l .)" || { echo "gofmt wants:"; gofmt -l .; exit 1; }
+	$(GO) vet ./...
+	$(TOOL) staticcheck ./...
+
+generate:
+	$(GO) build -modfile=tools/go.mod -o $(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
+	PATH="$(CURDIR)/$(BIN):$$PATH" protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative peer/peerpb/peer.proto
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/api/decode.go
@@ -0,0 +1,103 @@
+package api
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	"jaylink/internal/strictyaml"
+)
+
+// Source is an object together with the place in a file that it came from.
+type Source struct {
+	Object *Object
+	doc    *strictyaml.Document
+}
+
+// Errorf returns an error that names the file and line of the field.
+func (s Source) Errorf(field, format string, args ...any) error {
+	return s.doc.Errorf(field, format, args...)
+}
+
+// envelope is the YAML form of an object.
+type envelope[S any] struct {
+	Kind   Kind   `yaml:"kind"`
+	Name   string `yaml:"name"`
+	Labels Labels `yaml:"labels"`
+	Spec   S      `yaml:"spec"`
+}
+
+// DecodeYAML reads the objects of a file, one YAML document an object. It
+// returns all mistakes at once, joined; each names file, line and field.
+func DecodeYAML(file string, data []byte) ([]Source, error) {
+	docs, err := strictyaml.Split(file, data)
+	if err != nil {
+		return nil, err
+	}
+	var sources []Source
+	var errs []error
+	for _, doc := range docs {
+		o, docErrs := decodeDocument(doc)
+		if len(docErrs) > 0 {
+			errs = append(errs, docErrs...)
+			continue
+		}
+		s := Source{Object: o, doc: doc}
+		for _, p := range o.Check() {
+			errs = append(errs, s.Errorf(p.Field, "%s", p.Problem))
+		}
+		sources = append(sources, s)
+	}
+	errs = append(errs, repeated(sources)...)
+	return sources, errors.Join(errs...)
+}
+
+func repeated(sources []Source) []error {
+	var errs []error
+	var seen []Key
+	for _, s := range sources {
+		if slices.Contains(seen, s.Object.Key()) {
+			errs = append(errs, s.Errorf("name", "%s stands twice", s.Object.Key()))
+		}
+		seen = append(seen, s.Object.Key())
+	}
+	return errs
+}
+
+func decodeDocument(doc *strictyaml.Document) (*Object, []error) {
+	switch kind := Kind(doc.Scalar("kind")); kind {
+	case KindService:
+		return decodeAs[ServiceSpec](doc)
+	case KindCustomer:
+		return decodeAs[CustomerSpec](doc)
+	case KindPolicy:
+		return decodeAs[PolicySpec](doc)
+	case KindUpstream:
+		return decodeAs[UpstreamSpec](doc)
+	default:
+		return nil, []error{doc.Errorf("kind", "%s", UnknownKindError{Kind: kind}.Error())}
+	}
+}
+
+func decodeAs[S any, P interface {
+	*S
+	Spec
+}](doc *strictyaml.Document) (*Object, []error) {
+	var e envelope[S]
+	if errs := doc.Decode(&e); len(errs) > 0 {
+		return nil, errs
+	}
+	return &Object{Kind: e.Kind, Name: e.Name, Labels: e.Labels, Spec: P(&e.Spec)}, nil
+}
+
+// ObjectError is a mistake in one object of a set.
+type ObjectError struct {
+	Key     Key    `json:"key"`
+	Field   string `json:"field"`
+	Problem string `json:"problem"`
+}
+
+// Error formats the mistake as "Kind/name: field: problem".
+func (e ObjectError) Error() string {
+	return fmt.Sprintf("%s: %s: %s", e.Key, e.Field, e.Problem)
+}
--- /dev/null
+++ b/cmd/jaylink/main.go
@@ -0,0 +1,68 @@
+// Command jaylink is the one binary of the serving system: the entry process,
+// the operator commands and the stand-ins for tests and demonstrations.
+//
+// Exit codes: 0 done; 1 failed; 2 bad input; 3 conflict with another writer;
+// 4 outcome not known, apply again.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// version is set by the linker.
+var version = "dev"
+
+// Exit codes of the commands.
+const (
+	exitFailed   = 1
+	exitBadInput = 2
+	exitConflict = 3
+	exitUnknown  = 4
+)
+
+// exitError carries the exit code of a failed command.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+
+func (e *exitError) Unwrap() error { return e.err }
+
+func main() {
+	app := kingpin.New(filepath.Base(os.Args[0]), "Serving system for reclaimable hosts.")
+	app.Version(version)
+	app.HelpFlag.Short('h')
+	addEntry(app)
+	addApply(app)
+	addGet(app)
+	addDelete(app)
+	addLabel(app)
+	addStatus(app)
+	addCheck(app)
+	addVersion(app)
+	addStandin(app)
+	_, err := app.Parse(os.Args[1:])
+	if err == nil {
+		return
+	}
+	fmt.Fprintf(os.Stderr, "jaylink: %v\n", err)
+	var exit *exitError
+	if errors.As(err, &exit) {
+		os.Exit(exit.code)
+	}
+	os.Exit(exitFailed)
+}
+
+func addVersion(app *kingpin.Application) {
+	app.Command("version", "Print the version.").Action(func(*kingpin.ParseContext) error {
+		fmt.Println("jaylink", version)
+		return nil
+	})
+}
--- /dev/null
+++ b/cmd/jaylink/standin.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"jaylink/kernel"
+	"jaylink/standin/engine"
+	"jaylink/standin/platform"
+	"jaylink/standin/service"
+)
+
+func addStandin(app *kingpin.Application) {
+	cmd := app.Command("standin", "Run a stand-in for an outside system, for tests and demonstrations.")
+	addStandinPlatform(cmd)
+	addStandinEngine(cmd)
+	addStandinService(cmd)
+}
+
+func listenFlag(cmd *kingpin.CmdClause) *string {
+	return cmd.Flag("listen", "Address to listen on, ip:port.").Required().String()
+}
+
+func addStandinPlatform(parent *kingpin.CmdClause) {
+	cmd := parent.Command("platform", "Object API, host list, notices, host orders and weight store, in memory.")
+	listen := listenFlag(cmd)
+	cmd.Action(func(*kingpin.ParseContext) error { return runStandin(*listen, platform.New()) })
+}
+
+func addStandinEngine(parent *kingpin.CmdClause) {
+	var opts engine.Options
+	cmd := parent.Command("engine", "Model engine in the usual completions form.")
+	listen := listenFlag(cmd)
+	cmd.Flag("name", "Name of the engine.").Default("engine").StringVar(&opts.Name)
+	cmd.Flag("slots", "Requests that run at once.").Default("8").IntVar(&opts.Slots)
+	cmd.Flag("queue", "Requests that wait; more are refused.").Default("64").IntVar(&opts.QueueLength)
+	cmd.Flag("token-interval", "Time between tokens.").Default("5ms").DurationVar(&opts.TokenInterval)
+	cmd.Flag("prefill", "Time to read one prompt token.").Default("100us").DurationVar(&opts.PrefillPerToken)
+	cmd.Flag("load-lag", "Age of the reported load.").Default("500ms").DurationVar(&opts.LoadLag)
+	cmd.Flag("prefix-tokens", "Size of the prefix cache in tokens.").Default("4096").IntVar(&opts.PrefixTokens)
+	cmd.Action(func(*kingpin.ParseContext) error { return runStandin(*listen, engine.New(opts)) })
+}
+
+func addStandinService(parent *kingpin.CmdClause) {
+	cmd := parent.Command("service", "Plain service: order lookups, bookings and charges.")
+	listen := listenFlag(cmd)
+	cmd.Action(func(*kingpin.ParseContext) error { return runStandin(*listen, service.New()) })
+}
+
+// httpComponent runs one HTTP server.
+type httpComponent struct {
+	address string
+	server  *http.Server
+}
+
+// Start implements kernel.Starter.
+func (c *httpComponent) Start(context.Context) error {
+	ln, err := net.Listen("tcp", c.address)
+	if err != nil {
+		return err
+	}
+	go func() { _ = c.server.Serve(ln) }()
+	fmt.Println("listening on", c.address)
+	return nil
+}
+
+// Stop implements kernel.Stopper.
+func (c *httpComponent) Stop(context.Context) error { return c.server.Close() }
+
+func runStandin(address string, h http.Handler) error {
+	var app kernel.App
+	server := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	app.Add("standin", &httpComponent{address: address, server: server})
+	return runApp(&app)
+}
+
+var (
+	_ kernel.Starter = (*httpComponent)(nil)
+	_ kernel.Stopper = (*httpComponent)(nil)
+)
--- /dev/null
+++ b/decision/core.go
@@ -0,0 +1,344 @@
+// Package decision decides what an entry does with each request: whom it
+// belongs to, whether it is accepted, when and where it is run, whether an
+// attempt is repeated, and what its caller is told.
+//
+// Core is a state machine. It does no I/O, starts no goroutine, reads no clock
+// and draws no randomness. The driver calls Step with the time and one event
+// and carries out the returned actions in order:
+//
+//	for _, a := range core.Step(now, event) { carryOut(a) }
+//
+// Each DispatchAction is answered by exactly one AttemptEvent, and each
+// ClaimAction by exactly one ClaimEvent. The driver calls Step with a TickEvent
+// at the time that NextWake returns, or earlier. The same events at the same
+// times give the same actions, so a recorded run can be replayed.
+//
+// Every request that is passed in gets exactly one final action: a
+// FinishAction, a ReplayAction or a RefuseAction.
+package decision
+
+import (
+	"fmt"
+	"time"
+
+	"jaylink/api"
+	"jaylink/decision/admission"
+	"jaylink/decision/reason"
+	"jaylink/decision/retry"
+	"jaylink/decision/route"
+)
+
+// Config has what a Core is built from.
+type Config struct {
+	// Zone and Region are those of the entry.
+	Zone, Region string
+	Filters      []route.Filter
+	Scorers      []route.Scorer
+	Limits       []admission.Limit
+	Rules        []retry.Rule
+}
+
+// Core decides for one entry. It is not safe for concurrent use.
+type Core struct {
+	cfg      Config
+	catalog  *api.Catalog
+	table    *route.Table
+	requests map[string]*request
+	queue    queue
+	usage    usage
+	entries  int
+	draining bool
+}
+
+// phase says what a request waits for.
+type phase int
+
+const (
+	phaseQueued  phase = iota // an upstream
+	phaseBackoff              // the time of its next attempt
+	phaseClaim                // a ClaimEvent
+	phaseRunning              // an AttemptEvent
+)
+
+// request is the state of one accepted request.
+type request struct {
+	id       string
+	key      string
+	res      api.Resolution
+	route    route.Request
+	phase    phase
+	claimed  bool
+	attempts int
+	upstream string
+	retry    reason.Reason
+	ran      reason.Ran
+	accepted time.Time
+	started  time.Time
+	deadline time.Time
+	wake     time.Time
+	// timedOut says that the deadline passed while an attempt was running.
+	timedOut bool
+}
+
+// New returns a core with an empty configuration.
+func New(cfg Config) *Core {
+	return &Core{
+		cfg:      cfg,
+		catalog:  api.NewCatalog(nil),
+		table:    route.NewTable(cfg.Filters, cfg.Scorers),
+		requests: map[string]*request{},
+		usage:    newUsage(),
+		entries:  1,
+	}
+}
+
+// Table returns the upstream table. The caller must not change it.
+func (c *Core) Table() *route.Table { return c.table }
+
+// Step takes one event and returns the actions that it leads to.
+func (c *Core) Step(now time.Time, ev Event) []Action {
+	var out []Action
+	switch ev := ev.(type) {
+	case ConfigEvent:
+		c.catalog = ev.Catalog
+		c.table.SetObjects(ev.Catalog.Upstreams())
+	case EntriesEvent:
+		c.entries = max(ev.Live, 1)
+	case RequestEvent:
+		out = c.arrive(now, ev)
+	case ClaimEvent:
+		out = c.claimed(now, ev)
+	case AttemptEvent:
+		out = c.attemptEnded(now, ev)
+	case LoadEvent:
+		c.table.Report(ev.Upstream, ev.Load)
+	case LeavingEvent:
+		c.table.SetLeaving(ev.Upstream, ev.Leaving)
+	case DrainEvent:
+		c.draining = true
+	case TickEvent:
+		out = c.expire(now)
+	default:
+		panic(fmt.Sprintf("decision: unknown event %T", ev))
+	}
+	return append(out, c.dispatch(now)...)
+}
+
+// NextWake returns when the core wants its next TickEvent, and false if it
+// waits for no time.
+func (c *Core) NextWake() (time.Time, bool) {
+	var next time.Time
+	for _, r := range c.requests {
+		t := r.deadline
+		if r.phase == phaseBackoff && r.wake.Before(t) {
+			t = r.wake
+		}
+		if r.timedOut {
+			continue
+		}
+		if next.IsZero() || t.Before(next) {
+			next = t
+		}
+	}
+	return next, !next.IsZero()
+}
+
+// arrive resolves a new request and admits or refuses it.
+func (c *Core) arrive(now time.Time, ev RequestEvent) []Action {
+	res, ok := c.catalog.Resolve(ev.Labels)
+	if !ok {
+		why := reason.UnknownCustomer
+		if res.Service == nil {
+			why = reason.UnknownService
+		}
+		return []Action{RefuseAction{ID: ev.ID, Reason: why, Ran: reason.RanNo}}
+	}
+	if c.draining {
+		return []Action{RefuseAction{ID: ev.ID, Reason: reason.Draining, Ran: reason.RanNo, RetryAfter: drainRetryAfter}}
+	}
+	if v := admission.Check(c.cfg.Limits, c.admissionRequest(&res)); v.Refusal != "" {
+		return []Action{RefuseAction{ID: ev.ID, Reason: v.Refusal, Ran: reason.RanNo, RetryAfter: v.RetryAfter}}
+	}
+	r := c.accept(now, ev, res)
+	actions := []Action{AcceptAction{ID: r.id, Resolution: res, Deadline: r.deadline}}
+	if !res.Idempotent && ev.Key != "" {
+		r.phase = phaseClaim
+		return append(actions, ClaimAction{ID: r.id})
+	}
+	c.queue.push(r)
+	return actions
+}
+
+func (c *Core) accept(now time.Time, ev RequestEvent, res api.Resolution) *request {
+	r := &request{
+		id:       ev.ID,
+		key:      ev.Key,
+		res:      res,
+		ran:      reason.RanNo,
+		accepted: now,
+		deadline: now.Add(res.Timeout),
+	}
+	r.route = route.Request{
+		ID:        ev.ID,
+		Service:   res.Service.Name,
+		Customer:  res.Customer.Name,
+		Class:     res.Class,
+		Upstreams: res.Upstreams,
+		Zone:      c.cfg.Zone,
+		Region:    c.cfg.Region,
+		Prefix:    ev.Prefix,
+		Deadline:  r.deadline,
+	}
+	c.requests[r.id] = r
+	c.usage.add(r)
+	return r
+}
+
+// claimed goes on with a request whose key has been settled.
+func (c *Core) claimed(now time.Time, ev ClaimEvent) []Action {
+	r := c.requests[ev.ID]
+	if r == nil || r.phase != phaseClaim {
+		return nil
+	}
+	switch ev.Result {
+	case ClaimWon:
+		r.claimed = true
+		if r.timedOut {
+			return c.refuse(now, r, reason.TimedOut)
+		}
+		c.queue.push(r)
+		return nil
+	case ClaimDone:
+		c.remove(r)
+		return []Action{ReplayAction{ID: r.id}}
+	case ClaimHeld:
+		return c.refuse(now, r, reason.KeyInProgress)
+	case ClaimMismatch:
+		return c.refuse(now, r, reason.KeyReused)
+	case ClaimLost:
+		r.ran = reason.RanUnknown
+		return c.refuse(now, r, reason.OutcomeUnknown)
+	default:
+		return c.refuse(now, r, reason.ClaimUnavailable)
+	}
+}
+
+// dispatch starts queued requests while upstreams will take them.
+func (c *Core) dispatch(now time.Time) []Action {
+	var out []Action
+	c.queue.each(func(r *request) bool {
+		u := c.table.Pick(now, &r.route)
+		if u == nil {
+			return false
+		}
+		out = append(out, c.start(now, r, u))
+		return true
+	})
+	return out
+}
+
+func (c *Core) start(now time.Time, r *request, u *route.Upstream) Action {
+	r.phase = phaseRunning
+	r.attempts++
+	r.started = now
+	r.upstream = u.Name
+	c.table.Started(u.Name)
+	if r.attempts == 1 {
+		retry.FirstAttempt(c.cfg.Rules)
+	}
+	return DispatchAction{ID: r.id, Attempt: r.attempts, Upstream: u.Name, Spec: u.Spec, Retry: r.retry}
+}
+
+// attemptEnded finishes a request or decides about its next attempt.
+func (c *Core) attemptEnded(now time.Time, ev AttemptEvent) []Action {
+	r := c.requests[ev.ID]
+	if r == nil || r.phase != phaseRunning || r.attempts != ev.Attempt {
+		return nil
+	}
+	c.table.Ended(now, ev.Upstream, blamesUpstream(ev.Outcome))
+	r.ran = r.ran.Join(ev.Ran)
+	if ev.Outcome == OutcomeDone {
+		c.usage.observe(r, now)
+		c.remove(r)
+		return []Action{FinishAction{ID: r.id}}
+	}
+	if ev.Outcome == OutcomeTooLarge {
+		return c.refuse(now, r, reason.AnswerTooLarge)
+	}
+	if r.timedOut || ev.Outcome == OutcomeCanceled {
+		return c.refuse(now, r, reason.TimedOut)
+	}
+	return c.again(now, r, ev)
+}
+
+// again asks the retry rules about a failed attempt.
+func (c *Core) again(now time.Time, r *request, ev AttemptEvent) []Action {
+	why := retryReason(ev.Outcome)
+	v := retry.Check(c.cfg.Rules, &retry.Attempt{
+		Number:      r.attempts,
+		MaxAttempts: r.res.MaxAttempts,
+		Why:         why,
+		Ran:         r.ran,
+		Idempotent:  r.res.Idempotent,
+		Resumable:   ev.Resumable,
+		Relayed:     ev.Relayed,
+		Jitter:      ev.Jitter,
+	})
+	if v.Refusal != "" {
+		return c.refuse(now, r, v.Refusal)
+	}
+	r.retry = why
+	r.route.Tried = append(r.route.Tried, ev.Upstream)
+	if v.After > 0 {
+		r.phase = phaseBackoff
+		r.wake = now.Add(v.After)
+		return nil
+	}
+	c.queue.push(r)
+	return nil
+}
+
+// expire ends requests whose deadline has passed and wakes those that backed off.
+func (c *Core) expire(now time.Time) []Action {
+	var out []Action
+	for _, r := range c.inOrder() {
+		if !now.Before(r.deadline) {
+			out = append(out, c.timeOut(now, r)...)
+			continue
+		}
+		if r.phase == phaseBackoff && !now.Before(r.wake) {
+			c.queue.push(r)
+		}
+	}
+	return out
+}
+
+func (c *Core) timeOut(now time.Time, r *request) []Action {
+	switch {
+	case r.timedOut:
+		return nil
+	case r.phase == phaseRunning:
+		r.timedOut = true
+		return []Action{CancelAction{ID: r.id}}
+	case r.phase == phaseClaim:
+		// The claim's answer is still to come and ends the request.
+		r.timedOut = true
+		return nil
+	case r.attempts == 0:
+		return c.refuse(now, r, reason.NoUpstream)
+	}
+	return c.refuse(now, r, reason.TimedOut)
+}
+
+// refuse gives a request its final answer.
+func (c *Core) refuse(_ time.Time, r *request, why reason.Reason) []Action {
+	c.remove(r)
+	after := admissionDelay(why, c.admissionRequest(&r.res))
+	return []Action{RefuseAction{ID: r.id, Reason: why, Ran: r.ran, RetryAfter: after}}
+}
+
+func (c *Core) remove(r *request) {
+	c.queue.remove(r)
+	c.usage.drop(r)
+	delete(c.requests, r.id)
+}
--- /dev/null
+++ b/decision/route/route.go
@@ -0,0 +1,83 @@
+// Package route decides which upstream runs a request. It does no I/O, reads no
+// clock and draws no randomness: the same calls give the same upstream.
+//
+// A Table holds what an entry believes about the upstreams. Filters say which
+// of them may run a request at all; scorers say what each would cost, and the
+// lowest total wins. Filters and scorers are plug-ins.
+package route
+
+import (
+	"time"
+
+	"jaylink/api"
+)
+
+// Load is what an upstream reports about itself. It lags.
+type Load struct {
+	Running int       `json:"running"`
+	Queued  int       `json:"queued"`
+	At      time.Time `json:"at"`
+}
+
+// Upstream is what an entry believes about one upstream.
+type Upstream struct {
+	Name   string
+	Labels api.Labels
+	Spec   *api.UpstreamSpec
+	// Load is the newest report; LoadInFlight is this entry's own number of
+	// requests on the upstream when that report came.
+	Load         Load
+	LoadInFlight int
+	// InFlight is this entry's own number of requests on the upstream.
+	InFlight int
+	// Leaving says that the upstream gets no new work.
+	Leaving bool
+	// SuspectUntil is the time until which the upstream is avoided because
+	// calls to it failed.
+	SuspectUntil time.Time
+	// Failures counts failed calls in a row.
+	Failures int
+}
+
+// Slots returns how many requests the upstream runs at once.
+func (u *Upstream) Slots() int {
+	if u.Spec.Slots > 0 {
+		return u.Spec.Slots
+	}
+	return api.DefaultSlots
+}
+
+// Busy estimates how many requests the upstream has now: its lagging report,
+// corrected by what this entry has started and ended since.
+func (u *Upstream) Busy() int {
+	busy := u.Load.Running + u.Load.Queued + u.InFlight - u.LoadInFlight
+	return max(busy, u.InFlight, 0)
+}
+
+// Request is what routing knows about a request.
+type Request struct {
+	ID       string
+	Service  string
+	Customer string
+	Class    api.Class
+	// Upstreams is the service's selector on upstream labels.
+	Upstreams api.Selector
+	// Zone and Region are those of the entry.
+	Zone, Region string
+	// Prefix is a hash of the start of the prompt; 0 if there is none.
+	Prefix uint64
+	// Tried names the upstreams that failed this request.
+	Tried    []string
+	Deadline time.Time
+}
+
+// Filter says whether an upstream may run a request.
+type Filter interface {
+	Keep(now time.Time, r *Request, u *Upstream) bool
+}
+
+// Scorer says what it costs to run a request on an upstream, on a scale where
+// 1 is one slot's worth of waiting. Lower is better.
+type Scorer interface {
+	Score(now time.Time, r *Request, u *Upstream) float64
+}
--- /dev/null
+++ b/entry/apply.go
@@ -0,0 +1,284 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"net/http"
+	"strconv"
+
+	"jaylink/api"
+	"jaylink/decision/config"
+	"jaylink/operator"
+	"jaylink/platform"
+)
+
+// labelAttempts bounds how often a label change is tried against other writers.
+const labelAttempts = 8
+
+// errStale means that a write named a version that is no longer current.
+var errStale = errors.New("the object has changed")
+
+// applyObjects checks all objects together and then writes them in order. It
+// stops at the first one that is not accepted.
+func (e *Entry) applyObjects(ctx context.Context, req operator.ApplyRequest) operator.ApplyReply {
+	reply := operator.ApplyReply{Results: make([]operator.ApplyResult, len(req.Objects))}
+	failed := false
+	for i, o := range req.Objects {
+		reply.Results[i] = operator.ApplyResult{Key: o.Key(), Status: operator.StatusSkipped}
+		if o.Spec == nil {
+			continue
+		}
+	}
+	for i, p := range e.checkObjects(req.Objects) {
+		reply.Results[i].Status = operator.StatusInvalid
+		reply.Results[i].Field, reply.Results[i].Problem = p.Field, p.Problem
+		failed = true
+	}
+	for i, o := range req.Objects {
+		if failed {
+			break
+		}
+		reply.Results[i] = e.applyObject(ctx, o, req.DryRun)
+		failed = applyStatus[reply.Results[i].Status] != 0
+	}
+	return reply
+}
+
+// checkObjects returns the first problem of each object that has one, by its
+// index, with the objects in force taken into account.
+func (e *Entry) checkObjects(objects []*api.Object) map[int]api.FieldProblem {
+	problems := map[int]api.FieldProblem{}
+	index := map[api.Key]int{}
+	merged := map[api.Key]*api.Object{}
+	for _, o := range e.config.objects() {
+		merged[o.Key()] = o
+	}
+	for i, o := range objects {
+		index[o.Key()] = i
+		merged[o.Key()] = o
+		if p := o.Check(); len(p) > 0 {
+			problems[i] = p[0]
+		}
+	}
+	if len(problems) > 0 {
+		return problems
+	}
+	var all []*api.Object
+	for _, o := range merged {
+		all = append(all, o)
+	}
+	for _, err := range api.NewCatalog(all).Check() {
+		if i, ok := index[err.Key]; ok {
+			problems[i] = api.FieldProblem{Field: err.Field, Problem: err.Problem}
+		}
+	}
+	return problems
+}
+
+func (e *Entry) applyObject(ctx context.Context, o *api.Object, dryRun bool) operator.ApplyResult {
+	res := operator.ApplyResult{Key: o.Key(), Status: operator.StatusChecked}
+	current := e.config.get(o.Key())
+	if current != nil && sameContent(current, o) {
+		res.Status, res.Version = operator.StatusUnchanged, current.Version
+		return res
+	}
+	if dryRun {
+		return res
+	}
+	stored, err := e.writeObject(ctx, o, o.Version)
+	return applyResult(res, stored, err)
+}
+
+func applyResult(res operator.ApplyResult, stored *api.Object, err error) operator.ApplyResult {
+	switch {
+	case err == nil:
+		res.Status, res.Version = operator.StatusAccepted, stored.Version
+	case errors.Is(err, errStale):
+		res.Status, res.Current, res.Problem = operator.StatusConflict, stored, err.Error()
+	case errors.Is(err, platform.ErrUnavailable):
+		res.Status, res.Problem = operator.StatusUnknown, err.Error()
+	default:
+		res.Status, res.Problem = operator.StatusInvalid, err.Error()
+	}
+	return res
+}
+
+func sameContent(a, b *api.Object) bool {
+	x, errX := json.Marshal(&api.Object{Kind: a.Kind, Name: a.Name, Labels: a.Labels, Spec: a.Spec})
+	y, errY := json.Marshal(&api.Object{Kind: b.Kind, Name: b.Name, Labels: b.Labels, Spec: b.Spec})
+	return errX == nil && errY == nil && bytes.Equal(x, y)
+}
+
+// writeObject replaces the given version of an object; 0 creates it. On errStale
+// it returns the object as it stands. The accepted object is in force on this
+// entry when writeObject returns.
+func (e *Entry) writeObject(ctx context.Context, o *api.Object, version uint64) (*api.Object, error) {
+	write := *o
+	write.Version = 0
+	write.Writer = newRequestID(e.settings.Name)
+	rec, err := e.putObject(ctx, &write, version)
+	if errors.Is(err, platform.ErrUnavailable) {
+		rec, err = e.settleWrite(ctx, &write, err)
+	}
+	if current, ok := errConflict(err); ok {
+		stored, decodeErr := decodeRecord(current)
+		if current.Version == 0 || decodeErr != nil {
+			return nil, fmt.Errorf("%w: it does not exist", errStale)
+		}
+		e.putInForce(stored)
+		return stored, fmt.Errorf("%w: it is at version %d by now", errStale, current.Version)
+	}
+	if err != nil {
+		return nil, err
+	}
+	stored, err := decodeRecord(rec)
+	if err != nil {
+		return nil, err
+	}
+	e.putInForce(stored)
+	return stored, nil
+}
+
+func (e *Entry) putObject(ctx context.Context, o *api.Object, version uint64) (platform.Record, error) {
+	if version == 0 {
+		return e.platform.Create(ctx, string(o.Kind), o.Name, o)
+	}
+	return e.platform.Update(ctx, string(o.Kind), o.Name, version, o)
+}
+
+// settleWrite finds out whether a write whose answer was lost took effect.
+func (e *Entry) settleWrite(ctx context.Context, o *api.Object, lost error) (platform.Record, error) {
+	rec, err := e.platform.Get(ctx, string(o.Kind), o.Name)
+	if err != nil {
+		return rec, lost
+	}
+	stored, err := decodeRecord(rec)
+	if err != nil || stored.Writer != o.Writer {
+		return rec, lost
+	}
+	return rec, nil
+}
+
+// putInForce merges an object that is known to be stored.
+func (e *Entry) putInForce(o *api.Object) {
+	e.config.apply(func(st *config.State) bool { return st.Put(o) })
+	e.peers.Wake()
+}
+
+func (e *Entry) handleLabel(w http.ResponseWriter, r *http.Request) {
+	key, ok := pathKey(w, r)
+	if !ok {
+		return
+	}
+	var req operator.LabelRequest
+	if !readBody(w, r, &req) {
+		return
+	}
+	o, err := e.changeLabels(r.Context(), key, req)
+	writeResult(w, o, err)
+}
+
+// writeResult answers a write of one object.
+func writeResult(w http.ResponseWriter, o *api.Object, err error) {
+	var invalid api.FieldProblem
+	switch {
+	case err == nil:
+		writeJSON(w, http.StatusOK, o)
+	case errors.Is(err, errStale):
+		writeJSON(w, http.StatusConflict, operator.Failure{Error: err.Error(), Current: o})
+	case errors.Is(err, platform.ErrNotFound):
+		writeFailure(w, http.StatusNotFound, err)
+	case errors.As(err, &invalid):
+		writeFailure(w, http.StatusUnprocessableEntity, err)
+	default:
+		w.Header().Set("Retry-After", strconv.Itoa(int(outageRetryAfter.Seconds())))
+		writeFailure(w, http.StatusServiceUnavailable, err)
+	}
+}
+
+// changeLabels changes labels of an object. Writers that change other labels
+// do not disturb it; one that changed the same label makes it fail.
+func (e *Entry) changeLabels(ctx context.Context, key api.Key, req operator.LabelRequest) (*api.Object, error) {
+	current := e.config.get(key)
+	if current == nil {
+		return nil, fmt.Errorf("%w: %s", platform.ErrNotFound, key)
+	}
+	for range labelAttempts {
+		if req.Version != 0 && req.Version != current.Version && !labelsAsExpected(current, req) {
+			return current, fmt.Errorf("%w: a label of it was changed by someone else; it is at version %d by now", errStale, current.Version)
+		}
+		next := *current
+		next.Labels = changedLabels(current.Labels, req)
+		if p := e.checkObjects([]*api.Object{&next}); len(p) > 0 {
+			return nil, p[0]
+		}
+		stored, err := e.writeObject(ctx, &next, current.Version)
+		if !errors.Is(err, errStale) || stored == nil {
+			return stored, err
+		}
+		current = stored
+	}
+	return current, fmt.Errorf("%w: too many writers at once", errStale)
+}
+
+func labelsAsExpected(o *api.Object, req operator.LabelRequest) bool {
+	for key := range req.Set {
+		if o.Labels[key] != req.Expect[key] {
+			return false
+		}
+	}
+	for _, key := range req.Remove {
+		if o.Labels[key] != req.Expect[key] {
+			return false
+		}
+	}
+	return true
+}
+
+func changedLabels(old api.Labels, req operator.LabelRequest) api.Labels {
+	out := maps.Clone(old)
+	if out == nil {
+		out = api.Labels{}
+	}
+	maps.Copy(out, req.Set)
+	for _, key := range req.Remove {
+		delete(out, key)
+	}
+	return out
+}
+
+func (e *Entry) handleDelete(w http.ResponseWriter, r *http.Request) {
+	key, ok := pathKey(w, r)
+	if !ok {
+		return
+	}
+	version, err := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
+	if err != nil {
+		writeFailure(w, http.StatusBadRequest, errors.New("version: want a number"))
+		return
+	}
+	current := e.config.get(key)
+	if current == nil {
+		writeFailure(w, http.StatusNotFound, errors.New("no such object: "+key.String()))
+		return
+	}
+	if version == 0 {
+		version = current.Version
+	}
+	rec, err := e.platform.Delete(r.Context(), string(key.Kind), key.Name, version)
+	if now, ok := errConflict(err); ok {
+		err = fmt.Errorf("%w: it is at version %d by now", errStale, now.Version)
+		writeResult(w, current, err)
+		return
+	}
+	if err != nil {
+		writeResult(w, nil, err)
+		return
+	}
+	e.putInForce(&api.Object{Kind: key.Kind, Name: key.Name, Version: rec.Version, Deleted: true})
+	writeJSON(w, http.StatusOK, struct{}{})
+}
--- /dev/null
+++ b/entry/driver.go
@@ -0,0 +1,146 @@
+package entry
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"jaylink/decision"
+	"jaylink/decision/reason"
+)
+
+// driver runs the decision core: it passes events in, one at a time, and
+// carries out the actions that come back.
+type driver struct {
+	mu    sync.Mutex
+	core  *decision.Core
+	timer *time.Timer
+
+	records *registry
+	metrics *counters
+	log     *slog.Logger
+	// dispatch and claim start the work of an action and return at once.
+	dispatch func(rec *Record, a decision.DispatchAction)
+	claim    func(rec *Record)
+	release  func(rec *Record)
+}
+
+// step passes one event to the core. Actions are carried out under the lock,
+// in order; none of them blocks.
+func (d *driver) step(ev decision.Event) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for _, a := range d.core.Step(now, ev) {
+		d.carryOut(now, a)
+	}
+	d.schedule(now)
+}
+
+// schedule arranges for the tick that the core asks for.
+func (d *driver) schedule(now time.Time) {
+	next, ok := d.core.NextWake()
+	if !ok {
+		return
+	}
+	wait := max(next.Sub(now), time.Millisecond)
+	if d.timer == nil {
+		d.timer = time.AfterFunc(wait, func() { d.step(decision.TickEvent{}) })
+		return
+	}
+	d.timer.Reset(wait)
+}
+
+// stop ends the ticks.
+func (d *driver) stop() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.timer != nil {
+		d.timer.Stop()
+	}
+}
+
+func (d *driver) carryOut(now time.Time, a decision.Action) {
+	switch a := a.(type) {
+	case decision.AcceptAction:
+		d.accepted(a)
+	case decision.ClaimAction:
+		d.claim(d.records.get(a.ID))
+	case decision.DispatchAction:
+		d.dispatched(a)
+	case decision.CancelAction:
+		d.canceled(a.ID)
+	case decision.FinishAction:
+		d.finish(now, a.ID, nil)
+	case decision.ReplayAction:
+		d.finish(now, a.ID, nil)
+	case decision.RefuseAction:
+		d.finish(now, a.ID, newProblem(a))
+	}
+}
+
+func (d *driver) accepted(a decision.AcceptAction) {
+	rec := d.records.get(a.ID)
+	rec.update(func() {
+		rec.accepted = true
+		rec.idempotent = a.Resolution.Idempotent
+		rec.service = a.Resolution.Service.Name
+		rec.customer = a.Resolution.Customer.Name
+	})
+	d.metrics.accepted.Inc(1)
+	d.log.Info("request accepted", "request_id", a.ID, "service", rec.service,
+		"customer", rec.customer, "idempotent", a.Resolution.Idempotent, "class", a.Resolution.Class)
+}
+
+func (d *driver) dispatched(a decision.DispatchAction) {
+	if a.Retry != "" {
+		d.metrics.retry(a.Retry)
+		d.log.Info("request retried", "request_id", a.ID, "upstream", a.Upstream, "reason", a.Retry)
+	}
+	d.dispatch(d.records.get(a.ID), a)
+}
+
+func (d *driver) canceled(id string) {
+	rec := d.records.get(id)
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	if rec.cancel != nil {
+		rec.cancel()
+	}
+}
+
+// finish gives the record its final answer and settles its claim.
+func (d *driver) finish(now time.Time, id string, p *Problem) {
+	rec := d.records.get(id)
+	rec.finish(now, p)
+	d.records.ended()
+	v, _ := rec.read(0)
+	if p != nil {
+		if p.Ran == reason.RanNo {
+			d.release(rec)
+		}
+		d.metrics.refusal(p.Reason)
+		d.log.Info("request refused", "request_id", id, "service", v.service, "customer", v.customer,
+			"reason", p.Reason, "ran", p.Ran)
+		return
+	}
+	d.metrics.answered.Inc(1)
+	d.log.Info("request answered", "request_id", id, "service", v.service, "customer", v.customer,
+		"took", now.Sub(rec.started), "tokens", v.tokens)
+}
+
+// attemptEnded passes the end of an attempt to the core.
+func (d *driver) attemptEnded(rec *Record, a decision.DispatchAction, o decision.Outcome, ran reason.Ran) {
+	v, _ := rec.read(0)
+	d.step(decision.AttemptEvent{
+		ID:        rec.ID,
+		Attempt:   a.Attempt,
+		Upstream:  a.Upstream,
+		Outcome:   o,
+		Ran:       ran,
+		Relayed:   v.total,
+		Resumable: rec.Call.Completion != nil,
+		Jitter:    rand.Float64(),
+	})
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,194 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/oops"
+
+	"jaylink/api"
+	"jaylink/decision"
+	"jaylink/kernel"
+	"jaylink/peer"
+	"jaylink/peer/peerpb"
+	"jaylink/platform"
+	"jaylink/upstream"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+	forgetInterval    = 10 * time.Second
+)
+
+// Entry is one entry process.
+type Entry struct {
+	settings  Settings
+	log       *slog.Logger
+	metrics   *counters
+	config    *configStore
+	records   *registry
+	driver    *driver
+	platform  *platform.Client
+	upstreams *upstream.Client
+	peers     *peer.Node
+	leaving   atomic.Bool
+
+	signsMu sync.Mutex
+	signs   map[string][signCount]bool
+
+	// background ends when the entry has nothing left to do.
+	background context.Context
+	cancel     context.CancelFunc
+	work       sync.WaitGroup
+
+	listeners [3]net.Listener
+	caller    *http.Server
+	operator  *http.Server
+}
+
+// New builds an entry from settings that have been checked.
+func New(s Settings, log *slog.Logger) (*Entry, error) {
+	cfg, err := chain(s)
+	if err != nil {
+		return nil, oops.In("entry").With("step", "plugins").Wrap(err)
+	}
+	log = log.With("entry", s.Name, "availability_zone", s.AvailabilityZone)
+	e := &Entry{
+		settings:  s,
+		log:       log,
+		metrics:   newCounters(),
+		config:    newConfigStore(log),
+		records:   newRegistry(),
+		platform:  platform.New(s.Platform),
+		upstreams: upstream.New(),
+		signs:     map[string][signCount]bool{},
+	}
+	e.background, e.cancel = context.WithCancel(context.Background())
+	e.driver = &driver{
+		core: decision.New(cfg), records: e.records, metrics: e.metrics, log: log,
+		dispatch: e.dispatch, claim: e.startClaim, release: e.releaseClaim,
+	}
+	e.config.changed = func(c *api.Catalog) { e.driver.step(decision.ConfigEvent{Catalog: c}) }
+	e.peers = peer.New(peer.Options{
+		Self: &peerpb.Member{
+			Name: s.Name, Address: s.Listen.Peer, AvailabilityZone: s.AvailabilityZone, Region: s.Region,
+			Incarnation: uint64(time.Now().UnixNano()), CallerAddress: s.Listen.Caller,
+		},
+		Seeds:     s.Peers,
+		Heartbeat: s.Intervals.Heartbeat.Std(),
+		Config:    e.config,
+		Log:       log,
+		Changed:   e.peersChanged,
+	})
+	return e, nil
+}
+
+func (e *Entry) peersChanged() {
+	e.driver.step(decision.EntriesEvent{Live: 1 + len(e.peers.Live())})
+}
+
+// Start implements kernel.Starter: it opens the ports and starts the loops.
+func (e *Entry) Start(context.Context) error {
+	addresses := []string{e.settings.Listen.Caller, e.settings.Listen.Operator, e.settings.Listen.Peer}
+	for i, address := range addresses {
+		ln, err := net.Listen("tcp", address)
+		if err != nil {
+			return oops.In("entry").With("step", "listen", "peer", address).Wrap(err)
+		}
+		e.listeners[i] = ln
+	}
+	e.caller = e.newServer(e.callerHandler())
+	e.operator = e.newServer(e.operatorHandler())
+	e.peers.Serve(e.listeners[2])
+	e.work.Go(func() { e.serve(e.caller, e.listeners[0]) })
+	e.work.Go(func() { e.serve(e.operator, e.listeners[1]) })
+	e.startLoops()
+	e.log.Info("entry started", "caller", e.settings.Listen.Caller, "operator", e.settings.Listen.Operator,
+		"peer", e.settings.Listen.Peer)
+	return nil
+}
+
+func (e *Entry) newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    int(e.settings.Limits.Header),
+		ErrorLog:          slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
+	}
+}
+
+func (e *Entry) serve(s *http.Server, ln net.Listener) {
+	if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		e.log.Error("server ended", "err", err)
+	}
+}
+
+func (e *Entry) startLoops() {
+	ctx, in := e.background, e.settings.Intervals
+	e.work.Go(func() { e.watchConfig(ctx) })
+	e.work.Go(func() { e.followNotices(ctx) })
+	e.work.Go(func() { every(ctx, in.Load.Std(), e.pollLoad) })
+	e.work.Go(func() { every(ctx, in.Hosts.Std(), e.pollHosts) })
+	e.work.Go(func() { every(ctx, forgetInterval, e.tidy) })
+}
+
+// tidy drops what is no longer needed and refreshes the number of entries.
+func (e *Entry) tidy(context.Context) {
+	e.records.forget(time.Now().Add(-e.settings.Intervals.Retain.Std()))
+	e.peersChanged()
+}
+
+// Stop implements kernel.Stopper: a graceful shutdown. The balancer is told
+// first; requests go on being accepted for the leave delay; then the entry
+// accepts nothing new and waits for what is in flight.
+func (e *Entry) Stop(ctx context.Context) error {
+	e.leaving.Store(true)
+	e.peers.SetLeaving()
+	e.log.Info("entry leaving", "leave_delay", e.settings.Drain.LeaveDelay)
+	sleep(ctx, e.settings.Drain.LeaveDelay.Std())
+	e.driver.step(decision.DrainEvent{})
+	ctx, cancel := context.WithTimeout(ctx, e.settings.Drain.Timeout.Std())
+	defer cancel()
+	err := e.drain(ctx)
+	e.shutdown(ctx)
+	return err
+}
+
+// drain waits until no request is in flight.
+func (e *Entry) drain(ctx context.Context) error {
+	n, idle := e.records.inFlight()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return oops.In("entry").With("step", "drain").Errorf("%d requests were in flight at the end of the drain timeout", n)
+	}
+}
+
+func (e *Entry) shutdown(ctx context.Context) {
+	if err := e.caller.Shutdown(ctx); err != nil {
+		e.log.Warn("callers were cut off", "step", "shutdown", "err", err)
+		_ = e.caller.Close()
+	}
+	_ = e.operator.Close()
+	e.cancel()
+	e.peers.Close()
+	e.driver.stop()
+	e.work.Wait()
+	e.platform.Close()
+	e.upstreams.Close()
+	e.log.Info("entry stopped")
+}
+
+var (
+	_ kernel.Starter = (*Entry)(nil)
+	_ kernel.Stopper = (*Entry)(nil)
+)
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,38 @@
+package entry
+
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"jaylink/decision/reason"
+)
+
+// counters are the entry's metrics. Names are "area.thing.reason".
+type counters struct {
+	registry metrics.Registry
+	accepted metrics.Counter
+	answered metrics.Counter
+	refused  map[reason.Reason]metrics.Counter
+	retried  map[reason.Reason]metrics.Counter
+}
+
+func newCounters() *counters {
+	r := metrics.NewRegistry()
+	c := &counters{
+		registry: r,
+		accepted: metrics.NewRegisteredCounter("request.accepted", r),
+		answered: metrics.NewRegisteredCounter("request.answered", r),
+		refused:  map[reason.Reason]metrics.Counter{},
+		retried:  map[reason.Reason]metrics.Counter{},
+	}
+	for _, why := range reason.Refusals {
+		c.refused[why] = metrics.NewRegisteredCounter("request.refused."+string(why), r)
+	}
+	for _, why := range reason.Retries {
+		c.retried[why] = metrics.NewRegisteredCounter("request.retried."+string(why), r)
+	}
+	return c
+}
+
+func (c *counters) refusal(why reason.Reason) { c.refused[why].Inc(1) }
+
+func (c *counters) retry(why reason.Reason) { c.retried[why].Inc(1) }
--- /dev/null
+++ b/entry/problem.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"jaylink/decision"
+	"jaylink/decision/reason"
+)
+
+// HeaderRequestID carries the request's ID in every response.
+const HeaderRequestID = "Jaylink-Request-Id"
+
+// statusOf maps each refusal reason to its HTTP status.
+var statusOf = map[reason.Reason]int{
+	reason.BadRequest:       http.StatusBadRequest,
+	reason.BodyTooLarge:     http.StatusRequestEntityTooLarge,
+	reason.UnknownService:   http.StatusNotFound,
+	reason.UnknownCustomer:  http.StatusForbidden,
+	reason.UnknownRequest:   http.StatusNotFound,
+	reason.WrongCustomer:    http.StatusForbidden,
+	reason.Draining:         http.StatusServiceUnavailable,
+	reason.CustomerLimit:    http.StatusTooManyRequests,
+	reason.QueueFull:        http.StatusTooManyRequests,
+	reason.NoUpstream:       http.StatusServiceUnavailable,
+	reason.TimedOut:         http.StatusGatewayTimeout,
+	reason.AttemptsUsedUp:   http.StatusBadGateway,
+	reason.NotRepeatable:    http.StatusBadGateway,
+	reason.RetryBudget:      http.StatusServiceUnavailable,
+	reason.KeyReused:        http.StatusUnprocessableEntity,
+	reason.KeyInProgress:    http.StatusConflict,
+	reason.ClaimUnavailable: http.StatusServiceUnavailable,
+	reason.OutcomeUnknown:   http.StatusConflict,
+	reason.Poison:           http.StatusUnprocessableEntity,
+	reason.AnswerTooLarge:   http.StatusBadGateway,
+}
+
+// newProblem builds the body of a refusal that the core decided.
+func newProblem(a decision.RefuseAction) *Problem {
+	p := problemOf(a.Reason, "")
+	p.Ran = a.Ran
+	p.RetryAfter = a.RetryAfter
+	return p
+}
+
+// problemOf builds the body of a refusal before anything ran.
+func problemOf(why reason.Reason, detail string) *Problem {
+	return &Problem{
+		Type:   "about:blank",
+		Title:  strings.ReplaceAll(string(why), "_", " "),
+		Status: statusOf[why],
+		Detail: detail,
+		Reason: why,
+		Ran:    reason.RanNo,
+	}
+}
+
+// write answers with the problem.
+func (p *Problem) write(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	if p.RetryAfter > 0 {
+		seconds := int(math.Ceil(p.RetryAfter.Seconds()))
+		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	w.WriteHeader(p.Status)
+	// The status line is out; a failed write shows on the caller's side.
+	_ = json.NewEncoder(w).Encode(p)
+}
+
+// outageRetryAfter is when to come back to an entry that has no configuration.
+const outageRetryAfter = 2 * time.Second
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,172 @@
+package entry
+
+import (
+	"errors"
+	"net"
+	"os"
+	"slices"
+	"time"
+
+	"gopkg.in/yaml.v3"
+
+	"jaylink/api"
+	"jaylink/internal/strictyaml"
+)
+
+// Settings configure one entry process. They are read once, at start.
+type Settings struct {
+	// Name identifies the entry in the fleet; a-z, 0-9 and '-'.
+	Name string `yaml:"name"`
+	// AvailabilityZone and Region say where the entry runs.
+	AvailabilityZone string `yaml:"availability_zone"`
+	Region           string `yaml:"region"`
+	// Listen has the addresses of the ports.
+	Listen ListenSettings `yaml:"listen"`
+	// Platform is the platform's address, "ip:port".
+	Platform string `yaml:"platform"`
+	// Peers are peer ports of other entries to begin with.
+	Peers []string `yaml:"peers"`
+	// Limits bound what callers may send and upstreams may answer.
+	Limits LimitSettings `yaml:"limits"`
+	// Drain says how the entry stops.
+	Drain DrainSettings `yaml:"drain"`
+	// Intervals say how often things are asked for.
+	Intervals IntervalSettings `yaml:"intervals"`
+	// Log says what is logged.
+	Log LogSettings `yaml:"log"`
+	// Plugins replace the standard chain, in order.
+	Plugins []PluginSettings `yaml:"plugins"`
+}
+
+// ListenSettings have the addresses of the ports, each "ip:port".
+type ListenSettings struct {
+	// Caller is for callers and the balancer's health checks.
+	Caller string `yaml:"caller"`
+	// Operator is for the operator commands.
+	Operator string `yaml:"operator"`
+	// Peer is for other entries.
+	Peer string `yaml:"peer"`
+}
+
+// LimitSettings bound sizes.
+type LimitSettings struct {
+	// Header bounds a request's headers. Default 64KiB.
+	Header api.ByteSize `yaml:"header"`
+	// Body bounds a request's body. Default 4MiB.
+	Body api.ByteSize `yaml:"body"`
+	// Answer bounds an upstream's answer. Default 16MiB.
+	Answer api.ByteSize `yaml:"answer"`
+}
+
+// DrainSettings say how the entry stops.
+type DrainSettings struct {
+	// LeaveDelay is how long the entry goes on accepting requests after it
+	// told the balancer that it is leaving. Default 3s.
+	LeaveDelay api.Duration `yaml:"leave_delay"`
+	// Timeout bounds the wait for requests in flight. Default 2m.
+	Timeout api.Duration `yaml:"timeout"`
+}
+
+// IntervalSettings say how often things are asked for.
+type IntervalSettings struct {
+	// Heartbeat is the time between rounds with peers. Default 500ms.
+	Heartbeat api.Duration `yaml:"heartbeat"`
+	// Load is the time between load reports of an upstream. Default 1s.
+	Load api.Duration `yaml:"load"`
+	// Hosts is the time between readings of the host list. Default 2s.
+	Hosts api.Duration `yaml:"hosts"`
+	// Watch bounds one waiting watch. Default 30s.
+	Watch api.Duration `yaml:"watch"`
+	// Retain is how long an ended request can be read again. Default 2m.
+	Retain api.Duration `yaml:"retain"`
+}
+
+// LogSettings say what is logged.
+type LogSettings struct {
+	// Level is "debug", "info", "warn" or "error". Default "info".
+	Level string `yaml:"level"`
+	// Format is "text" or "json". Default "json".
+	Format string `yaml:"format"`
+}
+
+// PluginSettings choose one module and its options.
+type PluginSettings struct {
+	// ID is the module, for example "scorer.price".
+	ID string `yaml:"id"`
+	// Options are the module's own; see its page.
+	Options yaml.Node `yaml:"options"`
+}
+
+// DefaultSettings returns the settings that a file starts from.
+func DefaultSettings() Settings {
+	return Settings{
+		Limits: LimitSettings{Header: 64 << 10, Body: 4 << 20, Answer: 16 << 20},
+		Drain: DrainSettings{
+			LeaveDelay: api.Duration(3 * time.Second),
+			Timeout:    api.Duration(2 * time.Minute),
+		},
+		Intervals: IntervalSettings{
+			Heartbeat: api.Duration(500 * time.Millisecond),
+			Load:      api.Duration(time.Second),
+			Hosts:     api.Duration(2 * time.Second),
+			Watch:     api.Duration(30 * time.Second),
+			Retain:    api.Duration(2 * time.Minute),
+		},
+		Log: LogSettings{Level: "info", Format: "json"},
+	}
+}
+
+// ReadSettings reads and checks a settings file. It returns all mistakes at
+// once, joined; each names file, line and field.
+func ReadSettings(file string) (Settings, error) {
+	s := DefaultSettings()
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return s, err
+	}
+	return ParseSettings(file, data)
+}
+
+// ParseSettings is ReadSettings for text that has been read already.
+func ParseSettings(file string, data []byte) (Settings, error) {
+	s := DefaultSettings()
+	docs, err := strictyaml.Split(file, data)
+	if err != nil {
+		return s, err
+	}
+	if len(docs) != 1 {
+		return s, strictyaml.FieldError{File: file, Line: 1, Problem: "want exactly one YAML document"}
+	}
+	errs := docs[0].Decode(&s)
+	errs = append(errs, s.check(docs[0])...)
+	return s, errors.Join(errs...)
+}
+
+func (s *Settings) check(doc *strictyaml.Document) []error {
+	var errs []error
+	need := func(field, value string) {
+		if value == "" {
+			errs = append(errs, doc.Errorf(field, "missing"))
+		}
+	}
+	address := func(field, value string) {
+		if _, err := net.ResolveTCPAddr("tcp", value); value == "" || err != nil {
+			errs = append(errs, doc.Errorf(field, "%q is not an address; write ip:port", value))
+		}
+	}
+	oneOf := func(field, value string, allowed ...string) {
+		if !slices.Contains(allowed, value) {
+			errs = append(errs, doc.Errorf(field, "%q is not known; allowed are %v", value, allowed))
+		}
+	}
+	need("name", s.Name)
+	need("availability_zone", s.AvailabilityZone)
+	need("region", s.Region)
+	address("listen.caller", s.Listen.Caller)
+	address("listen.operator", s.Listen.Operator)
+	address("listen.peer", s.Listen.Peer)
+	address("platform", s.Platform)
+	oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
+	oneOf("log.format", s.Log.Format, "text", "json")
+	return errs
+}
--- /dev/null
+++ b/kernel/registry.go
@@ -0,0 +1,115 @@
+// Package kernel is the core that every other part of jaylink plugs into: the
+// module registry and the lifecycle of long-running components.
+//
+// Modules register themselves in an init function under a dotted ID such as
+// "filter.leaving". The package plugin/standard imports every module that
+// ships. The kernel imports no other package of jaylink.
+package kernel
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+)
+
+// ModuleID identifies a module, for example "scorer.price". The part before
+// the first dot is the namespace, which says what interface the module has.
+type ModuleID string
+
+// Namespace returns the part of the ID before the first dot.
+func (id ModuleID) Namespace() string {
+	ns, _, _ := strings.Cut(string(id), ".")
+	return ns
+}
+
+// Name returns the part of the ID after the first dot.
+func (id ModuleID) Name() string {
+	_, name, _ := strings.Cut(string(id), ".")
+	return name
+}
+
+// ModuleInfo describes a registered module.
+type ModuleInfo struct {
+	// ID is the dotted name, unique in the process.
+	ID ModuleID
+	// New returns a fresh value with the module's default options.
+	New func() Module
+}
+
+// Module is implemented by every plug-in.
+type Module interface {
+	// ModuleInfo describes the module. It must not depend on the value.
+	ModuleInfo() ModuleInfo
+}
+
+var (
+	modulesMu sync.RWMutex
+	modules   = map[ModuleID]ModuleInfo{}
+)
+
+// Register adds a module to the registry. It is called from init functions
+// and panics on a malformed or repeated ID, because both are programming errors.
+func Register(m Module) {
+	info := m.ModuleInfo()
+	if info.ID.Namespace() == "" || info.ID.Name() == "" {
+		panic(fmt.Sprintf("kernel: module ID %q is not of the form namespace.name", info.ID))
+	}
+	if info.New == nil {
+		panic(fmt.Sprintf("kernel: module %q has no constructor", info.ID))
+	}
+	modulesMu.Lock()
+	defer modulesMu.Unlock()
+	if _, ok := modules[info.ID]; ok {
+		panic(fmt.Sprintf("kernel: module %q registered twice", info.ID))
+	}
+	modules[info.ID] = info
+}
+
+// Lookup returns the module registered under id.
+func Lookup(id ModuleID) (ModuleInfo, bool) {
+	modulesMu.RLock()
+	defer modulesMu.RUnlock()
+	info, ok := modules[id]
+	return info, ok
+}
+
+// Modules returns the IDs registered in a namespace in sorted order.
+func Modules(namespace string) []ModuleID {
+	modulesMu.RLock()
+	defer modulesMu.RUnlock()
+	var ids []ModuleID
+	for id := range modules {
+		if id.Namespace() == namespace {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Load builds the module id, lets configure fill its options, and then runs
+// its Provision and Validate steps where it has them.
+func Load(id ModuleID, configure func(Module) error) (Module, error) {
+	info, ok := Lookup(id)
+	if !ok {
+		return nil, fmt.Errorf("module %q is not registered; %s has %v", id, id.Namespace(), Modules(id.Namespace()))
+	}
+	m := info.New()
+	if configure != nil {
+		if err := configure(m); err != nil {
+			return nil, fmt.Errorf("module %s: options: %w", id, err)
+		}
+	}
+	if p, ok := m.(Provisioner); ok {
+		if err := p.Provision(); err != nil {
+			return nil, fmt.Errorf("module %s: provision: %w", id, err)
+		}
+	}
+	if v, ok := m.(Validator); ok {
+		if err := v.Validate(); err != nil {
+			return nil, fmt.Errorf("module %s: validate: %w", id, err)
+		}
+	}
+	return m, nil
+}
--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,119 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/samber/oops"
+
+	"jaylink/api"
+)
+
+const (
+	callTimeout = 30 * time.Second
+	maxAnswer   = 64 << 20
+)
+
+// StatusError is a refused call.
+type StatusError struct {
+	Status  int
+	Failure Failure
+}
+
+// Error gives the entry's reason.
+func (e *StatusError) Error() string { return e.Failure.Error }
+
+// Client calls the operator port of one entry.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client for the operator port at "ip:port".
+func NewClient(address string) *Client {
+	return &Client{base: "http://" + address + "/v1", http: &http.Client{Timeout: callTimeout}}
+}
+
+// Apply writes objects.
+func (c *Client) Apply(ctx context.Context, req ApplyRequest) (ApplyReply, error) {
+	var reply ApplyReply
+	err := c.call(ctx, "apply", http.MethodPost, "/apply", req, &reply)
+	return reply, err
+}
+
+// Label changes labels of one object and returns it as it is then.
+func (c *Client) Label(ctx context.Context, key api.Key, req LabelRequest) (*api.Object, error) {
+	o := &api.Object{}
+	err := c.call(ctx, "label", http.MethodPost, objectPath(key)+"/labels", req, o)
+	return o, err
+}
+
+// Get reads one object.
+func (c *Client) Get(ctx context.Context, key api.Key) (*api.Object, error) {
+	o := &api.Object{}
+	err := c.call(ctx, "get", http.MethodGet, objectPath(key), nil, o)
+	return o, err
+}
+
+// List reads all objects of a kind; an empty kind means all kinds.
+func (c *Client) List(ctx context.Context, kind api.Kind) ([]*api.Object, error) {
+	var list []*api.Object
+	path := "/objects"
+	if kind != "" {
+		path += "/" + string(kind)
+	}
+	err := c.call(ctx, "list", http.MethodGet, path, nil, &list)
+	return list, err
+}
+
+// Delete removes one object at a version; 0 means whatever version it has.
+func (c *Client) Delete(ctx context.Context, key api.Key, version uint64) error {
+	path := fmt.Sprintf("%s?version=%d", objectPath(key), version)
+	return c.call(ctx, "delete", http.MethodDelete, path, nil, &struct{}{})
+}
+
+// Status asks the entry what it knows about the fleet.
+func (c *Client) Status(ctx context.Context) (FleetStatus, error) {
+	var s FleetStatus
+	err := c.call(ctx, "status", http.MethodGet, "/status", nil, &s)
+	return s, err
+}
+
+func objectPath(key api.Key) string { return "/objects/" + string(key.Kind) + "/" + key.Name }
+
+func (c *Client) call(ctx context.Context, step, method, path string, in, out any) error {
+	errb := oops.In("operator").With("step", step, "peer", c.base)
+	body, err := json.Marshal(in)
+	if err != nil {
+		return errb.Wrap(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return errb.Wrap(err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return errb.Wrap(err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return errb.Wrap(err)
+	}
+	if resp.StatusCode >= 300 {
+		failed := &StatusError{Status: resp.StatusCode}
+		if json.Unmarshal(data, &failed.Failure) != nil {
+			failed.Failure.Error = fmt.Sprintf("status %d: %.200s", resp.StatusCode, data)
+		}
+		return errb.Wrap(failed)
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return errb.Wrap(err)
+	}
+	return nil
+}
--- /dev/null
+++ b/peer/peerpb/doc.go
@@ -0,0 +1,2 @@
+// Package peerpb has the messages between entries, generated from peer.proto.
+package peerpb
--- /dev/null
+++ b/plugin/limit/customer/setup.go
@@ -0,0 +1,16 @@
+// Package customer is the plug-in limit.customer.
+package customer
+
+import (
+	"jaylink/decision/admission"
+	"jaylink/kernel"
+)
+
+func init() { kernel.Register(&Limit{}) }
+
+// ModuleInfo implements kernel.Module.
+func (*Limit) ModuleInfo() kernel.ModuleInfo {
+	return kernel.ModuleInfo{ID: "limit.customer", New: func() kernel.Module { return &Limit{} }}
+}
+
+var _ admission.Limit = (*Limit)(nil)
--- /dev/null
+++ b/plugin/retry/repeatable/setup.go
@@ -0,0 +1,18 @@
+// Package repeatable is the plug-in retry.repeatable.
+package repeatable
+
+import (
+	"jaylink/decision/retry"
+	"jaylink/kernel"
+)
+
+func init() { kernel.Register(&Rule{}) }
+
+// ModuleInfo implements kernel.Module.
+func (*Rule) ModuleInfo() kernel.ModuleInfo {
+	return kernel.ModuleInfo{ID: "retry.repeatable", New: func() kernel.Module {
+		return &Rule{BaseDelay: defaultBaseDelay, MaxDelay: defaultMaxDelay}
+	}}
+}
+
+var _ retry.Rule = (*Rule)(nil)
--- /dev/null
+++ b/plugin/scorer/load/setup.go
@@ -0,0 +1,16 @@
+// Package load is the plug-in scorer.load.
+package load
+
+import (
+	"jaylink/decision/route"
+	"jaylink/kernel"
+)
+
+func init() { kernel.Register(&Scorer{}) }
+
+// ModuleInfo implements kernel.Module.
+func (*Scorer) ModuleInfo() kernel.ModuleInfo {
+	return kernel.ModuleInfo{ID: "scorer.load", New: func() kernel.Module { return &Scorer{Weight: 1} }}
+}
+
+var _ route.Scorer = (*Scorer)(nil)
--- /dev/null
+++ b/plugin/scorer/locality/setup.go
@@ -0,0 +1,18 @@
+// Package locality is the plug-in scorer.locality.
+package locality
+
+import (
+	"jaylink/decision/route"
+	"jaylink/kernel"
+)
+
+func init() { kernel.Register(&Scorer{}) }
+
+// ModuleInfo implements kernel.Module.
+func (*Scorer) ModuleInfo() kernel.ModuleInfo {
+	return kernel.ModuleInfo{ID: "scorer.locality", New: func() kernel.Module {
+		return &Scorer{OtherZone: defaultOtherZone, OtherRegion: defaultOtherRegion}
+	}}
+}
+
+var _ route.Scorer = (*Scorer)(nil)
--- /dev/null
+++ b/plugin/standard/standard.go
@@ -0,0 +1,34 @@
+// Package standard lists the plug-ins that ship with jaylink and the order in
+// which they run.
+package standard
+
+import (
+	"jaylink/kernel"
+
+	// The blank imports register the modules.
+	_ "jaylink/plugin/filter/capacity"
+	_ "jaylink/plugin/filter/leaving"
+	_ "jaylink/plugin/filter/suspect"
+	_ "jaylink/plugin/limit/customer"
+	_ "jaylink/plugin/limit/queue"
+	_ "jaylink/plugin/retry/budget"
+	_ "jaylink/plugin/retry/repeatable"
+	_ "jaylink/plugin/scorer/load"
+	_ "jaylink/plugin/scorer/locality"
+	_ "jaylink/plugin/scorer/price"
+)
+
+// Order is the default chain; settings may replace it. Within a namespace the
+// modules run in this order.
+var Order = []kernel.ModuleID{
+	"limit.customer",
+	"limit.queue",
+	"filter.leaving",
+	"filter.suspect",
+	"filter.capacity",
+	"scorer.load",
+	"scorer.price",
+	"scorer.locality",
+	"retry.repeatable",
+	"retry.budget",
+}
--- /dev/null
+++ b/standin/engine/engine.go
@@ -0,0 +1,234 @@
+// Package engine is the stand-in for a model engine. It speaks the usual
+// completions form, runs a bounded number of requests at once, reports load
+// with a lag and keeps a bounded cache of prompt prefixes.
+//
+// Its text is a function of the prompt and the answer so far, so an answer that
+// is continued on another engine is the same, byte for byte, as one that is not.
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gorilla/mux"
+
+	"jaylink/standin"
+	"jaylink/upstream"
+)
+
+// Options describe one engine.
+type Options struct {
+	Name string
+	// Slots is the number of requests that run at once.
+	Slots int
+	// QueueLength is the number of requests that wait; more get 429.
+	QueueLength int
+	// TokenInterval is the time between tokens.
+	TokenInterval time.Duration
+	// PrefillPerToken is the time to read one prompt token.
+	PrefillPerToken time.Duration
+	// LoadLag is how old the reported load is.
+	LoadLag time.Duration
+	// PrefixTokens is the size of the prefix cache.
+	PrefixTokens int
+}
+
+// Faults are the switches of the stand-in. They are set by PUT /faults.
+type Faults struct {
+	// BreakAfter cuts each stream after so many tokens; 0 means never.
+	BreakAfter int `json:"break_after"`
+	// Leaving is reported in /load.
+	Leaving bool `json:"leaving"`
+	// Refuse answers 503 to every completion.
+	Refuse bool `json:"refuse"`
+	// CrashOn cuts the connection of each request whose prompt contains it.
+	CrashOn string `json:"crash_on"`
+}
+
+// Run is one execution, as the stand-in saw it.
+type Run struct {
+	RequestID string `json:"request_id"`
+	Prompt    int    `json:"prompt_tokens"`
+	Cached    int    `json:"cached_tokens"`
+	Generated int    `json:"generated_tokens"`
+	Whole     bool   `json:"whole"`
+}
+
+// Server is the stand-in's HTTP handler.
+type Server struct {
+	opts   Options
+	router *mux.Router
+	slots  chan struct{}
+
+	mu      sync.Mutex
+	faults  Faults
+	running int
+	queued  int
+	history []sample
+	runs    []*Run
+	cache   prefixCache
+}
+
+type sample struct {
+	at     time.Time
+	report upstream.LoadReport
+}
+
+// New returns an engine.
+func New(opts Options) *Server {
+	s := &Server{
+		opts:   opts,
+		router: mux.NewRouter(),
+		slots:  make(chan struct{}, opts.Slots),
+		cache:  prefixCache{limit: opts.PrefixTokens},
+	}
+	s.router.HandleFunc("/v1/completions", s.complete).Methods(http.MethodPost)
+	s.router.HandleFunc("/load", s.load).Methods(http.MethodGet)
+	s.router.HandleFunc("/runs", s.listRuns).Methods(http.MethodGet)
+	s.router.HandleFunc("/faults", s.setFaults).Methods(http.MethodPut)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
+
+// words are what answers are made of.
+var words = strings.Fields("શ્રદ્ધાંજલિ સ્મૃતિ પ્રણામ દીપ પુષ્પ આત્મા શાંતિ પરિવાર પ્રેમ યાદ સંધ્યા પ્રાર્થના માતા પિતા આશીર્વાદ જીવન કવિતા ગીત નદી આકાશ")
+
+// nextToken is a function of all the text before it.
+func nextToken(text string) string {
+	return words[xxhash.Sum64String(text)%uint64(len(words))] + " "
+}
+
+// Text returns the whole answer to a prompt.
+func Text(prompt string, tokens int) string {
+	var b strings.Builder
+	text := prompt
+	for range tokens {
+		t := nextToken(text)
+		text += t
+		b.WriteString(t)
+	}
+	return b.String()
+}
+
+// CountTokens is the stand-in's tokenizer: one token a word.
+func CountTokens(text string) int { return len(strings.Fields(text)) }
+
+func (s *Server) complete(w http.ResponseWriter, r *http.Request) {
+	var c upstream.Completion
+	if !standin.ReadJSON(w, r, &c) {
+		return
+	}
+	if !s.enter(r) {
+		standin.WriteError(w, http.StatusTooManyRequests, "engine is full")
+		return
+	}
+	defer s.leave()
+	f := s.currentFaults()
+	if f.CrashOn != "" && strings.Contains(c.Prompt, f.CrashOn) {
+		panic(http.ErrAbortHandler)
+	}
+	run := s.prefill(r, c)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(upstream.HeaderRequestID, run.RequestID)
+	s.generate(w, r, c, run)
+}
+
+// enter waits for a slot; it returns false if the queue is full.
+func (s *Server) enter(r *http.Request) bool {
+	s.mu.Lock()
+	if s.faults.Refuse || s.queued >= s.opts.QueueLength {
+		s.mu.Unlock()
+		return false
+	}
+	s.queued++
+	s.note()
+	s.mu.Unlock()
+	ok := true
+	select {
+	case s.slots <- struct{}{}:
+	case <-r.Context().Done():
+		ok = false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queued--
+	if ok {
+		s.running++
+	}
+	s.note()
+	return ok
+}
+
+func (s *Server) leave() {
+	<-s.slots
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+	s.note()
+}
+
+// prefill reads the part of the prompt that the cache does not have.
+func (s *Server) prefill(r *http.Request, c upstream.Completion) *Run {
+	s.mu.Lock()
+	run := &Run{RequestID: r.Header.Get(upstream.HeaderRequestID), Prompt: CountTokens(c.Prompt)}
+	run.Cached = s.cache.lookup(c.Prompt)
+	s.cache.add(c.Prompt)
+	s.runs = append(s.runs, run)
+	s.mu.Unlock()
+	pause(r, time.Duration(run.Prompt-run.Cached)*s.opts.PrefillPerToken)
+	return run
+}
+
+func (s *Server) generate(w http.ResponseWriter, r *http.Request, c upstream.Completion, run *Run) {
+	text := c.Prompt
+	for i := range c.MaxTokens {
+		if !pause(r, s.opts.TokenInterval) {
+			return
+		}
+		token := nextToken(text)
+		text += token
+		chunk := upstream.Chunk{ID: run.RequestID, Object: "text_completion", Model: c.Model, Choices: []upstream.Choice{{Text: token}}}
+		if i == c.MaxTokens-1 {
+			chunk.Choices[0].FinishReason = "length"
+		}
+		writeEvent(w, chunk)
+		s.mu.Lock()
+		run.Generated++
+		broken := s.faults.BreakAfter > 0 && run.Generated >= s.faults.BreakAfter
+		s.mu.Unlock()
+		if broken {
+			panic(http.ErrAbortHandler)
+		}
+	}
+	_, _ = w.Write([]byte("data: " + upstream.StreamEnd + "\n\n"))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	run.Whole = true
+	s.cache.add(text)
+}
+
+func writeEvent(w http.ResponseWriter, chunk upstream.Chunk) {
+	data, err := json.Marshal(chunk)
+	if err != nil {
+		panic(err)
+	}
+	// A failed write shows as the end of the request's context.
+	_, _ = w.Write([]byte("data: " + string(data) + "\n\n"))
+	_ = http.NewResponseController(w).Flush()
+}
+
+// pause waits and reports whether the request is still wanted.
+func pause(r *http.Request, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
--- /dev/null
+++ b/standin/platform/cloud.go
@@ -0,0 +1,131 @@
+package platform
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"jaylink/platform"
+	"jaylink/standin"
+)
+
+func (s *Server) listHosts(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	list := platform.HostList{Hosts: slices.Clone(s.hosts)}
+	s.mu.Unlock()
+	standin.WriteJSON(w, http.StatusOK, list)
+}
+
+func (s *Server) setHosts(w http.ResponseWriter, r *http.Request) {
+	var list platform.HostList
+	if !standin.ReadJSON(w, r, &list) {
+		return
+	}
+	s.mu.Lock()
+	s.hosts = list.Hosts
+	s.mu.Unlock()
+	standin.WriteJSON(w, http.StatusOK, list)
+}
+
+func (s *Server) listNotices(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		standin.WriteError(w, http.StatusBadRequest, "after: want a sequence number")
+		return
+	}
+	timeout := time.After(standin.Wait(r))
+	for {
+		list, changed := s.noticesAfter(after)
+		if len(list.Items) > 0 {
+			standin.WriteJSON(w, http.StatusOK, list)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			standin.WriteJSON(w, http.StatusOK, list)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Server) noticesAfter(after uint64) (platform.NoticeList, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := platform.NoticeList{Sequence: uint64(len(s.notices)), Items: []platform.Notice{}}
+	if after < uint64(len(s.notices)) {
+		list.Items = slices.Clone(s.notices[after:])
+	}
+	return list, s.noticed
+}
+
+func (s *Server) addNotice(w http.ResponseWriter, r *http.Request) {
+	var n platform.Notice
+	if !standin.ReadJSON(w, r, &n) {
+		return
+	}
+	s.mu.Lock()
+	n.Sequence = uint64(len(s.notices)) + 1
+	s.notices = append(s.notices, n)
+	close(s.noticed)
+	s.noticed = make(chan struct{})
+	s.mu.Unlock()
+	standin.WriteJSON(w, http.StatusOK, n)
+}
+
+func (s *Server) orderHost(w http.ResponseWriter, r *http.Request) {
+	var order platform.HostOrder
+	if !standin.ReadJSON(w, r, &order) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.RefuseHosts {
+		standin.WriteError(w, http.StatusTooManyRequests, "no capacity in "+order.AvailabilityZone)
+		return
+	}
+	for _, h := range s.hosts {
+		if h.Name == order.Name {
+			standin.WriteJSON(w, http.StatusOK, h)
+			return
+		}
+	}
+	host := platform.Host{Name: order.Name, Role: "upstream", AvailabilityZone: order.AvailabilityZone, State: platform.HostLive}
+	s.hosts = append(s.hosts, host)
+	standin.WriteJSON(w, http.StatusOK, host)
+}
+
+func (s *Server) loadWeights(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.weights[mux.Vars(r)["name"]]++
+	s.mu.Unlock()
+	standin.WriteJSON(w, http.StatusOK, struct{}{})
+}
+
+func (s *Server) listCalls(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	standin.WriteJSON(w, http.StatusOK, s.calls)
+}
+
+func (s *Server) getFaults(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	standin.WriteJSON(w, http.StatusOK, s.faults)
+}
+
+func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if !standin.ReadJSON(w, r, &f) {
+		return
+	}
+	s.mu.Lock()
+	s.faults = f
+	s.mu.Unlock()
+	standin.WriteJSON(w, http.StatusOK, f)
+}
--- /dev/null
+++ b/standin/platform/server.go
@@ -0,0 +1,206 @@
+package platform
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"jaylink/platform"
+	"jaylink/standin"
+)
+
+// Faults are the switches of the stand-in. They are set by PUT /v1/faults.
+type Faults struct {
+	// Outage answers 503 to every call but those to /v1/faults.
+	Outage bool `json:"outage"`
+	// LoseAnswers is the number of coming writes that take effect while
+	// their answer is lost.
+	LoseAnswers int `json:"lose_answers"`
+	// DelayMS delays every call by so many milliseconds.
+	DelayMS int `json:"delay_ms"`
+	// ReplayFrom makes watches start again at this revision once.
+	ReplayFrom *uint64 `json:"replay_from,omitempty"`
+	// RefuseHosts refuses host orders.
+	RefuseHosts bool `json:"refuse_hosts"`
+	// BlockZones answers 503 to callers that name one of these availability
+	// zones in the header Jaylink-Availability-Zone.
+	BlockZones []string `json:"block_zones,omitempty"`
+}
+
+// Server is the stand-in's HTTP handler.
+type Server struct {
+	store  *store
+	router *mux.Router
+
+	mu      sync.Mutex
+	faults  Faults
+	calls   map[string]int
+	hosts   []platform.Host
+	notices []platform.Notice
+	noticed chan struct{}
+	weights map[string]int
+}
+
+// New returns an empty platform.
+func New() *Server {
+	s := &Server{
+		store:   newStore(),
+		router:  mux.NewRouter(),
+		calls:   map[string]int{},
+		noticed: make(chan struct{}),
+		weights: map[string]int{},
+	}
+	v1 := s.router.PathPrefix("/v1").Subrouter()
+	v1.HandleFunc("/objects/{kind}", s.counted("list", s.list)).Methods(http.MethodGet)
+	v1.HandleFunc("/objects/{kind}/{name}", s.counted("get", s.get)).Methods(http.MethodGet)
+	v1.HandleFunc("/objects/{kind}/{name}", s.counted("put", s.put)).Methods(http.MethodPut)
+	v1.HandleFunc("/objects/{kind}/{name}", s.counted("delete", s.delete)).Methods(http.MethodDelete)
+	v1.HandleFunc("/watch", s.counted("watch", s.watch)).Methods(http.MethodGet)
+	v1.HandleFunc("/hosts", s.counted("hosts", s.listHosts)).Methods(http.MethodGet)
+	v1.HandleFunc("/hosts", s.setHosts).Methods(http.MethodPut)
+	v1.HandleFunc("/notices", s.counted("notices", s.listNotices)).Methods(http.MethodGet)
+	v1.HandleFunc("/notices", s.addNotice).Methods(http.MethodPost)
+	v1.HandleFunc("/host-orders", s.counted("host-orders", s.orderHost)).Methods(http.MethodPost)
+	v1.HandleFunc("/weights/{name}", s.counted("weights", s.loadWeights)).Methods(http.MethodGet)
+	v1.HandleFunc("/calls", s.listCalls).Methods(http.MethodGet)
+	v1.HandleFunc("/faults", s.getFaults).Methods(http.MethodGet)
+	v1.HandleFunc("/faults", s.setFaults).Methods(http.MethodPut)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
+
+// counted counts a call and applies the outage and delay faults.
+func (s *Server) counted(op string, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		label := op
+		if kind := mux.Vars(r)["kind"]; kind != "" {
+			label += " " + kind
+		}
+		s.calls[label]++
+		f := s.faults
+		s.mu.Unlock()
+		if f.DelayMS > 0 {
+			time.Sleep(time.Duration(f.DelayMS) * time.Millisecond)
+		}
+		zone := r.Header.Get("Jaylink-Availability-Zone")
+		if f.Outage || (zone != "" && slices.Contains(f.BlockZones, zone)) {
+			standin.WriteError(w, http.StatusServiceUnavailable, "outage")
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	standin.WriteJSON(w, http.StatusOK, s.store.list(mux.Vars(r)["kind"]))
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	v := mux.Vars(r)
+	rec, ok := s.store.get(v["kind"], v["name"])
+	if !ok {
+		standin.WriteError(w, http.StatusNotFound, "no such object")
+		return
+	}
+	standin.WriteJSON(w, http.StatusOK, rec)
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	var value json.RawMessage
+	if !standin.ReadJSON(w, r, &value) {
+		return
+	}
+	version, ok := condition(r)
+	if !ok {
+		standin.WriteError(w, http.StatusBadRequest, "If-Match: VERSION or If-None-Match: * is needed")
+		return
+	}
+	s.write(w, r, version, value)
+}
+
+func (s *Server) delete(w http.ResponseWriter, r *http.Request) {
+	version, ok := condition(r)
+	if !ok || version == 0 {
+		standin.WriteError(w, http.StatusBadRequest, "If-Match: VERSION is needed")
+		return
+	}
+	s.write(w, r, version, nil)
+}
+
+func (s *Server) write(w http.ResponseWriter, r *http.Request, version uint64, value json.RawMessage) {
+	v := mux.Vars(r)
+	rec, ok := s.store.write(v["kind"], v["name"], version, value)
+	if !ok {
+		standin.WriteJSON(w, http.StatusPreconditionFailed, rec)
+		return
+	}
+	if s.loseAnswer() {
+		panic(http.ErrAbortHandler)
+	}
+	standin.WriteJSON(w, http.StatusOK, rec)
+}
+
+func (s *Server) loseAnswer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.LoseAnswers == 0 {
+		return false
+	}
+	s.faults.LoseAnswers--
+	return true
+}
+
+// condition reads the version that a write must find; 0 means "must not exist".
+func condition(r *http.Request) (uint64, bool) {
+	if r.Header.Get("If-None-Match") == "*" {
+		return 0, true
+	}
+	version, err := strconv.ParseUint(strings.Trim(r.Header.Get("If-Match"), `"`), 10, 64)
+	return version, err == nil && version > 0
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		standin.WriteError(w, http.StatusBadRequest, "after: want a revision")
+		return
+	}
+	kinds := r.URL.Query()["kind"]
+	after = s.replayFrom(after)
+	timeout := time.After(standin.Wait(r))
+	for {
+		list, changed := s.store.since(kinds, after)
+		if len(list.Items) > 0 {
+			standin.WriteJSON(w, http.StatusOK, list)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			standin.WriteJSON(w, http.StatusOK, list)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Server) replayFrom(after uint64) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.ReplayFrom == nil {
+		return after
+	}
+	after = *s.faults.ReplayFrom
+	s.faults.ReplayFrom = nil
+	return after
+}
--- /dev/null
+++ b/upstream/client.go
@@ -0,0 +1,113 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"time"
+
+	"github.com/samber/oops"
+
+	"jaylink/decision"
+	"jaylink/decision/reason"
+)
+
+const (
+	connectTimeout  = time.Second
+	idleConnTimeout = 90 * time.Second
+	maxIdlePerHost  = 64
+)
+
+// Headers that go with every attempt.
+const (
+	// HeaderRequestID carries the request's ID and the number of the
+	// attempt; an upstream that echoes it lets the client check that an
+	// answer belongs to its request.
+	HeaderRequestID = "X-Request-Id"
+	// HeaderKey is the caller's idempotency key.
+	HeaderKey = "Idempotency-Key"
+)
+
+// Result says how an attempt ended.
+type Result struct {
+	Outcome decision.Outcome
+	Ran     reason.Ran
+	// Err is the cause of a failed attempt, with step and peer.
+	Err error
+}
+
+// Client calls upstreams. It is safe for concurrent use.
+type Client struct {
+	// shared reuses connections. The transport may repeat a call by itself
+	// when a reused connection turns out to be closed, so shared carries
+	// idempotent work only.
+	shared *http.Client
+	// single opens a connection a call, so the transport never repeats one.
+	single *http.Client
+}
+
+// New returns a client.
+func New() *Client {
+	return &Client{shared: newHTTPClient(false), single: newHTTPClient(true)}
+}
+
+func newHTTPClient(single bool) *http.Client {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			DisableKeepAlives:   single,
+			DisableCompression:  true,
+			MaxIdleConnsPerHost: maxIdlePerHost,
+			IdleConnTimeout:     idleConnTimeout,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// Close drops idle connections.
+func (c *Client) Close() {
+	c.shared.CloseIdleConnections()
+	c.single.CloseIdleConnections()
+}
+
+// send performs one attempt. On an error the Result is final.
+func (c *Client) send(req *http.Request, idempotent bool) (*http.Response, Result) {
+	client := c.single
+	if idempotent {
+		client = c.shared
+	}
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	resp, err := client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err == nil {
+		return resp, Result{}
+	}
+	return nil, failure(req.Context(), "send", req.URL.Host, connected, err)
+}
+
+// failure maps a transport error to a Result. Without a connection nothing
+// was given to the upstream; with one, whether it ran is not known.
+func failure(ctx context.Context, step, peer string, connected bool, err error) Result {
+	res := Result{Outcome: decision.OutcomeNoAnswer, Ran: reason.RanUnknown}
+	switch {
+	case !connected:
+		res = Result{Outcome: decision.OutcomeConnectFailed, Ran: reason.RanNo}
+	case step == "read":
+		res.Outcome = decision.OutcomeBroken
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		res.Outcome = decision.OutcomeCanceled
+	}
+	res.Err = oops.In("upstream").Code(string(res.Outcome)).With("step", step, "peer", peer).Wrap(err)
+	return res
+}
+
+// statusFailure is the Result of an answer whose status says that it failed.
+func statusFailure(peer string, status int, outcome decision.Outcome, ran reason.Ran) Result {
+	err := oops.In("upstream").Code(string(outcome)).With("step", "answer", "peer", peer, "status", status).
+		Errorf("upstream answered status %d", status)
+	return Result{Outcome: outcome, Ran: ran, Err: err}
+}
