testfleet: start whole fleets of processes for proofs

Cause: every proof of a guarantee needs a platform, upstreams and entries as processes, on ports that no other test process uses.

Ruled out: asking the system for a free port and releasing it again; another process can take it in between, and the verdict would depend on that.

Before: no process-level test.

--- a/Makefile
+++ b/Makefile
@@ -2,13 +2,17 @@
 TOOL = $(GO) tool -modfile=tools/go.mod
 BIN = bin
 
-.PHONY: build test demo check generate clean
+.PHONY: build test guarantees demo check generate clean
 
 build:
 	$(GO) build -o $(BIN)/jaylink ./cmd/jaylink
 
 test:
-	$(GO) run ./internal/testrun ./...
+	$(GO) run ./internal/testrun -- ./...
+
+# The proofs of what must always hold; prints a line a case.
+guarantees:
+	$(GO) run ./internal/testrun -- -count=1 ./guarantees/... ./decision/...
 
 demo: build
 	$(GO) run ./examples/demo -binary $(BIN)/jaylink -examples examples
--- a/internal/procs/procs.go
+++ b/internal/procs/procs.go
@@ -12,7 +12,9 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -168,12 +170,17 @@
 	})
 }
 
-// FreeAddress returns a loopback address whose port is free now.
-func FreeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+// firstPort is the first port that Address gives out. It is below the ports
+// that the system gives to outgoing connections.
+const firstPort = 20000
+
+var lastPort atomic.Int32
+
+// Address returns a loopback address that no other caller gets. The IP number
+// is derived from the ID of this process, so that several test processes on one
+// machine never meet, and the ports count up.
+func Address() string {
+	pid := os.Getpid()
+	ip := net.IPv4(127, byte(64+(pid>>16)&0x3f), byte(pid>>8), byte(pid))
+	return net.JoinHostPort(ip.String(), strconv.Itoa(firstPort+int(lastPort.Add(1))))
 }
--- /dev/null
+++ b/internal/testfleet/fleet.go
@@ -0,0 +1,250 @@
+// Package testfleet starts whole fleets of jaylink processes for tests and
+// measurements: a platform, engines, services and entries on loopback, with
+// handles to switch their faults and to read what they saw.
+package testfleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jaylink/api"
+	"jaylink/internal/procs"
+	"jaylink/operator"
+	"jaylink/platform"
+	platformstandin "jaylink/standin/platform"
+)
+
+const stopTimeout = time.Minute
+
+var (
+	buildOnce sync.Once
+	buildPath string
+	buildErr  error
+)
+
+// Binary builds the jaylink binary once a test process and returns its path.
+func Binary() (string, error) {
+	buildOnce.Do(func() {
+		dir, err := os.MkdirTemp("", "jaylink-test-")
+		if err != nil {
+			buildErr = err
+			return
+		}
+		buildPath = filepath.Join(dir, "jaylink")
+		out, err := exec.Command("go", "build", "-o", buildPath, "jaylink/cmd/jaylink").CombinedOutput()
+		if err != nil {
+			buildErr = fmt.Errorf("build: %w\n%s", err, out)
+		}
+	})
+	return buildPath, buildErr
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	t        testing.TB
+	Group    *procs.Group
+	Platform string // address
+	Entries  map[string]*Entry
+	Nodes    map[string]*Node // engines and services by upstream name
+	dir      string
+}
+
+// Entry is a running entry process.
+type Entry struct {
+	*procs.Process
+	Name, Zone, Region     string
+	Caller, Operator, Peer string // addresses
+	Settings               string // path of the settings file
+}
+
+// URL returns a URL on the entry's caller port.
+func (e *Entry) URL(path string) string { return "http://" + e.Caller + path }
+
+// Client returns a client of the entry's operator port.
+func (e *Entry) Client() *operator.Client { return operator.NewClient(e.Operator) }
+
+// Node is a running engine or service.
+type Node struct {
+	*procs.Process
+	Address string
+	Object  *api.Object
+}
+
+// New starts a platform. Everything is ended with the test, and the logs of
+// the processes are printed if it failed.
+func New(t testing.TB) *Fleet {
+	t.Helper()
+	binary, err := Binary()
+	require.NoError(t, err)
+	f := &Fleet{
+		t: t, Group: procs.NewGroup(binary), Platform: procs.Address(),
+		Entries: map[string]*Entry{}, Nodes: map[string]*Node{}, dir: t.TempDir(),
+	}
+	t.Cleanup(f.Group.Kill)
+	_, err = f.Group.Start("platform", "standin", "platform", "--listen", f.Platform)
+	require.NoError(t, err)
+	require.NoError(t, procs.AwaitHTTP("http://"+f.Platform+"/v1/faults"))
+	return f
+}
+
+// Upstream starts a stand-in ("engine" or "service") and returns its node; the
+// object is not applied yet. Extra arguments go to the stand-in.
+func (f *Fleet) Upstream(kind, pool, name, zone, region string, args ...string) *Node {
+	f.t.Helper()
+	address := procs.Address()
+	args = append([]string{"standin", kind, "--listen", address}, args...)
+	p, err := f.Group.Start(name, args...)
+	require.NoError(f.t, err)
+	protocol := api.ProtocolHTTP
+	if kind == "engine" {
+		protocol = api.ProtocolCompletions
+	}
+	n := &Node{Process: p, Address: address, Object: &api.Object{
+		Kind: api.KindUpstream, Name: name, Labels: api.Labels{"pool": pool},
+		Spec: &api.UpstreamSpec{Address: address, Protocol: protocol, AvailabilityZone: zone, Region: region, Slots: api.DefaultSlots},
+	}}
+	f.Nodes[name] = n
+	require.NoError(f.t, procs.AwaitHTTP("http://"+address+"/load"))
+	return n
+}
+
+// StartEntry starts an entry that knows the entries started before it. Extra
+// is YAML that is added to its settings.
+func (f *Fleet) StartEntry(name, zone, region, extra string) *Entry {
+	f.t.Helper()
+	e := &Entry{Name: name, Zone: zone, Region: region, Caller: procs.Address(), Operator: procs.Address(), Peer: procs.Address()}
+	var peers []string
+	for _, other := range f.Entries {
+		peers = append(peers, other.Peer)
+	}
+	e.Settings = filepath.Join(f.dir, "entry-"+name+".yaml")
+	text := fmt.Sprintf("name: %s\navailability_zone: %s\nregion: %s\nlisten: {caller: %q, operator: %q, peer: %q}\nplatform: %s\npeers: [%s]\nlog: {level: debug, format: text}\n%s",
+		name, zone, region, e.Caller, e.Operator, e.Peer, f.Platform, strings.Join(peers, ", "), extra)
+	require.NoError(f.t, os.WriteFile(e.Settings, []byte(text), 0o600))
+	f.Restart(e)
+	f.Entries[name] = e
+	return e
+}
+
+// Restart starts an entry's process again with the same settings.
+func (f *Fleet) Restart(e *Entry) {
+	f.t.Helper()
+	p, err := f.Group.Start(e.Name, "entry", "--settings", e.Settings)
+	require.NoError(f.t, err)
+	e.Process = p
+	f.t.Cleanup(func() {
+		if f.t.Failed() {
+			f.t.Logf("--- log of %s\n%s", e.Name, p.Log())
+		}
+	})
+}
+
+// Ready waits until every entry is ready.
+func (f *Fleet) Ready() {
+	f.t.Helper()
+	for _, e := range f.Entries {
+		require.NoError(f.t, procs.AwaitHTTP(e.URL("/healthz/ready")))
+	}
+}
+
+// Apply writes the objects of YAML text, and those of all nodes, through an
+// entry, and waits until they are in force on all entries.
+func (f *Fleet) Apply(through *Entry, text string) {
+	f.t.Helper()
+	sources, err := api.DecodeYAML("test.yaml", []byte(text))
+	require.NoError(f.t, err)
+	var objects []*api.Object
+	for _, s := range sources {
+		objects = append(objects, s.Object)
+	}
+	for _, n := range f.Nodes {
+		objects = append(objects, n.Object)
+	}
+	reply, err := through.Client().Apply(context.Background(), operator.ApplyRequest{Objects: objects})
+	require.NoError(f.t, err)
+	for _, r := range reply.Results {
+		require.Contains(f.t, []operator.Status{operator.StatusAccepted, operator.StatusUnchanged}, r.Status, "%+v", r)
+	}
+	for _, e := range f.Entries {
+		require.NoError(f.t, procs.Await("the objects on "+e.Name, func() bool { return f.has(e, objects) }))
+	}
+}
+
+func (f *Fleet) has(e *Entry, objects []*api.Object) bool {
+	list, err := e.Client().List(context.Background(), "")
+	if err != nil {
+		return false
+	}
+	found := map[api.Key]bool{}
+	for _, o := range list {
+		found[o.Key()] = true
+	}
+	for _, o := range objects {
+		if !found[o.Key()] {
+			return false
+		}
+	}
+	return true
+}
+
+// PlatformFaults switches the faults of the platform.
+func (f *Fleet) PlatformFaults(faults platformstandin.Faults) {
+	f.t.Helper()
+	f.Put("http://"+f.Platform+"/v1/faults", faults)
+}
+
+// Hosts sets the platform's host list.
+func (f *Fleet) Hosts(hosts []platform.Host) {
+	f.t.Helper()
+	f.Put("http://"+f.Platform+"/v1/hosts", platform.HostList{Hosts: hosts})
+}
+
+// Put sends JSON to a stand-in.
+func (f *Fleet) Put(url string, v any) { f.t.Helper(); f.send(http.MethodPut, url, v) }
+
+// Post sends JSON to a stand-in.
+func (f *Fleet) Post(url string, v any) { f.t.Helper(); f.send(http.MethodPost, url, v) }
+
+func (f *Fleet) send(method, url string, v any) {
+	f.t.Helper()
+	data, err := json.Marshal(v)
+	require.NoError(f.t, err)
+	req, err := http.NewRequest(method, url, bytes.NewReader(data))
+	require.NoError(f.t, err)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(f.t, err)
+	defer resp.Body.Close()
+	require.Equal(f.t, http.StatusOK, resp.StatusCode)
+}
+
+// Read decodes the JSON answer of a GET.
+func (f *Fleet) Read(url string, out any) {
+	f.t.Helper()
+	resp, err := http.Get(url)
+	require.NoError(f.t, err)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	require.NoError(f.t, err)
+	require.NoError(f.t, json.Unmarshal(data, out), "%s", data)
+}
+
+// Stop stops every process gracefully and fails the test if one did not.
+func (f *Fleet) Stop() {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	require.NoError(f.t, f.Group.Stop(ctx))
+}
--- a/internal/testrun/main.go
+++ b/internal/testrun/main.go
@@ -107,6 +107,9 @@
 			r.output[name] = &strings.Builder{}
 		}
 		r.output[name].WriteString(ev.Output)
+		if strings.HasPrefix(ev.Output, "guarantee=") || strings.HasPrefix(ev.Output, "figure ") {
+			fmt.Print(ev.Output)
+		}
 	case "pass":
 		if ev.Test != "" {
 			r.passed++
