entry: hand requests over when the host is reclaimed or stopped

Cause: an entry that stopped cut off what did not end within its drain, and GET /v1/requests/{id} worked on the accepting entry only.

Ruled out: a standby copy at acceptance (sends every prompt again, always), and handover on notice alone (a kill in the middle loses the rest).

Change: at a reclaim notice or SIGTERM copies of all idempotent requests go to two peers in different availability zones; then what will not end in time is moved by accept-then-release under an ownership epoch. A holder takes over when the owner and the holders before it are gone. Any entry answers for any request. An attempt whose request moved on can no longer write text or a plain answer.

Calls that decide about a takeover now connect anew and wait.

--- a/decision/core.go
+++ b/decision/core.go
@@ -14,7 +14,8 @@
 // times give the same actions, so a recorded run can be replayed.
 //
 // Every request that is passed in gets exactly one final action: a
-// FinishAction, a ReplayAction or a RefuseAction.
+// FinishAction, a ReplayAction or a RefuseAction, but for those that a
+// ReleaseEvent takes out.
 package decision
 
 import (
@@ -116,6 +117,12 @@
 		c.table.SetLeaving(ev.Upstream, ev.Leaving)
 	case DrainEvent:
 		c.draining = true
+	case AdoptEvent:
+		out = c.adopt(now, ev)
+	case ReleaseEvent:
+		c.release(now, ev)
+	case StopEvent:
+		out = c.stop(now)
 	case TickEvent:
 		out = c.expire(now)
 	default:
--- /dev/null
+++ b/decision/handover/handover.go
@@ -0,0 +1,135 @@
+// Package handover decides to which peers an entry that is leaving gives its
+// requests, and which of them it keeps to the end. It does no I/O, reads no
+// clock and draws no randomness.
+package handover
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Peer is another entry that may take a request.
+type Peer struct {
+	Name   string
+	Zone   string
+	Region string
+	// Leaving says that the peer accepts nothing new, or that its host is
+	// being reclaimed.
+	Leaving bool
+}
+
+// Place is where an entry runs.
+type Place struct {
+	Zone   string
+	Region string
+}
+
+// Candidates returns the peers that may take a request, best first: those of
+// the own availability zone, then those of other zones of the region, then
+// those of other regions. Within each group the order is that of the
+// rendezvous hash of the request ID, so that every entry finds the same peers
+// without being told.
+func Candidates(id string, from Place, peers []Peer) []Peer {
+	out := slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return p.Leaving })
+	slices.SortFunc(out, func(a, b Peer) int {
+		return cmp.Or(
+			cmp.Compare(distance(from, a), distance(from, b)),
+			byWeight(id, a, b),
+		)
+	})
+	return out
+}
+
+// Holders returns the two peers that get a copy of a request: the primary, and
+// a backup in another availability zone where there is one. The order is that
+// in which they take over. It returns fewer where there are fewer peers.
+func Holders(id string, from Place, peers []Peer) []Peer {
+	order := Candidates(id, from, peers)
+	if len(order) < 2 {
+		return order
+	}
+	backup := order[1]
+	for _, p := range order[1:] {
+		if p.Zone != order[0].Zone {
+			backup = p
+			break
+		}
+	}
+	return []Peer{order[0], backup}
+}
+
+// perZone is the number of peers of each availability zone that are asked for a
+// request. More than one, because the peer with the highest weight may have
+// been leaving when the request was handed over.
+const perZone = 3
+
+// Lookup returns the peers to ask for a request that is not here: the entry
+// that accepted it, and those of each availability zone with the highest
+// weights.
+func Lookup(id, accepting string, peers []Peer) []Peer {
+	order := slices.SortedFunc(slices.Values(peers), func(a, b Peer) int { return byWeight(id, a, b) })
+	zones := map[string]int{}
+	var out []Peer
+	for _, p := range order {
+		if p.Name != accepting && zones[p.Zone] >= perZone {
+			continue
+		}
+		zones[p.Zone]++
+		out = append(out, p)
+	}
+	return out
+}
+
+func distance(from Place, p Peer) int {
+	switch {
+	case p.Zone == from.Zone:
+		return 0
+	case p.Region == from.Region:
+		return 1
+	}
+	return 2
+}
+
+// byWeight orders by falling rendezvous weight.
+func byWeight(id string, a, b Peer) int {
+	return cmp.Or(cmp.Compare(weight(id, b.Name), weight(id, a.Name)), cmp.Compare(a.Name, b.Name))
+}
+
+func weight(id, name string) uint64 { return xxhash.Sum64String(id + "\x00" + name) }
+
+// Epoch returns the ownership epoch under which the holder of a rank, 0 for
+// the primary, takes over from the owner of an epoch. Two holders never take
+// over under the same epoch.
+func Epoch(owner uint64, rank int) uint64 { return owner + 1 + uint64(rank) }
+
+// Progress is how far a request has come.
+type Progress struct {
+	// Dispatched says that an attempt is running.
+	Dispatched bool
+	// Running is how long it has been running.
+	Running time.Duration
+	// Generated and Left count tokens of the answer; Left is 0 if unknown.
+	Generated int
+	Left      int
+}
+
+// reserve is the time that the handover itself is given before the deadline.
+const reserve = 2 * time.Second
+
+// Keep reports whether a request is kept because it ends before the entry has
+// to stop, left from now. A request that no upstream has is handed over at
+// once, because nothing is lost with it.
+func Keep(left time.Duration, p Progress) bool {
+	if !p.Dispatched {
+		return false
+	}
+	left -= min(reserve, left/2)
+	if p.Generated == 0 || p.Left == 0 {
+		return left > reserve
+	}
+	rest := p.Running / time.Duration(p.Generated) * time.Duration(p.Left)
+	return rest < left
+}
--- /dev/null
+++ b/decision/handover/handover_test.go
@@ -0,0 +1,93 @@
+package handover
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var from = Place{Zone: "a", Region: "r"}
+
+func fleet(leaving ...string) []Peer {
+	var out []Peer
+	for _, p := range []Peer{{Zone: "a", Region: "r"}, {Zone: "b", Region: "r"}, {Zone: "c", Region: "s"}} {
+		for i := range 4 {
+			p.Name = fmt.Sprintf("%s%d", p.Zone, i)
+			p.Leaving = false
+			for _, zone := range leaving {
+				p.Leaving = p.Leaving || p.Zone == zone
+			}
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+func TestHolders(t *testing.T) {
+	cases := []struct {
+		name            string
+		leaving         []string
+		primary, backup string
+	}{
+		{"own zone first, backup in the region", nil, "a", "b"},
+		{"own zone leaving", []string{"a"}, "b", "c"},
+		{"region leaving", []string{"a", "b"}, "c", "c"},
+		{"other zone leaving", []string{"b"}, "a", "c"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got := Holders("id", from, fleet(c.leaving...))
+			require.Len(t, got, 2)
+			require.Equal(t, c.primary, got[0].Zone)
+			require.Equal(t, c.backup, got[1].Zone)
+			require.NotEqual(t, got[0].Name, got[1].Name)
+		})
+	}
+	require.Empty(t, Holders("id", from, nil))
+	require.Len(t, Holders("id", from, fleet()[:1]), 1)
+}
+
+// Whoever is leaving, the holders are among the peers that are asked later.
+func TestLookupFindsHolders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		id := rapid.String().Draw(t, "id")
+		peers := fleet()
+		gone := rapid.IntRange(0, len(peers)-1).Draw(t, "leaving")
+		peers[gone].Leaving = true
+		asked := map[string]bool{}
+		for _, p := range Lookup(id, "a0", peers) {
+			asked[p.Name] = true
+		}
+		require.True(t, asked["a0"])
+		for _, p := range Holders(id, from, peers) {
+			require.True(t, asked[p.Name])
+		}
+	})
+}
+
+func TestKeep(t *testing.T) {
+	cases := []struct {
+		name string
+		left time.Duration
+		p    Progress
+		want bool
+	}{
+		{"queued", time.Hour, Progress{}, false},
+		{"nearly done", 10 * time.Second, Progress{Dispatched: true, Running: time.Second, Generated: 100, Left: 10}, true},
+		{"long rest", 10 * time.Second, Progress{Dispatched: true, Running: time.Second, Generated: 10, Left: 1000}, false},
+		{"no token yet, much time", time.Minute, Progress{Dispatched: true, Left: 10}, true},
+		{"no token yet, little time", 3 * time.Second, Progress{Dispatched: true, Left: 10}, false},
+		{"past the deadline", -time.Second, Progress{Dispatched: true, Running: time.Second, Generated: 1, Left: 1}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.want, Keep(c.left, c.p)) })
+	}
+}
+
+func TestEpochsDiffer(t *testing.T) {
+	require.Equal(t, uint64(2), Epoch(1, 0))
+	require.Equal(t, uint64(3), Epoch(1, 1))
+}
--- a/decision/reason/reason.go
+++ b/decision/reason/reason.go
@@ -28,6 +28,9 @@
 	OutcomeUnknown   Reason = "outcome_unknown"
 	Poison           Reason = "poison"
 	AnswerTooLarge   Reason = "answer_too_large"
+	// OwnerUnreachable means that an entry which may have the request could
+	// not be asked.
+	OwnerUnreachable Reason = "owner_unreachable"
 )
 
 // Refusals lists every refusal reason.
@@ -36,6 +39,7 @@
 	WrongCustomer, Draining, CustomerLimit, QueueFull, NoUpstream, TimedOut,
 	AttemptsUsedUp, NotRepeatable, RetryBudget, KeyReused, KeyInProgress,
 	ClaimUnavailable, OutcomeUnknown, Poison, AnswerTooLarge,
+	OwnerUnreachable,
 }
 
 // Reasons for repeating an attempt.
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -49,6 +49,7 @@
 	}
 	rec := newRecord(id, call, time.Now())
 	rec.Fingerprint = fingerprint(call)
+	rec.Labels = labels
 	e.records.add(rec)
 	e.driver.step(decision.RequestEvent{
 		ID:          id,
@@ -57,9 +58,19 @@
 		Prefix:      promptPrefix(call.Completion),
 		Fingerprint: rec.Fingerprint,
 	})
+	giveEarlyID(w, r, rec)
 	e.answer(w, r, rec, 0)
 }
 
+// giveEarlyID tells the caller of an accepted request its ID before there is an
+// answer, in an informational response (status 103), so that it can read on at
+// another entry if this one is lost.
+func giveEarlyID(w http.ResponseWriter, r *http.Request, rec *Record) {
+	if v, _ := rec.read(0); v.accepted && !v.done && r.ProtoAtLeast(1, 1) {
+		w.WriteHeader(http.StatusEarlyHints)
+	}
+}
+
 // refuseEarly answers a request that never reached the decision core.
 func (e *Entry) refuseEarly(w http.ResponseWriter, id string, p *Problem) {
 	e.metrics.refusal(p.Reason)
@@ -113,6 +124,8 @@
 	switch {
 	case err != nil:
 		return
+	case v.moved():
+		writeMoved(w, rec, v)
 	case v.problem != nil && v.answer != nil && v.problem.Reason == reason.NotRepeatable:
 		writeAnswer(w, v.answer)
 	case v.problem != nil:
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/samber/oops"
 
@@ -16,13 +17,19 @@
 // dispatch starts one attempt in the background.
 func (e *Entry) dispatch(rec *Record, a decision.DispatchAction) {
 	ctx, cancel := context.WithCancel(e.background)
+	ended := make(chan struct{})
+	var id attemptID
 	rec.update(func() {
-		rec.attempt = a.Attempt
-		rec.cancel = cancel
+		id = attemptID{epoch: rec.ownership.epoch, number: a.Attempt}
+		rec.attempt = attempt{id: id, cancel: cancel, ended: ended, began: time.Now()}
 	})
 	e.work.Go(func() {
 		defer cancel()
-		res := e.attempt(ctx, rec, a)
+		tag := id.tag(rec.ID)
+		e.log.Debug("attempt started", "request_id", rec.ID, "upstream", a.Upstream, "attempt", tag)
+		res := e.attempt(ctx, rec, a, id)
+		e.log.Debug("attempt ended", "request_id", rec.ID, "upstream", a.Upstream, "attempt", tag)
+		close(ended)
 		if res.Err != nil {
 			e.log.Warn("attempt failed", "request_id", rec.ID, "upstream", a.Upstream,
 				"attempt", a.Attempt, "reason", res.Outcome, "ran", res.Ran, "err", res.Err)
@@ -32,11 +39,16 @@
 	})
 }
 
+// tag is what an upstream sees of an attempt: REQUEST-ID/EPOCH.ATTEMPT.
+func (id attemptID) tag(request string) string {
+	return fmt.Sprintf("%s/%d.%d", request, id.epoch, id.number)
+}
+
 // attempt runs one attempt to its end.
-func (e *Entry) attempt(ctx context.Context, rec *Record, a decision.DispatchAction) upstream.Result {
-	tag := fmt.Sprintf("%s/%d", rec.ID, a.Attempt)
+func (e *Entry) attempt(ctx context.Context, rec *Record, a decision.DispatchAction, id attemptID) upstream.Result {
+	tag := id.tag(rec.ID)
 	if a.Spec.Protocol == api.ProtocolCompletions {
-		return e.complete(ctx, rec, a, tag)
+		return e.complete(ctx, rec, a, id)
 	}
 	answer, res := e.upstreams.Forward(ctx, upstream.ServiceCall{
 		Address:    a.Spec.Address,
@@ -49,40 +61,55 @@
 		MaxAnswer:  int64(e.settings.Limits.Answer),
 	})
 	if answer != nil {
-		rec.update(func() { rec.answer = answer })
+		rec.setAnswer(id, answer)
 	}
 	return res
 }
 
+// setAnswer stores the answer of a plain service. That of an attempt which is
+// no longer the request's current one is dropped.
+func (r *Record) setAnswer(id attemptID, answer *upstream.Answer) {
+	r.update(func() {
+		if r.attempt.id == id && !r.done {
+			r.answer = answer
+		}
+	})
+}
+
 // complete continues the answer of a completion from what is there.
-func (e *Entry) complete(ctx context.Context, rec *Record, a decision.DispatchAction, tag string) upstream.Result {
+func (e *Entry) complete(ctx context.Context, rec *Record, a decision.DispatchAction, id attemptID) upstream.Result {
 	if rec.Call.Completion == nil {
 		err := oops.In("entry").With("step", "dispatch").Errorf("the service takes completions only")
 		return upstream.Result{Outcome: decision.OutcomeServerError, Ran: reason.RanNo, Err: err}
 	}
 	v, _ := rec.read(0)
+	if v.tokens >= rec.Call.Completion.MaxTokens {
+		// An earlier attempt gave the last token; only its end was lost.
+		return upstream.Result{Outcome: decision.OutcomeDone, Ran: reason.RanYes}
+	}
 	return e.upstreams.Complete(ctx, upstream.CompletionCall{
 		Address:    a.Spec.Address,
-		RequestID:  tag,
+		RequestID:  id.tag(rec.ID),
 		Completion: rec.Call.Completion.Resume(string(v.text), v.tokens),
 		Idempotent: rec.idempotent,
-		Emit:       func(text string, tokens int) error { return e.emit(rec, a.Attempt, text, tokens) },
+		Emit:       func(text string, tokens int) error { return e.emit(rec, id, text, tokens) },
 	})
 }
 
 // emit adds text to the answer. Text of an attempt that is no longer the
 // request's current one is dropped.
-func (e *Entry) emit(rec *Record, attempt int, text string, tokens int) error {
+func (e *Entry) emit(rec *Record, id attemptID, text string, tokens int) error {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
-	if rec.attempt != attempt || rec.done {
-		return oops.In("entry").With("step", "emit").Errorf("attempt %d is no longer current", attempt)
+	if rec.attempt.id != id || rec.done {
+		return oops.In("entry").With("step", "emit").Errorf("attempt %d.%d is no longer current", id.epoch, id.number)
 	}
 	if len(rec.text)+len(text) > int(e.settings.Limits.Answer) {
 		return oops.In("entry").With("step", "emit").Errorf("answer is larger than %s", e.settings.Limits.Answer)
 	}
 	rec.text = append(rec.text, text...)
 	rec.tokens += tokens
+	rec.attempt.tokens += tokens
 	rec.notify()
 	return nil
 }
--- a/entry/driver.go
+++ b/entry/driver.go
@@ -85,6 +85,7 @@
 	rec.update(func() {
 		rec.accepted = true
 		rec.idempotent = a.Resolution.Idempotent
+		rec.deadline = a.Deadline
 		rec.service = a.Resolution.Service.Name
 		rec.customer = a.Resolution.Customer.Name
 	})
@@ -105,8 +106,8 @@
 	rec := d.records.get(id)
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
-	if rec.cancel != nil {
-		rec.cancel()
+	if rec.attempt.cancel != nil {
+		rec.attempt.cancel()
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,6 +39,7 @@
 	upstreams *upstream.Client
 	peers     *peer.Node
 	leaving   atomic.Bool
+	reclaims  *reclaims
 
 	signsMu sync.Mutex
 	signs   map[string][signCount]bool
@@ -69,6 +70,7 @@
 		platform:  platform.New(s.Platform),
 		upstreams: upstream.New(),
 		signs:     map[string][signCount]bool{},
+		reclaims:  newReclaims(),
 	}
 	e.background, e.cancel = context.WithCancel(context.Background())
 	e.driver = &driver{
@@ -87,6 +89,7 @@
 		Log:       log,
 		Changed:   e.peersChanged,
 	})
+	e.peers.Register(e.registerHandover)
 	return e, nil
 }
 
@@ -146,48 +149,6 @@
 	e.peersChanged()
 }
 
-// Stop implements kernel.Stopper: a graceful shutdown. The balancer is told
-// first; requests go on being accepted for the leave delay; then the entry
-// accepts nothing new and waits for what is in flight.
-func (e *Entry) Stop(ctx context.Context) error {
-	e.leaving.Store(true)
-	e.peers.SetLeaving()
-	e.log.Info("entry leaving", "leave_delay", e.settings.Drain.LeaveDelay)
-	sleep(ctx, e.settings.Drain.LeaveDelay.Std())
-	e.driver.step(decision.DrainEvent{})
-	ctx, cancel := context.WithTimeout(ctx, e.settings.Drain.Timeout.Std())
-	defer cancel()
-	err := e.drain(ctx)
-	e.shutdown(ctx)
-	return err
-}
-
-// drain waits until no request is in flight.
-func (e *Entry) drain(ctx context.Context) error {
-	n, idle := e.records.inFlight()
-	select {
-	case <-idle:
-		return nil
-	case <-ctx.Done():
-		return oops.In("entry").With("step", "drain").Errorf("%d requests were in flight at the end of the drain timeout", n)
-	}
-}
-
-func (e *Entry) shutdown(ctx context.Context) {
-	if err := e.caller.Shutdown(ctx); err != nil {
-		e.log.Warn("callers were cut off", "step", "shutdown", "err", err)
-		_ = e.caller.Close()
-	}
-	_ = e.operator.Close()
-	e.cancel()
-	e.peers.Close()
-	e.driver.stop()
-	e.work.Wait()
-	e.platform.Close()
-	e.upstreams.Close()
-	e.log.Info("entry stopped")
-}
-
 var (
 	_ kernel.Starter = (*Entry)(nil)
 	_ kernel.Stopper = (*Entry)(nil)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -11,18 +11,27 @@
 	registry metrics.Registry
 	accepted metrics.Counter
 	answered metrics.Counter
-	refused  map[reason.Reason]metrics.Counter
-	retried  map[reason.Reason]metrics.Counter
+	// copied, moved and takenOver count requests at a handover: copies stored
+	// by peers, requests given to a peer, and those taken over from an owner
+	// that was lost.
+	copied    metrics.Counter
+	moved     metrics.Counter
+	takenOver metrics.Counter
+	refused   map[reason.Reason]metrics.Counter
+	retried   map[reason.Reason]metrics.Counter
 }
 
 func newCounters() *counters {
 	r := metrics.NewRegistry()
 	c := &counters{
-		registry: r,
-		accepted: metrics.NewRegisteredCounter("request.accepted", r),
-		answered: metrics.NewRegisteredCounter("request.answered", r),
-		refused:  map[reason.Reason]metrics.Counter{},
-		retried:  map[reason.Reason]metrics.Counter{},
+		registry:  r,
+		accepted:  metrics.NewRegisteredCounter("request.accepted", r),
+		answered:  metrics.NewRegisteredCounter("request.answered", r),
+		copied:    metrics.NewRegisteredCounter("handover.copied", r),
+		moved:     metrics.NewRegisteredCounter("handover.moved", r),
+		takenOver: metrics.NewRegisteredCounter("handover.taken_over", r),
+		refused:   map[reason.Reason]metrics.Counter{},
+		retried:   map[reason.Reason]metrics.Counter{},
 	}
 	for _, why := range reason.Refusals {
 		c.refused[why] = metrics.NewRegisteredCounter("request.refused."+string(why), r)
--- a/entry/poll.go
+++ b/entry/poll.go
@@ -85,6 +85,7 @@
 }
 
 func (e *Entry) noticed(n platform.Notice) {
+	e.noticedEntry(n)
 	for _, o := range e.config.catalog().Upstreams() {
 		if hostOf(o) == n.Host {
 			e.log.Info("reclaim notice", "upstream", o.Name, "deadline", n.Deadline)
--- a/entry/record.go
+++ b/entry/record.go
@@ -6,7 +6,9 @@
 	"sync"
 	"time"
 
+	"jaylink/api"
 	"jaylink/decision/reason"
+	"jaylink/peer/peerpb"
 	"jaylink/upstream"
 )
 
@@ -38,6 +40,7 @@
 type Record struct {
 	ID          string
 	Call        Call
+	Labels      api.Labels
 	Fingerprint uint64
 
 	mu         sync.Mutex
@@ -48,8 +51,10 @@
 	idempotent bool
 	started    time.Time
 	ended      time.Time
-	attempt    int
-	cancel     context.CancelFunc
+	deadline   time.Time
+	attempt    attempt
+	// ownership says who drives the request.
+	ownership ownership
 	// text and tokens are the answer so far of a completion.
 	text   []byte
 	tokens int
@@ -58,10 +63,47 @@
 	claim   *claim
 	problem *Problem
 	done    bool
+	// held says that the record began as a copy of another entry's request.
+	held bool
 }
 
+// attemptID tells the attempts of a request apart, over all its owners.
+type attemptID struct {
+	epoch  uint64
+	number int
+}
+
+// attempt is the newest attempt of a request on this entry.
+type attempt struct {
+	id     attemptID
+	cancel context.CancelFunc
+	ended  chan struct{} // closed once the attempt has ended
+	began  time.Time
+	tokens int // that it generated
+}
+
+// ownership says which entry drives a request.
+type ownership struct {
+	role  peerpb.Role
+	epoch uint64
+	// owner is another entry; nil while this one drives the request.
+	owner *peerpb.Member
+	// holders have copies, in the order in which they take over.
+	holders []*peerpb.Member
+	// releasing says that a handover is under way.
+	releasing bool
+	// unfollow ends the following of the owner.
+	unfollow context.CancelFunc
+}
+
+// firstEpoch is the epoch of the entry that accepted a request.
+const firstEpoch = 1
+
 func newRecord(id string, call Call, now time.Time) *Record {
-	return &Record{ID: id, Call: call, changed: make(chan struct{}), started: now}
+	return &Record{
+		ID: id, Call: call, changed: make(chan struct{}), started: now,
+		ownership: ownership{role: peerpb.Role_ROLE_OWNER, epoch: firstEpoch},
+	}
 }
 
 // notify wakes the readers; the caller holds the lock.
@@ -98,6 +140,9 @@
 	done     bool
 	customer string
 	service  string
+	role     peerpb.Role
+	epoch    uint64
+	owner    *peerpb.Member
 }
 
 // read returns the record from an offset of the text on, and a channel that
@@ -108,6 +153,7 @@
 	v := view{
 		total: len(r.text), tokens: r.tokens, answer: r.answer, problem: r.problem,
 		accepted: r.accepted, done: r.done, customer: r.customer, service: r.service,
+		role: r.ownership.role, epoch: r.ownership.epoch, owner: r.ownership.owner,
 	}
 	if offset < len(r.text) {
 		v.text = r.text[offset:]
@@ -115,11 +161,15 @@
 	return v, r.changed
 }
 
-// wait returns the record once it is done.
+// moved reports whether another entry drives the request and this one no
+// longer follows it.
+func (v *view) moved() bool { return v.role == peerpb.Role_ROLE_MOVED }
+
+// wait returns the record once it is done or has moved to another entry.
 func (r *Record) wait(ctx context.Context) (view, error) {
 	for {
 		v, changed := r.read(0)
-		if v.done {
+		if v.done || v.moved() {
 			return v, nil
 		}
 		select {
@@ -129,3 +179,9 @@
 		}
 	}
 }
+
+// left reports whether the request is another entry's, and its deadline was
+// before a time; the caller holds the lock.
+func (r *Record) left(before time.Time) bool {
+	return r.ownership.role != peerpb.Role_ROLE_OWNER && r.deadline.Before(before)
+}
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -6,6 +6,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"jaylink/peer/peerpb"
 )
 
 // registry holds the records of the entry, the ended ones for a while.
@@ -13,6 +15,7 @@
 	mu      sync.Mutex
 	records map[string]*Record
 	active  int
+	held    int           // bytes of prompt of copies
 	idle    chan struct{} // closed while no request is in flight
 }
 
@@ -46,12 +49,62 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.records[rec.ID] = rec
+	r.begin()
+}
+
+// maxHeld bounds the copies of other entries' requests, in bytes of prompt.
+const maxHeld = 64 << 20
+
+// hold adds a copy of another entry's request. It returns the record that is
+// there already, or false and nil if the entry holds too much.
+func (r *registry) hold(rec *Record) (*Record, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if old := r.records[rec.ID]; old != nil {
+		return old, false
+	}
+	if r.held+len(rec.Call.Body) > maxHeld {
+		return nil, false
+	}
+	r.held += len(rec.Call.Body)
+	rec.held = true
+	r.records[rec.ID] = rec
+	return rec, true
+}
+
+// adopted counts a record that was a copy as in flight.
+func (r *registry) adopted(*Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.begin()
+}
+
+// begin counts one more request in flight; the caller holds the lock.
+func (r *registry) begin() {
 	r.active++
 	if r.active == 1 {
 		r.idle = make(chan struct{})
 	}
 }
 
+// movable returns the records that this entry drives and another may go on
+// with: accepted, idempotent and not ended.
+func (r *registry) movable() []*Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []*Record
+	for _, rec := range r.records {
+		rec.mu.Lock()
+		ok := rec.accepted && rec.idempotent && !rec.done &&
+			rec.ownership.role == peerpb.Role_ROLE_OWNER && !rec.ownership.releasing
+		rec.mu.Unlock()
+		if ok {
+			out = append(out, rec)
+		}
+	}
+	return out
+}
+
 func (r *registry) get(id string) *Record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -82,10 +135,14 @@
 	defer r.mu.Unlock()
 	for id, rec := range r.records {
 		rec.mu.Lock()
-		old := rec.done && rec.ended.Before(before)
+		old := rec.done && rec.ended.Before(before) || rec.left(before)
 		rec.mu.Unlock()
-		if old {
-			delete(r.records, id)
+		if !old {
+			continue
+		}
+		if rec.held {
+			r.held -= len(rec.Call.Body)
 		}
+		delete(r.records, id)
 	}
 }
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -17,6 +17,9 @@
 type Settings struct {
 	// Name identifies the entry in the fleet; a-z, 0-9 and '-'.
 	Name string `yaml:"name"`
+	// Host is the name of the entry's host in the host list and in reclaim
+	// notices. Default: the entry's name.
+	Host string `yaml:"host"`
 	// AvailabilityZone and Region say where the entry runs.
 	AvailabilityZone string `yaml:"availability_zone"`
 	Region           string `yaml:"region"`
--- /dev/null
+++ b/entry/stop.go
@@ -0,0 +1,121 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+
+	"jaylink/decision"
+	"jaylink/platform"
+)
+
+const (
+	// finalAnswerTimeout is how long callers of requests that were given up
+	// at the end of the drain are given to read their final answer.
+	finalAnswerTimeout = 2 * time.Second
+	// reclaimLeaveShare is the share of the time before a reclaim that the
+	// leave delay may take.
+	reclaimLeaveShare = 4
+)
+
+// reclaims has the hosts of which a reclaim notice was seen.
+type reclaims struct {
+	mu    sync.Mutex
+	hosts map[string]time.Time
+}
+
+func newReclaims() *reclaims { return &reclaims{hosts: map[string]time.Time{}} }
+
+// reclaimMemory is how long after its deadline a notice counts; a host of the
+// same name may come back.
+const reclaimMemory = time.Minute
+
+func (r *reclaims) add(host string, deadline time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for h, d := range r.hosts {
+		if time.Since(d) > reclaimMemory {
+			delete(r.hosts, h)
+		}
+	}
+	r.hosts[host] = deadline
+}
+
+func (r *reclaims) has(host string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	deadline, ok := r.hosts[host]
+	return ok && time.Since(deadline) < reclaimMemory
+}
+
+// host returns the name of the entry's host.
+func (e *Entry) host() string {
+	if e.settings.Host != "" {
+		return e.settings.Host
+	}
+	return e.settings.Name
+}
+
+// noticedEntry takes a reclaim notice: of this entry's host, or of a peer's,
+// which then gets no requests.
+func (e *Entry) noticedEntry(n platform.Notice) {
+	e.reclaims.add(n.Host, n.Deadline)
+	if n.Host != e.host() || time.Until(n.Deadline) < -reclaimMemory {
+		return
+	}
+	e.log.Info("this host is being reclaimed", "step", "reclaim", "deadline", n.Deadline)
+	e.work.Go(func() { e.leave(e.background, n.Deadline) })
+}
+
+// leave takes the entry out of service before a deadline. The balancer and the
+// peers are told first, and copies of what is in flight go to peers; requests
+// go on being accepted for the leave delay. What will not end in time is handed
+// over. It returns when nothing is in flight any more, or at the deadline.
+func (e *Entry) leave(ctx context.Context, deadline time.Time) {
+	e.leaving.Store(true)
+	e.peers.SetLeaving()
+	delay := min(e.settings.Drain.LeaveDelay.Std(), max(time.Until(deadline), 0)/reclaimLeaveShare)
+	e.log.Info("entry leaving", "leave_delay", delay, "deadline", deadline)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	ev := e.newEvacuation(deadline)
+	ev.run(ctx, delay)
+}
+
+// Stop implements kernel.Stopper: a graceful shutdown. What is still in flight
+// at the end of the drain timeout and could not be handed over gets a final
+// answer.
+func (e *Entry) Stop(ctx context.Context) error {
+	e.leave(ctx, time.Now().Add(e.settings.Drain.LeaveDelay.Std()+e.settings.Drain.Timeout.Std()))
+	n, idle := e.records.inFlight()
+	var err error
+	if n > 0 {
+		err = oops.In("entry").With("step", "drain").Errorf("%d requests were in flight at the end of the drain timeout", n)
+		e.driver.step(decision.StopEvent{})
+	}
+	ctx, cancel := context.WithTimeout(ctx, finalAnswerTimeout)
+	defer cancel()
+	select {
+	case <-idle:
+	case <-ctx.Done():
+	}
+	e.shutdown(ctx)
+	return err
+}
+
+func (e *Entry) shutdown(ctx context.Context) {
+	if err := e.caller.Shutdown(ctx); err != nil {
+		e.log.Warn("callers were cut off", "step", "shutdown", "err", err)
+		_ = e.caller.Close()
+	}
+	_ = e.operator.Close()
+	e.cancel()
+	e.peers.Close()
+	e.driver.stop()
+	e.work.Wait()
+	e.platform.Close()
+	e.upstreams.Close()
+	e.log.Info("entry stopped")
+}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"strconv"
 
-	"github.com/gorilla/mux"
 	"github.com/tmaxmax/go-sse"
 
 	"jaylink/decision/reason"
@@ -35,10 +34,19 @@
 				return
 			}
 		}
-		if v.done {
+		switch {
+		case v.done && offset > v.total:
+			p := problemOf(reason.OutcomeUnknown, "the answer ends before the offset")
+			v.problem = p
+			fallthrough
+		case v.done:
 			begin(w, begun)
 			end(w, rec, v)
 			return
+		case v.moved():
+			begin(w, begun)
+			_ = send(w, movedEvent(rec, v, offset))
+			return
 		}
 		select {
 		case <-changed:
@@ -105,32 +113,6 @@
 	_ = send(w, m)
 }
 
-// reattach gives a caller the answer of a request that was accepted before.
-func (e *Entry) reattach(w http.ResponseWriter, r *http.Request) {
-	id := mux.Vars(r)["id"]
-	w.Header().Set(HeaderRequestID, id)
-	if _, ok := acceptingEntry(id); !ok {
-		e.refuseEarly(w, id, problemOf(reason.BadRequest, "not a request ID"))
-		return
-	}
-	rec := e.records.get(id)
-	if rec == nil {
-		e.refuseEarly(w, id, problemOf(reason.UnknownRequest, "no such request on this entry"))
-		return
-	}
-	v, _ := rec.read(0)
-	if customer, ok := e.customerOf(r); !ok || customer != v.customer {
-		e.refuseEarly(w, id, problemOf(reason.WrongCustomer, ""))
-		return
-	}
-	offset, err := lastEventOffset(r)
-	if err != nil || offset > v.total {
-		e.refuseEarly(w, id, problemOf(reason.BadRequest, "Last-Event-ID is not an offset in this answer"))
-		return
-	}
-	e.answer(w, r, rec, offset)
-}
-
 // lastEventOffset returns the offset after which a caller goes on; 0 without
 // the header.
 func lastEventOffset(r *http.Request) (int, error) {
--- /dev/null
+++ b/internal/testfleet/metrics.go
@@ -0,0 +1,26 @@
+package testfleet
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// Metrics reads the counters of an entry.
+func Metrics(e *Entry) (map[string]int, error) {
+	resp, err := http.Get("http://" + e.Operator + "/v1/metrics")
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var all map[string]struct {
+		Count int `json:"count"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&all); err != nil {
+		return nil, err
+	}
+	out := map[string]int{}
+	for name, m := range all {
+		out[name] = m.Count
+	}
+	return out, nil
+}
--- a/peer/node.go
+++ b/peer/node.go
@@ -81,7 +81,7 @@
 		members: map[string]*member{},
 		conns:   map[string]*grpc.ClientConn{},
 		wake:    make(chan struct{}, 1),
-		server:  grpc.NewServer(),
+		server:  grpc.NewServer(serverOptions()...),
 	}
 }
 
@@ -278,7 +278,7 @@
 	if c := n.conns[address]; c != nil {
 		return c, nil
 	}
-	c, err := grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	c, err := grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()), callOptions())
 	if err != nil {
 		return nil, err
 	}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -58,6 +58,12 @@
 	Whole     bool   `json:"whole"`
 }
 
+// Request returns the request's ID without the attempt.
+func (r *Run) Request() string {
+	id, _, _ := strings.Cut(r.RequestID, "/")
+	return id
+}
+
 // Server is the stand-in's HTTP handler.
 type Server struct {
 	opts   Options
