decision/recovery: choose for each stream on a reclaimed upstream

Cause: streams on a reclaimed upstream ran until they broke, then all read prompt and answer again at once, out of the retry budget.

Ruled out: moving every cache (does not fit into seconds of notice for a zone) and resuming only (reads everything again).

Change: by time left, cache size and tokens left a stream finishes, moves its KV cache within the region, or is resumed; paced, spread over free slots. A move is no failed attempt. The engine stand-in exports and imports KV cache and keeps that of canceled runs as prefix.

--- a/cmd/jaylink/standin.go
+++ b/cmd/jaylink/standin.go
@@ -43,6 +43,7 @@
 	cmd.Flag("prefill", "Time to read one prompt token.").Default("100us").DurationVar(&opts.PrefillPerToken)
 	cmd.Flag("load-lag", "Age of the reported load.").Default("500ms").DurationVar(&opts.LoadLag)
 	cmd.Flag("prefix-tokens", "Size of the prefix cache in tokens.").Default("4096").IntVar(&opts.PrefixTokens)
+	cmd.Flag("kv", "Time to import the KV cache of one token.").Default("5us").DurationVar(&opts.KVPerToken)
 	cmd.Action(func(*kingpin.ParseContext) error { return runStandin(*listen, engine.New(opts)) })
 }
 
--- a/decision/core.go
+++ b/decision/core.go
@@ -25,6 +25,7 @@
 	"jaylink/api"
 	"jaylink/decision/admission"
 	"jaylink/decision/reason"
+	"jaylink/decision/recovery"
 	"jaylink/decision/retry"
 	"jaylink/decision/route"
 )
@@ -37,6 +38,8 @@
 	Scorers      []route.Scorer
 	Limits       []admission.Limit
 	Rules        []retry.Rule
+	// Recovery plans for streams on reclaimed upstreams; nil leaves them.
+	Recovery *recovery.Planner
 }
 
 // Core decides for one entry. It is not safe for concurrent use.
@@ -77,6 +80,7 @@
 	started  time.Time
 	deadline time.Time
 	wake     time.Time
+	move     move
 	// timedOut says that the deadline passed while an attempt was running.
 	timedOut bool
 }
@@ -121,6 +125,10 @@
 		out = c.adopt(now, ev)
 	case ReleaseEvent:
 		c.release(now, ev)
+	case ReclaimEvent:
+		out = c.reclaim(now, ev)
+	case MovedEvent:
+		out = c.moved(ev)
 	case StopEvent:
 		out = c.stop(now)
 	case TickEvent:
@@ -234,7 +242,7 @@
 func (c *Core) dispatch(now time.Time) []Action {
 	var out []Action
 	c.queue.each(func(r *request) bool {
-		u := c.table.Pick(now, &r.route)
+		u := c.pick(now, r)
 		if u == nil {
 			return false
 		}
@@ -269,6 +277,9 @@
 		c.remove(r)
 		return []Action{FinishAction{ID: r.id}}
 	}
+	if c.movesOn(r, ev) {
+		return nil
+	}
 	if ev.Outcome == OutcomeTooLarge {
 		return c.refuse(now, r, reason.AnswerTooLarge)
 	}
@@ -282,7 +293,7 @@
 func (c *Core) again(now time.Time, r *request, ev AttemptEvent) []Action {
 	why := retryReason(ev.Outcome)
 	v := retry.Check(c.cfg.Rules, &retry.Attempt{
-		Number:      r.attempts,
+		Number:      r.attempts - r.move.count,
 		MaxAttempts: r.res.MaxAttempts,
 		Why:         why,
 		Ran:         r.ran,
--- /dev/null
+++ b/decision/recovery/recovery_test.go
@@ -0,0 +1,118 @@
+package recovery
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var (
+	start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	rates = Rates{CacheBytes: 128 << 10, Export: 10 << 30, Link: 1 << 20, Prefill: 10_000, TextBytes: 4}
+)
+
+func stream(id string, prompt, generated, left int) Stream {
+	return Stream{ID: id, Prompt: prompt, Generated: generated, Left: left, Interval: 45 * time.Millisecond}
+}
+
+func TestPlanChooses(t *testing.T) {
+	near := Target{Name: "near", SameRegion: true, Free: 8}
+	far := Target{Name: "far", Free: 8}
+	slow := rates
+	slow.Export = 64 << 20
+	cases := []struct {
+		name    string
+		rates   Rates
+		left    time.Duration
+		stream  Stream
+		targets []Target
+		choice  Choice
+		target  string
+	}{
+		{"ends in time", rates, 30 * time.Second, stream("s", 100, 10, 100), []Target{near}, Finish, ""},
+		{"cache moves in the region", rates, 3 * time.Second, stream("s", 1000, 100, 1000), []Target{far, near}, MoveCache, "near"},
+		{"no cache between regions", rates, 3 * time.Second, stream("s", 1000, 100, 1000), []Target{far}, Resume, "far"},
+		{"cache slower than computing it", slow, 3 * time.Second, stream("s", 1000, 100, 1000), []Target{near}, Resume, "near"},
+		{"no time for the cache", rates, time.Millisecond, stream("s", 8000, 100, 1000), []Target{near}, Resume, "near"},
+		{"no slot", rates, 3 * time.Second, stream("s", 1000, 100, 1000), nil, Resume, ""},
+		{"pace unknown", rates, time.Hour, Stream{ID: "s", Prompt: 10, Left: 10}, []Target{near}, MoveCache, "near"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got := NewPlanner(c.rates).Plan(start, c.left, []Stream{c.stream}, c.targets)
+			require.Len(t, got, 1)
+			require.Equal(t, c.choice, got[0].Choice)
+			require.Equal(t, c.target, got[0].Target)
+		})
+	}
+}
+
+// Streams that are resumed on one upstream start one after the other, also
+// those of a second upstream that is reclaimed at the same time.
+func TestPlanPacesReadmission(t *testing.T) {
+	p := NewPlanner(rates)
+	targets := []Target{{Name: "far", Free: 8}}
+	last := time.Duration(-1)
+	for i := range 4 {
+		steps := p.Plan(start, 3*time.Second, []Stream{stream(fmt.Sprint(i), 1000, 100, 1000)}, targets)
+		require.Greater(t, steps[0].After, last)
+		last = steps[0].After
+	}
+}
+
+func TestPlanOrder(t *testing.T) {
+	urgent := stream("urgent", 10, 1, 1000)
+	urgent.Urgent = true
+	steps := NewPlanner(rates).Plan(start, 2*time.Second,
+		[]Stream{stream("short", 1000, 10, 200), stream("long", 1000, 10, 2000), urgent}, nil)
+	require.Equal(t, []string{"urgent", "long", "short"}, []string{steps[0].ID, steps[1].ID, steps[2].ID})
+}
+
+// Whatever is reclaimed: one step a stream, none waits past the deadline, and no
+// target gets more than its free slots.
+func TestPlanProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		left := time.Duration(rapid.Int64Range(-1000, 60_000).Draw(t, "left_ms")) * time.Millisecond
+		var streams []Stream
+		for i := range rapid.IntRange(0, 40).Draw(t, "streams") {
+			n := rapid.IntRange(0, 20_000)
+			streams = append(streams, stream(fmt.Sprint(i), n.Draw(t, "prompt"), n.Draw(t, "generated"), n.Draw(t, "left")))
+		}
+		var targets []Target
+		for i := range rapid.IntRange(0, 5).Draw(t, "targets") {
+			targets = append(targets, Target{
+				Name: fmt.Sprint(i), SameRegion: rapid.Bool().Draw(t, "same_region"), Free: rapid.IntRange(0, 8).Draw(t, "free"),
+			})
+		}
+		steps := NewPlanner(rates).Plan(start, left, streams, targets)
+		require.Len(t, steps, len(streams))
+		seen, used := map[string]bool{}, map[string]int{}
+		for _, s := range steps {
+			require.False(t, seen[s.ID])
+			seen[s.ID] = true
+			used[s.Target]++
+			require.LessOrEqual(t, s.After, max(left, 0))
+		}
+		for _, target := range targets {
+			require.LessOrEqual(t, used[target.Name], target.Free)
+		}
+	})
+}
+
+// Streams are spread over the targets by their free slots.
+func TestPlanSpreads(t *testing.T) {
+	var streams []Stream
+	for i := range 6 {
+		streams = append(streams, stream(fmt.Sprint(i), 1000, 100, 1000))
+	}
+	used := map[string]int{}
+	for _, s := range NewPlanner(rates).Plan(start, 3*time.Second, streams, []Target{
+		{Name: "1", SameRegion: true, Free: 5}, {Name: "2", SameRegion: true, Free: 5},
+	}) {
+		used[s.Target]++
+	}
+	require.Equal(t, map[string]int{"1": 3, "2": 3}, used)
+}
--- a/entry/driver.go
+++ b/entry/driver.go
@@ -24,6 +24,7 @@
 	dispatch func(rec *Record, a decision.DispatchAction)
 	claim    func(rec *Record)
 	release  func(rec *Record)
+	move     func(rec *Record, a decision.MoveAction)
 }
 
 // step passes one event to the core. Actions are carried out under the lock,
@@ -71,6 +72,8 @@
 		d.dispatched(a)
 	case decision.CancelAction:
 		d.canceled(a.ID)
+	case decision.MoveAction:
+		d.move(d.records.get(a.ID), a)
 	case decision.FinishAction:
 		d.finish(now, a.ID, nil)
 	case decision.ReplayAction:
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -76,6 +76,7 @@
 	e.driver = &driver{
 		core: decision.New(cfg), records: e.records, metrics: e.metrics, log: log,
 		dispatch: e.dispatch, claim: e.startClaim, release: e.releaseClaim,
+		move: e.move,
 	}
 	e.config.changed = func(c *api.Catalog) { e.driver.step(decision.ConfigEvent{Catalog: c}) }
 	e.peers = peer.New(peer.Options{
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -17,21 +17,27 @@
 	copied    metrics.Counter
 	moved     metrics.Counter
 	takenOver metrics.Counter
-	refused   map[reason.Reason]metrics.Counter
-	retried   map[reason.Reason]metrics.Counter
+	// cacheMoved and cacheFailed count KV caches that went along with a
+	// stream to another upstream, and those that could not.
+	cacheMoved  metrics.Counter
+	cacheFailed metrics.Counter
+	refused     map[reason.Reason]metrics.Counter
+	retried     map[reason.Reason]metrics.Counter
 }
 
 func newCounters() *counters {
 	r := metrics.NewRegistry()
 	c := &counters{
-		registry:  r,
-		accepted:  metrics.NewRegisteredCounter("request.accepted", r),
-		answered:  metrics.NewRegisteredCounter("request.answered", r),
-		copied:    metrics.NewRegisteredCounter("handover.copied", r),
-		moved:     metrics.NewRegisteredCounter("handover.moved", r),
-		takenOver: metrics.NewRegisteredCounter("handover.taken_over", r),
-		refused:   map[reason.Reason]metrics.Counter{},
-		retried:   map[reason.Reason]metrics.Counter{},
+		registry:    r,
+		accepted:    metrics.NewRegisteredCounter("request.accepted", r),
+		answered:    metrics.NewRegisteredCounter("request.answered", r),
+		copied:      metrics.NewRegisteredCounter("handover.copied", r),
+		moved:       metrics.NewRegisteredCounter("handover.moved", r),
+		takenOver:   metrics.NewRegisteredCounter("handover.taken_over", r),
+		cacheMoved:  metrics.NewRegisteredCounter("recovery.cache_moved", r),
+		cacheFailed: metrics.NewRegisteredCounter("recovery.cache_failed", r),
+		refused:     map[reason.Reason]metrics.Counter{},
+		retried:     map[reason.Reason]metrics.Counter{},
 	}
 	for _, why := range reason.Refusals {
 		c.refused[why] = metrics.NewRegisteredCounter("request.refused."+string(why), r)
--- a/entry/plugins.go
+++ b/entry/plugins.go
@@ -5,6 +5,7 @@
 
 	"jaylink/decision"
 	"jaylink/decision/admission"
+	"jaylink/decision/recovery"
 	"jaylink/decision/retry"
 	"jaylink/decision/route"
 	"jaylink/kernel"
@@ -13,7 +14,7 @@
 
 // chain builds the modules that the settings name, or the standard ones.
 func chain(s Settings) (decision.Config, error) {
-	cfg := decision.Config{Zone: s.AvailabilityZone, Region: s.Region}
+	cfg := decision.Config{Zone: s.AvailabilityZone, Region: s.Region, Recovery: recovery.NewPlanner(s.Recovery.rates())}
 	plugins := s.Plugins
 	if len(plugins) == 0 {
 		for _, id := range standard.Order {
--- a/entry/poll.go
+++ b/entry/poll.go
@@ -90,6 +90,7 @@
 		if hostOf(o) == n.Host {
 			e.log.Info("reclaim notice", "upstream", o.Name, "deadline", n.Deadline)
 			e.setLeaving(o.Name, signNotice, true)
+			e.work.Go(func() { e.reclaimUpstream(o.Name, n.Deadline) })
 		}
 	}
 }
--- /dev/null
+++ b/entry/recover.go
@@ -0,0 +1,83 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"jaylink/decision"
+	"jaylink/decision/recovery"
+	"jaylink/upstream"
+)
+
+// bytesPerToken is the size of a token of a prompt that is assumed for plans.
+const bytesPerToken = 4
+
+const (
+	// noticeSettle is how long the notices of a wave are gathered before
+	// streams are moved, so that none moves to an upstream that leaves too.
+	noticeSettle = 100 * time.Millisecond
+	// noticeSettleShare bounds that to a share of the time that is left.
+	noticeSettleShare = 10
+)
+
+// reclaimUpstream plans what becomes of the streams on an upstream whose host
+// is reclaimed. The upstream counts as leaving already.
+func (e *Entry) reclaimUpstream(name string, deadline time.Time) {
+	sleep(e.background, min(noticeSettle, max(time.Until(deadline), 0)/noticeSettleShare))
+	e.driver.step(decision.ReclaimEvent{Upstream: name, Deadline: deadline, Streams: e.records.streams()})
+}
+
+// streams describes the completions under way.
+func (r *registry) streams() []recovery.Stream {
+	var out []recovery.Stream
+	for _, rec := range r.movable() {
+		if s, ok := rec.stream(time.Now()); ok {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// stream describes the completion; false if it is none or is not running.
+func (r *Record) stream(now time.Time) (recovery.Stream, bool) {
+	c := r.Call.Completion
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c == nil || r.attempt.cancel == nil {
+		return recovery.Stream{}, false
+	}
+	s := recovery.Stream{
+		ID: r.ID, Prompt: len(c.Prompt) / bytesPerToken, Generated: r.tokens, Left: c.MaxTokens - r.tokens,
+	}
+	if r.attempt.tokens > 0 {
+		s.Interval = now.Sub(r.attempt.began) / time.Duration(r.attempt.tokens)
+	}
+	return s, true
+}
+
+// move carries out a MoveAction in the background. The stream goes on where it
+// is while its cache is copied.
+func (e *Entry) move(rec *Record, a decision.MoveAction) {
+	rec.mu.Lock()
+	tag := rec.attempt.id.tag(rec.ID)
+	rec.mu.Unlock()
+	e.work.Go(func() {
+		sleep(e.background, a.After)
+		if a.Cache {
+			e.copyCache(tag, a)
+		}
+		e.driver.step(decision.MovedEvent{ID: rec.ID, Attempt: a.Attempt})
+	})
+}
+
+func (e *Entry) copyCache(tag string, a decision.MoveAction) {
+	ctx, cancel := context.WithDeadline(e.background, a.Deadline)
+	defer cancel()
+	order := upstream.CacheImport{RequestID: tag, From: a.From.Spec.Address}
+	if err := e.upstreams.ImportCache(ctx, a.To.Spec.Address, order); err != nil {
+		e.metrics.cacheFailed.Inc(1)
+		e.log.Warn("KV cache was not moved", "attempt", tag, "step", "import_cache", "upstream", a.To.Name, "err", err)
+		return
+	}
+	e.metrics.cacheMoved.Inc(1)
+}
--- /dev/null
+++ b/entry/recoversettings.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"jaylink/api"
+	"jaylink/decision/recovery"
+	"jaylink/internal/strictyaml"
+)
+
+// RecoverySettings describe the machines and the link between regions, for the
+// choice of what becomes of the streams on a reclaimed upstream.
+type RecoverySettings struct {
+	// Link is what moves may use of the link between regions, in bytes a
+	// second. The rest is left to answers. Default 1MiB, a quarter of
+	// 30 Mb/s.
+	Link api.ByteSize `yaml:"link"`
+	// CacheToken is the size of the KV cache of one token. Default 128KiB.
+	CacheToken api.ByteSize `yaml:"cache_token"`
+	// CacheRate is how fast an upstream sends its cache, in bytes a second.
+	// Default 1GiB.
+	CacheRate api.ByteSize `yaml:"cache_rate"`
+	// PrefillRate is how many tokens an upstream reads in a second. Default
+	// 5000.
+	PrefillRate int64 `yaml:"prefill_rate"`
+}
+
+func defaultRecovery() RecoverySettings {
+	return RecoverySettings{Link: 1 << 20, CacheToken: 128 << 10, CacheRate: 1 << 30, PrefillRate: 5000}
+}
+
+func (s RecoverySettings) rates() recovery.Rates {
+	return recovery.Rates{
+		CacheBytes: int64(s.CacheToken), Export: int64(s.CacheRate), Link: int64(s.Link),
+		Prefill: s.PrefillRate, TextBytes: bytesPerToken,
+	}
+}
+
+func (s RecoverySettings) check(doc *strictyaml.Document) []error {
+	var errs []error
+	fields := []struct {
+		name  string
+		value int64
+	}{
+		{"link", int64(s.Link)}, {"cache_token", int64(s.CacheToken)},
+		{"cache_rate", int64(s.CacheRate)}, {"prefill_rate", s.PrefillRate},
+	}
+	for _, f := range fields {
+		if f.value <= 0 {
+			errs = append(errs, doc.Errorf("recovery."+f.name, "%d is too small; more than 0 is allowed", f.value))
+		}
+	}
+	return errs
+}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -35,6 +35,9 @@
 	Drain DrainSettings `yaml:"drain"`
 	// Intervals say how often things are asked for.
 	Intervals IntervalSettings `yaml:"intervals"`
+	// Recovery describes the machines and the link for moves of streams off
+	// reclaimed upstreams.
+	Recovery RecoverySettings `yaml:"recovery"`
 	// Log says what is logged.
 	Log LogSettings `yaml:"log"`
 	// Plugins replace the standard chain, in order.
@@ -115,7 +118,8 @@
 			Watch:     api.Duration(30 * time.Second),
 			Retain:    api.Duration(2 * time.Minute),
 		},
-		Log: LogSettings{Level: "info", Format: "json"},
+		Recovery: defaultRecovery(),
+		Log:      LogSettings{Level: "info", Format: "json"},
 	}
 }
 
@@ -169,6 +173,7 @@
 	address("listen.operator", s.Listen.Operator)
 	address("listen.peer", s.Listen.Peer)
 	address("platform", s.Platform)
+	errs = append(errs, s.Recovery.check(doc)...)
 	oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	oneOf("log.format", s.Log.Format, "text", "json")
 	return errs
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -59,10 +59,11 @@
 }
 
 // noticedEntry takes a reclaim notice: of this entry's host, or of a peer's,
-// which then gets no requests.
+// which then gets no requests. A notice whose deadline has passed was for an
+// earlier host of the same name.
 func (e *Entry) noticedEntry(n platform.Notice) {
 	e.reclaims.add(n.Host, n.Deadline)
-	if n.Host != e.host() || time.Until(n.Deadline) < -reclaimMemory {
+	if n.Host != e.host() || time.Until(n.Deadline) <= 0 {
 		return
 	}
 	e.log.Info("this host is being reclaimed", "step", "reclaim", "deadline", n.Deadline)
--- a/guarantees/g1_entry_test.go
+++ b/guarantees/g1_entry_test.go
@@ -34,12 +34,14 @@
 type reclaimFleet struct {
 	*testfleet.Fleet
 	t *testing.T
+	// prompt begins the prompt of each caller.
+	prompt string
 }
 
 var reclaimZones = []struct{ zone, region string }{{"a", "r"}, {"b", "r"}, {"c", "s"}}
 
 func newReclaimFleet(t *testing.T, settings string) *reclaimFleet {
-	f := &reclaimFleet{testfleet.New(t), t}
+	f := &reclaimFleet{Fleet: testfleet.New(t), t: t}
 	for _, z := range reclaimZones {
 		f.Upstream("engine", "caption-lm", "engine-"+z.zone, z.zone, z.region, "--slots", "64")
 		for i := 1; i <= 2; i++ {
@@ -82,7 +84,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(f.t.Context(), answerTimeout)
 			defer cancel()
-			prompt := fmt.Sprintf("દીપ %d", i)
+			prompt := fmt.Sprintf("%d દીપ %s", i, f.prompt)
 			client := caller.New(f.addresses(first), header)
 			answer, err := client.Complete(ctx, upstream.Completion{Prompt: prompt, MaxTokens: reclaimTokens, Stream: i%2 == 0})
 			out <- outcome{prompt, answer, err}
--- /dev/null
+++ b/guarantees/g1_upstream_test.go
@@ -0,0 +1,145 @@
+package guarantees
+
+import (
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jaylink/internal/procs"
+	"jaylink/internal/testfleet"
+	"jaylink/standin/engine"
+)
+
+// newUpstreamFleet has one entry and engines in two availability zones.
+func newUpstreamFleet(t *testing.T) *reclaimFleet {
+	f := &reclaimFleet{Fleet: testfleet.New(t), t: t}
+	for _, name := range []string{"a1", "a2", "b1", "b2"} {
+		f.Upstream("engine", "caption-lm", name, name[:1], "r", "--prefill", "20us")
+	}
+	e := f.StartEntry("one", "a", "r", longDrain)
+	f.Ready()
+	f.Apply(e, captionObjects)
+	return f
+}
+
+// runsOf returns what an engine ran, by request ID.
+func (f *reclaimFleet) runsOf(names ...string) map[string][]engine.Run {
+	out := map[string][]engine.Run{}
+	for _, name := range names {
+		var list []engine.Run
+		f.Read("http://"+f.Nodes[name].Address+"/runs", &list)
+		for _, r := range list {
+			out[r.Request()] = append(out[r.Request()], r)
+		}
+	}
+	return out
+}
+
+// awaitTokens waits until each stream on the engines has so many tokens.
+func (f *reclaimFleet) awaitTokens(n int, names ...string) {
+	require.NoError(f.t, procs.Await("tokens of every stream", func() bool {
+		for _, runs := range f.runsOf(names...) {
+			if runs[0].Generated < n {
+				return false
+			}
+		}
+		return true
+	}))
+}
+
+// awaitMoves waits until the entry has moved every stream off the engines.
+func (f *reclaimFleet) awaitMoves(names ...string) {
+	n := 0
+	for _, runs := range f.runsOf(names...) {
+		n += len(runs)
+	}
+	f.awaitCount("one", "request.retried.upstream_leaving", n)
+}
+
+// Streams on reclaimed upstreams are answered whole.
+func TestUpstreamReclaim(t *testing.T) {
+	cases := []struct {
+		fault   string
+		disturb func(f *reclaimFleet)
+	}{
+		{"upstream_reclaimed", func(f *reclaimFleet) {
+			f.notice("a1", 1500*time.Millisecond)
+			f.awaitMoves("a1")
+			f.Nodes["a1"].Kill()
+		}},
+		{"upstream_zone_reclaimed", func(f *reclaimFleet) {
+			f.notice("a1", time.Second)
+			f.notice("a2", time.Second)
+			f.awaitMoves("a1", "a2")
+			f.Nodes["a1"].Kill()
+			f.Nodes["a2"].Kill()
+		}},
+		{"kv_transfer_refused", func(f *reclaimFleet) {
+			f.Put("http://"+f.Nodes["b1"].Address+"/faults", engine.Faults{RefuseKV: true})
+			f.Put("http://"+f.Nodes["b2"].Address+"/faults", engine.Faults{RefuseKV: true})
+			f.notice("a1", time.Second)
+			f.notice("a2", time.Second)
+			f.awaitMoves("a1", "a2")
+			f.Nodes["a1"].Kill()
+			f.Nodes["a2"].Kill()
+		}},
+		{"upstream_killed_at_its_notice", func(f *reclaimFleet) {
+			f.notice("a1", time.Hour)
+			f.Nodes["a1"].Kill()
+		}},
+		{"upstream_frozen_then_woken", func(f *reclaimFleet) {
+			_ = f.Nodes["a1"].Signal(syscall.SIGSTOP)
+			f.notice("a1", time.Second)
+			f.awaitCount("one", "request.retried.upstream_leaving", 1)
+			_ = f.Nodes["a1"].Signal(syscall.SIGCONT)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.fault, func(t *testing.T) {
+			t.Parallel()
+			f := newUpstreamFleet(t)
+			results := f.start("one")
+			c.disturb(f)
+			testfleet.Report(t, testfleet.Guarantee{
+				Number: 1, Fault: c.fault, Cases: reclaimCallers, Violations: f.violations(results),
+			})
+		})
+	}
+}
+
+// maxRecomputedRatio is the target for tokens computed again, as a share of
+// what starting again elsewhere computes.
+const maxRecomputedRatio = 0.1
+
+// Tokens computed again when half of the engines are reclaimed, against starting
+// the same streams again elsewhere.
+func TestRecomputedTokens(t *testing.T) {
+	f := newUpstreamFleet(t)
+	f.prompt = strings.Repeat("દીપ પુષ્પ ", 100)
+	results := f.start("one")
+	f.awaitTokens(100, "a1", "a2")
+	f.notice("a1", time.Second)
+	f.notice("a2", time.Second)
+	f.awaitMoves("a1", "a2")
+	if n := f.violations(results); n > 0 {
+		t.Errorf("%d answers are not whole", n)
+	}
+	first, all := f.runsOf("a1", "a2"), f.runsOf("a1", "a2", "b1", "b2")
+	recomputed, startAgain := 0, 0
+	for id, runs := range first {
+		startAgain += runs[0].Prompt + runs[0].Generated
+		for _, r := range all[id][len(runs):] {
+			recomputed += r.Prompt - r.Cached
+		}
+	}
+	ratio := float64(recomputed) / float64(startAgain)
+	testfleet.Figure("recomputed_ratio_reclaim", ratio, "ratio")
+	testfleet.Figure("recomputed_tokens_reclaim", float64(recomputed), "tokens")
+	testfleet.Figure("recomputed_tokens_start_again", float64(startAgain), "tokens")
+	if ratio > maxRecomputedRatio {
+		t.Errorf("recomputed ratio %.3f is above %.3f", ratio, maxRecomputedRatio)
+	}
+}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -35,6 +35,8 @@
 	LoadLag time.Duration
 	// PrefixTokens is the size of the prefix cache.
 	PrefixTokens int
+	// KVPerToken is the time to import the KV cache of one token.
+	KVPerToken time.Duration
 }
 
 // Faults are the switches of the stand-in. They are set by PUT /faults.
@@ -47,6 +49,8 @@
 	Refuse bool `json:"refuse"`
 	// CrashOn cuts the connection of each request whose prompt contains it.
 	CrashOn string `json:"crash_on"`
+	// RefuseKV refuses to export and import KV cache.
+	RefuseKV bool `json:"refuse_kv"`
 }
 
 // Run is one execution, as the stand-in saw it.
@@ -77,6 +81,8 @@
 	history []sample
 	runs    []*Run
 	cache   prefixCache
+	// live has the text so far of each request that runs, by its tag.
+	live map[string]string
 }
 
 type sample struct {
@@ -91,10 +97,13 @@
 		router: mux.NewRouter(),
 		slots:  make(chan struct{}, opts.Slots),
 		cache:  prefixCache{limit: opts.PrefixTokens},
+		live:   map[string]string{},
 	}
 	s.router.HandleFunc("/v1/completions", s.complete).Methods(http.MethodPost)
 	s.router.HandleFunc("/load", s.load).Methods(http.MethodGet)
 	s.router.HandleFunc("/runs", s.listRuns).Methods(http.MethodGet)
+	s.router.HandleFunc("/kv", s.exportKV).Methods(http.MethodGet)
+	s.router.HandleFunc("/kv", s.importKV).Methods(http.MethodPost)
 	s.router.HandleFunc("/faults", s.setFaults).Methods(http.MethodPut)
 	return s
 }
@@ -193,12 +202,15 @@
 
 func (s *Server) generate(w http.ResponseWriter, r *http.Request, c upstream.Completion, run *Run) {
 	text := c.Prompt
+	s.grow(run, text)
+	defer func() { s.retire(run, text) }()
 	for i := range c.MaxTokens {
 		if !pause(r, s.opts.TokenInterval) {
 			return
 		}
 		token := nextToken(text)
 		text += token
+		s.grow(run, text)
 		chunk := upstream.Chunk{ID: run.RequestID, Object: "text_completion", Model: c.Model, Choices: []upstream.Choice{{Text: token}}}
 		if i == c.MaxTokens-1 {
 			chunk.Choices[0].FinishReason = "length"
@@ -216,7 +228,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	run.Whole = true
-	s.cache.add(text)
 }
 
 func writeEvent(w http.ResponseWriter, chunk upstream.Chunk) {
