entry: answer bad input on the caller and operator ports clearly

By reading: a plain call of a completions service failed on each upstream in turn and made all of them suspect; a completion sent to a plain service was answered with an empty completion; a caller that closed its sending side lost its answer; an apply with a stale object wrote the objects before it.

Change: reserved labels, single headers, bounded keys, 431 and 405 as problems with a reason each; strict JSON on the operator port; apply answers 200, 409, 422 or 503 and the client reads the outcome of each object from all of them; versions and repeated names are checked before anything is written; an object keeps the operator who wrote it. A request over the header limit by more than 64 KiB still gets Go's own 431 without a problem body: the server gives no hook there.

Weighed for half-closed callers: giving up when the connection's reading side ends (what net/http offers) frees a goroutine earlier, but an accepted answer would be lost to a caller that may still read; the request's deadline bounds the wait, so it is kept.

--- a/api/object.go
+++ b/api/object.go
@@ -59,6 +59,8 @@
 	// Writer identifies the write that produced this version. It settles
 	// whether a write whose answer was lost took effect.
 	Writer string `json:"writer,omitempty"`
+	// Operator names who wrote this version, as the operator command said.
+	Operator string `json:"operator,omitempty"`
 	// Deleted marks a deletion; Spec is then nil.
 	Deleted bool `json:"deleted,omitempty"`
 	Spec    Spec `json:"spec,omitempty"`
@@ -120,6 +122,9 @@
 	if err := checkName(o.Name); err != nil {
 		problems = append(problems, FieldProblem{"name", err.Error()})
 	}
+	if len(o.Labels) > maxLabels {
+		problems = append(problems, FieldProblem{"labels", fmt.Sprintf("%d labels; at most %d are allowed", len(o.Labels), maxLabels)})
+	}
 	for _, key := range sortedKeys(o.Labels) {
 		if err := CheckLabelKey(key); err != nil {
 			problems = append(problems, FieldProblem{"labels", err.Error()})
@@ -134,6 +139,9 @@
 	return append(problems, o.Spec.check()...)
 }
 
+// maxLabels bounds the labels of one object.
+const maxLabels = 64
+
 // maxNameLength bounds an object's name in bytes.
 const maxNameLength = 100
 
--- a/api/spec.go
+++ b/api/spec.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"slices"
 )
 
@@ -145,9 +146,15 @@
 
 func (s *UpstreamSpec) check() []FieldProblem {
 	var p problems
-	p.need("spec.address", s.Address != "")
+	if _, err := netip.ParseAddrPort(s.Address); err != nil {
+		p.add("spec.address", fmt.Sprintf("%.64q is not an address; write ip:port", s.Address))
+	}
 	p.need("spec.availability_zone", s.AvailabilityZone != "")
 	p.need("spec.region", s.Region != "")
+	p.label("spec.availability_zone", s.AvailabilityZone)
+	p.label("spec.region", s.Region)
+	p.label("spec.machine_class", s.MachineClass)
+	p.label("spec.host", s.Host)
 	p.oneOf("spec.protocol", s.Protocol, Protocols)
 	p.atLeastZero("spec.price_per_hour", s.PricePerHour)
 	p.atLeastZero("spec.slots", float64(s.Slots))
@@ -165,6 +172,13 @@
 	}
 }
 
+// label checks a field that selectors see as a label.
+func (p *problems) label(field, value string) {
+	if err := CheckLabelValue(value); err != nil {
+		p.add(field, err.Error())
+	}
+}
+
 func (p *problems) atLeastZero(field string, v float64) {
 	if v < 0 {
 		p.add(field, fmt.Sprintf("%v is negative; 0 or more is allowed", v))
--- a/decision/core.go
+++ b/decision/core.go
@@ -153,6 +153,9 @@
 		}
 		return []Action{RefuseAction{ID: ev.ID, Reason: why, Ran: reason.RanNo}}
 	}
+	if ev.NoCompletion && res.Protocol == api.ProtocolCompletions {
+		return []Action{RefuseAction{ID: ev.ID, Reason: reason.BadRequest, Ran: reason.RanNo}}
+	}
 	if c.draining {
 		return []Action{RefuseAction{ID: ev.ID, Reason: reason.Draining, Ran: reason.RanNo, RetryAfter: drainRetryAfter}}
 	}
--- a/decision/events.go
+++ b/decision/events.go
@@ -23,6 +23,8 @@
 	Labels api.Labels
 	// Key is the caller's Idempotency-Key, or "".
 	Key string
+	// NoCompletion says that the request is not in the completions form.
+	NoCompletion bool
 	// Prefix is a hash of the start of the prompt, or 0.
 	Prefix uint64
 	// Fingerprint is a hash of service, path and body; it finds requests
--- a/decision/reason/reason.go
+++ b/decision/reason/reason.go
@@ -10,6 +10,8 @@
 const (
 	BadRequest       Reason = "bad_request"
 	BodyTooLarge     Reason = "body_too_large"
+	HeaderTooLarge   Reason = "header_too_large"
+	WrongMethod      Reason = "wrong_method"
 	UnknownService   Reason = "unknown_service"
 	UnknownCustomer  Reason = "unknown_customer"
 	UnknownRequest   Reason = "unknown_request"
@@ -32,7 +34,7 @@
 
 // Refusals lists every refusal reason.
 var Refusals = []Reason{
-	BadRequest, BodyTooLarge, UnknownService, UnknownCustomer, UnknownRequest,
+	BadRequest, BodyTooLarge, HeaderTooLarge, WrongMethod, UnknownService, UnknownCustomer, UnknownRequest,
 	WrongCustomer, Draining, CustomerLimit, QueueFull, NoUpstream, TimedOut,
 	AttemptsUsedUp, NotRepeatable, RetryBudget, KeyReused, KeyInProgress,
 	ClaimUnavailable, OutcomeUnknown, Poison, AnswerTooLarge,
--- a/entry/apply.go
+++ b/entry/apply.go
@@ -29,15 +29,15 @@
 	failed := false
 	for i, o := range req.Objects {
 		reply.Results[i] = operator.ApplyResult{Key: o.Key(), Status: operator.StatusSkipped}
-		if o.Spec == nil {
-			continue
-		}
 	}
 	for i, p := range e.checkObjects(req.Objects) {
 		reply.Results[i].Status = operator.StatusInvalid
 		reply.Results[i].Field, reply.Results[i].Problem = p.Field, p.Problem
 		failed = true
 	}
+	if !failed {
+		failed = e.findStale(req.Objects, reply.Results)
+	}
 	for i, o := range req.Objects {
 		if failed {
 			break
@@ -48,6 +48,22 @@
 	return reply
 }
 
+// findStale marks the objects that would replace another version than the one
+// in force, before any is written: a stale apply changes nothing.
+func (e *Entry) findStale(objects []*api.Object, results []operator.ApplyResult) bool {
+	found := false
+	for i, o := range objects {
+		current := e.config.get(o.Key())
+		if current == nil || o.Version >= current.Version || sameContent(current, o) {
+			continue
+		}
+		found = true
+		err := fmt.Errorf("%w: version %d was given, it is at version %d by now", errStale, o.Version, current.Version)
+		results[i] = applyResult(results[i], current, err)
+	}
+	return found
+}
+
 // checkObjects returns the first problem of each object that has one, by its
 // index, with the objects in force taken into account.
 func (e *Entry) checkObjects(objects []*api.Object) map[int]api.FieldProblem {
@@ -58,6 +74,9 @@
 		merged[o.Key()] = o
 	}
 	for i, o := range objects {
+		if _, twice := index[o.Key()]; twice {
+			problems[i] = api.FieldProblem{Field: "name", Problem: o.Key().String() + " stands twice"}
+		}
 		index[o.Key()] = i
 		merged[o.Key()] = o
 		if p := o.Check(); len(p) > 0 {
@@ -175,10 +194,10 @@
 		return
 	}
 	var req operator.LabelRequest
-	if !readBody(w, r, &req) {
+	if !e.readBody(w, r, &req) {
 		return
 	}
-	o, err := e.changeLabels(r.Context(), key, req)
+	o, err := e.changeLabels(r.Context(), key, req, operatorName(r))
 	writeResult(w, o, err)
 }
 
@@ -202,7 +221,7 @@
 
 // changeLabels changes labels of an object. Writers that change other labels
 // do not disturb it; one that changed the same label makes it fail.
-func (e *Entry) changeLabels(ctx context.Context, key api.Key, req operator.LabelRequest) (*api.Object, error) {
+func (e *Entry) changeLabels(ctx context.Context, key api.Key, req operator.LabelRequest, who string) (*api.Object, error) {
 	current := e.config.get(key)
 	if current == nil {
 		return nil, fmt.Errorf("%w: %s", platform.ErrNotFound, key)
@@ -213,6 +232,7 @@
 		}
 		next := *current
 		next.Labels = changedLabels(current.Labels, req)
+		next.Operator = who
 		if p := e.checkObjects([]*api.Object{&next}); len(p) > 0 {
 			return nil, p[0]
 		}
@@ -272,6 +292,9 @@
 	rec, err := e.platform.Delete(r.Context(), string(key.Kind), key.Name, version)
 	if now, ok := errConflict(err); ok {
 		err = fmt.Errorf("%w: it is at version %d by now", errStale, now.Version)
+		if stored, decodeErr := decodeRecord(now); decodeErr == nil && now.Version != 0 {
+			current = stored
+		}
 		writeResult(w, current, err)
 		return
 	}
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
@@ -26,11 +27,65 @@
 func (e *Entry) callerHandler() http.Handler {
 	r := mux.NewRouter()
 	r.SkipClean(true)
-	r.HandleFunc("/healthz/live", e.live).Methods(http.MethodGet)
-	r.HandleFunc("/healthz/ready", e.ready).Methods(http.MethodGet)
+	r.HandleFunc("/healthz/live", e.live).Methods(http.MethodGet, http.MethodHead)
+	r.HandleFunc("/healthz/ready", e.ready).Methods(http.MethodGet, http.MethodHead)
+	r.HandleFunc("/healthz/leaving", e.leavingState).Methods(http.MethodGet, http.MethodHead)
 	r.HandleFunc("/v1/requests/{id}", e.reattach).Methods(http.MethodGet)
+	r.PathPrefix("/healthz/").HandlerFunc(e.refuseReserved)
+	r.PathPrefix("/v1/requests/").HandlerFunc(e.refuseReserved)
 	r.PathPrefix("/").HandlerFunc(e.call)
-	return r
+	r.NotFoundHandler = http.HandlerFunc(e.refuseTarget)
+	return e.boundHeader(r)
+}
+
+// headerOverhead is the size of the separators of one header line in bytes.
+const headerOverhead = len(": \r\n")
+
+// boundHeader refuses requests whose target and headers are over the limit. A
+// request that is over it by more than headerSlack is refused by the HTTP
+// server itself, with the same status but without a problem body.
+func (e *Entry) boundHeader(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if headerSize(r) <= int(e.settings.Limits.Header) {
+			next.ServeHTTP(w, r)
+			return
+		}
+		w.Header().Set("Connection", "close")
+		e.refuseNew(w, problemOf(reason.HeaderTooLarge, "at most "+e.settings.Limits.Header.String()+" are allowed"))
+	})
+}
+
+func headerSize(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + headerOverhead
+		}
+	}
+	return size
+}
+
+// refuseNew answers a request that gets an ID of its own but is not looked at.
+func (e *Entry) refuseNew(w http.ResponseWriter, p *Problem) {
+	id := newRequestID(e.settings.Name)
+	w.Header().Set(HeaderRequestID, id)
+	e.refuseEarly(w, id, p)
+}
+
+// refuseReserved answers calls of jaylink's own paths that do not exist or
+// have another method.
+func (e *Entry) refuseReserved(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet {
+		e.refuseNew(w, problemOf(reason.UnknownRequest, "no such path"))
+		return
+	}
+	w.Header().Set("Allow", http.MethodGet)
+	e.refuseNew(w, problemOf(reason.WrongMethod, r.Method+" is not allowed here"))
+}
+
+// refuseTarget answers requests whose target is not a path.
+func (e *Entry) refuseTarget(w http.ResponseWriter, _ *http.Request) {
+	e.refuseNew(w, problemOf(reason.BadRequest, "the target of the request is not a path"))
 }
 
 // call accepts a new request and gives its caller the answer.
@@ -47,15 +102,19 @@
 		e.refuseEarly(w, id, problemOf(reason.BadRequest, err.Error()))
 		return
 	}
+	// A caller that closes its sending side still gets its answer, so the
+	// request's own context, which ends then, is not used from here on.
+	r = r.WithContext(e.background)
 	rec := newRecord(id, call, time.Now())
 	rec.Fingerprint = fingerprint(call)
 	e.records.add(rec)
 	e.driver.step(decision.RequestEvent{
-		ID:          id,
-		Labels:      labels,
-		Key:         call.Key,
-		Prefix:      promptPrefix(call.Completion),
-		Fingerprint: rec.Fingerprint,
+		ID:           id,
+		Labels:       labels,
+		Key:          call.Key,
+		NoCompletion: call.Completion == nil,
+		Prefix:       promptPrefix(call.Completion),
+		Fingerprint:  rec.Fingerprint,
 	})
 	e.answer(w, r, rec, 0)
 }
@@ -69,6 +128,9 @@
 
 // readCall reads a bounded body and, for completions, its form.
 func (e *Entry) readCall(w http.ResponseWriter, r *http.Request) (Call, *Problem) {
+	if err := checkHeaders(r.Header); err != nil {
+		return Call{}, problemOf(reason.BadRequest, err.Error())
+	}
 	call := Call{Method: r.Method, URI: r.URL.RequestURI(), Header: r.Header, Key: r.Header.Get(upstream.HeaderKey)}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(e.settings.Limits.Body)))
 	var tooLarge *http.MaxBytesError
@@ -83,6 +145,9 @@
 		return call, nil
 	}
 	call.Completion = &upstream.Completion{}
+	if !bytes.HasPrefix(bytes.TrimSpace(body), []byte("{")) {
+		return call, problemOf(reason.BadRequest, "invalid completion: want a JSON object")
+	}
 	if err := json.Unmarshal(body, call.Completion); err != nil {
 		return call, problemOf(reason.BadRequest, "invalid completion: "+err.Error())
 	}
@@ -147,7 +212,17 @@
 	})
 }
 
-func (e *Entry) live(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
+// live says that the process works; it does so until the process ends.
+func (e *Entry) live(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "live\n") }
+
+// leavingState says whether the entry is on its way out.
+func (e *Entry) leavingState(w http.ResponseWriter, _ *http.Request) {
+	if e.leaving.Load() {
+		_, _ = io.WriteString(w, "leaving\n")
+		return
+	}
+	http.Error(w, "staying", http.StatusNotFound)
+}
 
 // ready tells the balancer whether to send new requests here.
 func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
--- a/entry/driver.go
+++ b/entry/driver.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"jaylink/api"
 	"jaylink/decision"
 	"jaylink/decision/reason"
 )
@@ -84,6 +85,9 @@
 	rec := d.records.get(a.ID)
 	rec.update(func() {
 		rec.accepted = true
+		if a.Resolution.Protocol != api.ProtocolCompletions {
+			rec.Call.Completion = nil
+		}
 		rec.idempotent = a.Resolution.Idempotent
 		rec.service = a.Resolution.Service.Name
 		rec.customer = a.Resolution.Customer.Name
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -25,6 +25,9 @@
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 	forgetInterval    = 10 * time.Second
+	// headerSlack is how far over the limit a request's headers are still
+	// read, in bytes, so that the refusal can say why.
+	headerSlack = 64 << 10
 )
 
 // Entry is one entry process.
@@ -120,7 +123,7 @@
 		Handler:           h,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    int(e.settings.Limits.Header),
+		MaxHeaderBytes:    int(e.settings.Limits.Header) + headerSlack,
 		ErrorLog:          slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
 	}
 }
--- a/entry/labels.go
+++ b/entry/labels.go
@@ -5,9 +5,11 @@
 	"encoding/hex"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 
 	"jaylink/api"
+	"jaylink/upstream"
 )
 
 const (
@@ -40,10 +42,7 @@
 			continue
 		}
 		key = strings.ToLower(key)
-		if _, taken := l[key]; taken {
-			return nil, fmt.Errorf("header %s sets a label that comes from the request itself", name)
-		}
-		if err := api.CheckLabelValue(values[0]); err != nil {
+		if err := checkLabelHeader(key, values); err != nil {
 			return nil, fmt.Errorf("header %s: %w", name, err)
 		}
 		l[key] = values[0]
@@ -51,6 +50,47 @@
 	return l, nil
 }
 
+// reservedLabels are the labels that callers can't set by a header, because
+// they come from the request itself or from the objects that it matched.
+var reservedLabels = []string{"method", "path", "credential", "service", "customer"}
+
+func checkLabelHeader(key string, values []string) error {
+	first, _, _ := strings.Cut(key, ".")
+	if slices.Contains(reservedLabels, first) {
+		return fmt.Errorf("callers can't set the label %q", key)
+	}
+	if len(values) != 1 {
+		return fmt.Errorf("sent %d times; once is allowed", len(values))
+	}
+	if err := api.CheckLabelKey(key); err != nil {
+		return err
+	}
+	return api.CheckLabelValue(values[0])
+}
+
+// singleHeaders may be sent once at most; two values could be read in two ways.
+var singleHeaders = []string{"Authorization", upstream.HeaderKey, headerLastEventID}
+
+// maxKeyLength bounds an idempotency key in bytes.
+const maxKeyLength = 256
+
+// checkHeaders refuses headers that could be read in two ways.
+func checkHeaders(h http.Header) error {
+	for _, name := range singleHeaders {
+		if n := len(h.Values(name)); n > 1 {
+			return fmt.Errorf("header %s: sent %d times; once is allowed", name, n)
+		}
+	}
+	keys := h.Values(upstream.HeaderKey)
+	if len(keys) == 0 {
+		return nil
+	}
+	if keys[0] == "" || len(keys[0]) > maxKeyLength {
+		return fmt.Errorf("header %s: %d bytes long; 1 to %d are allowed", upstream.HeaderKey, len(keys[0]), maxKeyLength)
+	}
+	return nil
+}
+
 // Credential returns the "credential" label of a bearer token: the start of its
 // SHA-256 hash in hexadecimal, so that no secret stands in a selector.
 func Credential(token string) string {
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -15,21 +17,23 @@
 	"jaylink/operator"
 )
 
-// maxOperatorBody bounds a request to the operator port in bytes.
-const maxOperatorBody = 16 << 20
-
 // operatorHandler serves the operator commands.
 func (e *Entry) operatorHandler() http.Handler {
 	r := mux.NewRouter()
-	v1 := r.PathPrefix("/v1").Subrouter()
-	v1.HandleFunc("/apply", e.handleApply).Methods(http.MethodPost)
-	v1.HandleFunc("/objects", e.handleList).Methods(http.MethodGet)
-	v1.HandleFunc("/objects/{kind}", e.handleList).Methods(http.MethodGet)
-	v1.HandleFunc("/objects/{kind}/{name}", e.handleGet).Methods(http.MethodGet)
-	v1.HandleFunc("/objects/{kind}/{name}", e.handleDelete).Methods(http.MethodDelete)
-	v1.HandleFunc("/objects/{kind}/{name}/labels", e.handleLabel).Methods(http.MethodPost)
-	v1.HandleFunc("/status", e.handleStatus).Methods(http.MethodGet)
-	v1.HandleFunc("/metrics", e.handleMetrics).Methods(http.MethodGet)
+	r.HandleFunc("/v1/apply", e.handleApply).Methods(http.MethodPost)
+	r.HandleFunc("/v1/objects", e.handleList).Methods(http.MethodGet)
+	r.HandleFunc("/v1/objects/{kind}", e.handleList).Methods(http.MethodGet)
+	r.HandleFunc("/v1/objects/{kind}/{name}", e.handleGet).Methods(http.MethodGet)
+	r.HandleFunc("/v1/objects/{kind}/{name}", e.handleDelete).Methods(http.MethodDelete)
+	r.HandleFunc("/v1/objects/{kind}/{name}/labels", e.handleLabel).Methods(http.MethodPost)
+	r.HandleFunc("/v1/status", e.handleStatus).Methods(http.MethodGet)
+	r.HandleFunc("/v1/metrics", e.handleMetrics).Methods(http.MethodGet)
+	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		writeFailure(w, http.StatusNotFound, fmt.Errorf("no such path: %.200q", r.URL.Path))
+	})
+	r.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		writeFailure(w, http.StatusMethodNotAllowed, fmt.Errorf("%.20s is not allowed on %.200q", r.Method, r.URL.Path))
+	})
 	return r
 }
 
@@ -44,9 +48,13 @@
 	writeJSON(w, status, operator.Failure{Error: err.Error()})
 }
 
-// readBody decodes a bounded JSON body and answers 400 if that fails.
-func readBody(w http.ResponseWriter, r *http.Request, out any) bool {
-	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxOperatorBody)).Decode(out)
+// readBody decodes a bounded JSON body, without unknown fields, and answers
+// 400 or 413 if that fails.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, out any) bool {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(e.settings.Limits.OperatorBody)))
+	if err == nil {
+		err = api.DecodeStrict(data, out)
+	}
 	if err == nil {
 		return true
 	}
@@ -72,25 +80,44 @@
 }
 
 func (e *Entry) handleApply(w http.ResponseWriter, r *http.Request) {
-	var req operator.ApplyRequest
-	if !readBody(w, r, &req) {
+	var raw struct {
+		DryRun  bool              `json:"dry_run"`
+		Objects []json.RawMessage `json:"objects"`
+	}
+	if !e.readBody(w, r, &raw) {
 		return
 	}
+	req := operator.ApplyRequest{DryRun: raw.DryRun}
+	for i, data := range raw.Objects {
+		o, err := api.DecodeJSON(data)
+		if err != nil {
+			writeFailure(w, http.StatusBadRequest, fmt.Errorf("objects[%d]: %w", i, err))
+			return
+		}
+		o.Operator = operatorName(r)
+		req.Objects = append(req.Objects, o)
+	}
 	reply := e.applyObjects(r.Context(), req)
 	status := http.StatusOK
 	for _, res := range reply.Results {
 		status = max(status, applyStatus[res.Status])
 	}
-	if status == http.StatusOK {
-		writeJSON(w, status, reply)
-		return
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", strconv.Itoa(int(outageRetryAfter.Seconds())))
 	}
-	// The client reads the reply of a partly failed apply like any other.
-	w.Header().Set("Jaylink-Apply-Status", strconv.Itoa(status))
-	writeJSON(w, http.StatusOK, reply)
+	writeJSON(w, status, reply)
+}
+
+// operatorName returns who is writing, for the operators who come after.
+func operatorName(r *http.Request) string {
+	name := r.Header.Get(operator.HeaderOperator)
+	return name[:min(len(name), maxOperatorName)]
 }
 
-// applyStatus ranks the outcomes; the highest is the outcome of the whole.
+// maxOperatorName bounds the name of an operator in bytes.
+const maxOperatorName = 64
+
+// applyStatus ranks the outcomes; the highest is the status of the whole.
 var applyStatus = map[operator.Status]int{
 	operator.StatusInvalid:  http.StatusUnprocessableEntity,
 	operator.StatusConflict: http.StatusConflict,
--- a/entry/problem.go
+++ b/entry/problem.go
@@ -19,6 +19,8 @@
 var statusOf = map[reason.Reason]int{
 	reason.BadRequest:       http.StatusBadRequest,
 	reason.BodyTooLarge:     http.StatusRequestEntityTooLarge,
+	reason.HeaderTooLarge:   http.StatusRequestHeaderFieldsTooLarge,
+	reason.WrongMethod:      http.StatusMethodNotAllowed,
 	reason.UnknownService:   http.StatusNotFound,
 	reason.UnknownCustomer:  http.StatusForbidden,
 	reason.UnknownRequest:   http.StatusNotFound,
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -54,6 +54,9 @@
 	Header api.ByteSize `yaml:"header"`
 	// Body bounds a request's body. Default 4MiB.
 	Body api.ByteSize `yaml:"body"`
+	// OperatorBody bounds the body of a call of the operator port.
+	// Default 16MiB.
+	OperatorBody api.ByteSize `yaml:"operator_body"`
 	// Answer bounds an upstream's answer. Default 16MiB.
 	Answer api.ByteSize `yaml:"answer"`
 }
@@ -100,7 +103,7 @@
 // DefaultSettings returns the settings that a file starts from.
 func DefaultSettings() Settings {
 	return Settings{
-		Limits: LimitSettings{Header: 64 << 10, Body: 4 << 20, Answer: 16 << 20},
+		Limits: LimitSettings{Header: 64 << 10, Body: 4 << 20, OperatorBody: 16 << 20, Answer: 16 << 20},
 		Drain: DrainSettings{
 			LeaveDelay: api.Duration(3 * time.Second),
 			Timeout:    api.Duration(2 * time.Minute),
--- a/operator/client.go
+++ b/operator/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -23,6 +24,7 @@
 type StatusError struct {
 	Status  int
 	Failure Failure
+	body    []byte
 }
 
 // Error gives the entry's reason.
@@ -32,6 +34,8 @@
 type Client struct {
 	base string
 	http *http.Client
+	// Operator names who makes the calls; it is kept with what is written.
+	Operator string
 }
 
 // NewClient returns a client for the operator port at "ip:port".
@@ -43,6 +47,11 @@
 func (c *Client) Apply(ctx context.Context, req ApplyRequest) (ApplyReply, error) {
 	var reply ApplyReply
 	err := c.call(ctx, "apply", http.MethodPost, "/apply", req, &reply)
+	var failed *StatusError
+	if errors.As(err, &failed) && json.Unmarshal(failed.body, &reply) == nil && len(reply.Results) > 0 {
+		// The outcome of each object says more than the status.
+		return reply, nil
+	}
 	return reply, err
 }
 
@@ -96,6 +105,9 @@
 	if err != nil {
 		return errb.Wrap(err)
 	}
+	if c.Operator != "" {
+		req.Header.Set(HeaderOperator, c.Operator)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return errb.Wrap(err)
@@ -106,8 +118,8 @@
 		return errb.Wrap(err)
 	}
 	if resp.StatusCode >= 300 {
-		failed := &StatusError{Status: resp.StatusCode}
-		if json.Unmarshal(data, &failed.Failure) != nil {
+		failed := &StatusError{Status: resp.StatusCode, body: data}
+		if json.Unmarshal(data, &failed.Failure) != nil || failed.Failure.Error == "" {
 			failed.Failure.Error = fmt.Sprintf("status %d: %.200s", resp.StatusCode, data)
 		}
 		return errb.Wrap(failed)
--- a/operator/types.go
+++ b/operator/types.go
@@ -4,6 +4,9 @@
 
 import "jaylink/api"
 
+// HeaderOperator names the operator who makes a call.
+const HeaderOperator = "Jaylink-Operator"
+
 // ApplyRequest asks an entry to write objects. An object's Version names the
 // version that it replaces; 0 means that it must not exist yet.
 type ApplyRequest struct {
