--- a/peer/node.go
+++ b/peer/node.go
@@ -20,6 +20,8 @@
 
 const (
 	exchangeTimeout = time.Second
+	// handshakeTimeout bounds how long a connection may take to begin.
+	handshakeTimeout = 5 * time.Second
 	// fanout is the number of peers that one heartbeat round reaches.
 	fanout = 2
 	// memberTimeout is how long a silent member counts as live.
@@ -81,7 +83,7 @@
 		members: map[string]*member{},
 		conns:   map[string]*grpc.ClientConn{},
 		wake:    make(chan struct{}, 1),
-		server:  grpc.NewServer(),
+		server:  grpc.NewServer(grpc.ConnectionTimeout(handshakeTimeout)),
 	}
 }
 
