entry: keep the last decisions with the values they saw

Cause: an operator could not find out why a request was routed, refused or retried; the values were gone with the Step that used them.

Weighed: logging every candidate of every routing (grows without bound and has to be collected from all hosts), a trace system (a further protocol), a bounded ring in the entry (chosen: constant memory, nothing leaves the host unless asked for). An entry that is gone takes its record with it; its log has the two lines of each request.

Change: decision.Observer tells the entry what the core saw (nil costs one comparison); the entry keeps the last record.decisions of them (default 4096), with at most 6 candidates each and counts of what each filter left out. A test sends a marker in prompts, bodies and answers through accepted, refused, failed and broken requests and finds it in no log line, decision, status or metric.

--- a/decision/core.go
+++ b/decision/core.go
@@ -36,6 +36,8 @@
 	Scorers      []route.Scorer
 	Limits       []admission.Limit
 	Rules        []retry.Rule
+	// Observer is optional.
+	Observer Observer
 }
 
 // Core decides for one entry. It is not safe for concurrent use.
@@ -159,7 +161,9 @@
 	if c.draining {
 		return []Action{RefuseAction{ID: ev.ID, Reason: reason.Draining, Ran: reason.RanNo, RetryAfter: drainRetryAfter}}
 	}
-	if v := admission.Check(c.cfg.Limits, c.admissionRequest(&res)); v.Refusal != "" {
+	limits := c.admissionRequest(&res)
+	if v := admission.Check(c.cfg.Limits, limits); v.Refusal != "" {
+		c.observeLimit(now, ev.ID, limits, v.Refusal)
 		return []Action{RefuseAction{ID: ev.ID, Reason: v.Refusal, Ran: reason.RanNo, RetryAfter: v.RetryAfter}}
 	}
 	r := c.accept(now, ev, res)
@@ -194,6 +198,7 @@
 	}
 	c.requests[r.id] = r
 	c.usage.add(r)
+	c.observeAccept(now, r)
 	return r
 }
 
@@ -241,6 +246,7 @@
 }
 
 func (c *Core) start(now time.Time, r *request, u *route.Upstream) Action {
+	c.observeRoute(now, r, u.Name)
 	r.phase = phaseRunning
 	r.attempts++
 	r.started = now
--- /dev/null
+++ b/decision/observer.go
@@ -0,0 +1,40 @@
+package decision
+
+import (
+	"time"
+
+	"jaylink/api"
+	"jaylink/decision/admission"
+	"jaylink/decision/reason"
+	"jaylink/decision/route"
+)
+
+// Observer is told what a Core saw when it decided, for explanations. Its
+// methods are called inside Step, before the decision takes effect on the
+// table; they must not change anything. A Core without one pays nothing.
+type Observer interface {
+	// Accepted is called for each accepted request.
+	Accepted(now time.Time, id string, res *api.Resolution)
+	// Routed is called for each dispatch.
+	Routed(now time.Time, r *route.Request, attempt int, picked string)
+	// Limited is called when a limit refuses a request.
+	Limited(now time.Time, id string, r *admission.Request, why reason.Reason)
+}
+
+func (c *Core) observeAccept(now time.Time, r *request) {
+	if c.cfg.Observer != nil {
+		c.cfg.Observer.Accepted(now, r.id, &r.res)
+	}
+}
+
+func (c *Core) observeRoute(now time.Time, r *request, picked string) {
+	if c.cfg.Observer != nil {
+		c.cfg.Observer.Routed(now, &r.route, r.attempts+1, picked)
+	}
+}
+
+func (c *Core) observeLimit(now time.Time, id string, r *admission.Request, why reason.Reason) {
+	if c.cfg.Observer != nil {
+		c.cfg.Observer.Limited(now, id, r, why)
+	}
+}
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -14,6 +14,7 @@
 
 	"jaylink/decision"
 	"jaylink/decision/reason"
+	"jaylink/operator"
 	"jaylink/upstream"
 )
 
@@ -122,6 +123,7 @@
 // refuseEarly answers a request that never reached the decision core.
 func (e *Entry) refuseEarly(w http.ResponseWriter, id string, p *Problem) {
 	e.metrics.refusal(p.Reason)
+	e.decisions.add(operator.Decision{Kind: operator.DecisionRefused, RequestID: id, Reason: p.Reason, Ran: p.Ran})
 	e.log.Info("request refused", "request_id", id, "reason", p.Reason, "ran", p.Ran)
 	p.write(w)
 }
--- a/entry/driver.go
+++ b/entry/driver.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -9,6 +10,7 @@
 	"jaylink/api"
 	"jaylink/decision"
 	"jaylink/decision/reason"
+	"jaylink/operator"
 )
 
 // driver runs the decision core: it passes events in, one at a time, and
@@ -20,7 +22,9 @@
 
 	records *registry
 	metrics *counters
-	log     *slog.Logger
+	// decisions keeps what was decided, for explanations.
+	decisions *decisionRecord
+	log       *slog.Logger
 	// dispatch and claim start the work of an action and return at once.
 	dispatch func(rec *Record, a decision.DispatchAction)
 	claim    func(rec *Record)
@@ -33,12 +37,29 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
+	if ev, ok := ev.(decision.LeavingEvent); ok {
+		d.noteLeaving(now, ev)
+	}
 	for _, a := range d.core.Step(now, ev) {
 		d.carryOut(now, a)
 	}
 	d.schedule(now)
 }
 
+// noteLeaving records that an upstream began to leave or came back.
+func (d *driver) noteLeaving(now time.Time, ev decision.LeavingEvent) {
+	u := d.core.Table().Get(ev.Upstream)
+	if u == nil || u.Leaving == ev.Leaving {
+		return
+	}
+	kind := operator.DecisionBack
+	if ev.Leaving {
+		kind = operator.DecisionLeaving
+	}
+	d.decisions.add(operator.Decision{At: now, Kind: kind, Upstream: ev.Upstream})
+	d.log.Info("upstream changed", "upstream", ev.Upstream, "leaving", ev.Leaving)
+}
+
 // schedule arranges for the tick that the core asks for.
 func (d *driver) schedule(now time.Time) {
 	next, ok := d.core.NextWake()
@@ -125,11 +146,19 @@
 			d.release(rec)
 		}
 		d.metrics.refusal(p.Reason)
+		d.decisions.add(operator.Decision{
+			At: now, Kind: operator.DecisionRefused, RequestID: id, Service: v.service, Customer: v.customer,
+			Reason: p.Reason, Ran: p.Ran, Detail: fmt.Sprintf("retry_after=%s took=%s", p.RetryAfter, now.Sub(rec.started)),
+		})
 		d.log.Info("request refused", "request_id", id, "service", v.service, "customer", v.customer,
 			"reason", p.Reason, "ran", p.Ran)
 		return
 	}
 	d.metrics.answered.Inc(1)
+	d.decisions.add(operator.Decision{
+		At: now, Kind: operator.DecisionAnswered, RequestID: id, Service: v.service, Customer: v.customer,
+		Detail: fmt.Sprintf("took=%s tokens=%d", now.Sub(rec.started), v.tokens),
+	})
 	d.log.Info("request answered", "request_id", id, "service", v.service, "customer", v.customer,
 		"took", now.Sub(rec.started), "tokens", v.tokens)
 }
@@ -137,6 +166,12 @@
 // attemptEnded passes the end of an attempt to the core.
 func (d *driver) attemptEnded(rec *Record, a decision.DispatchAction, o decision.Outcome, ran reason.Ran) {
 	v, _ := rec.read(0)
+	if o != decision.OutcomeDone {
+		d.decisions.add(operator.Decision{
+			Kind: operator.DecisionFailed, RequestID: rec.ID, Service: v.service, Customer: v.customer,
+			Upstream: a.Upstream, Attempt: a.Attempt, Ran: ran, Detail: fmt.Sprintf("outcome=%s relayed_bytes=%d", o, v.total),
+		})
+	}
 	d.step(decision.AttemptEvent{
 		ID:        rec.ID,
 		Attempt:   a.Attempt,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 
 	"jaylink/api"
 	"jaylink/decision"
+	"jaylink/decision/route"
 	"jaylink/kernel"
 	"jaylink/peer"
 	"jaylink/peer/peerpb"
@@ -38,6 +39,7 @@
 	config    *configStore
 	records   *registry
 	driver    *driver
+	decisions *decisionRecord
 	platform  *platform.Client
 	upstreams *upstream.Client
 	peers     *peer.Node
@@ -72,10 +74,12 @@
 		platform:  platform.New(s.Platform),
 		upstreams: upstream.New(),
 		signs:     map[string][signCount]bool{},
+		decisions: newDecisionRecord(s.Name, s.Record.Decisions),
 	}
+	cfg.Observer = &observer{decisions: e.decisions, table: func() *route.Table { return e.driver.core.Table() }}
 	e.background, e.cancel = context.WithCancel(context.Background())
 	e.driver = &driver{
-		core: decision.New(cfg), records: e.records, metrics: e.metrics, log: log,
+		core: decision.New(cfg), records: e.records, metrics: e.metrics, log: log, decisions: e.decisions,
 		dispatch: e.dispatch, claim: e.startClaim, release: e.releaseClaim,
 	}
 	e.config.changed = func(c *api.Catalog) { e.driver.step(decision.ConfigEvent{Catalog: c}) }
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -73,6 +73,10 @@
 name: captions
 spec: {selector: service=captions, idempotent: true}
 ---
+kind: Policy
+name: once
+spec: {selector: once=yes, priority: 1, max_attempts: 1}
+---
 kind: Upstream
 name: desk-1
 labels: {pool: desk}
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -27,6 +27,7 @@
 	r.HandleFunc("/v1/objects/{kind}/{name}", e.handleDelete).Methods(http.MethodDelete)
 	r.HandleFunc("/v1/objects/{kind}/{name}/labels", e.handleLabel).Methods(http.MethodPost)
 	r.HandleFunc("/v1/status", e.handleStatus).Methods(http.MethodGet)
+	r.HandleFunc("/v1/decisions", e.handleDecisions).Methods(http.MethodGet)
 	r.HandleFunc("/v1/metrics", e.handleMetrics).Methods(http.MethodGet)
 	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		writeFailure(w, http.StatusNotFound, fmt.Errorf("no such path: %.200q", r.URL.Path))
@@ -150,6 +151,23 @@
 	writeJSON(w, http.StatusOK, o)
 }
 
+func (e *Entry) handleDecisions(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	q := operator.DecisionQuery{RequestID: query.Get("request_id"), Upstream: query.Get("upstream")}
+	if text := query.Get("limit"); text != "" {
+		limit, err := strconv.Atoi(text)
+		if err != nil || limit < 0 {
+			writeFailure(w, http.StatusBadRequest, fmt.Errorf("limit: %.20q is not a number of 0 or more", text))
+			return
+		}
+		q.Limit = limit
+	}
+	writeJSON(w, http.StatusOK, e.decisions.list(q))
+}
+
+// maxRecent bounds the decisions that status shows.
+const maxRecent = 10
+
 func (e *Entry) handleStatus(w http.ResponseWriter, _ *http.Request) {
 	inFlight, _ := e.records.inFlight()
 	s := operator.FleetStatus{
@@ -160,6 +178,7 @@
 		ConfigRevision:   e.config.Revision(),
 		InFlight:         inFlight,
 		Peers:            []operator.PeerStatus{},
+		Recent:           e.decisions.recent(maxRecent),
 		Upstreams:        e.driver.upstreamStatus(time.Now()),
 	}
 	for _, m := range e.peers.Live() {
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -32,6 +32,8 @@
 	Drain DrainSettings `yaml:"drain"`
 	// Intervals say how often things are asked for.
 	Intervals IntervalSettings `yaml:"intervals"`
+	// Record bounds what the entry remembers of its decisions.
+	Record RecordSettings `yaml:"record"`
 	// Log says what is logged.
 	Log LogSettings `yaml:"log"`
 	// Plugins replace the standard chain, in order.
@@ -84,6 +86,13 @@
 	Retain api.Duration `yaml:"retain"`
 }
 
+// RecordSettings bound what the entry remembers of its decisions.
+type RecordSettings struct {
+	// Decisions is the number of decisions that "jaylink explain" can look
+	// back on; each takes about 1 KiB of memory. Default 4096.
+	Decisions int `yaml:"decisions"`
+}
+
 // LogSettings say what is logged.
 type LogSettings struct {
 	// Level is "debug", "info", "warn" or "error". Default "info".
@@ -115,7 +124,8 @@
 			Watch:     api.Duration(30 * time.Second),
 			Retain:    api.Duration(2 * time.Minute),
 		},
-		Log: LogSettings{Level: "info", Format: "json"},
+		Record: RecordSettings{Decisions: 4096},
+		Log:    LogSettings{Level: "info", Format: "json"},
 	}
 }
 
--- a/operator/client.go
+++ b/operator/client.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/samber/oops"
@@ -93,6 +95,14 @@
 	return s, err
 }
 
+// Decisions reads the entry's decision record.
+func (c *Client) Decisions(ctx context.Context, q DecisionQuery) (DecisionList, error) {
+	var list DecisionList
+	query := url.Values{"request_id": {q.RequestID}, "upstream": {q.Upstream}, "limit": {strconv.Itoa(q.Limit)}}
+	err := c.call(ctx, "decisions", http.MethodGet, "/decisions?"+query.Encode(), nil, &list)
+	return list, err
+}
+
 func objectPath(key api.Key) string { return "/objects/" + string(key.Kind) + "/" + key.Name }
 
 func (c *Client) call(ctx context.Context, step, method, path string, in, out any) error {
--- a/operator/types.go
+++ b/operator/types.go
@@ -70,6 +70,9 @@
 	InFlight         int              `json:"in_flight"`
 	Peers            []PeerStatus     `json:"peers"`
 	Upstreams        []UpstreamStatus `json:"upstreams"`
+	// Recent are the newest decisions about the fleet: upstreams that leave
+	// or come back, moved requests, host orders.
+	Recent []Decision `json:"recent,omitempty"`
 }
 
 // PeerStatus describes another entry.
