entry: check settings as a whole and take them from flags and environment

Cause: intervals of 0, unknown plug-ins and wrong options were found only after the start, or not at all; the field check took the YAML node of plug-in options for a struct and refused every option. Addresses were resolved by name, which is I/O while checking and against the rule that processes talk by IP number.

Change: settings_check.go has ranges for every limit and interval, names, IP addresses, ports used twice, and plug-in IDs and options with line and field.

--- a/entry/plugins.go
+++ b/entry/plugins.go
@@ -21,12 +21,7 @@
 		}
 	}
 	for _, p := range plugins {
-		m, err := kernel.Load(kernel.ModuleID(p.ID), func(m kernel.Module) error {
-			if p.Options.IsZero() {
-				return nil
-			}
-			return p.Options.Decode(m)
-		})
+		m, err := loadModule(p)
 		if err != nil {
 			return cfg, err
 		}
@@ -37,6 +32,16 @@
 	return cfg, nil
 }
 
+// loadModule builds one module with its options.
+func loadModule(p PluginSettings) (kernel.Module, error) {
+	return kernel.Load(kernel.ModuleID(p.ID), func(m kernel.Module) error {
+		if p.Options.IsZero() {
+			return nil
+		}
+		return p.Options.Decode(m)
+	})
+}
+
 func addModule(cfg *decision.Config, m kernel.Module) error {
 	switch m := m.(type) {
 	case route.Filter:
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -2,9 +2,7 @@
 
 import (
 	"errors"
-	"net"
 	"os"
-	"slices"
 	"time"
 
 	"gopkg.in/yaml.v3"
@@ -129,19 +127,19 @@
 	}
 }
 
-// ReadSettings reads and checks a settings file. It returns all mistakes at
-// once, joined; each names file, line and field.
-func ReadSettings(file string) (Settings, error) {
-	s := DefaultSettings()
+// ReadSettings reads and checks a settings file. Overrides replace what the
+// file says, the later ones win. It returns all mistakes at once, joined; each
+// names file, line and field, or the source of the override.
+func ReadSettings(file string, overrides ...Override) (Settings, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return s, err
+		return DefaultSettings(), err
 	}
-	return ParseSettings(file, data)
+	return ParseSettings(file, data, overrides...)
 }
 
 // ParseSettings is ReadSettings for text that has been read already.
-func ParseSettings(file string, data []byte) (Settings, error) {
+func ParseSettings(file string, data []byte, overrides ...Override) (Settings, error) {
 	s := DefaultSettings()
 	docs, err := strictyaml.Split(file, data)
 	if err != nil {
@@ -150,36 +148,8 @@
 	if len(docs) != 1 {
 		return s, strictyaml.FieldError{File: file, Line: 1, Problem: "want exactly one YAML document"}
 	}
-	errs := docs[0].Decode(&s)
+	errs := override(docs[0], overrides)
+	errs = append(errs, docs[0].Decode(&s)...)
 	errs = append(errs, s.check(docs[0])...)
 	return s, errors.Join(errs...)
 }
-
-func (s *Settings) check(doc *strictyaml.Document) []error {
-	var errs []error
-	need := func(field, value string) {
-		if value == "" {
-			errs = append(errs, doc.Errorf(field, "missing"))
-		}
-	}
-	address := func(field, value string) {
-		if _, err := net.ResolveTCPAddr("tcp", value); value == "" || err != nil {
-			errs = append(errs, doc.Errorf(field, "%q is not an address; write ip:port", value))
-		}
-	}
-	oneOf := func(field, value string, allowed ...string) {
-		if !slices.Contains(allowed, value) {
-			errs = append(errs, doc.Errorf(field, "%q is not known; allowed are %v", value, allowed))
-		}
-	}
-	need("name", s.Name)
-	need("availability_zone", s.AvailabilityZone)
-	need("region", s.Region)
-	address("listen.caller", s.Listen.Caller)
-	address("listen.operator", s.Listen.Operator)
-	address("listen.peer", s.Listen.Peer)
-	address("platform", s.Platform)
-	oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
-	oneOf("log.format", s.Log.Format, "text", "json")
-	return errs
-}
--- /dev/null
+++ b/entry/settings_check.go
@@ -0,0 +1,156 @@
+package entry
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"regexp"
+	"slices"
+	"time"
+
+	"jaylink/api"
+	"jaylink/internal/strictyaml"
+	"jaylink/kernel"
+)
+
+// Bounds on settings.
+const (
+	minHeaderLimit = 1 << 10
+	maxHeaderLimit = 1 << 20
+	minBodyLimit   = 1 << 10
+	maxBodyLimit   = 1 << 30
+	minInterval    = 10 * time.Millisecond
+	maxInterval    = time.Hour
+	maxDecisions   = 1 << 20
+)
+
+// entryNameRE is the form of an entry's name, which is a part of request IDs.
+var entryNameRE = regexp.MustCompile(`^[a-z0-9-]{1,63}$`)
+
+// settingsCheck collects the mistakes of one settings file.
+type settingsCheck struct {
+	doc  *strictyaml.Document
+	errs []error
+}
+
+func (c *settingsCheck) add(field, format string, args ...any) {
+	c.errs = append(c.errs, c.doc.Errorf(field, format, args...))
+}
+
+func (s *Settings) check(doc *strictyaml.Document) []error {
+	c := &settingsCheck{doc: doc}
+	c.identity(s)
+	c.addresses(s)
+	c.limits(s)
+	c.times(s)
+	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
+	c.oneOf("log.format", s.Log.Format, "text", "json")
+	c.plugins(s.Plugins)
+	return c.errs
+}
+
+func (c *settingsCheck) identity(s *Settings) {
+	if !entryNameRE.MatchString(s.Name) {
+		c.add("name", "%.70q is not a name; 1 to 63 of a-z, 0-9 and '-' are allowed", s.Name)
+	}
+	c.label("availability_zone", s.AvailabilityZone)
+	c.label("region", s.Region)
+}
+
+func (c *settingsCheck) label(field, value string) {
+	if value == "" {
+		c.add(field, "missing")
+	} else if err := api.CheckLabelValue(value); err != nil {
+		c.add(field, "%v", err)
+	}
+}
+
+func (c *settingsCheck) addresses(s *Settings) {
+	c.address("listen.caller", s.Listen.Caller)
+	c.address("listen.operator", s.Listen.Operator)
+	c.address("listen.peer", s.Listen.Peer)
+	c.address("platform", s.Platform)
+	for i, peer := range s.Peers {
+		c.address(fmt.Sprintf("peers[%d]", i), peer)
+	}
+	ports := []string{s.Listen.Caller, s.Listen.Operator, s.Listen.Peer}
+	for i, field := range []string{"listen.caller", "listen.operator", "listen.peer"} {
+		if ports[i] != "" && slices.Index(ports, ports[i]) != i {
+			c.add(field, "%s is used by another port already", ports[i])
+		}
+	}
+}
+
+func (c *settingsCheck) address(field, value string) {
+	if a, err := netip.ParseAddrPort(value); err != nil || a.Port() == 0 {
+		c.add(field, "%.64q is not an address; write ip:port", value)
+	}
+}
+
+func (c *settingsCheck) limits(s *Settings) {
+	between(c, "limits.header", s.Limits.Header, minHeaderLimit, maxHeaderLimit)
+	between(c, "limits.body", s.Limits.Body, minBodyLimit, maxBodyLimit)
+	between(c, "limits.operator_body", s.Limits.OperatorBody, minBodyLimit, maxBodyLimit)
+	between(c, "limits.answer", s.Limits.Answer, minBodyLimit, maxBodyLimit)
+	between(c, "record.decisions", s.Record.Decisions, 1, maxDecisions)
+}
+
+func (c *settingsCheck) times(s *Settings) {
+	c.interval("intervals.heartbeat", s.Intervals.Heartbeat)
+	c.interval("intervals.load", s.Intervals.Load)
+	c.interval("intervals.hosts", s.Intervals.Hosts)
+	c.interval("intervals.watch", s.Intervals.Watch)
+	c.interval("intervals.retain", s.Intervals.Retain)
+	between(c, "drain.leave_delay", s.Drain.LeaveDelay, 0, api.Duration(maxInterval))
+	c.interval("drain.timeout", s.Drain.Timeout)
+}
+
+func (c *settingsCheck) interval(field string, value api.Duration) {
+	between(c, field, value, api.Duration(minInterval), api.Duration(maxInterval))
+}
+
+func between[T interface{ ~int | ~int64 }](c *settingsCheck, field string, value, low, high T) {
+	if value < low || value > high {
+		c.add(field, "%v is out of range; %v to %v is allowed", value, low, high)
+	}
+}
+
+func (c *settingsCheck) oneOf(field, value string, allowed ...string) {
+	if !slices.Contains(allowed, value) {
+		c.add(field, "%q is not known; allowed are %v", value, allowed)
+	}
+}
+
+// plugins checks that each module exists, has the options that are given, and
+// accepts their values.
+func (c *settingsCheck) plugins(list []PluginSettings) {
+	var seen []string
+	for i, p := range list {
+		field := fmt.Sprintf("plugins[%d]", i)
+		info, ok := kernel.Lookup(kernel.ModuleID(p.ID))
+		if !ok {
+			c.add(field+".id", "%q is not a module; allowed are %v", p.ID, chainModules())
+			continue
+		}
+		if slices.Contains(seen, p.ID) {
+			c.add(field+".id", "%s stands twice", p.ID)
+		}
+		seen = append(seen, p.ID)
+		if errs := c.doc.DecodeAt(field+".options", info.New()); len(errs) > 0 {
+			c.errs = append(c.errs, errs...)
+			continue
+		}
+		if _, err := loadModule(p); err != nil {
+			c.add(field+".options", "%v", errors.Unwrap(err))
+		}
+	}
+}
+
+// chainModules returns the modules that can stand in the chain.
+func chainModules() []kernel.ModuleID {
+	var ids []kernel.ModuleID
+	for _, namespace := range []string{"filter", "scorer", "limit", "retry"} {
+		ids = append(ids, kernel.Modules(namespace)...)
+	}
+	return ids
+}
--- a/internal/strictyaml/strictyaml.go
+++ b/internal/strictyaml/strictyaml.go
@@ -19,7 +19,7 @@
 
 // FieldError is one mistake in a YAML file.
 type FieldError struct {
-	File    string // path as given by the caller
+	File    string // path as given by the caller, or the source of an override
 	Line    int    // 1-based; 0 if unknown
 	Field   string // dotted path, for example "spec.selector"
 	Problem string // what was found and what is allowed
@@ -27,10 +27,14 @@
 
 // Error formats the mistake as "file:line: field: problem".
 func (e FieldError) Error() string {
+	place := e.File
+	if e.Line > 0 {
+		place = fmt.Sprintf("%s:%d", e.File, e.Line)
+	}
 	if e.Field == "" {
-		return fmt.Sprintf("%s:%d: %s", e.File, e.Line, e.Problem)
+		return place + ": " + e.Problem
 	}
-	return fmt.Sprintf("%s:%d: %s: %s", e.File, e.Line, e.Field, e.Problem)
+	return place + ": " + e.Field + ": " + e.Problem
 }
 
 // Document is one YAML document of a file.
@@ -39,6 +43,19 @@
 	root  *yaml.Node
 	lines map[string]int
 	paths map[int]string
+	nodes map[string]*yaml.Node
+	// sources has where overrides come from, by the line that stands for
+	// them in the tree.
+	sources map[int]string
+}
+
+func newDocument(file string, root *yaml.Node) *Document {
+	d := &Document{
+		File: file, root: root, lines: map[string]int{}, paths: map[int]string{},
+		nodes: map[string]*yaml.Node{}, sources: map[int]string{},
+	}
+	d.index(root, "")
+	return d
 }
 
 // Split parses a file into its documents. Empty documents are left out.
@@ -57,9 +74,7 @@
 		if len(node.Content) == 0 || node.Content[0].Tag == "!!null" {
 			continue
 		}
-		d := &Document{File: file, root: node.Content[0], lines: map[string]int{}, paths: map[int]string{}}
-		d.index(d.root, "")
-		docs = append(docs, d)
+		docs = append(docs, newDocument(file, node.Content[0]))
 	}
 }
 
@@ -75,6 +90,7 @@
 
 // index records on which line each field stands.
 func (d *Document) index(n *yaml.Node, path string) {
+	d.nodes[path] = n
 	if _, ok := d.lines[path]; !ok {
 		d.lines[path] = n.Line
 	}
@@ -124,7 +140,16 @@
 // Errorf returns a FieldError at the line of the field, or of its nearest
 // parent that stands in the document.
 func (d *Document) Errorf(field, format string, args ...any) FieldError {
-	return FieldError{File: d.File, Line: d.line(field), Field: field, Problem: fmt.Sprintf(format, args...)}
+	return d.errorAt(d.line(field), field, fmt.Sprintf(format, args...))
+}
+
+// errorAt returns a FieldError at a line, or at the source of the override
+// that the line stands for.
+func (d *Document) errorAt(line int, field, problem string) FieldError {
+	if source, ok := d.sources[line]; ok {
+		return FieldError{File: source, Field: field, Problem: problem}
+	}
+	return FieldError{File: d.File, Line: line, Field: field, Problem: problem}
 }
 
 func (d *Document) line(field string) int {
@@ -144,9 +169,23 @@
 // Decode fills out, a pointer to a struct with yaml tags, and returns every
 // mistake found: unknown fields, wrong types and failed UnmarshalYAML calls.
 func (d *Document) Decode(out any) []error {
+	return d.decode(d.root, "", out)
+}
+
+// DecodeAt is Decode for the part of the document at a path; it does nothing
+// if the document has no such part.
+func (d *Document) DecodeAt(path string, out any) []error {
+	n := d.nodes[path]
+	if n == nil {
+		return nil
+	}
+	return d.decode(n, path, out)
+}
+
+func (d *Document) decode(n *yaml.Node, path string, out any) []error {
 	var errs []error
-	d.checkFields(d.root, reflect.TypeOf(out), "", &errs)
-	err := d.root.Decode(out)
+	d.checkFields(n, reflect.TypeOf(out), path, &errs)
+	err := n.Decode(out)
 	var typeErr *yaml.TypeError
 	switch {
 	case errors.As(err, &typeErr):
@@ -165,17 +204,20 @@
 		return d.Errorf("", "%s", text)
 	}
 	line, _ := strconv.Atoi(m[1])
-	return FieldError{File: d.File, Line: line, Field: d.paths[line], Problem: m[2]}
+	return d.errorAt(line, d.paths[line], m[2])
 }
 
-var yamlUnmarshaler = reflect.TypeFor[yaml.Unmarshaler]()
+var (
+	yamlUnmarshaler = reflect.TypeFor[yaml.Unmarshaler]()
+	yamlNode        = reflect.TypeFor[yaml.Node]()
+)
 
 // checkFields reports fields of the node that the struct type does not have.
 func (d *Document) checkFields(n *yaml.Node, t reflect.Type, path string, errs *[]error) {
 	for t.Kind() == reflect.Pointer {
 		t = t.Elem()
 	}
-	if t.Implements(yamlUnmarshaler) || reflect.PointerTo(t).Implements(yamlUnmarshaler) {
+	if t == yamlNode || t.Implements(yamlUnmarshaler) || reflect.PointerTo(t).Implements(yamlUnmarshaler) {
 		return
 	}
 	switch t.Kind() {
