--- a/decision/core.go
+++ b/decision/core.go
@@ -40,6 +40,8 @@
 	Rules        []retry.Rule
 	// Recovery plans for streams on reclaimed upstreams; nil leaves them.
 	Recovery *recovery.Planner
+	// Observer is optional.
+	Observer Observer
 }
 
 // Core decides for one entry. It is not safe for concurrent use.
@@ -168,10 +170,15 @@
 		}
 		return []Action{RefuseAction{ID: ev.ID, Reason: why, Ran: reason.RanNo}}
 	}
+	if ev.NoCompletion && res.Protocol == api.ProtocolCompletions {
+		return []Action{RefuseAction{ID: ev.ID, Reason: reason.BadRequest, Ran: reason.RanNo}}
+	}
 	if c.draining {
 		return []Action{RefuseAction{ID: ev.ID, Reason: reason.Draining, Ran: reason.RanNo, RetryAfter: drainRetryAfter}}
 	}
-	if v := admission.Check(c.cfg.Limits, c.admissionRequest(&res)); v.Refusal != "" {
+	limits := c.admissionRequest(&res)
+	if v := admission.Check(c.cfg.Limits, limits); v.Refusal != "" {
+		c.observeLimit(now, ev.ID, limits, v.Refusal)
 		return []Action{RefuseAction{ID: ev.ID, Reason: v.Refusal, Ran: reason.RanNo, RetryAfter: v.RetryAfter}}
 	}
 	r := c.accept(now, ev, res)
@@ -206,6 +213,7 @@
 	}
 	c.requests[r.id] = r
 	c.usage.add(r)
+	c.observeAccept(now, r)
 	return r
 }
 
@@ -253,6 +261,7 @@
 }
 
 func (c *Core) start(now time.Time, r *request, u *route.Upstream) Action {
+	c.observeRoute(now, r, u.Name)
 	r.phase = phaseRunning
 	r.attempts++
 	r.started = now
--- a/decision/handover/handover.go
+++ b/decision/handover/handover.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"jaylink/decision/rendezvous"
 )
 
 // Peer is another entry that may take a request.
@@ -33,12 +33,10 @@
 // rendezvous hash of the request ID, so that every entry finds the same peers
 // without being told.
 func Candidates(id string, from Place, peers []Peer) []Peer {
-	out := slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return p.Leaving })
-	slices.SortFunc(out, func(a, b Peer) int {
-		return cmp.Or(
-			cmp.Compare(distance(from, a), distance(from, b)),
-			byWeight(id, a, b),
-		)
+	staying := slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return p.Leaving })
+	out := ranked(id, staying)
+	slices.SortStableFunc(out, func(a, b Peer) int {
+		return cmp.Compare(distance(from, a), distance(from, b))
 	})
 	return out
 }
@@ -70,10 +68,9 @@
 // that accepted it, and those of each availability zone with the highest
 // weights.
 func Lookup(id, accepting string, peers []Peer) []Peer {
-	order := slices.SortedFunc(slices.Values(peers), func(a, b Peer) int { return byWeight(id, a, b) })
 	zones := map[string]int{}
 	var out []Peer
-	for _, p := range order {
+	for _, p := range ranked(id, peers) {
 		if p.Name != accepting && zones[p.Zone] >= perZone {
 			continue
 		}
@@ -93,13 +90,21 @@
 	return 2
 }
 
-// byWeight orders by falling rendezvous weight.
-func byWeight(id string, a, b Peer) int {
-	return cmp.Or(cmp.Compare(weight(id, b.Name), weight(id, a.Name)), cmp.Compare(a.Name, b.Name))
+// ranked returns the peers by falling rendezvous weight for the request.
+func ranked(id string, peers []Peer) []Peer {
+	byName := make(map[string]Peer, len(peers))
+	names := make([]string, 0, len(peers))
+	for _, p := range peers {
+		byName[p.Name] = p
+		names = append(names, p.Name)
+	}
+	out := make([]Peer, 0, len(peers))
+	for _, name := range rendezvous.Pick(id, names, len(names)) {
+		out = append(out, byName[name])
+	}
+	return out
 }
 
-func weight(id, name string) uint64 { return xxhash.Sum64String(id + "\x00" + name) }
-
 // Epoch returns the ownership epoch under which the holder of a rank, 0 for
 // the primary, takes over from the owner of an epoch. Two holders never take
 // over under the same epoch.
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -25,20 +26,26 @@
 	})
 	e.work.Go(func() {
 		defer cancel()
-		tag := id.tag(rec.ID)
-		e.log.Debug("attempt started", "request_id", rec.ID, "upstream", a.Upstream, "attempt", tag)
 		res := e.attempt(ctx, rec, a, id)
-		e.log.Debug("attempt ended", "request_id", rec.ID, "upstream", a.Upstream, "attempt", tag)
-		close(ended)
 		if res.Err != nil {
-			e.log.Warn("attempt failed", "request_id", rec.ID, "upstream", a.Upstream,
-				"attempt", a.Attempt, "reason", res.Outcome, "ran", res.Ran, "err", res.Err)
+			e.log.Log(ctx, attemptLevel(res), "attempt failed", "request_id", rec.ID, "upstream", a.Upstream,
+				"attempt", id.tag(rec.ID), "reason", res.Outcome, "ran", res.Ran, "err", res.Err)
 		}
+		close(ended)
 		e.settleClaim(rec, res)
 		e.driver.attemptEnded(rec, a, res.Outcome, res.Ran)
 	})
 }
 
+// attemptLevel is the level at which a failed attempt is logged. One that this
+// entry ended itself is no warning.
+func attemptLevel(res upstream.Result) slog.Level {
+	if res.Outcome == decision.OutcomeCanceled {
+		return slog.LevelInfo
+	}
+	return slog.LevelWarn
+}
+
 // tag is what an upstream sees of an attempt: REQUEST-ID/EPOCH.ATTEMPT.
 func (id attemptID) tag(request string) string {
 	return fmt.Sprintf("%s/%d.%d", request, id.epoch, id.number)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 
 	"jaylink/api"
 	"jaylink/decision"
+	"jaylink/decision/route"
 	"jaylink/kernel"
 	"jaylink/peer"
 	"jaylink/peer/peerpb"
@@ -25,6 +26,9 @@
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 	forgetInterval    = 10 * time.Second
+	// headerSlack is how far over the limit a request's headers are still
+	// read, in bytes, so that the refusal can say why.
+	headerSlack = 64 << 10
 )
 
 // Entry is one entry process.
@@ -35,6 +39,7 @@
 	config    *configStore
 	records   *registry
 	driver    *driver
+	decisions *decisionRecord
 	platform  *platform.Client
 	upstreams *upstream.Client
 	peers     *peer.Node
@@ -71,10 +76,12 @@
 		upstreams: upstream.New(),
 		signs:     map[string][signCount]bool{},
 		reclaims:  newReclaims(),
+		decisions: newDecisionRecord(s.Name, s.Record.Decisions),
 	}
+	cfg.Observer = &observer{decisions: e.decisions, table: func() *route.Table { return e.driver.core.Table() }}
 	e.background, e.cancel = context.WithCancel(context.Background())
 	e.driver = &driver{
-		core: decision.New(cfg), records: e.records, metrics: e.metrics, log: log,
+		core: decision.New(cfg), records: e.records, metrics: e.metrics, log: log, decisions: e.decisions,
 		dispatch: e.dispatch, claim: e.startClaim, release: e.releaseClaim,
 		move: e.move,
 	}
@@ -124,7 +131,7 @@
 		Handler:           h,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    int(e.settings.Limits.Header),
+		MaxHeaderBytes:    int(e.settings.Limits.Header) + headerSlack,
 		ErrorLog:          slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
 	}
 }
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -18,8 +18,12 @@
 	evacuateInterval = 50 * time.Millisecond
 	copyTimeout      = 2 * time.Second
 	takeTimeout      = time.Second
-	// copyBatch bounds the copies in one message, in bytes.
+	// copyBatch bounds the copies in one message, in bytes, where there is
+	// more than one.
 	copyBatch = 1 << 20
+	// maxCopy bounds the request that is handed over, prompt and answer so
+	// far, in bytes.
+	maxCopy = 5 << 20
 	// maxHandovers bounds the handovers under way.
 	maxHandovers = 64
 )
@@ -117,21 +121,25 @@
 	self := ev.peers.Self()
 	var batch []*peerpb.RequestCopy
 	size := 0
-	for i, rec := range records {
+	for _, rec := range records {
 		c := rec.toCopy(self)
-		batch = append(batch, c)
-		size += len(c.Body) + len(c.Text)
-		if size < copyBatch && i < len(records)-1 {
-			continue
-		}
-		if !ev.sendCopies(ctx, to, batch) {
-			ev.lose(to, records)
-			return
+		if size > 0 && size+copySize(c) > copyBatch {
+			if !ev.sendCopies(ctx, to, batch) {
+				ev.lose(to, records)
+				return
+			}
+			batch, size = nil, 0
 		}
-		batch, size = nil, 0
+		batch = append(batch, c)
+		size += copySize(c)
+	}
+	if !ev.sendCopies(ctx, to, batch) {
+		ev.lose(to, records)
 	}
 }
 
+func copySize(c *peerpb.RequestCopy) int { return len(c.Body) + len(c.Text) }
+
 func (ev *evacuation) sendCopies(ctx context.Context, to *peerpb.Member, batch []*peerpb.RequestCopy) bool {
 	client, err := ev.handoverClient(to)
 	if err != nil {
--- a/entry/handoverserver.go
+++ b/entry/handoverserver.go
@@ -116,6 +116,9 @@
 	return reply, nil
 }
 
+// followChunk bounds the text in one update, in bytes.
+const followChunk = 1 << 20
+
 // Follow implements peerpb.HandoverServer.
 func (s *handoverServer) Follow(req *peerpb.FollowRequest, stream grpc.ServerStreamingServer[peerpb.FollowUpdate]) error {
 	rec := s.records.get(req.Id)
@@ -125,6 +128,14 @@
 	offset := int(req.Offset)
 	for {
 		v, changed := rec.read(offset)
+		if len(v.text) > followChunk {
+			part := &peerpb.FollowUpdate{Role: v.role, Epoch: v.epoch, Owner: v.owner, Text: v.text[:followChunk]}
+			if err := stream.Send(part); err != nil {
+				return err
+			}
+			offset += followChunk
+			continue
+		}
 		offset = max(offset, v.total)
 		if err := stream.Send(s.toUpdate(v)); err != nil {
 			return err
--- a/entry/holder.go
+++ b/entry/holder.go
@@ -47,11 +47,12 @@
 	}
 }
 
-// follows returns the owner to follow; false if there is nothing to follow.
+// follows returns the owner to follow; false if there is nothing to follow. After
+// the deadline of a request its owner may have forgotten it.
 func (r *Record) follows(cancel context.CancelFunc) (*peerpb.Member, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.done || r.ownership.role != peerpb.Role_ROLE_HOLDER {
+	if r.done || r.ownership.role != peerpb.Role_ROLE_HOLDER || time.Now().After(r.deadline) {
 		return nil, false
 	}
 	r.ownership.unfollow = cancel
@@ -220,7 +221,7 @@
 		return true
 	}
 	r.text = append(r.text, u.Text...)
-	r.tokens = int(u.Tokens)
+	r.tokens = max(r.tokens, int(u.Tokens))
 	if u.Done {
 		r.answer = fromServiceAnswer(u.Answer)
 		r.problem = fromRefusal(u.Refusal)
--- a/entry/recoversettings.go
+++ b/entry/recoversettings.go
@@ -1,9 +1,10 @@
 package entry
 
 import (
+	"math"
+
 	"jaylink/api"
 	"jaylink/decision/recovery"
-	"jaylink/internal/strictyaml"
 )
 
 // RecoverySettings describe the machines and the link between regions, for the
@@ -20,7 +21,7 @@
 	CacheRate api.ByteSize `yaml:"cache_rate"`
 	// PrefillRate is how many tokens an upstream reads in a second. Default
 	// 5000.
-	PrefillRate int64 `yaml:"prefill_rate"`
+	PrefillRate int `yaml:"prefill_rate"`
 }
 
 func defaultRecovery() RecoverySettings {
@@ -30,23 +31,16 @@
 func (s RecoverySettings) rates() recovery.Rates {
 	return recovery.Rates{
 		CacheBytes: int64(s.CacheToken), Export: int64(s.CacheRate), Link: int64(s.Link),
-		Prefill: s.PrefillRate, TextBytes: bytesPerToken,
+		Prefill: int64(s.PrefillRate), TextBytes: bytesPerToken,
 	}
 }
 
-func (s RecoverySettings) check(doc *strictyaml.Document) []error {
-	var errs []error
-	fields := []struct {
-		name  string
-		value int64
-	}{
-		{"link", int64(s.Link)}, {"cache_token", int64(s.CacheToken)},
-		{"cache_rate", int64(s.CacheRate)}, {"prefill_rate", s.PrefillRate},
-	}
-	for _, f := range fields {
-		if f.value <= 0 {
-			errs = append(errs, doc.Errorf("recovery."+f.name, "%d is too small; more than 0 is allowed", f.value))
-		}
-	}
-	return errs
+// maxRate bounds the sizes and rates, in bytes.
+const maxRate = 1 << 40
+
+func (c *settingsCheck) recovery(s RecoverySettings) {
+	between(c, "recovery.link", s.Link, 1, maxRate)
+	between(c, "recovery.cache_token", s.CacheToken, 1, maxRate)
+	between(c, "recovery.cache_rate", s.CacheRate, 1, maxRate)
+	between(c, "recovery.prefill_rate", s.PrefillRate, 1, math.MaxInt32)
 }
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -88,14 +88,14 @@
 }
 
 // movable returns the records that this entry drives and another may go on
-// with: accepted, idempotent and not ended.
+// with: accepted, idempotent, not ended and not too large.
 func (r *registry) movable() []*Record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []*Record
 	for _, rec := range r.records {
 		rec.mu.Lock()
-		ok := rec.accepted && rec.idempotent && !rec.done &&
+		ok := rec.accepted && rec.idempotent && !rec.done && len(rec.Call.Body)+len(rec.text) <= maxCopy &&
 			rec.ownership.role == peerpb.Role_ROLE_OWNER && !rec.ownership.releasing
 		rec.mu.Unlock()
 		if ok {
--- a/guarantees/g1_entry_test.go
+++ b/guarantees/g1_entry_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"net/http"
 	"regexp"
 	"slices"
@@ -111,39 +110,41 @@
 	return n
 }
 
-// attemptLine matches the log lines about attempts.
-var attemptLine = regexp.MustCompile(`time=(\S+) .*msg="attempt (started|ended)" .*attempt=([0-9a-f]+\.\w+)/(\S+)`)
+// driveLine matches the log lines that say from when and until when an entry
+// drove a request.
+var driveLine = regexp.MustCompile(`time=(\S+) .*msg="(request accepted|attempt failed|request answered)" .*request_id=(\S+)`)
 
-// overlaps counts attempts that an entry started while another entry that was
-// not killed still had one of the same request under way, by the entries' logs.
+// overlaps counts requests that one entry went on driving after another one had
+// begun, by the logs of the entries.
 func (f *reclaimFleet) overlaps() int {
 	type span struct{ began, ended time.Time }
-	spans := map[string]map[string]*span{}
+	spans := map[string][]span{}
 	for _, e := range f.Entries {
-		for _, m := range attemptLine.FindAllStringSubmatch(e.Log(), -1) {
+		mine := map[string]*span{}
+		for _, m := range driveLine.FindAllStringSubmatch(e.Log(), -1) {
 			at, err := time.Parse(time.RFC3339Nano, m[1])
 			require.NoError(f.t, err)
-			if spans[m[3]] == nil {
-				spans[m[3]] = map[string]*span{}
-			}
-			if m[2] == "started" {
-				spans[m[3]][m[4]] = &span{began: at, ended: at}
+			if m[2] == "request accepted" {
+				mine[m[3]] = &span{began: at, ended: at}
 			} else {
-				spans[m[3]][m[4]].ended = at
+				mine[m[3]].ended = at
 			}
 		}
+		for id, s := range mine {
+			spans[id] = append(spans[id], *s)
+		}
 	}
+	require.NotEmpty(f.t, spans)
 	n := 0
-	for request, attempts := range spans {
-		list := slices.SortedFunc(maps.Values(attempts), func(a, b *span) int { return a.began.Compare(b.began) })
+	for id, list := range spans {
+		slices.SortFunc(list, func(a, b span) int { return a.began.Compare(b.began) })
 		for i := 1; i < len(list); i++ {
 			if list[i].began.Before(list[i-1].ended) {
-				f.t.Logf("attempts of %s overlap: %+v", request, list)
+				f.t.Logf("entries drove %s at the same time: %v", id, list)
 				n++
 			}
 		}
 	}
-	require.NotEmpty(f.t, spans)
 	return n
 }
 
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -164,6 +164,7 @@
 	for name, values := range k.Header {
 		req.Header[name] = values
 	}
+	req.Header.Set("Jaylink-Early-Id", "true")
 	if method == http.MethodGet && k.completion.Stream {
 		req.Header.Set("Last-Event-ID", strconv.Itoa(k.text.Len()))
 	}
--- a/operator/client.go
+++ b/operator/client.go
@@ -4,9 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/samber/oops"
@@ -23,6 +26,7 @@
 type StatusError struct {
 	Status  int
 	Failure Failure
+	body    []byte
 }
 
 // Error gives the entry's reason.
@@ -32,6 +36,8 @@
 type Client struct {
 	base string
 	http *http.Client
+	// Operator names who makes the calls; it is kept with what is written.
+	Operator string
 }
 
 // NewClient returns a client for the operator port at "ip:port".
@@ -43,6 +49,11 @@
 func (c *Client) Apply(ctx context.Context, req ApplyRequest) (ApplyReply, error) {
 	var reply ApplyReply
 	err := c.call(ctx, "apply", http.MethodPost, "/apply", req, &reply)
+	var failed *StatusError
+	if errors.As(err, &failed) && json.Unmarshal(failed.body, &reply) == nil && len(reply.Results) > 0 {
+		// The outcome of each object says more than the status.
+		return reply, nil
+	}
 	return reply, err
 }
 
@@ -84,6 +95,14 @@
 	return s, err
 }
 
+// Decisions reads the entry's decision record.
+func (c *Client) Decisions(ctx context.Context, q DecisionQuery) (DecisionList, error) {
+	var list DecisionList
+	query := url.Values{"request_id": {q.RequestID}, "upstream": {q.Upstream}, "limit": {strconv.Itoa(q.Limit)}}
+	err := c.call(ctx, "decisions", http.MethodGet, "/decisions?"+query.Encode(), nil, &list)
+	return list, err
+}
+
 func objectPath(key api.Key) string { return "/objects/" + string(key.Kind) + "/" + key.Name }
 
 func (c *Client) call(ctx context.Context, step, method, path string, in, out any) error {
@@ -96,6 +115,9 @@
 	if err != nil {
 		return errb.Wrap(err)
 	}
+	if c.Operator != "" {
+		req.Header.Set(HeaderOperator, c.Operator)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return errb.Wrap(err)
@@ -106,8 +128,8 @@
 		return errb.Wrap(err)
 	}
 	if resp.StatusCode >= 300 {
-		failed := &StatusError{Status: resp.StatusCode}
-		if json.Unmarshal(data, &failed.Failure) != nil {
+		failed := &StatusError{Status: resp.StatusCode, body: data}
+		if json.Unmarshal(data, &failed.Failure) != nil || failed.Failure.Error == "" {
 			failed.Failure.Error = fmt.Sprintf("status %d: %.200s", resp.StatusCode, data)
 		}
 		return errb.Wrap(failed)
--- a/operator/types.go
+++ b/operator/types.go
@@ -4,6 +4,9 @@
 
 import "jaylink/api"
 
+// HeaderOperator names the operator who makes a call.
+const HeaderOperator = "Jaylink-Operator"
+
 // ApplyRequest asks an entry to write objects. An object's Version names the
 // version that it replaces; 0 means that it must not exist yet.
 type ApplyRequest struct {
@@ -67,6 +70,9 @@
 	InFlight         int              `json:"in_flight"`
 	Peers            []PeerStatus     `json:"peers"`
 	Upstreams        []UpstreamStatus `json:"upstreams"`
+	// Recent are the newest decisions about the fleet: upstreams that leave
+	// or come back, moved requests, host orders.
+	Recent []Decision `json:"recent,omitempty"`
 }
 
 // PeerStatus describes another entry.
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -7,12 +7,12 @@
 )
 
 // maxMessage bounds one message between entries in bytes. It holds the largest
-// request and answer that the default limits allow.
-const maxMessage = 32 << 20
+// request that the default limits allow, with 2 MiB of answer.
+const maxMessage = 6 << 20
 
 // serverOptions are those of the peer port.
 func serverOptions() []grpc.ServerOption {
-	return []grpc.ServerOption{grpc.MaxRecvMsgSize(maxMessage)}
+	return []grpc.ServerOption{grpc.MaxRecvMsgSize(maxMessage), grpc.ConnectionTimeout(handshakeTimeout)}
 }
 
 // callOptions are those of every call to a peer.
--- a/peer/node.go
+++ b/peer/node.go
@@ -20,6 +20,8 @@
 
 const (
 	exchangeTimeout = time.Second
+	// handshakeTimeout bounds how long a connection may take to begin.
+	handshakeTimeout = 5 * time.Second
 	// fanout is the number of peers that one heartbeat round reaches.
 	fanout = 2
 	// memberTimeout is how long a silent member counts as live.
