bench: compare the policy with two baselines in virtual time

Cause: no figure said whether the scorers are better than taking upstreams in turn. Change: load profiles of both deployments, seeded arrivals, a model that drives decision cores against fake engines, the baselines scorer.roundrobin and scorer.leastloaded, and make bench. docs/design/cost.md says what is counted.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 TOOL = $(GO) tool -modfile=tools/go.mod
 BIN = bin
 
-.PHONY: build test guarantees demo check generate clean
+.PHONY: build test guarantees bench demo check generate clean
 
 build:
 	$(GO) build -o $(BIN)/jaylink ./cmd/jaylink
@@ -14,6 +14,10 @@
 guarantees:
 	$(GO) run ./internal/testrun -- -count=1 ./guarantees/... ./decision/...
 
+# The measurements, each figure beside its target.
+bench:
+	$(GO) run ./internal/testrun -- -count=1 -run '^TestFigure' ./internal/bench/...
+
 demo: build
 	$(GO) run ./examples/demo -binary $(BIN)/jaylink -examples examples
 
--- a/decision/route/route.go
+++ b/decision/route/route.go
@@ -30,6 +30,9 @@
 	LoadInFlight int
 	// InFlight is this entry's own number of requests on the upstream.
 	InFlight int
+	// LastStart is the number of this entry's newest dispatch to the
+	// upstream, counted over all upstreams.
+	LastStart uint64
 	// Leaving says that the upstream gets no new work.
 	Leaving bool
 	// SuspectUntil is the time until which the upstream is avoided because
@@ -81,3 +84,9 @@
 type Scorer interface {
 	Score(now time.Time, r *Request, u *Upstream) float64
 }
+
+// Exhaustive is implemented by scorers that want to see every upstream. With
+// one in the chain, Pick does not narrow the candidates.
+type Exhaustive interface {
+	ScoreAll()
+}
--- a/decision/route/table.go
+++ b/decision/route/table.go
@@ -22,6 +22,7 @@
 	upstreams map[string]*Upstream
 	services  map[string][]*Upstream // by the text of the selector
 	names     []string
+	starts    uint64
 }
 
 // NewTable returns an empty table.
@@ -142,6 +143,8 @@
 func (t *Table) Started(name string) {
 	if u := t.upstreams[name]; u != nil {
 		u.InFlight++
+		t.starts++
+		u.LastStart = t.starts
 	}
 }
 
--- a/entry/plugins.go
+++ b/entry/plugins.go
@@ -1,12 +1,7 @@
 package entry
 
 import (
-	"fmt"
-
 	"jaylink/decision"
-	"jaylink/decision/admission"
-	"jaylink/decision/retry"
-	"jaylink/decision/route"
 	"jaylink/kernel"
 	"jaylink/plugin/standard"
 )
@@ -30,25 +25,9 @@
 		if err != nil {
 			return cfg, err
 		}
-		if err := addModule(&cfg, m); err != nil {
+		if err := standard.Add(&cfg, m); err != nil {
 			return cfg, err
 		}
 	}
 	return cfg, nil
 }
-
-func addModule(cfg *decision.Config, m kernel.Module) error {
-	switch m := m.(type) {
-	case route.Filter:
-		cfg.Filters = append(cfg.Filters, m)
-	case route.Scorer:
-		cfg.Scorers = append(cfg.Scorers, m)
-	case admission.Limit:
-		cfg.Limits = append(cfg.Limits, m)
-	case retry.Rule:
-		cfg.Rules = append(cfg.Rules, m)
-	default:
-		return fmt.Errorf("module %s can't be used in the chain", m.ModuleInfo().ID)
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/bench/deployment.go
@@ -0,0 +1,94 @@
+package bench
+
+import (
+	"os"
+	"path/filepath"
+
+	"jaylink/api"
+	"jaylink/decision"
+	"jaylink/entry"
+	"jaylink/internal/bench/model"
+	"jaylink/internal/workload"
+	"jaylink/kernel"
+	"jaylink/plugin/standard"
+)
+
+// Deployment is one of the users' fleets, as the files under examples/ have it.
+type Deployment struct {
+	Name    string
+	Entries []model.Site
+}
+
+// Deployments lists both, each with its eight entry hosts.
+var Deployments = []Deployment{
+	{Name: "parikh-smriti", Entries: sites("west-guj", "surat-a", "surat-b", "north-guj", "mehsana-a")},
+	{Name: "forbund", Entries: sites("svealand", "vasteras", "orebro", "gotaland", "jonkoping")},
+}
+
+func sites(region, a, b, otherRegion, c string) []model.Site {
+	var list []model.Site
+	for range 3 {
+		list = append(list, model.Site{Zone: a, Region: region}, model.Site{Zone: b, Region: region})
+	}
+	return append(list, model.Site{Zone: c, Region: otherRegion}, model.Site{Zone: c, Region: otherRegion})
+}
+
+// Chain names a chain of modules to compare.
+type Chain string
+
+// The chains.
+const (
+	Standard    Chain = "standard"
+	RoundRobin  Chain = "round_robin"
+	LeastLoaded Chain = "least_loaded"
+)
+
+// modules returns the standard chain, with other scorers for a baseline.
+func (c Chain) modules() []kernel.ModuleID {
+	scorers := map[Chain]kernel.ModuleID{RoundRobin: "scorer.roundrobin", LeastLoaded: "scorer.leastloaded"}
+	if c == Standard {
+		return standard.Order
+	}
+	list := []kernel.ModuleID{scorers[c]}
+	for _, id := range standard.Order {
+		if id.Namespace() != "scorer" {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+// Options returns the options of a model run of the deployment.
+func (d Deployment) Options(examples string, c Chain, seed uint64) (model.Options, error) {
+	dir := filepath.Join(examples, d.Name)
+	profile, err := workload.Read(filepath.Join(dir, "load.yaml"))
+	if err != nil {
+		return model.Options{}, err
+	}
+	objects, err := readObjects(dir)
+	return model.Options{
+		Profile: profile, Objects: objects, Entries: d.Entries, Seed: seed, Credential: entry.Credential,
+		Chain: func(s model.Site) (decision.Config, error) {
+			return standard.Chain(s.Zone, s.Region, c.modules())
+		},
+	}, err
+}
+
+func readObjects(dir string) ([]*api.Object, error) {
+	var objects []*api.Object
+	for _, name := range []string{"services", "customers", "policies", "upstreams"} {
+		file := filepath.Join(dir, name+".yaml")
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return nil, err
+		}
+		sources, err := api.DecodeYAML(file, data)
+		if err != nil {
+			return nil, err
+		}
+		for _, s := range sources {
+			objects = append(objects, s.Object)
+		}
+	}
+	return objects, nil
+}
--- /dev/null
+++ b/internal/workload/profile.go
@@ -0,0 +1,110 @@
+// Package workload describes the load of a deployment and draws its arrivals
+// from a seed. The load command sends them to entries; the measuring model
+// passes them to decision cores in virtual time. Both see the same requests.
+package workload
+
+import (
+	"errors"
+	"os"
+	"time"
+
+	"jaylink/api"
+	"jaylink/internal/strictyaml"
+)
+
+// Bounds on a profile, so that a mistake can't run away.
+const (
+	maxDuration = 10 * time.Minute
+	maxRate     = 20000
+)
+
+// Profile is the load of one deployment.
+type Profile struct {
+	// Duration is the time over which requests arrive. At most 10m.
+	Duration api.Duration `yaml:"duration"`
+	// Customers send the requests.
+	Customers []Customer `yaml:"customers"`
+	// Streams are the kinds of requests.
+	Streams []Stream `yaml:"streams"`
+	// Waves are reclaims of all reclaimable upstreams of an availability zone.
+	Waves []Wave `yaml:"waves"`
+}
+
+// Customer is one sender.
+type Customer struct {
+	// Token is the bearer token.
+	Token string `yaml:"token"`
+	// Share is the customer's share of the requests, relative to the others.
+	Share float64 `yaml:"share"`
+}
+
+// Stream is one kind of request.
+type Stream struct {
+	Name   string `yaml:"name"`
+	Method string `yaml:"method"`
+	Path   string `yaml:"path"`
+	// Labels are sent as Jaylink-Label headers.
+	Labels api.Labels `yaml:"labels"`
+	// Rate is the mean number of requests a second; arrivals are Poisson.
+	Rate float64 `yaml:"rate"`
+	// Templates is the number of different prompt beginnings a customer has;
+	// 0 for calls without a prompt.
+	Templates int `yaml:"templates"`
+	// TemplateTokens is the length of a beginning in tokens.
+	TemplateTokens int `yaml:"template_tokens"`
+	// PromptTokens is the length of the rest of the prompt in tokens.
+	PromptTokens int `yaml:"prompt_tokens"`
+	// AnswerTokens is the mean length of an answer in tokens.
+	AnswerTokens int `yaml:"answer_tokens"`
+	// FirstToken and BetweenTokens are the latency target of streamed
+	// answers; Whole is that of the complete answer. 0 means none.
+	FirstToken    api.Duration `yaml:"first_token"`
+	BetweenTokens api.Duration `yaml:"between_tokens"`
+	Whole         api.Duration `yaml:"whole"`
+}
+
+// Wave is a reclaim.
+type Wave struct {
+	// At is the time of the notice, from the start.
+	At api.Duration `yaml:"at"`
+	// AvailabilityZone is where the hosts are reclaimed.
+	AvailabilityZone string `yaml:"availability_zone"`
+	// Notice is the time between the notice and the end of the hosts.
+	Notice api.Duration `yaml:"notice"`
+	// Back is the time from the notice until replacements are there.
+	Back api.Duration `yaml:"back"`
+}
+
+// Read reads and checks a profile.
+func Read(file string) (*Profile, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	docs, err := strictyaml.Split(file, data)
+	if err != nil {
+		return nil, err
+	}
+	if len(docs) != 1 {
+		return nil, strictyaml.FieldError{File: file, Line: 1, Problem: "want exactly one YAML document"}
+	}
+	p := &Profile{}
+	errs := docs[0].Decode(p)
+	return p, errors.Join(append(errs, p.check(docs[0])...)...)
+}
+
+func (p *Profile) check(doc *strictyaml.Document) []error {
+	var errs []error
+	if d := p.Duration.Std(); d <= 0 || d > maxDuration {
+		errs = append(errs, doc.Errorf("duration", "%s is out of range; more than 0 and at most %s is allowed", d, maxDuration))
+	}
+	if len(p.Customers) == 0 {
+		errs = append(errs, doc.Errorf("customers", "missing"))
+	}
+	for _, s := range p.Streams {
+		if s.Rate <= 0 || s.Rate > maxRate {
+			errs = append(errs, doc.Errorf("streams", "rate %v of %s is out of range; more than 0 and at most %d is allowed", s.Rate, s.Name, maxRate))
+		}
+	}
+	return errs
+}
--- /dev/null
+++ b/plugin/scorer/leastloaded/setup.go
@@ -0,0 +1,19 @@
+// Package leastloaded is the plug-in scorer.leastloaded.
+package leastloaded
+
+import (
+	"jaylink/decision/route"
+	"jaylink/kernel"
+)
+
+func init() { kernel.Register(&Scorer{}) }
+
+// ModuleInfo implements kernel.Module.
+func (*Scorer) ModuleInfo() kernel.ModuleInfo {
+	return kernel.ModuleInfo{ID: "scorer.leastloaded", New: func() kernel.Module { return &Scorer{} }}
+}
+
+var (
+	_ route.Scorer     = (*Scorer)(nil)
+	_ route.Exhaustive = (*Scorer)(nil)
+)
--- a/plugin/standard/standard.go
+++ b/plugin/standard/standard.go
@@ -13,9 +13,11 @@
 	_ "jaylink/plugin/limit/queue"
 	_ "jaylink/plugin/retry/budget"
 	_ "jaylink/plugin/retry/repeatable"
+	_ "jaylink/plugin/scorer/leastloaded"
 	_ "jaylink/plugin/scorer/load"
 	_ "jaylink/plugin/scorer/locality"
 	_ "jaylink/plugin/scorer/price"
+	_ "jaylink/plugin/scorer/roundrobin"
 )
 
 // Order is the default chain; settings may replace it. Within a namespace the
