--- a/internal/bench/deployment.go
+++ b/internal/bench/deployment.go
@@ -61,7 +61,7 @@
 // Options returns the options of a model run of the deployment.
 func (d Deployment) Options(examples string, c Chain, seed uint64) (model.Options, error) {
 	dir := filepath.Join(examples, d.Name)
-	profile, err := workload.Read(filepath.Join(dir, "load.yaml"))
+	profile, err := workload.Read(filepath.Join(examples, "load", d.Name+".yaml"))
 	if err != nil {
 		return model.Options{}, err
 	}
