route: look at a few upstreams a decision and weigh price, prefix and class

Change: candidates by group, hash ring and last use, a full scan as the fallback; scorer.prefix, filter.patience, price by class with the cost of a fuller batch; cache events as a core event.

--- a/decision/core.go
+++ b/decision/core.go
@@ -21,6 +21,8 @@
 	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"jaylink/api"
 	"jaylink/decision/admission"
 	"jaylink/decision/reason"
@@ -104,6 +106,7 @@
 		c.table.SetObjects(ev.Catalog.Upstreams())
 	case EntriesEvent:
 		c.entries = max(ev.Live, 1)
+		c.table.SetEntries(c.entries)
 	case RequestEvent:
 		out = c.arrive(now, ev)
 	case ClaimEvent:
@@ -112,6 +115,8 @@
 		out = c.attemptEnded(now, ev)
 	case LoadEvent:
 		c.table.Report(ev.Upstream, ev.Load)
+	case CacheEvent:
+		c.table.ReportCache(ev.Upstream, ev.Report)
 	case LeavingEvent:
 		c.table.SetLeaving(ev.Upstream, ev.Leaving)
 	case DrainEvent:
@@ -180,6 +185,7 @@
 	}
 	r.route = route.Request{
 		ID:        ev.ID,
+		Seed:      xxhash.Sum64String(ev.ID),
 		Service:   res.Service.Name,
 		Customer:  res.Customer.Name,
 		Class:     res.Class,
@@ -187,6 +193,7 @@
 		Zone:      c.cfg.Zone,
 		Region:    c.cfg.Region,
 		Prefix:    ev.Prefix,
+		Accepted:  now,
 		Deadline:  r.deadline,
 	}
 	c.requests[r.id] = r
@@ -242,7 +249,7 @@
 	r.attempts++
 	r.started = now
 	r.upstream = u.Name
-	c.table.Started(u.Name)
+	c.table.Started(u.Name, r.route.Prefix)
 	if r.attempts == 1 {
 		retry.FirstAttempt(c.cfg.Rules)
 	}
--- a/decision/events.go
+++ b/decision/events.go
@@ -95,6 +95,12 @@
 	Load     route.Load
 }
 
+// CacheEvent carries what an upstream says about its prefix memory.
+type CacheEvent struct {
+	Upstream string
+	Report   route.CacheReport
+}
+
 // LeavingEvent says that an upstream is leaving, or that it is back.
 type LeavingEvent struct {
 	Upstream string
@@ -113,6 +119,7 @@
 func (ClaimEvent) event()   {}
 func (AttemptEvent) event() {}
 func (LoadEvent) event()    {}
+func (CacheEvent) event()   {}
 func (LeavingEvent) event() {}
 func (DrainEvent) event()   {}
 func (TickEvent) event()    {}
--- a/decision/route/route.go
+++ b/decision/route/route.go
@@ -4,6 +4,11 @@
 // A Table holds what an entry believes about the upstreams. Filters say which
 // of them may run a request at all; scorers say what each would cost, and the
 // lowest total wins. Filters and scorers are plug-ins.
+//
+// Pick looks at a few upstreams of each availability zone and price, so its time
+// grows with the number of those groups and not with the fleet. Only if filters
+// keep none of them are all upstreams looked at; so a request never waits while
+// an upstream is free for it.
 package route
 
 import (
@@ -40,6 +45,16 @@
 	SuspectUntil time.Time
 	// Failures counts failed calls in a row.
 	Failures int
+	// RelativePrice is the price of a slot divided by the mean of all
+	// upstreams of the same protocol; 1 where no prices are known.
+	RelativePrice float64
+	// Affinity is set for the decision that is being made.
+	Affinity Affinity
+
+	held     held
+	seen     uint64 // the number of the last decision that looked at it
+	services []*index
+	entries  *int
 }
 
 // Slots returns how many requests the upstream runs at once.
@@ -57,9 +72,17 @@
 	return max(busy, u.InFlight, 0)
 }
 
+// Unseen estimates how many requests the other entries have started on the
+// upstream since its report, as many each as this entry has.
+func (u *Upstream) Unseen() int {
+	return max(u.InFlight-u.LoadInFlight, 0) * (*u.entries - 1)
+}
+
 // Request is what routing knows about a request.
 type Request struct {
-	ID       string
+	ID string
+	// Seed is a random number, the same for all decisions on the request.
+	Seed     uint64
 	Service  string
 	Customer string
 	Class    api.Class
@@ -71,6 +94,7 @@
 	Prefix uint64
 	// Tried names the upstreams that failed this request.
 	Tried    []string
+	Accepted time.Time
 	Deadline time.Time
 }
 
--- a/decision/route/table.go
+++ b/decision/route/table.go
@@ -20,39 +20,83 @@
 	filters   []Filter
 	scorers   []Scorer
 	upstreams map[string]*Upstream
-	services  map[string][]*Upstream // by the text of the selector
+	services  map[string]*index // by the text of the selector
 	names     []string
-	starts    uint64
+	objects   []*api.Object
+	entries   int
+	// exhaustive says that some scorer wants to see every upstream.
+	exhaustive bool
+	// starts counts dispatches, picks decisions.
+	starts, picks uint64
+	// version rises whenever an upstream may have become free.
+	version uint64
+	recent  recent
+	scratch []*Upstream
 }
 
 // NewTable returns an empty table.
 func NewTable(filters []Filter, scorers []Scorer) *Table {
-	return &Table{
+	t := &Table{
 		filters:   filters,
 		scorers:   scorers,
 		upstreams: map[string]*Upstream{},
-		services:  map[string][]*Upstream{},
+		services:  map[string]*index{},
+		entries:   1,
 	}
+	for _, s := range scorers {
+		if _, ok := s.(Exhaustive); ok {
+			t.exhaustive = true
+		}
+	}
+	return t
 }
 
+// SetEntries says how many entries act on the same load reports.
+func (t *Table) SetEntries(n int) { t.entries = max(n, 1) }
+
 // SetObjects replaces the set of upstreams, keeping what is known about those
 // that stay.
 func (t *Table) SetObjects(objects []*api.Object) {
+	if slices.Equal(objects, t.objects) {
+		return
+	}
+	t.objects = slices.Clone(objects)
+	t.version++
 	next := make(map[string]*Upstream, len(objects))
 	for _, o := range objects {
 		u := t.upstreams[o.Name]
 		if u == nil {
-			u = &Upstream{Name: o.Name}
+			u = &Upstream{Name: o.Name, entries: &t.entries}
 		}
+		u.services = nil
 		u.Spec = o.Spec.(*api.UpstreamSpec)
 		u.Labels = effectiveLabels(o, u.Spec)
 		next[o.Name] = u
 	}
 	t.upstreams = next
 	t.names = slices.Sorted(maps.Keys(next))
+	t.recent = recent{}
 	clear(t.services)
+	setRelativePrices(next)
+}
+
+func setRelativePrices(upstreams map[string]*Upstream) {
+	sum := map[api.Protocol]float64{}
+	count := map[api.Protocol]float64{}
+	for _, u := range upstreams {
+		sum[u.Spec.Protocol] += u.slotPrice()
+		count[u.Spec.Protocol]++
+	}
+	for _, u := range upstreams {
+		u.RelativePrice = 1
+		if total := sum[u.Spec.Protocol]; total > 0 {
+			u.RelativePrice = u.slotPrice() * count[u.Spec.Protocol] / total
+		}
+	}
 }
 
+func (u *Upstream) slotPrice() float64 { return u.Spec.PricePerHour / float64(u.Slots()) }
+
 func effectiveLabels(o *api.Object, s *api.UpstreamSpec) api.Labels {
 	l := api.Labels{
 		"name":              o.Name,
@@ -72,28 +116,72 @@
 func (t *Table) Names() []string { return t.names }
 
 // Candidates returns the upstreams that a selector matches, in name order.
-func (t *Table) Candidates(sel api.Selector) []*Upstream {
+func (t *Table) Candidates(sel api.Selector) []*Upstream { return t.index(sel).all }
+
+func (t *Table) index(sel api.Selector) *index {
 	key := sel.String()
-	list, ok := t.services[key]
-	if ok {
-		return list
+	if x, ok := t.services[key]; ok {
+		return x
 	}
-	list = []*Upstream{}
+	list := []*Upstream{}
 	for _, name := range t.names {
 		if u := t.upstreams[name]; sel.Matches(u.Labels) {
 			list = append(list, u)
 		}
 	}
-	t.services[key] = list
-	return list
+	x := newIndex(list)
+	for _, u := range list {
+		u.services = append(u.services, x)
+	}
+	t.services[key] = x
+	return x
 }
 
-// Pick returns the upstream with the lowest score among those that every
-// filter keeps, or nil.
+// Pick returns the upstream with the lowest score among the candidates that
+// every filter keeps, or nil if the filters keep no upstream at all.
 func (t *Table) Pick(now time.Time, r *Request) *Upstream {
+	x := t.index(r.Upstreams)
+	if !t.exhaustive {
+		if best := t.best(now, r, t.narrow(now, r, x)); best != nil {
+			return best
+		}
+	}
+	return t.pickFromAll(now, r, x)
+}
+
+// pickFromAll looks at every upstream, unless it is known that none is free.
+func (t *Table) pickFromAll(now time.Time, r *Request, x *index) *Upstream {
+	b := &x.blocked[max(slices.Index(classes[:], r.Class), 0)]
+	if len(r.Tried) == 0 && b.version == t.version && now.Before(b.until) {
+		return nil
+	}
+	for _, u := range x.all {
+		u.Affinity = AffinityNone
+	}
+	best := t.best(now, r, x.all)
+	if best == nil && len(r.Tried) == 0 {
+		*b = blocked{version: t.version, until: nextPauseEnd(now, x.all)}
+	}
+	return best
+}
+
+// blockedRecheck bounds the time for which a search is not repeated.
+const blockedRecheck = 100 * time.Millisecond
+
+func nextPauseEnd(now time.Time, list []*Upstream) time.Time {
+	until := now.Add(blockedRecheck)
+	for _, u := range list {
+		if u.SuspectUntil.After(now) && u.SuspectUntil.Before(until) {
+			until = u.SuspectUntil
+		}
+	}
+	return until
+}
+
+func (t *Table) best(now time.Time, r *Request, list []*Upstream) *Upstream {
 	var best *Upstream
 	var bestScore float64
-	for _, u := range t.Candidates(r.Upstreams) {
+	for _, u := range list {
 		if !t.keep(now, r, u) {
 			continue
 		}
@@ -130,21 +218,31 @@
 	}
 	u.Load = load
 	u.LoadInFlight = u.InFlight
+	t.version++
 }
 
 // SetLeaving marks an upstream as leaving or not.
 func (t *Table) SetLeaving(name string, leaving bool) {
-	if u := t.upstreams[name]; u != nil {
-		u.Leaving = leaving
+	u := t.upstreams[name]
+	if u == nil || u.Leaving == leaving {
+		return
+	}
+	u.Leaving = leaving
+	t.version++
+	if !leaving {
+		// What comes back is a new host with an empty memory.
+		u.held = held{}
 	}
 }
 
-// Started counts a dispatch to an upstream.
-func (t *Table) Started(name string) {
+// Started counts a dispatch of a prompt with a prefix to an upstream.
+func (t *Table) Started(name string, prefix uint64) {
 	if u := t.upstreams[name]; u != nil {
 		u.InFlight++
 		t.starts++
 		u.LastStart = t.starts
+		u.hold(prefix)
+		t.recent.set(prefix, u)
 	}
 }
 
@@ -156,6 +254,7 @@
 		return
 	}
 	u.InFlight = max(u.InFlight-1, 0)
+	t.version++
 	if !failed {
 		u.Failures = 0
 		u.SuspectUntil = time.Time{}
--- /dev/null
+++ b/plugin/filter/patience/setup.go
@@ -0,0 +1,18 @@
+// Package patience is the plug-in filter.patience.
+package patience
+
+import (
+	"jaylink/decision/route"
+	"jaylink/kernel"
+)
+
+func init() { kernel.Register(&Filter{}) }
+
+// ModuleInfo implements kernel.Module.
+func (*Filter) ModuleInfo() kernel.ModuleInfo {
+	return kernel.ModuleInfo{ID: "filter.patience", New: func() kernel.Module {
+		return &Filter{Wait: defaultWait, MaxPrice: defaultMaxPrice}
+	}}
+}
+
+var _ route.Filter = (*Filter)(nil)
--- a/plugin/scorer/locality/locality.go
+++ b/plugin/scorer/locality/locality.go
@@ -8,7 +8,7 @@
 
 const (
 	defaultOtherZone   = 0.05
-	defaultOtherRegion = 1.0
+	defaultOtherRegion = 2.0
 )
 
 // Scorer prefers upstreams near the entry; traffic between regions goes over a
@@ -16,7 +16,7 @@
 type Scorer struct {
 	// OtherZone is the score of another zone of the region. Default 0.05.
 	OtherZone float64 `yaml:"other_zone"`
-	// OtherRegion is the score of another region. Default 1.
+	// OtherRegion is the score of another region. Default 2.
 	OtherRegion float64 `yaml:"other_region"`
 }
 
--- a/plugin/scorer/price/price.go
+++ b/plugin/scorer/price/price.go
@@ -3,17 +3,45 @@
 import (
 	"time"
 
+	"jaylink/api"
 	"jaylink/decision/route"
 )
 
-// Scorer prefers cheap upstreams. The score is the price of one slot for an
-// hour, in the bill's currency.
+// Defaults of the options.
+const (
+	defaultPatient     = 2.0
+	defaultInteractive = 1.0
+	defaultUrgent      = 0.0
+	defaultSlowdown    = 0.3
+)
+
+// Scorer prefers cheap upstreams. The score is the price of a slot, where 1 is
+// the mean of all upstreams of the protocol, times what one more request costs
+// those that already run: a full upstream is slower for all of its batch.
 type Scorer struct {
-	// Weight multiplies the score. Default 0.5.
-	Weight float64 `yaml:"weight"`
+	// Patient, Interactive and Urgent multiply the score of requests of the
+	// class. Defaults 2, 1 and 0.
+	Patient     float64 `yaml:"patient"`
+	Interactive float64 `yaml:"interactive"`
+	Urgent      float64 `yaml:"urgent"`
+	// Slowdown is the share by which a full batch is slower than a single
+	// request. Default 0.3.
+	Slowdown float64 `yaml:"slowdown"`
 }
 
 // Score implements route.Scorer.
-func (s *Scorer) Score(_ time.Time, _ *route.Request, u *route.Upstream) float64 {
-	return s.Weight * u.Spec.PricePerHour / float64(u.Slots())
+func (s *Scorer) Score(_ time.Time, r *route.Request, u *route.Upstream) float64 {
+	busy := float64(u.Busy()) / float64(u.Slots())
+	// One more request slows itself and, by as much in sum, the others.
+	return s.weight(r.Class) * u.RelativePrice * (1 + 2*s.Slowdown*busy)
+}
+
+func (s *Scorer) weight(c api.Class) float64 {
+	switch c {
+	case api.ClassUrgent:
+		return s.Urgent
+	case api.ClassPatient:
+		return s.Patient
+	}
+	return s.Interactive
 }
--- a/plugin/scorer/price/setup.go
+++ b/plugin/scorer/price/setup.go
@@ -10,7 +10,9 @@
 
 // ModuleInfo implements kernel.Module.
 func (*Scorer) ModuleInfo() kernel.ModuleInfo {
-	return kernel.ModuleInfo{ID: "scorer.price", New: func() kernel.Module { return &Scorer{Weight: 0.5} }}
+	return kernel.ModuleInfo{ID: "scorer.price", New: func() kernel.Module {
+		return &Scorer{Patient: defaultPatient, Interactive: defaultInteractive, Urgent: defaultUrgent, Slowdown: defaultSlowdown}
+	}}
 }
 
 var _ route.Scorer = (*Scorer)(nil)
--- a/plugin/standard/standard.go
+++ b/plugin/standard/standard.go
@@ -8,6 +8,7 @@
 	// The blank imports register the modules.
 	_ "jaylink/plugin/filter/capacity"
 	_ "jaylink/plugin/filter/leaving"
+	_ "jaylink/plugin/filter/patience"
 	_ "jaylink/plugin/filter/suspect"
 	_ "jaylink/plugin/limit/customer"
 	_ "jaylink/plugin/limit/queue"
@@ -16,6 +17,7 @@
 	_ "jaylink/plugin/scorer/leastloaded"
 	_ "jaylink/plugin/scorer/load"
 	_ "jaylink/plugin/scorer/locality"
+	_ "jaylink/plugin/scorer/prefix"
 	_ "jaylink/plugin/scorer/price"
 	_ "jaylink/plugin/scorer/roundrobin"
 )
@@ -28,7 +30,9 @@
 	"filter.leaving",
 	"filter.suspect",
 	"filter.capacity",
+	"filter.patience",
 	"scorer.load",
+	"scorer.prefix",
 	"scorer.price",
 	"scorer.locality",
 	"retry.repeatable",
