decision: make steps cheap, queue fairly by weight, share fleet limits

Cause: each step looked at all requests (wake times, expiry, queue length, slots); one class was one line, so a large customer's backlog stood before everybody; a fleet limit was an even share an entry, which refused work while the fleet had room. Ruled out: deficit round robin, a counter at the platform, lending of shares (see docs/design/limits.md).

Change: heap of wake times, start-time fair queueing between customers, bounds by share of the queue, refusal at the moment a deadline can't be met any more, Retry-After from the queue ahead, usage of other entries as an event. filter.patience became a choosy filter, so a patient request's wait costs no scan of the fleet; scorer.load keeps pressing work off upstreams that are nearly full.

Not yet wired: the peers' heartbeats do not carry usage, so entries keep to the even share until they do.

--- a/decision/admission/admission.go
+++ b/decision/admission/admission.go
@@ -14,19 +14,35 @@
 	Service  string
 	Customer string
 	Class    api.Class
+	// Timeout is the time to the request's deadline.
+	Timeout time.Duration
 	// MaxInFlight is the customer's bound for the fleet; 0 means none.
 	MaxInFlight int
-	// CustomerInFlight is the customer's number of accepted requests here.
-	CustomerInFlight int
+	// CustomerInFlight is the customer's number of accepted requests here,
+	// and CustomerElsewhere that on the other entries as they last reported.
+	CustomerInFlight  int
+	CustomerElsewhere int
+	// Peers is the number of entries that CustomerElsewhere comes from.
+	Peers int
 	// Entries is the number of live entries, this one included.
 	Entries int
 	// QueueLength is the service's bound on waiting requests.
 	QueueLength int
 	// Queued is the service's number of waiting requests here.
 	Queued int
-	// ServiceTime estimates how long one request holds a slot.
-	ServiceTime time.Duration
-	// Slots is the number of slots of the service that this entry can use.
+	// Ahead is the number of them that are of the request's class or of a
+	// more pressing one.
+	Ahead int
+	// CustomerQueued is the number of them that are the customer's.
+	CustomerQueued int
+	// CustomerShare is the customer's weight divided by that of all customers
+	// with waiting requests, this one included.
+	CustomerShare float64
+	// ServiceTime estimates how long one request holds a slot, and Fastest is
+	// about the shortest time seen of late; 0 if none is known.
+	ServiceTime, Fastest time.Duration
+	// Slots is the number of slots of the service that take new work, those
+	// in use included. All entries use them.
 	Slots int
 }
 
@@ -51,11 +67,23 @@
 	return Verdict{}
 }
 
-// minRetryAfter is the shortest time that a refused caller is told to wait.
-const minRetryAfter = time.Second
+// Bounds on the time that a refused caller is told to wait.
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = 10 * time.Minute
+)
+
+// Wait estimates when the requests ahead will have been started. The other
+// entries are taken to have as many waiting, so this entry's share of the slots
+// is one part in Entries.
+func (r *Request) Wait() time.Duration {
+	rounds := float64(r.Ahead) * float64(max(r.Entries, 1)) / float64(max(r.Slots, 1))
+	return time.Duration(rounds * float64(r.ServiceTime))
+}
 
-// DrainTime estimates when the waiting requests will have been started.
+// DrainTime is Wait with one more request, within the bounds of a Retry-After.
 func (r *Request) DrainTime() time.Duration {
-	t := r.ServiceTime * time.Duration(r.Queued+1) / time.Duration(max(r.Slots, 1))
-	return max(t, minRetryAfter)
+	more := *r
+	more.Ahead++
+	return min(max(more.Wait(), minRetryAfter), maxRetryAfter)
 }
--- a/decision/core.go
+++ b/decision/core.go
@@ -18,6 +18,7 @@
 package decision
 
 import (
+	"container/list"
 	"fmt"
 	"time"
 
@@ -47,9 +48,14 @@
 	table    *route.Table
 	requests map[string]*request
 	queue    queue
+	wakes    wakes
 	usage    usage
 	entries  int
 	draining bool
+	// number counts accepted requests, and stepped is the time of the last
+	// step.
+	number  uint64
+	stepped time.Time
 }
 
 // phase says what a request waits for.
@@ -77,7 +83,15 @@
 	accepted time.Time
 	started  time.Time
 	deadline time.Time
-	wake     time.Time
+	// number is the request's place in the order of acceptance.
+	number uint64
+	// due is when the request needs attention; place is its index in wakes.
+	due   time.Time
+	place int
+	// element, flow and queue are where a queued request waits.
+	element *list.Element
+	flow    *flow
+	queue   *serviceQueue
 	// timedOut says that the deadline passed while an attempt was running.
 	timedOut bool
 }
@@ -100,6 +114,7 @@
 // Step takes one event and returns the actions that it leads to.
 func (c *Core) Step(now time.Time, ev Event) []Action {
 	var out []Action
+	c.stepped = now
 	switch ev := ev.(type) {
 	case ConfigEvent:
 		c.catalog = ev.Catalog
@@ -107,6 +122,8 @@
 	case EntriesEvent:
 		c.entries = max(ev.Live, 1)
 		c.table.SetEntries(c.entries)
+	case UsageEvent:
+		c.usage.report(ev.Peer, ev.InFlight)
 	case RequestEvent:
 		out = c.arrive(now, ev)
 	case ClaimEvent:
@@ -132,20 +149,14 @@
 // NextWake returns when the core wants its next TickEvent, and false if it
 // waits for no time.
 func (c *Core) NextWake() (time.Time, bool) {
-	var next time.Time
-	for _, r := range c.requests {
-		t := r.deadline
-		if r.phase == phaseBackoff && r.wake.Before(t) {
-			t = r.wake
-		}
-		if r.timedOut {
-			continue
-		}
-		if next.IsZero() || t.Before(next) {
-			next = t
-		}
+	if len(c.wakes) == 0 {
+		return time.Time{}, false
 	}
-	return next, !next.IsZero()
+	next := c.wakes[0].due
+	if recheck := c.stepped.Add(queueRecheck); c.queue.size > 0 && recheck.Before(next) {
+		next = recheck
+	}
+	return next, true
 }
 
 // arrive resolves a new request and admits or refuses it.
@@ -170,10 +181,21 @@
 		r.phase = phaseClaim
 		return append(actions, ClaimAction{ID: r.id})
 	}
-	c.queue.push(r)
+	c.enqueue(r)
 	return actions
 }
 
+// enqueue lets a request wait for an upstream. It needs attention when its
+// deadline can't be met any more, or once that has passed if it already ran.
+func (c *Core) enqueue(r *request) {
+	c.queue.push(r)
+	due := r.deadline
+	if r.attempts == 0 {
+		due = due.Add(-c.usage.timing(r.res.Service.Name).fastest)
+	}
+	c.wakes.set(r, due)
+}
+
 func (c *Core) accept(now time.Time, ev RequestEvent, res api.Resolution) *request {
 	r := &request{
 		id:       ev.ID,
@@ -182,7 +204,10 @@
 		ran:      reason.RanNo,
 		accepted: now,
 		deadline: now.Add(res.Timeout),
+		number:   c.number,
+		place:    noPlace,
 	}
+	c.number++
 	r.route = route.Request{
 		ID:        ev.ID,
 		Seed:      xxhash.Sum64String(ev.ID),
@@ -198,6 +223,7 @@
 	}
 	c.requests[r.id] = r
 	c.usage.add(r)
+	c.wakes.set(r, r.deadline)
 	return r
 }
 
@@ -213,7 +239,7 @@
 		if r.timedOut {
 			return c.refuse(now, r, reason.TimedOut)
 		}
-		c.queue.push(r)
+		c.enqueue(r)
 		return nil
 	case ClaimDone:
 		c.remove(r)
@@ -249,6 +275,7 @@
 	r.attempts++
 	r.started = now
 	r.upstream = u.Name
+	c.wakes.set(r, r.deadline)
 	c.table.Started(u.Name, r.route.Prefix)
 	if r.attempts == 1 {
 		retry.FirstAttempt(c.cfg.Rules)
@@ -298,32 +325,36 @@
 	r.route.Tried = append(r.route.Tried, ev.Upstream)
 	if v.After > 0 {
 		r.phase = phaseBackoff
-		r.wake = now.Add(v.After)
+		wake := now.Add(v.After)
+		if wake.After(r.deadline) {
+			wake = r.deadline
+		}
+		c.wakes.set(r, wake)
 		return nil
 	}
-	c.queue.push(r)
+	c.enqueue(r)
 	return nil
 }
 
-// expire ends requests whose deadline has passed and wakes those that backed off.
+// expire ends requests whose deadline has passed, or can't be met any more, and
+// wakes those that backed off.
 func (c *Core) expire(now time.Time) []Action {
 	var out []Action
-	for _, r := range c.inOrder() {
-		if !now.Before(r.deadline) {
+	for len(c.wakes) > 0 && !now.Before(c.wakes[0].due) {
+		r := c.wakes[0]
+		switch {
+		case r.phase == phaseBackoff && now.Before(r.deadline):
+			c.enqueue(r)
+		default:
 			out = append(out, c.timeOut(now, r)...)
-			continue
-		}
-		if r.phase == phaseBackoff && !now.Before(r.wake) {
-			c.queue.push(r)
 		}
 	}
 	return out
 }
 
 func (c *Core) timeOut(now time.Time, r *request) []Action {
+	c.wakes.drop(r)
 	switch {
-	case r.timedOut:
-		return nil
 	case r.phase == phaseRunning:
 		r.timedOut = true
 		return []Action{CancelAction{ID: r.id}}
@@ -331,6 +362,8 @@
 		// The claim's answer is still to come and ends the request.
 		r.timedOut = true
 		return nil
+	case r.attempts == 0 && now.Before(r.deadline):
+		return c.refuse(now, r, reason.DeadlineUnmet)
 	case r.attempts == 0:
 		return c.refuse(now, r, reason.NoUpstream)
 	}
@@ -346,6 +379,7 @@
 
 func (c *Core) remove(r *request) {
 	c.queue.remove(r)
+	c.wakes.drop(r)
 	c.usage.drop(r)
 	delete(c.requests, r.id)
 }
--- a/decision/core_test.go
+++ b/decision/core_test.go
@@ -45,6 +45,16 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
+func testConfig() Config {
+	return Config{
+		Zone: "a", Region: "r",
+		Filters: []route.Filter{&leaving.Filter{}, &suspect.Filter{}, &capacity.Filter{}},
+		Scorers: []route.Scorer{&load.Scorer{Weight: 1}},
+		Limits:  []admission.Limit{&queuelimit.Limit{}},
+		Rules:   []retry.Rule{&repeatable.Rule{}},
+	}
+}
+
 func newCore(t *testing.T) *Core {
 	t.Helper()
 	sources, err := api.DecodeYAML("objects.yaml", []byte(objects))
@@ -53,13 +63,7 @@
 	for _, s := range sources {
 		list = append(list, s.Object)
 	}
-	c := New(Config{
-		Zone: "a", Region: "r",
-		Filters: []route.Filter{&leaving.Filter{}, &suspect.Filter{}, &capacity.Filter{}},
-		Scorers: []route.Scorer{&load.Scorer{Weight: 1}},
-		Limits:  []admission.Limit{&queuelimit.Limit{}},
-		Rules:   []retry.Rule{&repeatable.Rule{}},
-	})
+	c := New(testConfig())
 	c.Step(start, ConfigEvent{Catalog: api.NewCatalog(list)})
 	return c
 }
--- a/decision/events.go
+++ b/decision/events.go
@@ -17,6 +17,13 @@
 // EntriesEvent says how many entries are live, this one included.
 type EntriesEvent struct{ Live int }
 
+// UsageEvent carries another entry's accepted requests by customer. It replaces
+// what that entry reported before; an empty one says that the entry is gone.
+type UsageEvent struct {
+	Peer     string
+	InFlight map[string]int
+}
+
 // RequestEvent says that a caller sent a request.
 type RequestEvent struct {
 	ID     string
@@ -115,6 +122,7 @@
 
 func (ConfigEvent) event()  {}
 func (EntriesEvent) event() {}
+func (UsageEvent) event()   {}
 func (RequestEvent) event() {}
 func (ClaimEvent) event()   {}
 func (AttemptEvent) event() {}
--- a/decision/reason/reason.go
+++ b/decision/reason/reason.go
@@ -28,6 +28,9 @@
 	OutcomeUnknown   Reason = "outcome_unknown"
 	Poison           Reason = "poison"
 	AnswerTooLarge   Reason = "answer_too_large"
+	// DeadlineUnmet means that the request could not be answered before its
+	// deadline any more, however soon an upstream took it.
+	DeadlineUnmet Reason = "deadline_unmet"
 )
 
 // Refusals lists every refusal reason.
@@ -36,6 +39,7 @@
 	WrongCustomer, Draining, CustomerLimit, QueueFull, NoUpstream, TimedOut,
 	AttemptsUsedUp, NotRepeatable, RetryBudget, KeyReused, KeyInProgress,
 	ClaimUnavailable, OutcomeUnknown, Poison, AnswerTooLarge,
+	DeadlineUnmet,
 }
 
 // Reasons for repeating an attempt.
--- a/decision/route/index.go
+++ b/decision/route/index.go
@@ -34,6 +34,7 @@
 type index struct {
 	all    []*Upstream
 	groups []*group
+	slots  int // of the upstreams that are not leaving
 	// blocked says for each class up to when a search is known to find
 	// nothing.
 	blocked [len(classes)]blocked
@@ -76,9 +77,19 @@
 	for _, g := range x.groups {
 		g.buildRing()
 	}
+	x.countSlots()
 	return x
 }
 
+func (x *index) countSlots() {
+	x.slots = 0
+	for _, u := range x.all {
+		if !u.Leaving {
+			x.slots += u.Slots()
+		}
+	}
+}
+
 func (g *group) buildRing() {
 	each := min(max(ringNodes/len(g.members), minRingNodes), maxRingNodes)
 	g.ring = make([]node, 0, each*len(g.members))
--- a/decision/route/route.go
+++ b/decision/route/route.go
@@ -98,11 +98,19 @@
 	Deadline time.Time
 }
 
-// Filter says whether an upstream may run a request.
+// Filter says whether an upstream may run a request. Its answer may depend on
+// the time, the upstream, and the request's class and failed attempts.
 type Filter interface {
 	Keep(now time.Time, r *Request, u *Upstream) bool
 }
 
+// ChoosyFilter is a Filter whose answer depends on more of the request. It may
+// let a request wait although an upstream is free, but for a bounded time.
+type ChoosyFilter interface {
+	Filter
+	Choosy()
+}
+
 // Scorer says what it costs to run a request on an upstream, on a scale where
 // 1 is one slot's worth of waiting. Lower is better.
 type Scorer interface {
--- a/decision/route/table.go
+++ b/decision/route/table.go
@@ -17,7 +17,8 @@
 // Table holds the upstreams and picks among them. It is not safe for
 // concurrent use.
 type Table struct {
-	filters   []Filter
+	filters   []Filter // those that give the same answer for a class
+	choosy    []Filter // the ChoosyFilters
 	scorers   []Scorer
 	upstreams map[string]*Upstream
 	services  map[string]*index // by the text of the selector
@@ -37,12 +38,18 @@
 // NewTable returns an empty table.
 func NewTable(filters []Filter, scorers []Scorer) *Table {
 	t := &Table{
-		filters:   filters,
 		scorers:   scorers,
 		upstreams: map[string]*Upstream{},
 		services:  map[string]*index{},
 		entries:   1,
 	}
+	for _, f := range filters {
+		if _, ok := f.(ChoosyFilter); ok {
+			t.choosy = append(t.choosy, f)
+		} else {
+			t.filters = append(t.filters, f)
+		}
+	}
 	for _, s := range scorers {
 		if _, ok := s.(Exhaustive); ok {
 			t.exhaustive = true
@@ -118,6 +125,10 @@
 // Candidates returns the upstreams that a selector matches, in name order.
 func (t *Table) Candidates(sel api.Selector) []*Upstream { return t.index(sel).all }
 
+// OpenSlots returns the number of slots, in use or not, of the upstreams that a
+// selector matches and that are not leaving.
+func (t *Table) OpenSlots(sel api.Selector) int { return t.index(sel).slots }
+
 func (t *Table) index(sel api.Selector) *index {
 	key := sel.String()
 	if x, ok := t.services[key]; ok {
@@ -138,28 +149,25 @@
 }
 
 // Pick returns the upstream with the lowest score among the candidates that
-// every filter keeps, or nil if the filters keep no upstream at all.
+// every filter keeps, or nil. It returns nil only if the filters keep no upstream
+// at all, or if a choosy filter lets the request wait although one is free.
 func (t *Table) Pick(now time.Time, r *Request) *Upstream {
 	x := t.index(r.Upstreams)
-	if !t.exhaustive {
-		if best := t.best(now, r, t.narrow(now, r, x)); best != nil {
-			return best
-		}
-	}
-	return t.pickFromAll(now, r, x)
-}
-
-// pickFromAll looks at every upstream, unless it is known that none is free.
-func (t *Table) pickFromAll(now time.Time, r *Request, x *index) *Upstream {
 	b := &x.blocked[max(slices.Index(classes[:], r.Class), 0)]
 	if len(r.Tried) == 0 && b.version == t.version && now.Before(b.until) {
 		return nil
 	}
+	if !t.exhaustive {
+		best, open := t.best(now, r, t.narrow(now, r, x))
+		if open {
+			return best
+		}
+	}
 	for _, u := range x.all {
 		u.Affinity = AffinityNone
 	}
-	best := t.best(now, r, x.all)
-	if best == nil && len(r.Tried) == 0 {
+	best, open := t.best(now, r, x.all)
+	if !open && len(r.Tried) == 0 {
 		*b = blocked{version: t.version, until: nextPauseEnd(now, x.all)}
 	}
 	return best
@@ -178,11 +186,16 @@
 	return until
 }
 
-func (t *Table) best(now time.Time, r *Request, list []*Upstream) *Upstream {
-	var best *Upstream
+// best returns the upstream with the lowest score, or nil, and whether any was
+// free for the request's class.
+func (t *Table) best(now time.Time, r *Request, list []*Upstream) (best *Upstream, open bool) {
 	var bestScore float64
 	for _, u := range list {
-		if !t.keep(now, r, u) {
+		if !keep(t.filters, now, r, u) {
+			continue
+		}
+		open = true
+		if !keep(t.choosy, now, r, u) {
 			continue
 		}
 		score := t.score(now, r, u)
@@ -190,11 +203,11 @@
 			best, bestScore = u, score
 		}
 	}
-	return best
+	return best, open
 }
 
-func (t *Table) keep(now time.Time, r *Request, u *Upstream) bool {
-	for _, f := range t.filters {
+func keep(filters []Filter, now time.Time, r *Request, u *Upstream) bool {
+	for _, f := range filters {
 		if !f.Keep(now, r, u) {
 			return false
 		}
@@ -229,6 +242,9 @@
 	}
 	u.Leaving = leaving
 	t.version++
+	for _, x := range u.services {
+		x.countSlots()
+	}
 	if !leaving {
 		// What comes back is a new host with an empty memory.
 		u.held = held{}
--- a/entry/problem.go
+++ b/entry/problem.go
@@ -37,6 +37,7 @@
 	reason.OutcomeUnknown:   http.StatusConflict,
 	reason.Poison:           http.StatusUnprocessableEntity,
 	reason.AnswerTooLarge:   http.StatusBadGateway,
+	reason.DeadlineUnmet:    http.StatusServiceUnavailable,
 }
 
 // newProblem builds the body of a refusal that the core decided.
--- a/internal/bench/model/entry.go
+++ b/internal/bench/model/entry.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"fmt"
 	"time"
 
 	"jaylink/api"
@@ -11,6 +12,7 @@
 // entry drives one decision core.
 type entry struct {
 	m        *Model
+	name     string
 	site     Site
 	core     *decision.Core
 	requests map[string]*request
@@ -18,8 +20,8 @@
 	wake     time.Duration
 }
 
-func newEntry(m *Model, _ int, s Site, cfg decision.Config, catalog *api.Catalog) *entry {
-	e := &entry{m: m, site: s, core: decision.New(cfg), requests: map[string]*request{}, runs: map[string]*run{}}
+func newEntry(m *Model, number int, s Site, cfg decision.Config, catalog *api.Catalog) *entry {
+	e := &entry{m: m, name: fmt.Sprintf("entry-%d", number), site: s, core: decision.New(cfg), requests: map[string]*request{}, runs: map[string]*run{}}
 	e.step(decision.ConfigEvent{Catalog: catalog})
 	e.step(decision.EntriesEvent{Live: len(m.opts.Entries)})
 	return e
--- a/internal/bench/model/model.go
+++ b/internal/bench/model/model.go
@@ -40,7 +40,8 @@
 )
 
 const (
-	loadInterval = time.Second
+	loadInterval      = time.Second
+	heartbeatInterval = 500 * time.Millisecond
 	// signLag bounds the time until an entry learns that a host is leaving.
 	signLag = 2 * time.Second
 	// drainTime is how long the run goes on after the last arrival.
@@ -116,6 +117,19 @@
 	for _, g := range m.order {
 		m.at(0, g.sample)
 	}
+	m.at(0, m.heartbeat)
+}
+
+// heartbeat tells every entry what the others have accepted.
+func (m *Model) heartbeat() {
+	for _, from := range m.entries {
+		for _, to := range m.entries {
+			if from != to {
+				to.step(decision.UsageEvent{Peer: from.name, InFlight: from.core.Usage()})
+			}
+		}
+	}
+	m.after(heartbeatInterval, m.heartbeat)
 }
 
 func (m *Model) scheduleWaves() {
--- a/plugin/filter/patience/patience.go
+++ b/plugin/filter/patience/patience.go
@@ -40,3 +40,6 @@
 	}
 	return r.Prefix == 0 || u.Holds(r.Prefix) || u.Affinity == route.AffinityFirst
 }
+
+// Choosy implements route.ChoosyFilter.
+func (*Filter) Choosy() {}
--- a/plugin/filter/patience/setup.go
+++ b/plugin/filter/patience/setup.go
@@ -15,4 +15,4 @@
 	}}
 }
 
-var _ route.Filter = (*Filter)(nil)
+var _ route.ChoosyFilter = (*Filter)(nil)
--- a/plugin/scorer/load/load.go
+++ b/plugin/scorer/load/load.go
@@ -17,16 +17,24 @@
 	// Patient multiplies the score of patient requests. Default 0.1.
 	Patient float64 `yaml:"patient"`
 	// Unseen is the weight of what other entries are expected to have started
-	// since the report. Default 0.1.
+	// since the report. Default 0.5.
 	Unseen float64 `yaml:"unseen"`
+	// Crowded is added for urgent and interactive requests as the upstream
+	// fills from three quarters on: its report is late, and a request that
+	// finds it full waits there. Default 2.
+	Crowded float64 `yaml:"crowded"`
 }
 
+// crowdedFrom is the share of slots in use from which an upstream is crowded.
+const crowdedFrom = 0.75
+
 // Score implements route.Scorer.
 func (s *Scorer) Score(_ time.Time, r *route.Request, u *route.Upstream) float64 {
-	weight := s.Weight
+	slots := float64(u.Slots())
+	busy := float64(u.Busy()) + s.Unseen*float64(u.Unseen())
 	if r.Class == api.ClassPatient {
-		weight = s.Patient
+		return s.Patient * busy / slots
 	}
-	busy := float64(u.Busy()) + s.Unseen*float64(u.Unseen())
-	return weight * busy / float64(u.Slots())
+	crowd := max((busy+1)/slots-crowdedFrom, 0) / (1 - crowdedFrom)
+	return s.Weight*busy/slots + s.Crowded*crowd
 }
--- a/plugin/standard/standard.go
+++ b/plugin/standard/standard.go
@@ -11,6 +11,7 @@
 	_ "jaylink/plugin/filter/patience"
 	_ "jaylink/plugin/filter/suspect"
 	_ "jaylink/plugin/limit/customer"
+	_ "jaylink/plugin/limit/deadline"
 	_ "jaylink/plugin/limit/queue"
 	_ "jaylink/plugin/retry/budget"
 	_ "jaylink/plugin/retry/repeatable"
@@ -27,6 +28,7 @@
 var Order = []kernel.ModuleID{
 	"limit.customer",
 	"limit.queue",
+	"limit.deadline",
 	"filter.leaving",
 	"filter.suspect",
 	"filter.capacity",
