--- a/decision/route/table.go
+++ b/decision/route/table.go
@@ -33,6 +33,8 @@
 	version uint64
 	recent  recent
 	scratch []*Upstream
+	// looked has the upstreams that the last decision looked at.
+	looked []*Upstream
 }
 
 // NewTable returns an empty table.
@@ -189,6 +191,7 @@
 // best returns the upstream with the lowest score, or nil, and whether any was
 // free for the request's class.
 func (t *Table) best(now time.Time, r *Request, list []*Upstream) (best *Upstream, open bool) {
+	t.looked = list
 	var bestScore float64
 	for _, u := range list {
 		if !keep(t.filters, now, r, u) {
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -2,9 +2,7 @@
 
 import (
 	"errors"
-	"net"
 	"os"
-	"slices"
 	"time"
 
 	"gopkg.in/yaml.v3"
@@ -32,6 +30,8 @@
 	Drain DrainSettings `yaml:"drain"`
 	// Intervals say how often things are asked for.
 	Intervals IntervalSettings `yaml:"intervals"`
+	// Record bounds what the entry remembers of its decisions.
+	Record RecordSettings `yaml:"record"`
 	// Log says what is logged.
 	Log LogSettings `yaml:"log"`
 	// Plugins replace the standard chain, in order.
@@ -54,6 +54,9 @@
 	Header api.ByteSize `yaml:"header"`
 	// Body bounds a request's body. Default 4MiB.
 	Body api.ByteSize `yaml:"body"`
+	// OperatorBody bounds the body of a call of the operator port.
+	// Default 16MiB.
+	OperatorBody api.ByteSize `yaml:"operator_body"`
 	// Answer bounds an upstream's answer. Default 16MiB.
 	Answer api.ByteSize `yaml:"answer"`
 }
@@ -81,6 +84,13 @@
 	Retain api.Duration `yaml:"retain"`
 }
 
+// RecordSettings bound what the entry remembers of its decisions.
+type RecordSettings struct {
+	// Decisions is the number of decisions that "jaylink explain" can look
+	// back on; each takes about 1 KiB of memory. Default 4096.
+	Decisions int `yaml:"decisions"`
+}
+
 // LogSettings say what is logged.
 type LogSettings struct {
 	// Level is "debug", "info", "warn" or "error". Default "info".
@@ -100,7 +110,7 @@
 // DefaultSettings returns the settings that a file starts from.
 func DefaultSettings() Settings {
 	return Settings{
-		Limits: LimitSettings{Header: 64 << 10, Body: 4 << 20, Answer: 16 << 20},
+		Limits: LimitSettings{Header: 64 << 10, Body: 4 << 20, OperatorBody: 16 << 20, Answer: 16 << 20},
 		Drain: DrainSettings{
 			LeaveDelay: api.Duration(3 * time.Second),
 			Timeout:    api.Duration(2 * time.Minute),
@@ -112,23 +122,24 @@
 			Watch:     api.Duration(30 * time.Second),
 			Retain:    api.Duration(2 * time.Minute),
 		},
-		Log: LogSettings{Level: "info", Format: "json"},
+		Record: RecordSettings{Decisions: 4096},
+		Log:    LogSettings{Level: "info", Format: "json"},
 	}
 }
 
-// ReadSettings reads and checks a settings file. It returns all mistakes at
-// once, joined; each names file, line and field.
-func ReadSettings(file string) (Settings, error) {
-	s := DefaultSettings()
+// ReadSettings reads and checks a settings file. Overrides replace what the
+// file says, the later ones win. It returns all mistakes at once, joined; each
+// names file, line and field, or the source of the override.
+func ReadSettings(file string, overrides ...Override) (Settings, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return s, err
+		return DefaultSettings(), err
 	}
-	return ParseSettings(file, data)
+	return ParseSettings(file, data, overrides...)
 }
 
 // ParseSettings is ReadSettings for text that has been read already.
-func ParseSettings(file string, data []byte) (Settings, error) {
+func ParseSettings(file string, data []byte, overrides ...Override) (Settings, error) {
 	s := DefaultSettings()
 	docs, err := strictyaml.Split(file, data)
 	if err != nil {
@@ -137,36 +148,8 @@
 	if len(docs) != 1 {
 		return s, strictyaml.FieldError{File: file, Line: 1, Problem: "want exactly one YAML document"}
 	}
-	errs := docs[0].Decode(&s)
+	errs := override(docs[0], overrides)
+	errs = append(errs, docs[0].Decode(&s)...)
 	errs = append(errs, s.check(docs[0])...)
 	return s, errors.Join(errs...)
 }
-
-func (s *Settings) check(doc *strictyaml.Document) []error {
-	var errs []error
-	need := func(field, value string) {
-		if value == "" {
-			errs = append(errs, doc.Errorf(field, "missing"))
-		}
-	}
-	address := func(field, value string) {
-		if _, err := net.ResolveTCPAddr("tcp", value); value == "" || err != nil {
-			errs = append(errs, doc.Errorf(field, "%q is not an address; write ip:port", value))
-		}
-	}
-	oneOf := func(field, value string, allowed ...string) {
-		if !slices.Contains(allowed, value) {
-			errs = append(errs, doc.Errorf(field, "%q is not known; allowed are %v", value, allowed))
-		}
-	}
-	need("name", s.Name)
-	need("availability_zone", s.AvailabilityZone)
-	need("region", s.Region)
-	address("listen.caller", s.Listen.Caller)
-	address("listen.operator", s.Listen.Operator)
-	address("listen.peer", s.Listen.Peer)
-	address("platform", s.Platform)
-	oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
-	oneOf("log.format", s.Log.Format, "text", "json")
-	return errs
-}
