peer: drive the membership core, spread news at once, read the platform by few

Cause: every entry listed, watched, read hosts and notices, and polled every upstream itself, so paid calls and polls grew with entries times upstreams; a delta reached a peer only with the heartbeat that happened to visit it. Change: two entries a zone, chosen by rendezvous, read the platform; news are pushed to three peers and onward, digests in probes find what was missed; signs that a host is leaving are kept for hosts not yet known, spread, numbered and withdrawn by their observer; two entries poll an upstream and share its load. The platform stand-in breaks waiting watches in an outage, serves stale reads, compacts, drops writes and cuts off zones.

--- a/decision/core.go
+++ b/decision/core.go
@@ -102,6 +102,9 @@
 	case ConfigEvent:
 		c.catalog = ev.Catalog
 		c.table.SetObjects(ev.Catalog.Upstreams())
+		for _, name := range ev.Leaving {
+			c.table.SetLeaving(name, true)
+		}
 	case EntriesEvent:
 		c.entries = max(ev.Live, 1)
 	case RequestEvent:
--- a/decision/events.go
+++ b/decision/events.go
@@ -12,7 +12,12 @@
 type Event interface{ event() }
 
 // ConfigEvent says that another configuration is in force.
-type ConfigEvent struct{ Catalog *api.Catalog }
+type ConfigEvent struct {
+	Catalog *api.Catalog
+	// Leaving names the upstreams that are known to be leaving, so that one
+	// that is new here gets no work.
+	Leaving []string
+}
 
 // EntriesEvent says how many entries are live, this one included.
 type EntriesEvent struct{ Live int }
--- a/decision/membership/update.go
+++ b/decision/membership/update.go
@@ -42,6 +42,12 @@
 // transmits is how often an update is sent.
 func (c *Core) transmits() int { return transmitFactor * bits.Len(uint(len(c.names)+1)) }
 
+// Greeting returns a message without updates, for a probe outside the rounds.
+// Its answer is passed in as an AnsweredEvent of sequence 0.
+func (c *Core) Greeting() Message {
+	return Message{From: c.self, Digest: c.Digest(), Pending: len(c.updates) > 0}
+}
+
 // message returns what is sent to a member now. What the receiver should
 // refute comes first, then the updates that were sent least often.
 func (c *Core) message(to string) Message {
--- /dev/null
+++ b/decision/sign/sign_test.go
@@ -0,0 +1,105 @@
+package sign
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func TestLaggingSourceDoesNotCancelAnothersSign(t *testing.T) {
+	a, b := NewSet("a", 1), NewSet("b", 1)
+	sg, tell := a.Observe(start, "h", HostList, true)
+	require.True(t, tell)
+	require.True(t, b.Merge(start, sg))
+	_, tell = b.Observe(start, "h", HostList, false)
+	require.False(t, tell, "b's host list lags")
+	_, tell = b.Observe(start, "h", Report, false)
+	require.False(t, tell, "its own report looks fine")
+	require.True(t, b.Leaving(start, "h"))
+}
+
+func TestObserverWithdrawsItsOwnSign(t *testing.T) {
+	a, b := NewSet("a", 1), NewSet("b", 1)
+	on, _ := a.Observe(start, "h", Report, true)
+	off, tell := a.Observe(start, "h", Report, false)
+	require.True(t, tell)
+	b.Merge(start, off)
+	require.False(t, b.Merge(start, on), "the older sign comes late")
+	require.False(t, b.Leaving(start, "h"))
+}
+
+func TestSignLapsesUnlessRenewed(t *testing.T) {
+	a, b := NewSet("a", 1), NewSet("b", 1)
+	sg, _ := a.Observe(start, "h", Report, true)
+	b.Merge(start, sg)
+	_, tell := b.Observe(start.Add(time.Second), "h", Report, true)
+	require.False(t, tell, "one observer is enough")
+	late := start.Add(renewBelow + time.Second)
+	sg, tell = b.Observe(late, "h", Report, true)
+	require.True(t, tell, "a does not renew its sign")
+	require.Equal(t, "b", sg.Observer)
+	require.True(t, b.Leaving(late.Add(renewBelow), "h"))
+	require.False(t, b.Leaving(late.Add(Validity), "h"))
+	b.Expire(late.Add(Validity))
+	require.Empty(t, b.All(late.Add(Validity)))
+}
+
+func TestNoticeHoldsUntilAfterItsDeadline(t *testing.T) {
+	s := NewSet("a", 1)
+	deadline := start.Add(30 * time.Second)
+	_, tell := s.ObserveNotice(start, "unknown", deadline)
+	require.True(t, tell)
+	_, tell = s.ObserveNotice(start, "unknown", deadline)
+	require.False(t, tell, "told again by the platform")
+	require.True(t, s.Leaving(deadline, "unknown"))
+	at, ok := s.Deadline(start, "unknown")
+	require.True(t, ok && at.Equal(deadline))
+	require.False(t, s.Leaving(deadline.Add(NoticeGrace), "unknown"))
+	_, tell = s.ObserveNotice(deadline.Add(NoticeGrace), "unknown", deadline)
+	require.False(t, tell, "a new reader of the notices sees old ones")
+}
+
+func TestStartingEntryTakesOverAllSigns(t *testing.T) {
+	a, b := NewSet("a", 1), NewSet("b", 1)
+	a.Observe(start, "h", Report, true)
+	a.ObserveNotice(start, "g", start.Add(time.Minute))
+	later := start.Add(20 * time.Second)
+	for _, sg := range a.All(later) {
+		require.True(t, b.Merge(later, sg))
+	}
+	require.True(t, b.Leaving(later, "h") && b.Leaving(later, "g"))
+	require.False(t, b.Leaving(start.Add(Validity), "h"), "a sign holds no longer for being passed on")
+}
+
+// While some observer sees a host leave and renews that, everyone who gets its
+// signs, in whatever order and however often, takes the host for leaving.
+func TestSignsInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := NewSet("a", 1), NewSet("b", 1)
+		var sent []Sign
+		now, last := start, false
+		for range rapid.IntRange(1, 20).Draw(t, "observations") {
+			now = now.Add(time.Second)
+			last = rapid.Bool().Draw(t, "leaving")
+			if sg, tell := a.Observe(now, "h", Report, last); tell {
+				sent = append(sent, sg)
+			}
+		}
+		for _, i := range rapid.Permutation(indexes(len(sent))).Draw(t, "order") {
+			b.Merge(now, sent[i])
+		}
+		require.Equal(t, last, b.Leaving(now, "h"))
+	})
+}
+
+func indexes(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
--- a/entry/apply.go
+++ b/entry/apply.go
@@ -166,7 +166,8 @@
 // putInForce merges an object that is known to be stored.
 func (e *Entry) putInForce(o *api.Object) {
 	e.config.apply(func(st *config.State) bool { return st.Put(o) })
-	e.peers.Wake()
+	revision := e.config.Revision()
+	e.peers.Announce(e.config.deltaProto(config.Delta{Revision: revision, After: revision, Objects: []*api.Object{o}}))
 }
 
 func (e *Entry) handleLabel(w http.ResponseWriter, r *http.Request) {
--- a/entry/config.go
+++ b/entry/config.go
@@ -23,8 +23,11 @@
 	mu      sync.Mutex
 	state   *config.State
 	current atomic.Pointer[api.Catalog]
-	seen    atomic.Bool
-	log     *slog.Logger
+	// revision and digest are those of the state.
+	revision atomic.Uint64
+	digest   atomic.Uint64
+	seen     atomic.Bool
+	log      *slog.Logger
 	// changed is called after the configuration in force has changed.
 	changed func(*api.Catalog)
 }
@@ -43,18 +46,22 @@
 func (s *configStore) known() bool { return s.seen.Load() }
 
 // Revision implements peer.Config.
-func (s *configStore) Revision() uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.state.Revision()
-}
+func (s *configStore) Revision() uint64 { return s.revision.Load() }
+
+// Digest implements peer.Config.
+func (s *configStore) Digest() uint64 { return s.digest.Load() }
 
 // Delta implements peer.Config.
 func (s *configStore) Delta(after uint64) *peerpb.Delta {
 	s.mu.Lock()
 	d := s.state.Since(after)
 	s.mu.Unlock()
-	out := &peerpb.Delta{Revision: d.Revision, After: d.After}
+	return s.deltaProto(d)
+}
+
+// deltaProto encodes a delta for peers; nil if that fails.
+func (s *configStore) deltaProto(d config.Delta) *peerpb.Delta {
+	out := &peerpb.Delta{Revision: d.Revision, After: d.After, Snapshot: d.Snapshot}
 	for _, o := range d.Objects {
 		data, err := json.Marshal(o)
 		if err != nil {
@@ -67,31 +74,39 @@
 }
 
 // Merge implements peer.Config.
-func (s *configStore) Merge(from string, d *peerpb.Delta) {
-	delta := config.Delta{Revision: d.GetRevision(), After: d.GetAfter()}
+func (s *configStore) Merge(from string, d *peerpb.Delta) bool {
+	delta := config.Delta{Revision: d.GetRevision(), After: d.GetAfter(), Snapshot: d.GetSnapshot()}
 	for _, data := range d.GetObjects() {
 		o := &api.Object{}
 		if err := json.Unmarshal(data, o); err != nil {
 			s.log.Error("object of a peer can't be decoded", "peer", from, "step", "merge", "err", err)
-			return
+			return false
 		}
 		delta.Objects = append(delta.Objects, o)
 	}
-	s.apply(func(st *config.State) bool { return st.Merge(delta) })
-	s.seen.Store(true)
+	before := s.Revision()
+	changed := s.apply(func(st *config.State) bool { return st.Merge(delta) })
+	if s.Revision() > 0 {
+		s.seen.Store(true)
+	}
+	return changed || s.Revision() > before
 }
 
-// apply changes the state and, if that changed anything, puts it in force.
-func (s *configStore) apply(change func(*config.State) bool) {
+// apply changes the state and, if that changed anything, puts it in force. It
+// reports whether it did.
+func (s *configStore) apply(change func(*config.State) bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !change(s.state) {
-		return
+	changed := change(s.state)
+	if changed {
+		c := api.NewCatalog(s.state.Objects())
+		s.current.Store(c)
+		s.digest.Store(s.state.Digest())
+		s.log.Info("configuration in force", "revision", s.state.Revision())
+		s.changed(c)
 	}
-	c := api.NewCatalog(s.state.Objects())
-	s.current.Store(c)
-	s.log.Info("configuration in force", "revision", s.state.Revision())
-	s.changed(c)
+	s.revision.Store(s.state.Revision())
+	return changed
 }
 
 // get returns an object as it is in force; nil if there is none.
@@ -140,22 +155,27 @@
 	return out
 }
 
-// watchConfig reads the whole configuration once and then follows its changes.
-func (e *Entry) watchConfig(ctx context.Context) {
-	listed := false
-	for ctx.Err() == nil {
-		var err error
-		if !listed {
-			err = e.listConfig(ctx)
-			listed = err == nil
-		} else {
-			err = e.watchOnce(ctx)
-		}
-		if err != nil && ctx.Err() == nil {
-			e.log.Warn("configuration can't be read from the platform", "step", "watch", "err", err)
-			sleep(ctx, watchPause)
-		}
+// readConfig reads the whole configuration if nothing of it is known, and waits
+// for its next change otherwise. It is one step of a reader of the platform.
+func (e *Entry) readConfig(ctx context.Context) error {
+	after := e.config.cursor()
+	if after == 0 {
+		return e.listConfig(ctx)
+	}
+	list, err := e.platform.Watch(ctx, configKinds(), after, e.settings.Intervals.Watch.Std())
+	if errors.Is(err, platform.ErrCompacted) {
+		e.log.Warn("changes are no longer held by the platform; reading everything", "step", "watch", "revision", after)
+		return e.listConfig(ctx)
+	}
+	if err != nil {
+		return err
 	}
+	delta := config.Delta{Revision: list.Revision, After: after, Objects: e.config.decodeRecords(list.Items)}
+	changed := e.config.apply(func(st *config.State) bool { return st.Merge(delta) })
+	if changed || len(delta.Objects) > 0 {
+		e.peers.Announce(e.config.deltaProto(delta))
+	}
+	return nil
 }
 
 func (e *Entry) listConfig(ctx context.Context) error {
@@ -172,30 +192,20 @@
 		}
 	}
 	e.config.complete(lowest)
-	e.peers.Wake()
 	return nil
 }
 
-func (e *Entry) watchOnce(ctx context.Context) error {
-	after := e.config.Revision()
-	list, err := e.platform.Watch(ctx, configKinds(), after, e.settings.Intervals.Watch.Std())
-	if err != nil {
-		return err
-	}
-	objects := e.config.decodeRecords(list.Items)
-	e.config.apply(func(st *config.State) bool {
-		return st.Merge(config.Delta{Revision: list.Revision, After: after, Objects: objects})
-	})
-	if len(objects) > 0 {
-		e.peers.Wake()
-	}
-	return nil
+func (s *configStore) cursor() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Cursor()
 }
 
 func (s *configStore) complete(revision uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.state.Complete(revision)
+	s.apply(func(st *config.State) bool {
+		st.Complete(revision)
+		return false
+	})
 	s.seen.Store(true)
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,7 +12,6 @@
 
 	"github.com/samber/oops"
 
-	"jaylink/api"
 	"jaylink/decision"
 	"jaylink/kernel"
 	"jaylink/peer"
@@ -40,8 +39,10 @@
 	peers     *peer.Node
 	leaving   atomic.Bool
 
-	signsMu sync.Mutex
-	signs   map[string][signCount]bool
+	signs *signStore
+	loads *loadStore
+	// noticesSeen is the sequence of the last reclaim notice.
+	noticesSeen atomic.Uint64
 
 	// background ends when the entry has nothing left to do.
 	background context.Context
@@ -66,16 +67,19 @@
 		metrics:   newCounters(),
 		config:    newConfigStore(log),
 		records:   newRegistry(),
-		platform:  platform.New(s.Platform),
+		platform:  platform.New(s.Platform).InZone(s.AvailabilityZone),
 		upstreams: upstream.New(),
-		signs:     map[string][signCount]bool{},
+		signs:     newSignStore(s.Name, log),
+		loads:     newLoadStore(),
 	}
 	e.background, e.cancel = context.WithCancel(context.Background())
 	e.driver = &driver{
 		core: decision.New(cfg), records: e.records, metrics: e.metrics, log: log,
 		dispatch: e.dispatch, claim: e.startClaim, release: e.releaseClaim,
 	}
-	e.config.changed = func(c *api.Catalog) { e.driver.step(decision.ConfigEvent{Catalog: c}) }
+	e.signs.step, e.loads.step = e.driver.step, e.driver.step
+	e.signs.catalog = e.config.catalog
+	e.config.changed = e.signs.configChanged
 	e.peers = peer.New(peer.Options{
 		Self: &peerpb.Member{
 			Name: s.Name, Address: s.Listen.Peer, AvailabilityZone: s.AvailabilityZone, Region: s.Region,
@@ -84,9 +88,12 @@
 		Seeds:     s.Peers,
 		Heartbeat: s.Intervals.Heartbeat.Std(),
 		Config:    e.config,
+		Signs:     e.signs,
+		Loads:     e.loads,
 		Log:       log,
 		Changed:   e.peersChanged,
 	})
+	e.signs.tell = e.peers.PushSigns
 	return e, nil
 }
 
@@ -133,10 +140,11 @@
 
 func (e *Entry) startLoops() {
 	ctx, in := e.background, e.settings.Intervals
-	e.work.Go(func() { e.watchConfig(ctx) })
-	e.work.Go(func() { e.followNotices(ctx) })
+	e.work.Go(func() { e.read(ctx, "watch", e.readConfig) })
+	e.work.Go(func() { e.read(ctx, "notices", e.followNotices) })
+	e.work.Go(func() { e.read(ctx, "hosts", e.pollHosts) })
 	e.work.Go(func() { every(ctx, in.Load.Std(), e.pollLoad) })
-	e.work.Go(func() { every(ctx, in.Hosts.Std(), e.pollHosts) })
+	e.work.Go(func() { every(ctx, time.Second, func(context.Context) { e.signs.expire() }) })
 	e.work.Go(func() { every(ctx, forgetInterval, e.tidy) })
 }
 
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -123,7 +123,8 @@
 	writeJSON(w, http.StatusOK, o)
 }
 
-func (e *Entry) handleStatus(w http.ResponseWriter, _ *http.Request) {
+func (e *Entry) handleStatus(w http.ResponseWriter, r *http.Request) {
+	e.peers.Survey(r.Context())
 	inFlight, _ := e.records.inFlight()
 	s := operator.FleetStatus{
 		Entry:            e.settings.Name,
--- a/entry/poll.go
+++ b/entry/poll.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"jaylink/api"
-	"jaylink/decision"
-	"jaylink/decision/route"
 	"jaylink/platform"
 )
 
@@ -24,73 +22,43 @@
 	}
 }
 
-// pollLoad asks every upstream for its load report.
-func (e *Entry) pollLoad(ctx context.Context) {
-	for _, o := range e.config.catalog().Upstreams() {
-		e.work.Go(func() { e.pollUpstream(ctx, o) })
-	}
-}
-
-func (e *Entry) pollUpstream(ctx context.Context, o *api.Object) {
-	at := time.Now()
-	report, err := e.upstreams.Load(ctx, o.Spec.(*api.UpstreamSpec).Address)
-	if err != nil {
-		e.log.Debug("load report failed", "upstream", o.Name, "err", err)
-		return
-	}
-	e.driver.step(decision.LoadEvent{
-		Upstream: o.Name,
-		Load:     route.Load{Running: report.Running, Queued: report.Queued, At: at},
-	})
-	e.setLeaving(o.Name, signReport, report.Leaving)
-}
-
-// pollHosts reads the host list. An upstream gets new work only while its host
-// is listed as live.
-func (e *Entry) pollHosts(ctx context.Context) {
+// pollHosts reads the host list: upstream hosts that are leaving or gone, and
+// where other entries may be found.
+func (e *Entry) pollHosts(ctx context.Context) error {
 	hosts, err := e.platform.Hosts(ctx)
 	if err != nil {
-		e.log.Debug("host list can't be read", "step", "hosts", "err", err)
-		return
+		return err
 	}
 	states := map[string]platform.HostState{}
+	seeds := e.settings.Peers
 	for _, h := range hosts {
 		if h.Role == platform.RoleUpstream {
 			states[h.Name] = h.State
 		}
+		if h.Role == platform.RoleEntry && h.Address != "" {
+			seeds = append(seeds[:len(seeds):len(seeds)], h.Address)
+		}
 	}
-	if len(states) == 0 {
-		// The platform lists no upstream hosts; the objects alone count.
-		return
-	}
-	for _, o := range e.config.catalog().Upstreams() {
-		e.setLeaving(o.Name, signHostList, states[hostOf(o)] != platform.HostLive)
+	e.peers.SetSeeds(seeds)
+	if len(states) > 0 {
+		e.signs.hostList(states)
 	}
+	sleep(ctx, e.settings.Intervals.Hosts.Std())
+	return nil
 }
 
 // followNotices waits for reclaim notices.
-func (e *Entry) followNotices(ctx context.Context) {
-	var after uint64
-	for ctx.Err() == nil {
-		list, err := e.platform.Notices(ctx, after, e.settings.Intervals.Watch.Std())
-		if err != nil {
-			sleep(ctx, watchPause)
-			continue
-		}
-		after = list.Sequence
-		for _, n := range list.Items {
-			e.noticed(n)
-		}
+func (e *Entry) followNotices(ctx context.Context) error {
+	list, err := e.platform.Notices(ctx, e.noticesSeen.Load(), e.settings.Intervals.Watch.Std())
+	if err != nil {
+		return err
 	}
-}
-
-func (e *Entry) noticed(n platform.Notice) {
-	for _, o := range e.config.catalog().Upstreams() {
-		if hostOf(o) == n.Host {
-			e.log.Info("reclaim notice", "upstream", o.Name, "deadline", n.Deadline)
-			e.setLeaving(o.Name, signNotice, true)
-		}
+	e.noticesSeen.Store(list.Sequence)
+	for _, n := range list.Items {
+		e.log.Info("reclaim notice", "host", n.Host, "deadline", n.Deadline)
+		e.signs.notice(n.Host, n.Deadline)
 	}
+	return nil
 }
 
 func hostOf(o *api.Object) string {
@@ -99,29 +67,3 @@
 	}
 	return o.Name
 }
-
-// sign is a source that can say that an upstream is leaving.
-type sign int
-
-const (
-	signReport sign = iota
-	signHostList
-	signNotice
-	signCount
-)
-
-// setLeaving notes what one source says. An upstream is leaving while any
-// source says so.
-func (e *Entry) setLeaving(name string, from sign, leaving bool) {
-	e.signsMu.Lock()
-	signs := e.signs[name]
-	before := signs != [signCount]bool{}
-	signs[from] = leaving
-	e.signs[name] = signs
-	after := signs != [signCount]bool{}
-	e.signsMu.Unlock()
-	if before != after {
-		e.log.Info("upstream leaving", "upstream", name, "leaving", after)
-		e.driver.step(decision.LeavingEvent{Upstream: name, Leaving: after})
-	}
-}
--- /dev/null
+++ b/peer/conn.go
@@ -0,0 +1,96 @@
+package peer
+
+import (
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"jaylink/peer/peerpb"
+)
+
+const (
+	// maxMessage bounds one message in bytes; it holds a whole configuration.
+	maxMessage = 64 << 20
+	// ioBuffer is the read and the write buffer of a connection in bytes;
+	// an entry may have a connection with each of several hundred others.
+	ioBuffer = 4 << 10
+	// idleTimeout closes connections that are not used.
+	idleTimeout = 10 * time.Minute
+	// reconnectDelay bounds the pause before a lost peer is dialled again.
+	reconnectDelay = time.Second
+)
+
+func serverOptions(opts Options) []grpc.ServerOption {
+	out := []grpc.ServerOption{
+		grpc.MaxRecvMsgSize(maxMessage),
+		grpc.ReadBufferSize(ioBuffer),
+		grpc.WriteBufferSize(ioBuffer),
+		grpc.SharedWriteBuffer(true),
+		grpc.WaitForHandlers(true),
+	}
+	if opts.Credentials != nil {
+		out = append(out, grpc.Creds(opts.Credentials))
+	}
+	return out
+}
+
+// client returns a client of the peer at an address.
+func (n *Node) client(address string) (peerpb.PeerClient, error) {
+	conn, err := n.Conn(address)
+	if err != nil {
+		return nil, err
+	}
+	return peerpb.NewPeerClient(conn), nil
+}
+
+// Conn returns the connection to a peer address. It is shared and stays open.
+func (n *Node) Conn(address string) (*grpc.ClientConn, error) {
+	n.connsMu.Lock()
+	defer n.connsMu.Unlock()
+	if c := n.conns[address]; c != nil {
+		return c, nil
+	}
+	creds := n.opts.Credentials
+	if creds == nil {
+		creds = insecure.NewCredentials()
+	}
+	delays := backoff.DefaultConfig
+	delays.MaxDelay = reconnectDelay
+	c, err := grpc.NewClient(address,
+		grpc.WithTransportCredentials(creds),
+		grpc.WithReadBufferSize(ioBuffer),
+		grpc.WithWriteBufferSize(ioBuffer),
+		grpc.WithSharedWriteBuffer(true),
+		grpc.WithIdleTimeout(idleTimeout),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: delays, MinConnectTimeout: probeTimeout}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
+	)
+	if err != nil {
+		return nil, err
+	}
+	n.conns[address] = c
+	return c, nil
+}
+
+// sweep closes the connections to addresses that no remembered member has.
+func (n *Node) sweep() {
+	known := map[string]bool{}
+	for _, a := range n.opts.Seeds {
+		known[a] = true
+	}
+	n.mu.Lock()
+	for _, m := range n.core.Members() {
+		known[m.Address] = true
+	}
+	n.mu.Unlock()
+	n.connsMu.Lock()
+	defer n.connsMu.Unlock()
+	for address, c := range n.conns {
+		if !known[address] {
+			_ = c.Close()
+			delete(n.conns, address)
+		}
+	}
+}
--- /dev/null
+++ b/peer/convert.go
@@ -0,0 +1,67 @@
+package peer
+
+import (
+	"jaylink/decision/membership"
+	"jaylink/peer/peerpb"
+)
+
+func memberOf(m *peerpb.Member) membership.Member {
+	return membership.Member{
+		Name:             m.GetName(),
+		Address:          m.GetAddress(),
+		AvailabilityZone: m.GetAvailabilityZone(),
+		Region:           m.GetRegion(),
+		CallerAddress:    m.GetCallerAddress(),
+		Incarnation:      m.GetIncarnation(),
+		State:            membership.State(m.GetState()),
+		Leaving:          m.GetLeaving(),
+	}
+}
+
+func memberProto(m membership.Member) *peerpb.Member {
+	return &peerpb.Member{
+		Name:             m.Name,
+		Address:          m.Address,
+		AvailabilityZone: m.AvailabilityZone,
+		Region:           m.Region,
+		CallerAddress:    m.CallerAddress,
+		Incarnation:      m.Incarnation,
+		State:            peerpb.State(m.State),
+		Leaving:          m.Leaving,
+	}
+}
+
+func membersOf(list []*peerpb.Member) []membership.Member {
+	out := make([]membership.Member, 0, len(list))
+	for _, m := range list {
+		out = append(out, memberOf(m))
+	}
+	return out
+}
+
+func messageOf(m *peerpb.ProbeMessage) membership.Message {
+	return membership.Message{
+		From:    memberOf(m.GetFrom()),
+		Updates: membersOf(m.GetUpdates()),
+		Digest:  m.GetMemberDigest(),
+		Pending: m.GetPending(),
+	}
+}
+
+// probeProto adds to a message what this entry knows beside membership.
+func (n *Node) probeProto(m membership.Message) *peerpb.ProbeMessage {
+	out := &peerpb.ProbeMessage{
+		From:         memberProto(m.From),
+		MemberDigest: m.Digest,
+		Pending:      m.Pending,
+		ConfigDigest: n.opts.Config.Digest(),
+	}
+	out.From.ConfigRevision = n.opts.Config.Revision()
+	for _, u := range m.Updates {
+		out.Updates = append(out.Updates, memberProto(u))
+	}
+	if n.opts.Loads != nil {
+		out.Loads = n.opts.Loads.Newest(maxLoads)
+	}
+	return out
+}
--- a/peer/node.go
+++ b/peer/node.go
@@ -1,55 +1,73 @@
-// Package peer is what entries say to each other, over gRPC: heartbeats that
-// tell who is there and carry configuration from those that have it to those
-// that lack it.
+// Package peer is what entries say to each other, over gRPC: who is there,
+// which configuration is in force, which upstreams are leaving and how busy
+// they are.
+//
+// Node drives the pure core in decision/membership: it sends the probes that
+// the core asks for and passes the answers in. News travel at once from entry
+// to entry (Push), each passing on what was new to it; probes carry digests, by
+// which an entry that missed something finds out and pulls it.
 package peer
 
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/samber/oops"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/credentials"
 
+	"jaylink/decision/membership"
 	"jaylink/peer/peerpb"
 )
 
-const (
-	exchangeTimeout = time.Second
-	// fanout is the number of peers that one heartbeat round reaches.
-	fanout = 2
-	// memberTimeout is how long a silent member counts as live.
-	memberTimeout = 5 * time.Second
-	// forgetAfter is how long a silent member is remembered.
-	forgetAfter = 10 * time.Minute
-)
-
 // Config gives a node access to the configuration of its entry.
 type Config interface {
 	// Delta returns what is newer than a revision.
 	Delta(after uint64) *peerpb.Delta
-	// Merge takes what a peer sent.
-	Merge(from string, d *peerpb.Delta)
+	// Merge takes what a peer sent and reports whether an object or the
+	// revision was new.
+	Merge(from string, d *peerpb.Delta) bool
 	// Revision returns the revision up to which every change is known.
 	Revision() uint64
+	// Digest is a hash of the objects in force.
+	Digest() uint64
+}
+
+// Signs gives a node access to the leaving signs of its entry.
+type Signs interface {
+	// All returns the signs that hold.
+	All() []*peerpb.Sign
+	// Merge takes what a peer sent and returns what was new.
+	Merge(signs []*peerpb.Sign) []*peerpb.Sign
 }
 
-// Options describe a node.
+// Loads gives a node access to the load reports of its entry.
+type Loads interface {
+	// Newest returns the reports to pass on, at most n.
+	Newest(n int) []*peerpb.Load
+	// Merge takes what a peer sent.
+	Merge(loads []*peerpb.Load)
+}
+
+// Options describe a node. Signs and Loads may be nil.
 type Options struct {
-	// Self describes this entry; leaving and config_revision are filled in.
+	// Self describes this entry.
 	Self *peerpb.Member
 	// Seeds are peer addresses to begin with.
 	Seeds []string
 	// Heartbeat is the time between rounds.
 	Heartbeat time.Duration
 	Config    Config
+	Signs     Signs
+	Loads     Loads
 	Log       *slog.Logger
-	// Changed is called when the number of live members may have changed.
+	// Changed is called after a member joined, died, left or began to leave.
 	Changed func()
+	// Credentials secure the port and the connections; nil means plaintext.
+	Credentials credentials.TransportCredentials
 }
 
 // Node is this entry's side of the peer protocol.
@@ -57,64 +75,88 @@
 	peerpb.UnimplementedPeerServer
 	opts Options
 
-	mu      sync.Mutex
-	members map[string]*member // by name, without this entry
+	mu        sync.Mutex
+	core      *membership.Core
+	revisions map[string]uint64 // configuration of each member, as it said last
+	changed   chan struct{}     // closed at the next change
+	closing   bool
+
+	connsMu sync.Mutex
 	conns   map[string]*grpc.ClientConn
-	leaving bool
-	next    int
 
 	server *grpc.Server
 	wake   chan struct{}
+	pull   chan string
+	ctx    context.Context
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 }
 
-type member struct {
-	info *peerpb.Member
-	seen time.Time
-}
-
 // New returns a node that is not started.
 func New(opts Options) *Node {
-	return &Node{
-		opts:    opts,
-		members: map[string]*member{},
-		conns:   map[string]*grpc.ClientConn{},
-		wake:    make(chan struct{}, 1),
-		server:  grpc.NewServer(),
-	}
-}
-
-// Serve answers peers on the listener and starts the heartbeat.
+	n := &Node{
+		opts:      opts,
+		core:      membership.New(memberOf(opts.Self), membership.Options{Interval: opts.Heartbeat}),
+		revisions: map[string]uint64{},
+		changed:   make(chan struct{}),
+		conns:     map[string]*grpc.ClientConn{},
+		server:    grpc.NewServer(serverOptions(opts)...),
+		wake:      make(chan struct{}, 1),
+		pull:      make(chan string, 1),
+	}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.SetSeeds(opts.Seeds)
+	return n
+}
+
+// Server returns the gRPC server, so that further services can be registered
+// before Serve.
+func (n *Node) Server() *grpc.Server { return n.server }
+
+// Serve answers peers on the listener and starts the rounds.
 func (n *Node) Serve(ln net.Listener) {
 	peerpb.RegisterPeerServer(n.server, n)
-	ctx, cancel := context.WithCancel(context.Background())
-	n.cancel = cancel
 	n.done.Go(func() { _ = n.server.Serve(ln) })
-	n.done.Go(func() { n.run(ctx) })
+	n.done.Go(n.runRounds)
+	n.done.Go(n.runPulls)
 }
 
-// Close ends the heartbeat and the server.
+// Close tells a few peers that this entry stopped, and ends the rounds and the
+// server.
 func (n *Node) Close() {
+	n.farewell()
+	n.mu.Lock()
+	n.closing = true
+	n.mu.Unlock()
 	n.cancel()
 	n.server.Stop()
 	n.done.Wait()
-	n.mu.Lock()
-	defer n.mu.Unlock()
+	n.connsMu.Lock()
+	defer n.connsMu.Unlock()
 	for _, c := range n.conns {
 		_ = c.Close()
 	}
 }
 
+// spawn runs f in the background unless the node is closing.
+func (n *Node) spawn(f func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.closing {
+		n.done.Go(f)
+	}
+}
+
+// SetSeeds replaces the addresses at which peers may be found.
+func (n *Node) SetSeeds(addresses []string) { n.step(membership.SeedsEvent{Addresses: addresses}) }
+
 // SetLeaving tells the peers that this entry accepts no new requests.
 func (n *Node) SetLeaving() {
-	n.mu.Lock()
-	n.leaving = true
-	n.mu.Unlock()
-	n.Wake()
+	n.step(membership.LeaveEvent{})
+	n.spreadMembership()
 }
 
-// Wake starts a heartbeat round at once, to spread news.
+// Wake starts a round at once.
 func (n *Node) Wake() {
 	select {
 	case n.wake <- struct{}{}:
@@ -127,161 +169,71 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var list []*peerpb.Member
-	for _, m := range n.members {
-		if time.Since(m.seen) < memberTimeout {
-			list = append(list, m.info)
-		}
+	for _, m := range n.core.Live() {
+		pb := memberProto(m)
+		pb.ConfigRevision = n.revisions[m.Name]
+		list = append(list, pb)
 	}
-	slices.SortFunc(list, func(a, b *peerpb.Member) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
 	return list
 }
 
-// Exchange implements peerpb.PeerServer.
-func (n *Node) Exchange(_ context.Context, req *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
-	n.heard(req.GetSelf())
-	if req.GetDelta() != nil {
-		n.opts.Config.Merge(req.GetSelf().GetName(), req.GetDelta())
-	}
-	reply := &peerpb.ExchangeReply{Self: n.self(), Members: n.Live()}
-	if n.opts.Config.Revision() > req.GetSelf().GetConfigRevision() {
-		reply.Delta = n.opts.Config.Delta(req.GetSelf().GetConfigRevision())
-	}
-	return reply, nil
-}
-
-func (n *Node) self() *peerpb.Member {
-	n.mu.Lock()
-	leaving := n.leaving
-	n.mu.Unlock()
-	s := n.opts.Self
-	return &peerpb.Member{
-		Name: s.Name, Address: s.Address, AvailabilityZone: s.AvailabilityZone, Region: s.Region,
-		Incarnation: s.Incarnation, CallerAddress: s.CallerAddress,
-		Leaving: leaving, ConfigRevision: n.opts.Config.Revision(),
-	}
-}
-
-// heard takes a sign of life of a member.
-func (n *Node) heard(m *peerpb.Member) {
-	if m.GetName() == "" || m.GetName() == n.opts.Self.Name {
-		return
-	}
+// Dead reports whether a member is known to have ended or cannot be reached by
+// anyone that this entry can reach.
+func (n *Node) Dead(name string) bool {
 	n.mu.Lock()
-	old := n.members[m.Name]
-	stale := old != nil && old.info.Incarnation > m.Incarnation
-	if !stale {
-		n.members[m.Name] = &member{info: m, seen: time.Now()}
-	}
-	n.mu.Unlock()
-	if old == nil {
-		n.opts.Log.Info("peer joined", "peer", m.Name, "availability_zone", m.AvailabilityZone)
-		n.opts.Changed()
-	}
+	defer n.mu.Unlock()
+	m, known := n.core.Get(name)
+	return known && !m.Live()
 }
 
-// learn takes the address of a member that another one knows.
-func (n *Node) learn(m *peerpb.Member) {
+// Changed returns a channel that is closed at the next change of a member.
+func (n *Node) Changed() <-chan struct{} {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if m.GetName() == n.opts.Self.Name || n.members[m.GetName()] != nil {
-		return
-	}
-	n.members[m.GetName()] = &member{info: m}
+	return n.changed
 }
 
-func (n *Node) run(ctx context.Context) {
-	ticker := time.NewTicker(n.opts.Heartbeat)
-	defer ticker.Stop()
-	for {
-		for _, address := range n.targets() {
-			n.done.Go(func() { n.exchange(ctx, address) })
-		}
-		select {
-		case <-ticker.C:
-		case <-n.wake:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// targets returns the addresses for the next round, taking turns.
-func (n *Node) targets() []string {
+// step passes an event to the core and carries out what it leads to. It returns
+// the reply, if there is one.
+func (n *Node) step(ev membership.Event) *membership.Message {
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	all := slices.Clone(n.opts.Seeds)
-	for name, m := range n.members {
-		if !m.seen.IsZero() && time.Since(m.seen) > forgetAfter {
-			delete(n.members, name)
-			continue
+	actions := n.core.Step(time.Now(), ev)
+	n.mu.Unlock()
+	var reply *membership.Message
+	for _, a := range actions {
+		switch a := a.(type) {
+		case membership.ReplyAction:
+			reply = &a.Message
+		case membership.ChangedAction:
+			n.memberChanged(a)
+		case membership.RefutedAction:
+			n.opts.Log.Info("suspicion refuted", "incarnation", a.Incarnation)
+		default:
+			n.spawn(func() { n.carryOut(a) })
 		}
-		all = append(all, m.info.Address)
 	}
-	slices.Sort(all)
-	all = slices.Compact(all)
-	all = slices.DeleteFunc(all, func(a string) bool { return a == n.opts.Self.Address })
-	if len(all) <= fanout {
-		return all
-	}
-	var out []string
-	for range fanout {
-		out = append(out, all[n.next%len(all)])
-		n.next++
-	}
-	return out
+	return reply
 }
 
-// exchange performs one heartbeat with one peer.
-func (n *Node) exchange(ctx context.Context, address string) {
-	conn, err := n.conn(address)
-	if err != nil {
-		n.opts.Log.Warn("peer address is not usable", "peer", address, "err", err)
+func (n *Node) memberChanged(a membership.ChangedAction) {
+	m := a.Member
+	if m.State == membership.Suspect {
+		n.opts.Log.Info("peer suspect", "peer", m.Name, "availability_zone", m.AvailabilityZone)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	reply, err := peerpb.NewPeerClient(conn).Exchange(ctx, &peerpb.ExchangeRequest{Self: n.self()})
-	if err != nil {
-		err = oops.In("peer").With("step", "exchange", "peer", address).Wrap(err)
-		n.opts.Log.Debug("heartbeat failed", "peer", address, "err", err)
-		return
-	}
-	n.heard(reply.GetSelf())
-	for _, m := range reply.GetMembers() {
-		n.learn(m)
-	}
-	if reply.GetDelta() != nil {
-		n.opts.Config.Merge(reply.GetSelf().GetName(), reply.GetDelta())
-	}
-	n.push(ctx, conn, reply.GetSelf())
-}
-
-// push sends the peer what it lacks.
-func (n *Node) push(ctx context.Context, conn *grpc.ClientConn, to *peerpb.Member) {
-	if to.GetConfigRevision() >= n.opts.Config.Revision() {
-		return
-	}
-	req := &peerpb.ExchangeRequest{Self: n.self(), Delta: n.opts.Config.Delta(to.GetConfigRevision())}
-	if _, err := peerpb.NewPeerClient(conn).Exchange(ctx, req); err != nil {
-		n.opts.Log.Debug("push failed", "peer", to.GetName(), "err", err)
-	}
-}
-
-func (n *Node) conn(address string) (*grpc.ClientConn, error) {
+	n.opts.Log.Info("peer changed", "peer", m.Name, "availability_zone", m.AvailabilityZone,
+		"state", memberProto(m).State.String(), "leaving", m.Leaving, "joined", !a.Known)
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	if c := n.conns[address]; c != nil {
-		return c, nil
+	close(n.changed)
+	n.changed = make(chan struct{})
+	if !m.Live() {
+		delete(n.revisions, m.Name)
 	}
-	c, err := grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
-	if err != nil {
-		return nil, err
+	n.mu.Unlock()
+	if n.opts.Changed != nil {
+		n.opts.Changed()
 	}
-	n.conns[address] = c
-	return c, nil
 }
+
+// random is the randomness that the core is given.
+func random() uint64 { return rand.Uint64() }
--- a/standin/platform/cloud.go
+++ b/standin/platform/cloud.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"time"
 
 	"github.com/gorilla/mux"
 
@@ -36,22 +35,10 @@
 		standin.WriteError(w, http.StatusBadRequest, "after: want a sequence number")
 		return
 	}
-	timeout := time.After(standin.Wait(r))
-	for {
+	s.await(w, r, func() (any, bool, <-chan struct{}) {
 		list, changed := s.noticesAfter(after)
-		if len(list.Items) > 0 {
-			standin.WriteJSON(w, http.StatusOK, list)
-			return
-		}
-		select {
-		case <-changed:
-		case <-timeout:
-			standin.WriteJSON(w, http.StatusOK, list)
-			return
-		case <-r.Context().Done():
-			return
-		}
-	}
+		return list, len(list.Items) > 0, changed
+	})
 }
 
 func (s *Server) noticesAfter(after uint64) (platform.NoticeList, <-chan struct{}) {
@@ -126,6 +113,8 @@
 	}
 	s.mu.Lock()
 	s.faults = f
+	close(s.switched)
+	s.switched = make(chan struct{})
 	s.mu.Unlock()
 	standin.WriteJSON(w, http.StatusOK, f)
 }
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -17,44 +17,62 @@
 
 // Faults are the switches of the stand-in. They are set by PUT /v1/faults.
 type Faults struct {
-	// Outage answers 503 to every call but those to /v1/faults.
+	// Outage answers 503 to every call but those to /v1/faults, and breaks
+	// the watches that wait.
 	Outage bool `json:"outage"`
 	// LoseAnswers is the number of coming writes that take effect while
 	// their answer is lost.
 	LoseAnswers int `json:"lose_answers"`
+	// DropWrites is the number of coming writes that have no effect and get
+	// no answer.
+	DropWrites int `json:"drop_writes"`
 	// DelayMS delays every call by so many milliseconds.
 	DelayMS int `json:"delay_ms"`
 	// ReplayFrom makes watches start again at this revision once.
 	ReplayFrom *uint64 `json:"replay_from,omitempty"`
+	// StaleBy makes reads and watches show the store as it was so many
+	// revisions ago.
+	StaleBy uint64 `json:"stale_by"`
+	// CompactedAt answers 410 to watches after a revision before it.
+	CompactedAt uint64 `json:"compacted_at"`
 	// RefuseHosts refuses host orders.
 	RefuseHosts bool `json:"refuse_hosts"`
-	// BlockZones answers 503 to callers that name one of these availability
-	// zones in the header Jaylink-Availability-Zone.
+	// BlockZones cuts off callers that name one of these availability zones
+	// in the header Jaylink-Availability-Zone, like an outage.
 	BlockZones []string `json:"block_zones,omitempty"`
 }
 
+// blocks reports whether calls from a zone are cut off.
+func (f *Faults) blocks(r *http.Request) bool {
+	zone := r.Header.Get(platform.HeaderZone)
+	return f.Outage || (zone != "" && slices.Contains(f.BlockZones, zone))
+}
+
 // Server is the stand-in's HTTP handler.
 type Server struct {
 	store  *store
 	router *mux.Router
 
-	mu      sync.Mutex
-	faults  Faults
-	calls   map[string]int
-	hosts   []platform.Host
-	notices []platform.Notice
-	noticed chan struct{}
-	weights map[string]int
+	mu     sync.Mutex
+	faults Faults
+	// switched is closed when the faults change.
+	switched chan struct{}
+	calls    map[string]int
+	hosts    []platform.Host
+	notices  []platform.Notice
+	noticed  chan struct{}
+	weights  map[string]int
 }
 
 // New returns an empty platform.
 func New() *Server {
 	s := &Server{
-		store:   newStore(),
-		router:  mux.NewRouter(),
-		calls:   map[string]int{},
-		noticed: make(chan struct{}),
-		weights: map[string]int{},
+		store:    newStore(),
+		router:   mux.NewRouter(),
+		calls:    map[string]int{},
+		noticed:  make(chan struct{}),
+		switched: make(chan struct{}),
+		weights:  map[string]int{},
 	}
 	v1 := s.router.PathPrefix("/v1").Subrouter()
 	v1.HandleFunc("/objects/{kind}", s.counted("list", s.list)).Methods(http.MethodGet)
@@ -91,8 +109,7 @@
 		if f.DelayMS > 0 {
 			time.Sleep(time.Duration(f.DelayMS) * time.Millisecond)
 		}
-		zone := r.Header.Get("Jaylink-Availability-Zone")
-		if f.Outage || (zone != "" && slices.Contains(f.BlockZones, zone)) {
+		if f.blocks(r) {
 			standin.WriteError(w, http.StatusServiceUnavailable, "outage")
 			return
 		}
@@ -101,12 +118,12 @@
 }
 
 func (s *Server) list(w http.ResponseWriter, r *http.Request) {
-	standin.WriteJSON(w, http.StatusOK, s.store.list(mux.Vars(r)["kind"]))
+	standin.WriteJSON(w, http.StatusOK, s.store.list(mux.Vars(r)["kind"], s.currentFaults().StaleBy))
 }
 
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
 	v := mux.Vars(r)
-	rec, ok := s.store.get(v["kind"], v["name"])
+	rec, ok := s.store.get(v["kind"], v["name"], s.currentFaults().StaleBy)
 	if !ok {
 		standin.WriteError(w, http.StatusNotFound, "no such object")
 		return
@@ -137,28 +154,39 @@
 }
 
 func (s *Server) write(w http.ResponseWriter, r *http.Request, version uint64, value json.RawMessage) {
+	if s.countDown(func(f *Faults) *int { return &f.DropWrites }) {
+		panic(http.ErrAbortHandler)
+	}
 	v := mux.Vars(r)
 	rec, ok := s.store.write(v["kind"], v["name"], version, value)
 	if !ok {
 		standin.WriteJSON(w, http.StatusPreconditionFailed, rec)
 		return
 	}
-	if s.loseAnswer() {
+	if s.countDown(func(f *Faults) *int { return &f.LoseAnswers }) {
 		panic(http.ErrAbortHandler)
 	}
 	standin.WriteJSON(w, http.StatusOK, rec)
 }
 
-func (s *Server) loseAnswer() bool {
+// countDown uses up one of a counted fault and reports whether there was one.
+func (s *Server) countDown(field func(*Faults) *int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.faults.LoseAnswers == 0 {
+	left := field(&s.faults)
+	if *left == 0 {
 		return false
 	}
-	s.faults.LoseAnswers--
+	*left--
 	return true
 }
 
+func (s *Server) currentFaults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
 // condition reads the version that a write must find; 0 means "must not exist".
 func condition(r *http.Request) (uint64, bool) {
 	if r.Header.Get("If-None-Match") == "*" {
@@ -175,19 +203,39 @@
 		return
 	}
 	kinds := r.URL.Query()["kind"]
+	if after < s.currentFaults().CompactedAt {
+		standin.WriteError(w, http.StatusGone, "the changes after this revision are compacted")
+		return
+	}
 	after = s.replayFrom(after)
+	s.await(w, r, func() (any, bool, <-chan struct{}) {
+		list, changed := s.store.since(kinds, after, s.currentFaults().StaleBy)
+		return list, len(list.Items) > 0, changed
+	})
+}
+
+// await answers once there is something to tell or the wait is over. A fault
+// that cuts the caller off breaks the connection meanwhile.
+func (s *Server) await(w http.ResponseWriter, r *http.Request, look func() (any, bool, <-chan struct{})) {
 	timeout := time.After(standin.Wait(r))
+	over := false
 	for {
-		list, changed := s.store.since(kinds, after)
-		if len(list.Items) > 0 {
-			standin.WriteJSON(w, http.StatusOK, list)
+		s.mu.Lock()
+		blocked, switched := s.faults.blocks(r), s.switched
+		s.mu.Unlock()
+		if blocked {
+			panic(http.ErrAbortHandler)
+		}
+		answer, ready, changed := look()
+		if ready || over {
+			standin.WriteJSON(w, http.StatusOK, answer)
 			return
 		}
 		select {
 		case <-changed:
+		case <-switched:
 		case <-timeout:
-			standin.WriteJSON(w, http.StatusOK, list)
-			return
+			over = true
 		case <-r.Context().Done():
 			return
 		}
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"slices"
+	"strings"
 	"sync"
 
 	"jaylink/platform"
@@ -24,29 +25,50 @@
 	return &store{objects: map[string]map[string]platform.Record{}, changed: make(chan struct{})}
 }
 
-func (s *store) get(kind, name string) (platform.Record, bool) {
+// get reads an object as it was so many revisions ago.
+func (s *store) get(kind, name string, staleBy uint64) (platform.Record, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	rec, ok := s.objects[kind][name]
+	objects := s.objects[kind]
+	if staleBy > 0 {
+		objects = s.past(kind, s.revision-min(staleBy, s.revision))
+	}
+	rec, ok := objects[name]
 	return rec, ok
 }
 
-func (s *store) list(kind string) platform.RecordList {
+// list reads a kind as it was so many revisions ago.
+func (s *store) list(kind string, staleBy uint64) platform.RecordList {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := platform.RecordList{Revision: s.revision, Items: []platform.Record{}}
-	for _, rec := range s.objects[kind] {
+	revision, objects := s.revision, s.objects[kind]
+	if staleBy > 0 {
+		revision -= min(staleBy, revision)
+		objects = s.past(kind, revision)
+	}
+	list := platform.RecordList{Revision: revision, Items: []platform.Record{}}
+	for _, rec := range objects {
 		list.Items = append(list.Items, rec)
 	}
-	slices.SortFunc(list.Items, func(a, b platform.Record) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list.Items, func(a, b platform.Record) int { return strings.Compare(a.Name, b.Name) })
 	return list
 }
 
+// past returns the objects of a kind at an earlier revision.
+func (s *store) past(kind string, revision uint64) map[string]platform.Record {
+	objects := map[string]platform.Record{}
+	for _, rec := range s.events[:revision] {
+		switch {
+		case rec.Kind != kind:
+		case rec.Deleted:
+			delete(objects, rec.Name)
+		default:
+			objects[rec.Name] = rec
+		}
+	}
+	return objects
+}
+
 // write stores a value if the object is at the version that the caller names;
 // version 0 stands for an object that does not exist. A nil value deletes.
 func (s *store) write(kind, name string, version uint64, value json.RawMessage) (platform.Record, bool) {
@@ -74,16 +96,14 @@
 	return rec, true
 }
 
-// since returns the events after a revision and a channel that closes at the
-// next write.
-func (s *store) since(kinds []string, after uint64) (platform.RecordList, <-chan struct{}) {
+// since returns the events after a revision, as they were known so many
+// revisions ago, and a channel that closes at the next write.
+func (s *store) since(kinds []string, after, staleBy uint64) (platform.RecordList, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := platform.RecordList{Revision: s.revision, Items: []platform.Record{}}
-	start, _ := slices.BinarySearchFunc(s.events, after+1, func(rec platform.Record, v uint64) int {
-		return int(int64(rec.Version) - int64(v))
-	})
-	for _, rec := range s.events[start:] {
+	revision := s.revision - min(staleBy, s.revision)
+	list := platform.RecordList{Revision: revision, Items: []platform.Record{}}
+	for _, rec := range s.events[min(after, revision):revision] {
 		if slices.Contains(kinds, rec.Kind) {
 			list.Items = append(list.Items, rec)
 		}
