--- a/decision/membership/step.go
+++ b/decision/membership/step.go
@@ -164,6 +164,9 @@
 
 // receive takes a message, whoever began the exchange.
 func (c *Core) receive(now time.Time, m Message) []Action {
+	if m.From.Name == "" || m.From.Name == c.self.Name {
+		return nil
+	}
 	before, known := c.Get(m.From.Name)
 	out := c.take(now, m.From)
 	for _, u := range m.Updates {
--- a/entry/config.go
+++ b/entry/config.go
@@ -77,12 +77,13 @@
 func (s *configStore) Merge(from string, d *peerpb.Delta) bool {
 	delta := config.Delta{Revision: d.GetRevision(), After: d.GetAfter(), Snapshot: d.GetSnapshot()}
 	for _, data := range d.GetObjects() {
-		o := &api.Object{}
-		if err := json.Unmarshal(data, o); err != nil {
+		o, err := s.decodePeerObject(data)
+		if err != nil {
 			s.log.Error("object of a peer can't be decoded", "peer", from, "step", "merge", "err", err)
-			return false
 		}
-		delta.Objects = append(delta.Objects, o)
+		if o != nil {
+			delta.Objects = append(delta.Objects, o)
+		}
 	}
 	before := s.Revision()
 	changed := s.apply(func(st *config.State) bool { return st.Merge(delta) })
@@ -92,6 +93,24 @@
 	return changed || s.Revision() > before
 }
 
+// decodePeerObject decodes one object. One that this version can't read must
+// neither stop the others nor pass for deleted: what is in force stays.
+func (s *configStore) decodePeerObject(data []byte) (*api.Object, error) {
+	o := &api.Object{}
+	err := json.Unmarshal(data, o)
+	if err == nil {
+		return o, nil
+	}
+	var named struct {
+		Kind api.Kind `json:"kind"`
+		Name string   `json:"name"`
+	}
+	if json.Unmarshal(data, &named) != nil {
+		return nil, err
+	}
+	return s.get(api.Key{Kind: named.Kind, Name: named.Name}), err
+}
+
 // apply changes the state and, if that changed anything, puts it in force. It
 // reports whether it did.
 func (s *configStore) apply(change func(*config.State) bool) bool {
@@ -140,14 +159,17 @@
 	return o, nil
 }
 
-// decodeRecords leaves out records that can't be decoded, with a log line: one
-// bad object must not stop the others.
+// decodeRecords decodes records. One that can't be decoded must neither stop the
+// others nor pass for deleted: it is logged, and what is in force stays.
 func (s *configStore) decodeRecords(records []platform.Record) []*api.Object {
 	var out []*api.Object
 	for _, rec := range records {
 		o, err := decodeRecord(rec)
 		if err != nil {
 			s.log.Error("stored object can't be decoded", "object", rec.Kind+"/"+rec.Name, "err", err)
+			o = s.get(api.Key{Kind: api.Kind(rec.Kind), Name: rec.Name})
+		}
+		if o == nil {
 			continue
 		}
 		out = append(out, o)
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -11,11 +11,14 @@
 )
 
 const (
-	// maxMessage bounds one message in bytes; it holds a whole configuration.
-	maxMessage = 64 << 20
+	// maxReply bounds one reply in bytes; it holds a whole configuration. A
+	// request is bounded by gRPC's default of 4 MiB.
+	maxReply = 64 << 20
 	// ioBuffer is the read and the write buffer of a connection in bytes;
 	// an entry may have a connection with each of several hundred others.
 	ioBuffer = 4 << 10
+	// handshakeTimeout bounds how long a connection may take to begin.
+	handshakeTimeout = 5 * time.Second
 	// idleTimeout closes connections that are not used.
 	idleTimeout = 10 * time.Minute
 	// reconnectDelay bounds the pause before a lost peer is dialled again.
@@ -24,10 +27,9 @@
 
 func serverOptions(opts Options) []grpc.ServerOption {
 	out := []grpc.ServerOption{
-		grpc.MaxRecvMsgSize(maxMessage),
+		grpc.ConnectionTimeout(handshakeTimeout),
 		grpc.ReadBufferSize(ioBuffer),
 		grpc.WriteBufferSize(ioBuffer),
-		grpc.SharedWriteBuffer(true),
 		grpc.WaitForHandlers(true),
 	}
 	if opts.Credentials != nil {
@@ -62,10 +64,9 @@
 		grpc.WithTransportCredentials(creds),
 		grpc.WithReadBufferSize(ioBuffer),
 		grpc.WithWriteBufferSize(ioBuffer),
-		grpc.WithSharedWriteBuffer(true),
 		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: delays, MinConnectTimeout: probeTimeout}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxReply)),
 	)
 	if err != nil {
 		return nil, err
--- a/peer/round.go
+++ b/peer/round.go
@@ -124,6 +124,9 @@
 
 // heard takes what a probe message says beside membership.
 func (n *Node) heard(m *peerpb.ProbeMessage) {
+	if m.GetFrom().GetName() == "" {
+		return
+	}
 	n.mu.Lock()
 	n.revisions[m.GetFrom().GetName()] = m.GetFrom().GetConfigRevision()
 	n.mu.Unlock()
--- a/peer/spread.go
+++ b/peer/spread.go
@@ -117,6 +117,9 @@
 }
 
 func (n *Node) wantPull(address string) {
+	if address == "" {
+		return
+	}
 	select {
 	case n.pull <- address:
 	default: // a pull is waiting already; probes will ask again
