peer: let in only holders of a certificate of the peers' authority

Cause: the peer port took anyone's configuration and membership in plaintext. Change: mutual TLS from peer_tls {certificate, key, authority}; plaintext only where the settings say so and the address is loopback; advertise.peer where the address that peers use differs from the one listened on; connections to peers come from the entry's own IP number. testfleet can cut a zone off. Ruled out: checking names in certificates, since hosts come back under new addresses; the authority signs peers alone.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -87,9 +88,14 @@
 	e.signs.step, e.loads.step = e.driver.step, e.driver.step
 	e.signs.catalog = e.config.catalog
 	e.config.changed = e.signs.configChanged
+	credentials, err := peerCredentials(s.PeerTLS)
+	if err != nil {
+		return nil, oops.In("entry").With("step", "peer_tls").Wrap(err)
+	}
+	source, _, _ := net.SplitHostPort(s.Listen.Peer)
 	e.peers = peer.New(peer.Options{
 		Self: &peerpb.Member{
-			Name: s.Name, Address: s.Listen.Peer, AvailabilityZone: s.AvailabilityZone, Region: s.Region,
+			Name: s.Name, Address: cmp.Or(s.Advertise.Peer, s.Listen.Peer), AvailabilityZone: s.AvailabilityZone, Region: s.Region,
 			Incarnation: uint64(time.Now().UnixNano()), CallerAddress: s.Listen.Caller,
 		},
 		Seeds:     s.Peers,
@@ -99,11 +105,22 @@
 		Loads:     e.loads,
 		Log:       log,
 		Changed:   e.peersChanged,
+
+		Credentials: credentials,
+		Source:      source,
 	})
 	e.signs.tell = e.peers.PushSigns
 	return e, nil
 }
 
+// peerCredentials returns nil where the settings allow plaintext.
+func peerCredentials(s PeerTLSSettings) (*peer.Credentials, error) {
+	if s.Plaintext {
+		return nil, nil
+	}
+	return peer.LoadCredentials(s.Certificate, s.Key, s.Authority)
+}
+
 func (e *Entry) peersChanged() {
 	e.driver.step(decision.EntriesEvent{Live: 1 + len(e.peers.Live())})
 }
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -102,6 +102,7 @@
 	s.Platform = f.platform.Listener.Addr().String()
 	s.Limits.Header, s.Limits.Body, s.Limits.OperatorBody = 4<<10, 8<<10, 64<<10
 	s.Drain.LeaveDelay = 0
+	s.PeerTLS.Plaintext = true
 	e, err := New(s, slog.New(slog.NewJSONHandler(f.log, &slog.HandlerOptions{Level: slog.LevelDebug})))
 	require.NoError(t, err)
 	f.Entry = e
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -24,6 +24,10 @@
 	Platform string `yaml:"platform"`
 	// Peers are peer ports of other entries to begin with.
 	Peers []string `yaml:"peers"`
+	// Advertise has addresses that differ from those listened on.
+	Advertise AdvertiseSettings `yaml:"advertise"`
+	// PeerTLS secures the peer port.
+	PeerTLS PeerTLSSettings `yaml:"peer_tls"`
 	// Limits bound what callers may send and upstreams may answer.
 	Limits LimitSettings `yaml:"limits"`
 	// Drain says how the entry stops.
@@ -48,6 +52,29 @@
 	Peer string `yaml:"peer"`
 }
 
+// AdvertiseSettings have addresses that differ from those listened on.
+type AdvertiseSettings struct {
+	// Peer is where other entries reach the peer port, "ip:port"; empty
+	// means listen.peer.
+	Peer string `yaml:"peer"`
+}
+
+// PeerTLSSettings secure the peer port: both sides of a connection show a
+// certificate of the authority.
+type PeerTLSSettings struct {
+	// Certificate is the file with this entry's certificate (PEM). It is read
+	// again when it is renewed.
+	Certificate string `yaml:"certificate"`
+	// Key is the file with the certificate's private key (PEM).
+	Key string `yaml:"key"`
+	// Authority is the file with the certificate of the authority that signs
+	// those of all entries, and nothing else (PEM).
+	Authority string `yaml:"authority"`
+	// Plaintext leaves out TLS; allowed only if listen.peer is a loopback
+	// address. Default false.
+	Plaintext bool `yaml:"plaintext"`
+}
+
 // LimitSettings bound sizes.
 type LimitSettings struct {
 	// Header bounds a request's headers. Default 64KiB.
--- a/entry/settings_check.go
+++ b/entry/settings_check.go
@@ -11,6 +11,7 @@
 	"jaylink/api"
 	"jaylink/internal/strictyaml"
 	"jaylink/kernel"
+	"jaylink/peer"
 )
 
 // Bounds on settings.
@@ -41,6 +42,7 @@
 	c := &settingsCheck{doc: doc}
 	c.identity(s)
 	c.addresses(s)
+	c.peerTLS(s)
 	c.limits(s)
 	c.times(s)
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
@@ -81,6 +83,38 @@
 	}
 }
 
+func (c *settingsCheck) peerTLS(s *Settings) {
+	if s.Advertise.Peer != "" {
+		c.address("advertise.peer", s.Advertise.Peer)
+	}
+	t := s.PeerTLS
+	if t.Plaintext {
+		listen, err := netip.ParseAddrPort(s.Listen.Peer)
+		if err == nil && !listen.Addr().IsLoopback() {
+			c.add("peer_tls.plaintext", "listen.peer is %s; plaintext is allowed on a loopback address only", s.Listen.Peer)
+		}
+		if t != (PeerTLSSettings{Plaintext: true}) {
+			c.add("peer_tls.plaintext", "stands beside certificate, key or authority; only one of both is allowed")
+		}
+		return
+	}
+	missing := false
+	for _, f := range []struct{ field, file string }{
+		{"peer_tls.certificate", t.Certificate}, {"peer_tls.key", t.Key}, {"peer_tls.authority", t.Authority},
+	} {
+		if f.file == "" {
+			c.add(f.field, "missing; name a file, or set peer_tls.plaintext on a loopback address")
+			missing = true
+		}
+	}
+	if missing {
+		return
+	}
+	if _, err := peer.LoadCredentials(t.Certificate, t.Key, t.Authority); err != nil {
+		c.add("peer_tls", "%v", err)
+	}
+}
+
 func (c *settingsCheck) address(field, value string) {
 	if a, err := netip.ParseAddrPort(value); err != nil || a.Port() == 0 {
 		c.add(field, "%.64q is not an address; write ip:port", value)
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -13,8 +14,11 @@
 platform: 127.0.0.1:4
 `
 
+// plaintext comes last, so that it moves no line of what is tested.
+const plaintext = "peer_tls: {plaintext: true}\n"
+
 func TestParseSettings(t *testing.T) {
-	s, err := ParseSettings("entry.yaml", []byte(goodSettings+"limits: {body: 1MiB}\n"))
+	s, err := ParseSettings("entry.yaml", []byte(goodSettings+"limits: {body: 1MiB}\n"+plaintext))
 	require.NoError(t, err)
 	require.Equal(t, "1MiB", s.Limits.Body.String())
 	require.Equal(t, "64KiB", s.Limits.Header.String())
@@ -53,7 +57,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			_, err := ParseSettings("entry.yaml", []byte(goodSettings+c.extra))
+			_, err := ParseSettings("entry.yaml", []byte(goodSettings+c.extra+plaintext))
 			require.ErrorContains(t, err, c.want)
 		})
 	}
@@ -63,8 +67,27 @@
 	require.ErrorContains(t, err, "region: missing")
 }
 
+func TestPeerTLSSettings(t *testing.T) {
+	cases := []struct{ name, extra, want string }{
+		{"nothing said", "", "peer_tls.certificate: missing; name a file"},
+		{"key left out", "peer_tls: {certificate: a.pem, authority: b.pem}\n", "peer_tls.key: missing"},
+		{"files that do not exist", "peer_tls: {certificate: a.pem, key: a.key, authority: none.pem}\n", "none.pem"},
+		{"plaintext beside a certificate", "peer_tls: {certificate: a.pem, plaintext: true}\n", "only one of both is allowed"},
+		{"bad address", "advertise: {peer: here}\n", `advertise.peer: "here" is not an address`},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := ParseSettings("entry.yaml", []byte(goodSettings+c.extra))
+			require.ErrorContains(t, err, c.want)
+		})
+	}
+	open := strings.ReplaceAll(goodSettings, "127.0.0.1:3", "10.0.0.1:3")
+	_, err := ParseSettings("entry.yaml", []byte(open+plaintext))
+	require.ErrorContains(t, err, "plaintext is allowed on a loopback address only")
+}
+
 func TestPluginOptionsAreRead(t *testing.T) {
-	s, err := ParseSettings("entry.yaml", []byte(goodSettings+"plugins:\n  - id: filter.capacity\n    options: {reserved: 0.5}\n"))
+	s, err := ParseSettings("entry.yaml", []byte(goodSettings+"plugins:\n  - id: filter.capacity\n    options: {reserved: 0.5}\n"+plaintext))
 	require.NoError(t, err)
 	cfg, err := chain(s)
 	require.NoError(t, err)
@@ -78,7 +101,7 @@
 	lookup := func(name string) (string, bool) { v, ok := environment[name]; return v, ok }
 	flag, err := FlagOverride("log.level=error")
 	require.NoError(t, err)
-	s, err := ParseSettings("entry.yaml", []byte(goodSettings+"limits: {body: 1MiB, answer: 8MiB}\n"), append(EnvironmentOverrides(lookup), flag)...)
+	s, err := ParseSettings("entry.yaml", []byte(goodSettings+"limits: {body: 1MiB, answer: 8MiB}\n"+plaintext), append(EnvironmentOverrides(lookup), flag)...)
 	require.NoError(t, err)
 	require.Equal(t, "error", s.Log.Level)
 	require.Equal(t, "2MiB", s.Limits.Body.String())
--- a/internal/testfleet/fleet.go
+++ b/internal/testfleet/fleet.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -59,7 +60,11 @@
 	Platform string // address
 	Entries  map[string]*Entry
 	Nodes    map[string]*Node // engines and services by upstream name
-	dir      string
+	// Relayed makes the connections between entries that are started from
+	// now on subject to CutZone.
+	Relayed bool
+	network *network
+	dir     string
 }
 
 // Entry is a running entry process.
@@ -92,6 +97,7 @@
 	f := &Fleet{
 		t: t, Group: procs.NewGroup(binary), Platform: procs.Address(),
 		Entries: map[string]*Entry{}, Nodes: map[string]*Node{}, dir: t.TempDir(),
+		network: newNetwork(),
 	}
 	t.Cleanup(f.Group.Kill)
 	_, err = f.Group.Start("platform", "standin", "platform", "--listen", f.Platform)
@@ -126,19 +132,41 @@
 func (f *Fleet) StartEntry(name, zone, region, extra string) *Entry {
 	f.t.Helper()
 	e := &Entry{Name: name, Zone: zone, Region: region, Caller: procs.Address(), Operator: procs.Address(), Peer: procs.Address()}
+	listen := e.Peer
+	if f.Relayed {
+		listen, e.Peer = f.zoneAddress(zone), f.zoneAddress(zone)
+		f.relay(e.Peer, listen)
+	}
 	var peers []string
 	for _, other := range f.Entries {
 		peers = append(peers, other.Peer)
 	}
 	e.Settings = filepath.Join(f.dir, "entry-"+name+".yaml")
-	text := fmt.Sprintf("name: %s\navailability_zone: %s\nregion: %s\nlisten: {caller: %q, operator: %q, peer: %q}\nplatform: %s\npeers: [%s]\nlog: {level: debug, format: text}\n%s",
-		name, zone, region, e.Caller, e.Operator, e.Peer, f.Platform, strings.Join(peers, ", "), extra)
+	text := fmt.Sprintf("name: %s\navailability_zone: %s\nregion: %s\nlisten: {caller: %q, operator: %q, peer: %q}\nadvertise: {peer: %q}\nplatform: %s\npeers: [%s]\nlog: {level: debug, format: text}\n",
+		name, zone, region, e.Caller, e.Operator, listen, e.Peer, f.Platform, strings.Join(peers, ", "))
+	if !strings.Contains(extra, "peer_tls:") {
+		text += "peer_tls: {plaintext: true}\n"
+	}
+	text += extra
 	require.NoError(f.t, os.WriteFile(e.Settings, []byte(text), 0o600))
 	f.Restart(e)
 	f.Entries[name] = e
 	return e
 }
 
+// zoneAddress returns a loopback address of the zone's own IP number.
+func (f *Fleet) zoneAddress(zone string) string {
+	f.network.mu.Lock()
+	defer f.network.mu.Unlock()
+	address := netip.MustParseAddrPort(procs.Address())
+	if f.network.zones[zone] == "" {
+		ip := address.Addr().As4()
+		ip[1] = 128 | byte(len(f.network.zones)&7)<<4 | ip[1]&0x0f
+		f.network.zones[zone] = netip.AddrFrom4(ip).String()
+	}
+	return netip.AddrPortFrom(netip.MustParseAddr(f.network.zones[zone]), address.Port()).String()
+}
+
 // Restart starts an entry's process again with the same settings.
 func (f *Fleet) Restart(e *Entry) {
 	f.t.Helper()
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"context"
+	"net"
 	"time"
 
 	"google.golang.org/grpc"
@@ -33,7 +35,7 @@
 		grpc.WaitForHandlers(true),
 	}
 	if opts.Credentials != nil {
-		out = append(out, grpc.Creds(opts.Credentials))
+		out = append(out, grpc.Creds(opts.Credentials.Server))
 	}
 	return out
 }
@@ -54,14 +56,15 @@
 	if c := n.conns[address]; c != nil {
 		return c, nil
 	}
-	creds := n.opts.Credentials
-	if creds == nil {
-		creds = insecure.NewCredentials()
+	creds := insecure.NewCredentials()
+	if n.opts.Credentials != nil {
+		creds = n.opts.Credentials.Client
 	}
 	delays := backoff.DefaultConfig
 	delays.MaxDelay = reconnectDelay
 	c, err := grpc.NewClient(address,
 		grpc.WithTransportCredentials(creds),
+		grpc.WithContextDialer(n.dial),
 		grpc.WithReadBufferSize(ioBuffer),
 		grpc.WithWriteBufferSize(ioBuffer),
 		grpc.WithIdleTimeout(idleTimeout),
@@ -75,6 +78,15 @@
 	return c, nil
 }
 
+// dial opens a connection from the address that this entry is known by.
+func (n *Node) dial(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	if ip := net.ParseIP(n.opts.Source); ip != nil && !ip.IsUnspecified() {
+		d.LocalAddr = &net.TCPAddr{IP: ip}
+	}
+	return d.DialContext(ctx, "tcp", address)
+}
+
 // sweep closes the connections to addresses that no remembered member has.
 func (n *Node) sweep() {
 	known := map[string]bool{}
--- a/peer/node.go
+++ b/peer/node.go
@@ -17,7 +17,6 @@
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials"
 
 	"jaylink/decision/membership"
 	"jaylink/peer/peerpb"
@@ -67,7 +66,10 @@
 	// Changed is called after a member joined, died, left or began to leave.
 	Changed func()
 	// Credentials secure the port and the connections; nil means plaintext.
-	Credentials credentials.TransportCredentials
+	Credentials *Credentials
+	// Source is the IP address that connections to peers come from; "" leaves
+	// it to the system.
+	Source string
 }
 
 // Node is this entry's side of the peer protocol.
