--- a/decision/adopt.go
+++ b/decision/adopt.go
@@ -1,6 +1,9 @@
 package decision
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"jaylink/api"
@@ -43,9 +46,10 @@
 	r := c.accept(now, RequestEvent{ID: ev.ID, Labels: ev.Labels, Prefix: ev.Prefix}, res)
 	r.deadline = ev.Deadline
 	r.route.Deadline = ev.Deadline
+	c.wakes.set(r, r.deadline)
 	r.attempts = ev.Failed
 	r.ran = ranBefore(ev.Dispatched)
-	c.queue.push(r)
+	c.enqueue(r)
 	return []Action{AcceptAction{ID: r.id, Resolution: res, Deadline: r.deadline}}
 }
 
@@ -79,7 +83,8 @@
 func (c *Core) stop(now time.Time) []Action {
 	c.draining = true
 	var out []Action
-	for _, r := range c.inOrder() {
+	list := slices.SortedFunc(maps.Values(c.requests), func(a, b *request) int { return cmp.Compare(a.number, b.number) })
+	for _, r := range list {
 		switch r.phase {
 		case phaseRunning:
 			r.timedOut = true
--- a/decision/move.go
+++ b/decision/move.go
@@ -129,7 +129,7 @@
 	}
 	r.move.count++
 	r.retry = reason.UpstreamLeaving
-	c.queue.push(r)
+	c.enqueue(r)
 	return true
 }
 
--- a/decision/reason/reason.go
+++ b/decision/reason/reason.go
@@ -33,6 +33,9 @@
 	// OwnerUnreachable means that an entry which may have the request could
 	// not be asked.
 	OwnerUnreachable Reason = "owner_unreachable"
+	// DeadlineUnmet means that the request could not be answered before its
+	// deadline any more, however soon an upstream took it.
+	DeadlineUnmet Reason = "deadline_unmet"
 )
 
 // Refusals lists every refusal reason.
@@ -42,6 +45,7 @@
 	AttemptsUsedUp, NotRepeatable, RetryBudget, KeyReused, KeyInProgress,
 	ClaimUnavailable, OutcomeUnknown, Poison, AnswerTooLarge,
 	OwnerUnreachable,
+	DeadlineUnmet,
 }
 
 // Reasons for repeating an attempt.
--- a/entry/problem.go
+++ b/entry/problem.go
@@ -40,6 +40,7 @@
 	reason.Poison:           http.StatusUnprocessableEntity,
 	reason.AnswerTooLarge:   http.StatusBadGateway,
 	reason.OwnerUnreachable: http.StatusServiceUnavailable,
+	reason.DeadlineUnmet:    http.StatusServiceUnavailable,
 }
 
 // newProblem builds the body of a refusal that the core decided.
--- a/entry/recover.go
+++ b/entry/recover.go
@@ -20,8 +20,19 @@
 	noticeSettleShare = 10
 )
 
+// noticed takes a reclaim notice, once or more often: of an entry's host, or of
+// an upstream's, which counts as leaving already.
+func (e *Entry) noticed(host string, deadline time.Time) {
+	e.noticedEntry(host, deadline)
+	for _, o := range e.config.catalog().Upstreams() {
+		if hostOf(o) == host {
+			e.work.Go(func() { e.reclaimUpstream(o.Name, deadline) })
+		}
+	}
+}
+
 // reclaimUpstream plans what becomes of the streams on an upstream whose host
-// is reclaimed. The upstream counts as leaving already.
+// is reclaimed.
 func (e *Entry) reclaimUpstream(name string, deadline time.Time) {
 	sleep(e.background, min(noticeSettle, max(time.Until(deadline), 0)/noticeSettleShare))
 	e.driver.step(decision.ReclaimEvent{Upstream: name, Deadline: deadline, Streams: e.records.streams()})
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -8,7 +8,6 @@
 	"github.com/samber/oops"
 
 	"jaylink/decision"
-	"jaylink/platform"
 )
 
 const (
@@ -32,7 +31,8 @@
 // same name may come back.
 const reclaimMemory = time.Minute
 
-func (r *reclaims) add(host string, deadline time.Time) {
+// add notes a notice; it returns false if that is known already.
+func (r *reclaims) add(host string, deadline time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for h, d := range r.hosts {
@@ -40,7 +40,9 @@
 			delete(r.hosts, h)
 		}
 	}
+	known := r.hosts[host].Equal(deadline)
 	r.hosts[host] = deadline
+	return !known
 }
 
 func (r *reclaims) has(host string) bool {
@@ -61,13 +63,13 @@
 // noticedEntry takes a reclaim notice: of this entry's host, or of a peer's,
 // which then gets no requests. A notice whose deadline has passed was for an
 // earlier host of the same name.
-func (e *Entry) noticedEntry(n platform.Notice) {
-	e.reclaims.add(n.Host, n.Deadline)
-	if n.Host != e.host() || time.Until(n.Deadline) <= 0 {
+func (e *Entry) noticedEntry(host string, deadline time.Time) {
+	fresh := e.reclaims.add(host, deadline)
+	if host != e.host() || !fresh || time.Until(deadline) <= 0 {
 		return
 	}
-	e.log.Info("this host is being reclaimed", "step", "reclaim", "deadline", n.Deadline)
-	e.work.Go(func() { e.leave(e.background, n.Deadline) })
+	e.log.Info("this host is being reclaimed", "step", "reclaim", "deadline", deadline)
+	e.work.Go(func() { e.leave(e.background, deadline) })
 }
 
 // leave takes the entry out of service before a deadline. The balancer and the
