upstream, entry: give out whole answers and only one's own

Cause: events of other answers and text after the last token were relayed; a late plain answer replaced that of a newer attempt; a frozen engine held its streams until their deadline; plain answers went out without a length.

Change: the reader of a stream checks ID, finish reason, token count and end mark; silent streams of idempotent work go on elsewhere; plain answers need a length or chunks; writes to callers have a deadline; the engine's finish reason is passed on. Ruled out: begin the answer anew after a fault (recomputes what was good).

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -217,21 +218,32 @@
 			w.Header()[name] = values
 		}
 	}
-	w.WriteHeader(a.Status)
-	_, _ = w.Write(a.Body)
+	writeBody(w, a.Status, a.Body)
+}
+
+// writeBody writes a body with its length, so that every caller can tell a whole
+// one from one that was cut off. The status line is out with the first byte; a
+// failed write shows on the caller's side.
+func writeBody(w http.ResponseWriter, status int, body []byte) {
+	limitWrite(w)
+	if len(body) > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
 }
 
 func writeCompletion(w http.ResponseWriter, rec *Record, v view) {
 	w.Header().Set("Content-Type", "application/json")
-	// The status line is out with the first byte; a failed write shows on
-	// the caller's side.
-	_ = json.NewEncoder(w).Encode(upstream.Chunk{
+	// Marshaling strings and numbers can't fail.
+	body, _ := json.Marshal(upstream.Chunk{
 		ID:      rec.ID,
 		Object:  "text_completion",
 		Model:   rec.Call.Completion.Model,
-		Choices: []upstream.Choice{{Text: string(v.text), FinishReason: "length"}},
+		Choices: []upstream.Choice{{Text: string(v.text), FinishReason: v.finish}},
 		Usage:   &upstream.Usage{CompletionTokens: v.tokens},
 	})
+	writeBody(w, http.StatusOK, body)
 }
 
 // live says that the process works; it does so until the process ends.
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -94,12 +94,31 @@
 		// An earlier attempt gave the last token; only its end was lost.
 		return upstream.Result{Outcome: decision.OutcomeDone, Ran: reason.RanYes}
 	}
-	return e.upstreams.Complete(ctx, upstream.CompletionCall{
+	call := upstream.CompletionCall{
 		Address:    a.Spec.Address,
 		RequestID:  id.tag(rec.ID),
 		Completion: rec.Call.Completion.Resume(string(v.text), v.tokens),
 		Idempotent: rec.idempotent,
 		Emit:       func(text string, tokens int) error { return e.emit(rec, id, text, tokens) },
+	}
+	if rec.idempotent {
+		// Other work can't go on elsewhere, so it gets all of its time.
+		call.FirstToken = e.settings.Recovery.FirstToken.Std()
+		call.Stall = e.settings.Recovery.Stall.Std()
+	}
+	res := e.upstreams.Complete(ctx, call)
+	if res.FinishReason != "" {
+		rec.setFinish(id, res.FinishReason)
+	}
+	return res
+}
+
+// setFinish stores the engine's reason for the end of the answer.
+func (r *Record) setFinish(id attemptID, finish string) {
+	r.update(func() {
+		if r.attempt.id == id && !r.done {
+			r.finishReason = finish
+		}
 	})
 }
 
--- a/entry/handoverserver.go
+++ b/entry/handoverserver.go
@@ -129,15 +129,17 @@
 	for {
 		v, changed := rec.read(offset)
 		if len(v.text) > followChunk {
-			part := &peerpb.FollowUpdate{Role: v.role, Epoch: v.epoch, Owner: v.owner, Text: v.text[:followChunk]}
+			part := &peerpb.FollowUpdate{Role: v.role, Epoch: v.epoch, Owner: v.owner, Text: v.text[:followChunk], Offset: uint64(offset)}
 			if err := stream.Send(part); err != nil {
 				return err
 			}
 			offset += followChunk
 			continue
 		}
+		u := s.toUpdate(v)
+		u.Offset = uint64(offset)
 		offset = max(offset, v.total)
-		if err := stream.Send(s.toUpdate(v)); err != nil {
+		if err := stream.Send(u); err != nil {
 			return err
 		}
 		if v.done || v.moved() {
@@ -176,6 +178,7 @@
 	if v.done {
 		u.Answer = toServiceAnswer(v.answer)
 		u.Refusal = toRefusal(v.problem)
+		u.FinishReason = v.finish
 	}
 	return u
 }
--- a/entry/holder.go
+++ b/entry/holder.go
@@ -207,7 +207,7 @@
 }
 
 // apply adds an update to a copy; it returns false if the record is no longer
-// a copy.
+// a copy, or the update does not continue it.
 func (r *Record) apply(u *peerpb.FollowUpdate) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -220,11 +220,15 @@
 	if len(u.Text) == 0 && !u.Done {
 		return true
 	}
+	if u.Offset != uint64(len(r.text)) {
+		return false
+	}
 	r.text = append(r.text, u.Text...)
 	r.tokens = max(r.tokens, int(u.Tokens))
 	if u.Done {
 		r.answer = fromServiceAnswer(u.Answer)
 		r.problem = fromRefusal(u.Refusal)
+		r.finishReason = u.FinishReason
 		r.done = true
 		r.ended = time.Now()
 	}
--- a/entry/record.go
+++ b/entry/record.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -58,6 +59,8 @@
 	// text and tokens are the answer so far of a completion.
 	text   []byte
 	tokens int
+	// finishReason is the engine's; "" stands for the length asked for.
+	finishReason string
 	// answer is the answer of a plain service.
 	answer  *upstream.Answer
 	claim   *claim
@@ -129,6 +132,9 @@
 	})
 }
 
+// finishLength is the finish reason of an answer of the length asked for.
+const finishLength = "length"
+
 // view is a consistent copy of what a reader needs.
 type view struct {
 	text     []byte // from the reader's offset on
@@ -138,6 +144,7 @@
 	problem  *Problem
 	accepted bool
 	done     bool
+	finish   string
 	customer string
 	service  string
 	role     peerpb.Role
@@ -153,7 +160,8 @@
 	v := view{
 		total: len(r.text), tokens: r.tokens, answer: r.answer, problem: r.problem,
 		accepted: r.accepted, done: r.done, customer: r.customer, service: r.service,
-		role: r.ownership.role, epoch: r.ownership.epoch, owner: r.ownership.owner,
+		finish: cmp.Or(r.finishReason, finishLength),
+		role:   r.ownership.role, epoch: r.ownership.epoch, owner: r.ownership.owner,
 	}
 	if offset < len(r.text) {
 		v.text = r.text[offset:]
--- a/entry/recoversettings.go
+++ b/entry/recoversettings.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"jaylink/api"
 	"jaylink/decision/recovery"
@@ -22,10 +23,19 @@
 	// PrefillRate is how many tokens an upstream reads in a second. Default
 	// 5000.
 	PrefillRate int `yaml:"prefill_rate"`
+	// FirstToken is how long an idempotent completion waits for its first
+	// token before it is run elsewhere. Default 1m.
+	FirstToken api.Duration `yaml:"first_token"`
+	// Stall is how long the stream of an idempotent completion may be silent
+	// before it goes on elsewhere. Default 10s.
+	Stall api.Duration `yaml:"stall"`
 }
 
 func defaultRecovery() RecoverySettings {
-	return RecoverySettings{Link: 1 << 20, CacheToken: 128 << 10, CacheRate: 1 << 30, PrefillRate: 5000}
+	return RecoverySettings{
+		Link: 1 << 20, CacheToken: 128 << 10, CacheRate: 1 << 30, PrefillRate: 5000,
+		FirstToken: api.Duration(time.Minute), Stall: api.Duration(10 * time.Second),
+	}
 }
 
 func (s RecoverySettings) rates() recovery.Rates {
@@ -42,5 +52,7 @@
 	between(c, "recovery.link", s.Link, 1, maxRate)
 	between(c, "recovery.cache_token", s.CacheToken, 1, maxRate)
 	between(c, "recovery.cache_rate", s.CacheRate, 1, maxRate)
+	c.interval("recovery.first_token", s.FirstToken)
+	c.interval("recovery.stall", s.Stall)
 	between(c, "recovery.prefill_rate", s.PrefillRate, 1, math.MaxInt32)
 }
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/tmaxmax/go-sse"
 
@@ -36,8 +37,7 @@
 		}
 		switch {
 		case v.done && offset > v.total:
-			p := problemOf(reason.OutcomeUnknown, "the answer ends before the offset")
-			v.problem = p
+			v.problem = attachProblem(reason.OutcomeUnknown, "the answer ends before the offset")
 			fallthrough
 		case v.done:
 			begin(w, begun)
@@ -84,7 +84,18 @@
 	return send(w, m)
 }
 
+// callerTimeout bounds one write to a caller. A caller that reads slower than
+// that is cut off; it can read on with its request's ID.
+const callerTimeout = 30 * time.Second
+
+// limitWrite gives the next write to a caller its deadline. A connection without
+// deadlines, as in tests, is left without one.
+func limitWrite(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(callerTimeout))
+}
+
 func send(w http.ResponseWriter, m *sse.Message) error {
+	limitWrite(w)
 	if _, err := m.WriteTo(w); err != nil {
 		return err
 	}
@@ -105,7 +116,7 @@
 		ID:      rec.ID,
 		Object:  "text_completion",
 		Model:   rec.Call.Completion.Model,
-		Choices: []upstream.Choice{{FinishReason: "length"}},
+		Choices: []upstream.Choice{{FinishReason: v.finish}},
 		Usage:   &upstream.Usage{CompletionTokens: v.tokens},
 	}, strconv.Itoa(v.total))
 	m := &sse.Message{}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -51,6 +51,8 @@
 	CrashOn string `json:"crash_on"`
 	// RefuseKV refuses to export and import KV cache.
 	RefuseKV bool `json:"refuse_kv"`
+	// Corrupt spoils every stream in one way; "" spoils none.
+	Corrupt Corruption `json:"corrupt"`
 }
 
 // Run is one execution, as the stand-in saw it.
@@ -151,7 +153,10 @@
 	run := s.prefill(r, c)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set(upstream.HeaderRequestID, run.RequestID)
-	s.generate(w, r, c, run)
+	if f.Corrupt == CorruptForeignEcho {
+		w.Header().Set(upstream.HeaderRequestID, foreignTag)
+	}
+	s.generate(w, r, c, run, f.Corrupt)
 }
 
 // enter waits for a slot; it returns false if the queue is full.
@@ -200,7 +205,7 @@
 	return run
 }
 
-func (s *Server) generate(w http.ResponseWriter, r *http.Request, c upstream.Completion, run *Run) {
+func (s *Server) generate(w http.ResponseWriter, r *http.Request, c upstream.Completion, run *Run, fault Corruption) {
 	text := c.Prompt
 	s.grow(run, text)
 	defer func() { s.retire(run, text) }()
@@ -223,6 +228,9 @@
 		if broken {
 			panic(http.ErrAbortHandler)
 		}
+		if corrupt(w, fault, i+1, c.MaxTokens) {
+			return
+		}
 	}
 	_, _ = w.Write([]byte("data: " + upstream.StreamEnd + "\n\n"))
 	s.mu.Lock()
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"regexp"
 	"time"
 
 	"github.com/samber/oops"
@@ -36,8 +37,19 @@
 	Ran     reason.Ran
 	// Err is the cause of a failed attempt, with step and peer.
 	Err error
+	// FinishReason is the engine's reason for the end of a completion.
+	FinishReason string
 }
 
+// foreign reports whether an answer echoes the tag of another attempt. Echoes in
+// another form are the upstream's own and say nothing.
+func foreign(echo, tag string) bool {
+	return echo != tag && tagForm.MatchString(echo)
+}
+
+// tagForm is the form of the tags that jaylink gives to attempts.
+var tagForm = regexp.MustCompile(`^[0-9a-f]{32}\.[a-z0-9-]+/[0-9]+\.[0-9]+$`)
+
 // Client calls upstreams. It is safe for concurrent use.
 type Client struct {
 	// shared reuses connections. The transport may repeat a call by itself
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/samber/oops"
 	"github.com/tmaxmax/go-sse"
@@ -24,6 +25,9 @@
 	RequestID  string // with the number of the attempt
 	Completion Completion
 	Idempotent bool
+	// FirstToken bounds the time to the first event, and Stall that between
+	// two events; 0 means no bound.
+	FirstToken, Stall time.Duration
 	// Emit is called for each piece of text with the tokens it stands for.
 	Emit func(text string, tokens int) error
 }
@@ -37,7 +41,9 @@
 		return Result{Outcome: decision.OutcomeServerError, Ran: reason.RanNo, Err: oops.In("upstream").Wrap(err)}
 	}
 	url := "http://" + call.Address + "/v1/completions"
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	w := newWatchdog(ctx, call.FirstToken)
+	defer w.stop()
+	req, err := http.NewRequestWithContext(w.ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return Result{Outcome: decision.OutcomeConnectFailed, Ran: reason.RanNo, Err: oops.In("upstream").Wrap(err)}
 	}
@@ -45,6 +51,9 @@
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(HeaderRequestID, call.RequestID)
 	resp, res := c.send(req, call.Idempotent)
+	if resp == nil && w.expired() {
+		return failure(ctx, "send", call.Address, true, errStalled)
+	}
 	if resp == nil {
 		return res
 	}
@@ -56,7 +65,7 @@
 		err := fmt.Errorf("answer is for request %q", echo)
 		return failure(ctx, "read", call.Address, true, err)
 	}
-	return readStream(ctx, call, resp)
+	return readStream(ctx, call, resp, w)
 }
 
 // engineStatus maps statuses. An engine that answers 429 or 503 refused the
@@ -71,42 +80,86 @@
 	return statusFailure(peer, resp.StatusCode, decision.OutcomeServerError, reason.RanUnknown), true
 }
 
-// readStream emits the text of each event and checks that the stream is whole.
-func readStream(ctx context.Context, call CompletionCall, resp *http.Response) Result {
-	finished := false
+// streamReader takes the events of one stream and checks that they are one
+// whole answer: the ID of the answer never changes, no more tokens come than
+// were asked for, and the finish reason comes before the end mark.
+type streamReader struct {
+	call   CompletionCall
+	id     string
+	tokens int
+	finish string
+}
+
+// readStream emits the text of each event until the stream is whole.
+func readStream(ctx context.Context, call CompletionCall, resp *http.Response, w *watchdog) Result {
+	r := &streamReader{call: call}
 	for event, err := range sse.Read(resp.Body, nil) {
+		if err != nil && w.expired() {
+			err = errStalled
+		}
 		if err != nil {
 			return failure(ctx, "read", call.Address, true, err)
 		}
+		w.reset(call.Stall)
 		if event.Data == StreamEnd {
-			if !finished {
+			if r.finish == "" {
 				break
 			}
-			return Result{Outcome: decision.OutcomeDone, Ran: reason.RanYes}
-		}
-		var chunk Chunk
-		if err := json.Unmarshal([]byte(event.Data), &chunk); err != nil {
-			return failure(ctx, "read", call.Address, true, err)
+			return Result{Outcome: decision.OutcomeDone, Ran: reason.RanYes, FinishReason: r.finish}
 		}
-		if len(chunk.Choices) == 0 {
-			continue
-		}
-		if err := emit(call, chunk); err != nil {
+		err = r.take(event.Data)
+		var tooLarge *EmitError
+		if errors.As(err, &tooLarge) {
 			return Result{Outcome: decision.OutcomeTooLarge, Ran: reason.RanYes, Err: err}
 		}
-		finished = chunk.Choices[0].FinishReason != ""
+		if err != nil {
+			return failure(ctx, "read", call.Address, true, err)
+		}
 	}
 	return failure(ctx, "read", call.Address, true, errTruncated)
 }
 
-func emit(call CompletionCall, chunk Chunk) error {
-	text := chunk.Choices[0].Text
-	if text == "" {
+// EmitError means that the taker of the text refused it.
+type EmitError struct{ Err error }
+
+// Error implements error.
+func (e *EmitError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the taker's error.
+func (e *EmitError) Unwrap() error { return e.Err }
+
+func (r *streamReader) take(data string) error {
+	var chunk Chunk
+	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+		return err
+	}
+	if r.id != "" && chunk.ID != r.id {
+		return fmt.Errorf("event of answer %.64q in answer %.64q", chunk.ID, r.id)
+	}
+	r.id = chunk.ID
+	if len(chunk.Choices) == 0 {
+		return nil
+	}
+	c := chunk.Choices[0]
+	if r.finish != "" && c.Text != "" {
+		return errors.New("text after the finish reason")
+	}
+	if c.FinishReason != "" {
+		r.finish = c.FinishReason
+	}
+	if c.Text == "" {
 		return nil
 	}
 	tokens := 1
 	if chunk.Usage != nil && chunk.Usage.CompletionTokens > 0 {
 		tokens = chunk.Usage.CompletionTokens
 	}
-	return call.Emit(text, tokens)
+	r.tokens += tokens
+	if r.tokens > r.call.Completion.MaxTokens {
+		return fmt.Errorf("more than the %d tokens asked for", r.call.Completion.MaxTokens)
+	}
+	if err := r.call.Emit(c.Text, tokens); err != nil {
+		return &EmitError{err}
+	}
+	return nil
 }
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -3,8 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"slices"
 
 	"github.com/samber/oops"
 
@@ -55,6 +58,12 @@
 		return nil, res
 	}
 	defer resp.Body.Close()
+	if echo := resp.Header.Get(HeaderRequestID); foreign(echo, call.RequestID) {
+		return nil, failure(ctx, "read", call.Address, true, fmt.Errorf("answer is for request %q", echo))
+	}
+	if !delimited(resp) {
+		return nil, failure(ctx, "read", call.Address, true, errUndelimited)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, call.MaxAnswer+1))
 	if err != nil {
 		return nil, failure(ctx, "read", call.Address, true, err)
@@ -70,6 +79,16 @@
 	return answer, Result{Outcome: decision.OutcomeDone, Ran: reason.RanYes}
 }
 
+// errUndelimited means that a whole answer could not be told from one that was
+// cut off.
+var errUndelimited = errors.New("answer has neither a length nor chunks")
+
+// delimited reports whether the end of the answer's body can be told from a
+// broken connection.
+func delimited(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked")
+}
+
 func endToEnd(h http.Header) http.Header {
 	out := h.Clone()
 	if out == nil {
