cmd: explain, watch, drain, diffs, and who wrote what

Cause: the command line could write but not say what a write would change, who had changed an object before, why a request went where it did, or which zone lags; only get and status had other output forms than a table; usage errors and failures had the same exit code.

Change: apply prints what changes, in a dry run too; explain reads the decision record of one or several entries; watch follows what is in force; drain makes an entry leave as at SIGTERM; status shows the revision in force by zone and who lags; -o json|yaml everywhere. A write keeps the operator (--operator, JAYLINK_OPERATOR, or the user's name), and a stale one says who wrote the current version and what differs. Exit codes: 0, 1 failed, 2 bad input, 3 conflict, 4 outcome not known.

watch asks again from the last revision without gaps and remembers what it printed, because a later version can be in force before an earlier one.

--- a/cmd/jaylink/apply.go
+++ b/cmd/jaylink/apply.go
@@ -18,18 +18,18 @@
 
 func addApply(app *kingpin.Application) {
 	cmd := app.Command("apply", "Write the objects of files. All are checked before any is written.")
-	address := entryFlag(cmd)
+	conn, output := connectionFlags(cmd), outputFlag(cmd)
 	files := cmd.Flag("file", "YAML file, or folder with *.yaml files. May be repeated.").Short('f').Required().Strings()
-	dryRun := cmd.Flag("dry-run", "Check only; write nothing.").Bool()
-	cmd.Action(func(*kingpin.ParseContext) error { return runApply(*address, *files, *dryRun) })
+	dryRun := cmd.Flag("dry-run", "Write nothing; print what would change.").Bool()
+	cmd.Action(func(*kingpin.ParseContext) error { return runApply(conn.client(), *output, *files, *dryRun) })
 }
 
-func runApply(address string, paths []string, dryRun bool) error {
+func runApply(c *operator.Client, output string, paths []string, dryRun bool) error {
 	sources, err := readSources(paths)
 	if err != nil {
 		return &exitError{exitBadInput, err}
 	}
-	ctx, c := context.Background(), operator.NewClient(address)
+	ctx := context.Background()
 	req := operator.ApplyRequest{DryRun: dryRun}
 	for _, s := range sources {
 		if err := fillVersion(ctx, c, s.Object); err != nil {
@@ -41,7 +41,12 @@
 	if err != nil {
 		return statusExit(err)
 	}
-	return reportApply(sources, reply)
+	if output != "table" {
+		err = printAs(output, reply)
+	} else {
+		printApply(reply)
+	}
+	return errors.Join(err, applyError(sources, reply))
 }
 
 // fillVersion sets the version that the write replaces.
@@ -58,12 +63,22 @@
 	return nil
 }
 
-// reportApply prints a line an object and returns the worst outcome.
-func reportApply(sources []api.Source, reply operator.ApplyReply) error {
+// printApply prints a line an object, with what changes about it.
+func printApply(reply operator.ApplyReply) {
+	for _, res := range reply.Results {
+		fmt.Printf("%s %s version=%d", res.Key, res.Status, res.Version)
+		if res.Status != operator.StatusUnchanged {
+			writeChanges(os.Stdout, res.Changes)
+		}
+		fmt.Println()
+	}
+}
+
+// applyError returns the worst outcome, with the place of each mistake.
+func applyError(sources []api.Source, reply operator.ApplyReply) error {
 	var errs []error
 	code := 0
 	for i, res := range reply.Results {
-		fmt.Printf("%s %s version=%d\n", res.Key, res.Status, res.Version)
 		field := res.Field
 		if field == "" {
 			field = "name"
@@ -78,12 +93,12 @@
 		default:
 			continue
 		}
-		errs = append(errs, sources[i].Errorf(field, "%s: %s", res.Status, res.Problem))
+		errs = append(errs, sources[i].Errorf(field, "%s: %s", res.Status, res.Problem), stale(sources[i].Object, res.Current))
 	}
-	if len(errs) == 0 {
-		return nil
+	if err := errors.Join(errs...); err != nil {
+		return &exitError{code, err}
 	}
-	return &exitError{code, errors.Join(errs...)}
+	return nil
 }
 
 // readSources reads the objects of files and folders, in name order.
--- a/cmd/jaylink/entry.go
+++ b/cmd/jaylink/entry.go
@@ -1,6 +1,10 @@
 package main
 
 import (
+	"errors"
+	"fmt"
+	"os"
+
 	"github.com/alecthomas/kingpin/v2"
 
 	"jaylink/entry"
@@ -9,12 +13,36 @@
 
 func addEntry(app *kingpin.Application) {
 	cmd := app.Command("entry", "Run the entry process: accept requests and run them on upstreams. SIGTERM stops it gracefully.")
-	file := cmd.Flag("settings", "Settings file (YAML).").Short('s').Required().Envar("JAYLINK_SETTINGS").String()
-	cmd.Action(func(*kingpin.ParseContext) error { return runEntry(*file) })
+	file := cmd.Flag("settings", "Settings file (YAML).").Short('s').Envar("JAYLINK_SETTINGS").String()
+	set := cmd.Flag("set", "FIELD=VALUE replaces a field of the file, for example log.level=debug. May be repeated.").Strings()
+	printDefaults := cmd.Flag("print-defaults", "Print a commented settings file with the defaults and exit.").Bool()
+	cmd.Action(func(*kingpin.ParseContext) error {
+		if *printDefaults {
+			fmt.Print(entry.DefaultsYAML)
+			return nil
+		}
+		return runEntry(*file, *set)
+	})
+}
+
+// readSettings reads the file and what the environment and flags replace.
+func readSettings(file string, set []string) (entry.Settings, error) {
+	if file == "" {
+		return entry.Settings{}, errors.New("flag --settings or the environment JAYLINK_SETTINGS must name a settings file")
+	}
+	overrides := entry.EnvironmentOverrides(os.LookupEnv)
+	for _, text := range set {
+		o, err := entry.FlagOverride(text)
+		if err != nil {
+			return entry.Settings{}, err
+		}
+		overrides = append(overrides, o)
+	}
+	return entry.ReadSettings(file, overrides...)
 }
 
-func runEntry(file string) error {
-	settings, err := entry.ReadSettings(file)
+func runEntry(file string, set []string) error {
+	settings, err := readSettings(file, set)
 	if err != nil {
 		return &exitError{exitBadInput, err}
 	}
@@ -24,5 +52,5 @@
 	}
 	var app kernel.App
 	app.Add("entry", e)
-	return runApp(&app)
+	return runApp(&app, e.LeaveRequested())
 }
--- /dev/null
+++ b/cmd/jaylink/explain.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"jaylink/operator"
+)
+
+func addExplain(app *kingpin.Application) {
+	cmd := app.Command("explain", "Print why a request was routed, refused, retried or moved, or what happened to an upstream. "+
+		"An entry remembers its last decisions only (setting record.decisions).")
+	id := cmd.Arg("request-id", "Request ID, from the response header Jaylink-Request-Id.").String()
+	upstream := cmd.Flag("upstream", "Name of an upstream.").String()
+	limit := cmd.Flag("limit", "Print the newest decisions only; 0 means all.").Default("50").Int()
+	entries := cmd.Flag("entry", "Operator ports of the entries to ask, ip:port. May be repeated; a request that moved was seen by several.").
+		Envar("JAYLINK_ENTRY").Default("127.0.0.1:8081").Strings()
+	output := outputFlag(cmd)
+	cmd.Action(func(*kingpin.ParseContext) error {
+		if (*id == "") == (*upstream == "") {
+			return &exitError{exitBadInput, errors.New("explain needs either a request ID or --upstream")}
+		}
+		q := operator.DecisionQuery{RequestID: *id, Upstream: *upstream, Limit: *limit}
+		return runExplain(*entries, *output, q)
+	})
+}
+
+func runExplain(entries []string, output string, q operator.DecisionQuery) error {
+	var all []operator.Decision
+	var since time.Time
+	for _, address := range entries {
+		list, err := operator.NewClient(address).Decisions(context.Background(), q)
+		if err != nil {
+			return statusExit(err)
+		}
+		all = append(all, list.Items...)
+		since = list.Since
+	}
+	if len(all) == 0 {
+		return &exitError{exitBadInput, notRemembered(q, since)}
+	}
+	slices.SortStableFunc(all, func(a, b operator.Decision) int { return a.At.Compare(b.At) })
+	if output != "table" {
+		return printAs(output, all)
+	}
+	printDecisions(all)
+	return nil
+}
+
+// notRemembered says where else to look.
+func notRemembered(q operator.DecisionQuery, since time.Time) error {
+	if q.Upstream != "" {
+		return fmt.Errorf("no decision about upstream %s since %s", q.Upstream, since.Format(time.RFC3339))
+	}
+	_, entry, _ := strings.Cut(q.RequestID, ".")
+	return fmt.Errorf("no decision about this request since %s; entry %q accepted it, ask that one with --entry",
+		since.Format(time.RFC3339), entry)
+}
+
+// printDecisions prints a line a decision, and a line a candidate below it.
+func printDecisions(list []operator.Decision) {
+	for _, d := range list {
+		fmt.Printf("%s %s %s%s\n", d.At.Format("15:04:05.000"), d.Entry, d.Kind, decisionFields(d))
+		for _, c := range d.Candidates {
+			fmt.Printf("    %s score=%.3f busy=%d slots=%d%s\n", c.Upstream, c.Score, c.Busy, c.Slots, partsText(c.Parts))
+		}
+		for _, name := range slices.Sorted(maps.Keys(d.LeftOut)) {
+			fmt.Printf("    left out by %s: %d\n", name, d.LeftOut[name])
+		}
+	}
+}
+
+func partsText(parts map[string]float64) string {
+	var b strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(parts)) {
+		fmt.Fprintf(&b, " %s=%.3f", name, parts[name])
+	}
+	return b.String()
+}
+
+func decisionFields(d operator.Decision) string {
+	var b strings.Builder
+	add := func(key, value string) {
+		if value != "" {
+			fmt.Fprintf(&b, " %s=%s", key, value)
+		}
+	}
+	add("request_id", d.RequestID)
+	add("service", d.Service)
+	add("customer", d.Customer)
+	add("upstream", d.Upstream)
+	add("peer", d.Peer)
+	if d.Attempt > 0 {
+		fmt.Fprintf(&b, " attempt=%d", d.Attempt)
+	}
+	add("reason", string(d.Reason))
+	add("ran", string(d.Ran))
+	if d.Detail != "" {
+		b.WriteString(" " + d.Detail)
+	}
+	return b.String()
+}
--- a/cmd/jaylink/main.go
+++ b/cmd/jaylink/main.go
@@ -1,8 +1,10 @@
 // Command jaylink is the one binary of the serving system: the entry process,
 // the operator commands and the stand-ins for tests and demonstrations.
 //
-// Exit codes: 0 done; 1 failed; 2 bad input; 3 conflict with another writer;
-// 4 outcome not known, apply again.
+// Exit codes of every command: 0 done; 1 failed, or the entry can't be reached;
+// 2 bad input: a file, flag, object or setting is wrong, or does not exist;
+// 3 conflict: another operator was faster, nothing was written; 4 the platform
+// gave no answer, so the write may or may not have taken effect: do it again.
 package main
 
 import (
@@ -45,9 +47,14 @@
 	addDelete(app)
 	addLabel(app)
 	addStatus(app)
+	addExplain(app)
+	addWatch(app)
+	addDrain(app)
 	addCheck(app)
 	addVersion(app)
 	addStandin(app)
+	parsed := false
+	app.Action(func(*kingpin.ParseContext) error { parsed = true; return nil })
 	_, err := app.Parse(os.Args[1:])
 	if err == nil {
 		return
@@ -57,6 +64,9 @@
 	if errors.As(err, &exit) {
 		os.Exit(exit.code)
 	}
+	if !parsed {
+		os.Exit(exitBadInput)
+	}
 	os.Exit(exitFailed)
 }
 
--- a/cmd/jaylink/run.go
+++ b/cmd/jaylink/run.go
@@ -10,15 +10,18 @@
 	"jaylink/kernel"
 )
 
-// runApp starts an app and stops it at SIGTERM or SIGINT. A second signal ends
-// the process at once.
-func runApp(app *kernel.App) error {
+// runApp starts an app and stops it at SIGTERM or SIGINT, or when leave is
+// closed. A second signal ends the process at once.
+func runApp(app *kernel.App, leave <-chan struct{}) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	if err := app.Start(ctx); err != nil {
 		return err
 	}
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-leave:
+	}
 	stop()
 	return app.Stop(context.Background())
 }
--- a/cmd/jaylink/standin.go
+++ b/cmd/jaylink/standin.go
@@ -76,7 +76,7 @@
 	var app kernel.App
 	server := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
 	app.Add("standin", &httpComponent{address: address, server: server})
-	return runApp(&app)
+	return runApp(&app, nil)
 }
 
 var (
--- a/entry/apply.go
+++ b/entry/apply.go
@@ -101,6 +101,7 @@
 func (e *Entry) applyObject(ctx context.Context, o *api.Object, dryRun bool) operator.ApplyResult {
 	res := operator.ApplyResult{Key: o.Key(), Status: operator.StatusChecked}
 	current := e.config.get(o.Key())
+	res.Changes = api.Diff(current, o)
 	if current != nil && sameContent(current, o) {
 		res.Status, res.Version = operator.StatusUnchanged, current.Version
 		return res
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -44,6 +44,8 @@
 	upstreams *upstream.Client
 	peers     *peer.Node
 	leaving   atomic.Bool
+	leave     chan struct{}
+	leaveOnce sync.Once
 
 	signsMu sync.Mutex
 	signs   map[string][signCount]bool
@@ -74,6 +76,7 @@
 		platform:  platform.New(s.Platform),
 		upstreams: upstream.New(),
 		signs:     map[string][signCount]bool{},
+		leave:     make(chan struct{}),
 		decisions: newDecisionRecord(s.Name, s.Record.Decisions),
 	}
 	cfg.Observer = &observer{decisions: e.decisions, table: func() *route.Table { return e.driver.core.Table() }}
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -28,6 +28,8 @@
 	r.HandleFunc("/v1/objects/{kind}/{name}/labels", e.handleLabel).Methods(http.MethodPost)
 	r.HandleFunc("/v1/status", e.handleStatus).Methods(http.MethodGet)
 	r.HandleFunc("/v1/decisions", e.handleDecisions).Methods(http.MethodGet)
+	r.HandleFunc("/v1/changes", e.handleChanges).Methods(http.MethodGet)
+	r.HandleFunc("/v1/drain", e.handleDrain).Methods(http.MethodPost)
 	r.HandleFunc("/v1/metrics", e.handleMetrics).Methods(http.MethodGet)
 	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		writeFailure(w, http.StatusNotFound, fmt.Errorf("no such path: %.200q", r.URL.Path))
@@ -189,9 +191,39 @@
 			ConfigRevision:   m.ConfigRevision,
 		})
 	}
+	s.Zones = operator.SummarizeZones(s)
 	writeJSON(w, http.StatusOK, s)
 }
 
+// handleChanges answers at once; a follower asks again.
+func (e *Entry) handleChanges(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		writeFailure(w, http.StatusBadRequest, errors.New("after: want a revision"))
+		return
+	}
+	writeJSON(w, http.StatusOK, e.config.since(after))
+}
+
+// since returns the objects that changed after a revision.
+func (s *configStore) since(after uint64) operator.ChangeList {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := operator.ChangeList{Revision: s.state.Revision(), Objects: []*api.Object{}}
+	list.Objects = append(list.Objects, s.state.Since(after).Objects...)
+	return list
+}
+
+// handleDrain makes the process stop gracefully, as at SIGTERM.
+func (e *Entry) handleDrain(w http.ResponseWriter, r *http.Request) {
+	e.log.Info("entry was told to leave", "operator", operatorName(r))
+	writeJSON(w, http.StatusOK, struct{}{})
+	e.leaveOnce.Do(func() { close(e.leave) })
+}
+
+// LeaveRequested is closed once an operator has told the entry to leave.
+func (e *Entry) LeaveRequested() <-chan struct{} { return e.leave }
+
 // upstreamStatus describes the upstreams as the core sees them.
 func (d *driver) upstreamStatus(now time.Time) []operator.UpstreamStatus {
 	d.mu.Lock()
--- a/operator/client.go
+++ b/operator/client.go
@@ -45,6 +45,9 @@
 	return &Client{base: "http://" + address + "/v1", http: &http.Client{Timeout: callTimeout}}
 }
 
+// Address returns the base of the URLs that are called.
+func (c *Client) Address() string { return c.base }
+
 // Apply writes objects.
 func (c *Client) Apply(ctx context.Context, req ApplyRequest) (ApplyReply, error) {
 	var reply ApplyReply
@@ -95,6 +98,18 @@
 	return s, err
 }
 
+// Changes reads the objects that changed after a revision on the entry.
+func (c *Client) Changes(ctx context.Context, after uint64) (ChangeList, error) {
+	var list ChangeList
+	err := c.call(ctx, "changes", http.MethodGet, fmt.Sprintf("/changes?after=%d", after), nil, &list)
+	return list, err
+}
+
+// Drain tells the entry to leave: it stops gracefully, as at SIGTERM.
+func (c *Client) Drain(ctx context.Context) error {
+	return c.call(ctx, "drain", http.MethodPost, "/drain", nil, &struct{}{})
+}
+
 // Decisions reads the entry's decision record.
 func (c *Client) Decisions(ctx context.Context, q DecisionQuery) (DecisionList, error) {
 	var list DecisionList
--- a/operator/types.go
+++ b/operator/types.go
@@ -41,6 +41,8 @@
 	Key     api.Key `json:"key"`
 	Status  Status  `json:"status"`
 	Version uint64  `json:"version,omitempty"`
+	// Changes are what the write changes, or would change in a dry run.
+	Changes []api.Change `json:"changes,omitempty"`
 	// Field and Problem say what is wrong with an invalid object.
 	Field   string `json:"field,omitempty"`
 	Problem string `json:"problem,omitempty"`
@@ -69,6 +71,7 @@
 	ConfigRevision   uint64           `json:"config_revision"`
 	InFlight         int              `json:"in_flight"`
 	Peers            []PeerStatus     `json:"peers"`
+	Zones            []ZoneStatus     `json:"zones"`
 	Upstreams        []UpstreamStatus `json:"upstreams"`
 	// Recent are the newest decisions about the fleet: upstreams that leave
 	// or come back, moved requests, host orders.
@@ -94,6 +97,24 @@
 	Slots            int    `json:"slots"`
 }
 
+// ZoneStatus says which configuration is in force in one availability zone.
+type ZoneStatus struct {
+	AvailabilityZone string `json:"availability_zone"`
+	Entries          int    `json:"entries"`
+	// ConfigRevision is the oldest revision that an entry of the zone has.
+	ConfigRevision uint64 `json:"config_revision"`
+	// Lagging names the entries that have an older revision than the newest
+	// one that any entry has.
+	Lagging []string `json:"lagging,omitempty"`
+}
+
+// ChangeList has the objects that changed after a revision, deletions
+// included, oldest first.
+type ChangeList struct {
+	Revision uint64        `json:"revision"`
+	Objects  []*api.Object `json:"objects"`
+}
+
 // Failure is the body of a refused call.
 type Failure struct {
 	Error   string      `json:"error"`
