--- a/decision/observer.go
+++ b/decision/observer.go
@@ -38,3 +38,14 @@
 		c.cfg.Observer.Limited(now, id, r, why)
 	}
 }
+
+// Waiting returns the number of requests that wait for an upstream.
+func (c *Core) Waiting() int {
+	n := 0
+	for _, r := range c.requests {
+		if r.phase == phaseQueued {
+			n++
+		}
+	}
+	return n
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -97,6 +97,7 @@
 		Log:       log,
 		Changed:   e.peersChanged,
 	})
+	e.registerGauges()
 	return e, nil
 }
 
--- /dev/null
+++ b/entry/gauges.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// registerGauges adds the gauges that are read from the entry's parts when
+// someone asks for the metrics.
+func (e *Entry) registerGauges() {
+	gauge := func(name string, f func() int64) {
+		metrics.NewRegisteredFunctionalGauge(name, e.metrics.registry, f)
+	}
+	gauge("request.in_flight", func() int64 { n, _ := e.records.inFlight(); return int64(n) })
+	gauge("request.queued", func() int64 { return int64(e.driver.waiting()) })
+	gauge("config.revision", func() int64 { return int64(e.config.Revision()) })
+	gauge("config.objects", func() int64 { return int64(len(e.config.objects())) })
+	gauge("peer.live", func() int64 { return int64(len(e.peers.Live())) })
+	gauge("upstream.known", func() int64 { return int64(len(e.driver.upstreamStatus(time.Now()))) })
+	gauge("upstream.leaving", func() int64 { return e.countUpstreams(func(leaving, _ bool) bool { return leaving }) })
+	gauge("upstream.suspect", func() int64 { return e.countUpstreams(func(_, suspect bool) bool { return suspect }) })
+}
+
+func (e *Entry) countUpstreams(f func(leaving, suspect bool) bool) int64 {
+	var n int64
+	for _, u := range e.driver.upstreamStatus(time.Now()) {
+		if f(u.Leaving, u.Suspect) {
+			n++
+		}
+	}
+	return n
+}
+
+// waiting returns the number of requests that wait for an upstream.
+func (d *driver) waiting() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Waiting()
+}
--- /dev/null
+++ b/entry/metrics_test.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"jaylink/decision/reason"
+)
+
+func registered(c *counters) []string {
+	var names []string
+	c.registry.Each(func(name string, _ any) { names = append(names, name) })
+	slices.Sort(names)
+	return names
+}
+
+// Each refusal and retry reason of the enumeration has a counter and a status,
+// and counting it works.
+func TestEveryReasonHasACounter(t *testing.T) {
+	c := newCounters()
+	for _, why := range reason.Refusals {
+		require.Contains(t, registered(c), "request.refused."+string(why))
+		require.NotZero(t, statusOf[why], "%s has no HTTP status in problem.go", why)
+		c.refusal(why)
+		require.EqualValues(t, 1, c.refused[why].Count())
+	}
+	for _, why := range reason.Retries {
+		require.Contains(t, registered(c), "request.retried."+string(why))
+		c.retry(why)
+		require.EqualValues(t, 1, c.retried[why].Count())
+	}
+}
+
+var metricRowRE = regexp.MustCompile("(?m)^\\| `([a-z0-9_.]+)` \\|")
+
+// docs/METRICS.md has a row for each metric of an entry, and no other.
+func TestMetricsPageIsCurrent(t *testing.T) {
+	f := newFixture(t)
+	page, err := os.ReadFile("../docs/METRICS.md")
+	require.NoError(t, err)
+	var rows []string
+	for _, m := range metricRowRE.FindAllStringSubmatch(string(page), -1) {
+		rows = append(rows, m[1])
+	}
+	slices.Sort(rows)
+	require.Equal(t, registered(f.metrics), rows, "docs/METRICS.md is out of date: add or remove rows")
+}
+
+// textLineRE is the form of a line that scrapers read.
+var textLineRE = regexp.MustCompile(`^(# TYPE jaylink_[a-z_]+ (counter|gauge|summary)|jaylink_[a-z_]+(\{[a-z]+="[a-z0-9_.]+"\})? -?[0-9.e+]+)$`)
+
+func TestMetricsTextForm(t *testing.T) {
+	f := newFixture(t)
+	sendTo(t, "GET", "http://"+f.settings.Listen.Caller+"/orders/1", "", appDesk, accountC)
+	sendTo(t, "GET", "http://"+f.settings.Listen.Caller+"/orders/1", "", appDesk)
+	a := sendTo(t, "GET", "http://"+f.settings.Listen.Operator+"/metrics", "")
+	require.Equal(t, textContentType, a.Header.Get("Content-Type"))
+	for line := range strings.Lines(a.body) {
+		require.Regexp(t, textLineRE, strings.TrimSuffix(line, "\n"))
+	}
+	require.Contains(t, a.body, "# TYPE jaylink_request_refused_total counter\n")
+	require.Contains(t, a.body, "\njaylink_request_refused_total{reason=\"unknown_customer\"} 1\n")
+	require.Contains(t, a.body, "\njaylink_request_answered_total 1\n")
+	require.Contains(t, a.body, "\njaylink_request_in_flight 0\n")
+	require.Equal(t, 1, strings.Count(a.body, "# TYPE jaylink_request_refused_total"))
+}
--- /dev/null
+++ b/entry/metrics_text.go
@@ -0,0 +1,104 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// textContentType is the media type of the text form that scrapers read.
+const textContentType = "text/plain; version=0.0.4; charset=utf-8"
+
+// handleMetricsText serves the metrics in the text form that scrapers read.
+// "request.refused.queue_full" becomes
+// jaylink_request_refused_total{reason="queue_full"}.
+func (e *Entry) handleMetricsText(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", textContentType)
+	// The status line is out; a failed write shows on the scraper's side.
+	_ = writeMetricsText(w, e.metrics.registry)
+}
+
+func writeMetricsText(w io.Writer, registry metrics.Registry) error {
+	all := map[string]any{}
+	registry.Each(func(name string, m any) { all[name] = m })
+	typed := ""
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		family, labels := textName(name)
+		kind, samples := textSamples(all[name])
+		if kind == "counter" {
+			family += "_total"
+		}
+		if family != typed {
+			if _, err := fmt.Fprintf(w, "# TYPE %s %s\n", family, kind); err != nil {
+				return err
+			}
+			typed = family
+		}
+		for _, s := range samples {
+			if _, err := fmt.Fprintf(w, "%s%s%s %v\n", family, s.suffix, braces(labels, s.label), s.value); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// textName splits a metric's name into a family and the reason label.
+func textName(name string) (family, label string) {
+	parts := strings.SplitN(name, ".", 3)
+	if len(parts) == 3 {
+		label = fmt.Sprintf("reason=%q", parts[2])
+		parts = parts[:2]
+	}
+	return "jaylink_" + strings.Join(parts, "_"), label
+}
+
+func braces(labels ...string) string {
+	labels = slices.DeleteFunc(labels, func(l string) bool { return l == "" })
+	if len(labels) == 0 {
+		return ""
+	}
+	return "{" + strings.Join(labels, ",") + "}"
+}
+
+// textSample is one line of a metric.
+type textSample struct {
+	suffix, label string
+	value         any
+}
+
+// textQuantiles are the quantiles that are given of a distribution.
+var textQuantiles = []float64{0.5, 0.95, 0.99}
+
+func textSamples(m any) (kind string, samples []textSample) {
+	switch m := m.(type) {
+	case metrics.Counter:
+		return "counter", []textSample{{value: m.Count()}}
+	case metrics.Gauge:
+		return "gauge", []textSample{{value: m.Value()}}
+	case metrics.GaugeFloat64:
+		return "gauge", []textSample{{value: m.Value()}}
+	case metrics.Meter:
+		return "counter", []textSample{{value: m.Count()}}
+	case metrics.Histogram:
+		s := m.Snapshot()
+		return "summary", summary(s.Percentiles(textQuantiles), s.Sum(), s.Count())
+	case metrics.Timer:
+		s := m.Snapshot()
+		return "summary", summary(s.Percentiles(textQuantiles), s.Sum(), s.Count())
+	}
+	return "untyped", nil
+}
+
+func summary(values []float64, sum, count int64) []textSample {
+	var out []textSample
+	for i, q := range textQuantiles {
+		out = append(out, textSample{label: fmt.Sprintf("quantile=\"%g\"", q), value: values[i]})
+	}
+	return append(out, textSample{suffix: "_sum", value: sum}, textSample{suffix: "_count", value: count})
+}
