docs: pages for callers, operators and developers, checked by tests

Cause: a maker of callers, an operator and a newcomer had the README and the code to go by.

Change: CALLERS.md (its table of reasons is written from the enumeration), OPERATING.md and DESIGN.md as indexes with a note and an operators' page a matter, PEERS.md, METRICS.md, a longer glossary, CONTRIBUTING.md with the size to design for and a plug-in as worked example. Tests in docs/ check that pages name only files, links and tests that exist, that the indexes are complete, that the worked example is the code that is built, and that every plug-in has its page. They found the README naming a page that did not exist.

--- a/cmd/jaylink/explain.go
+++ b/cmd/jaylink/explain.go
@@ -11,6 +11,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"jaylink/decision/route"
 	"jaylink/operator"
 )
 
@@ -77,10 +78,10 @@
 	}
 }
 
-func partsText(parts map[string]float64) string {
+func partsText(parts []route.Part) string {
 	var b strings.Builder
-	for _, name := range slices.Sorted(maps.Keys(parts)) {
-		fmt.Fprintf(&b, " %s=%.3f", name, parts[name])
+	for _, p := range parts {
+		fmt.Fprintf(&b, " %s=%.3f", p.Scorer, p.Score)
 	}
 	return b.String()
 }
--- a/decision/route/explain.go
+++ b/decision/route/explain.go
@@ -1,10 +1,9 @@
 package route
 
 import (
-	"cmp"
-	"fmt"
+	"path"
+	"reflect"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -12,31 +11,51 @@
 type Candidate struct {
 	Upstream string  `json:"upstream"`
 	Score    float64 `json:"score"`
-	// Parts has the score of each scorer by its name.
-	Parts map[string]float64 `json:"parts,omitempty"`
-	Busy  int                `json:"busy"`
-	Slots int                `json:"slots"`
+	// Parts are the scores of the scorers, in their order.
+	Parts []Part `json:"parts,omitempty"`
+	Busy  int    `json:"busy"`
+	Slots int    `json:"slots"`
+}
+
+// Part is the score of one scorer.
+type Part struct {
+	Scorer string  `json:"scorer"`
+	Score  float64 `json:"score"`
 }
 
 // Explain returns the best candidates for a request, at most limit of them,
 // best first, and how many upstreams each filter kept out. It allocates, and
 // is meant for explanations only.
 func (t *Table) Explain(now time.Time, r *Request, limit int) ([]Candidate, map[string]int) {
-	var list []Candidate
+	best := make([]Candidate, 0, limit+1)
 	leftOut := map[string]int{}
 	for _, u := range t.Candidates(r.Upstreams) {
 		if name := t.droppedBy(now, r, u); name != "" {
 			leftOut[name]++
 			continue
 		}
-		list = append(list, Candidate{Upstream: u.Name, Score: t.score(now, r, u), Busy: u.Busy(), Slots: u.Slots()})
+		best = keepBest(best, Candidate{Upstream: u.Name, Score: t.score(now, r, u), Busy: u.Busy(), Slots: u.Slots()}, limit)
 	}
-	slices.SortStableFunc(list, func(a, b Candidate) int { return cmp.Compare(a.Score, b.Score) })
-	list = list[:min(len(list), limit)]
-	for i := range list {
-		list[i].Parts = t.parts(now, r, t.Get(list[i].Upstream))
+	for i := range best {
+		best[i].Parts = t.parts(now, r, t.Get(best[i].Upstream))
 	}
-	return list, leftOut
+	return best, leftOut
+}
+
+// keepBest inserts a candidate into a list in the order of scores and drops
+// the last one over the limit.
+func keepBest(best []Candidate, c Candidate, limit int) []Candidate {
+	if len(best) == limit && c.Score >= best[limit-1].Score {
+		return best
+	}
+	at, _ := slices.BinarySearchFunc(best, c, func(a, b Candidate) int {
+		if a.Score <= b.Score {
+			return -1
+		}
+		return 1
+	})
+	best = slices.Insert(best, at, c)
+	return best[:min(len(best), limit)]
 }
 
 func (t *Table) droppedBy(now time.Time, r *Request, u *Upstream) string {
@@ -48,16 +67,13 @@
 	return ""
 }
 
-func (t *Table) parts(now time.Time, r *Request, u *Upstream) map[string]float64 {
-	out := make(map[string]float64, len(t.scorers))
+func (t *Table) parts(now time.Time, r *Request, u *Upstream) []Part {
+	out := make([]Part, 0, len(t.scorers))
 	for _, s := range t.scorers {
-		out[pluginName(s)] = s.Score(now, r, u)
+		out = append(out, Part{Scorer: pluginName(s), Score: s.Score(now, r, u)})
 	}
 	return out
 }
 
 // pluginName returns the name of a plug-in's package, which is its own name.
-func pluginName(v any) string {
-	name, _, _ := strings.Cut(strings.TrimPrefix(fmt.Sprintf("%T", v), "*"), ".")
-	return name
-}
+func pluginName(v any) string { return path.Base(reflect.TypeOf(v).Elem().PkgPath()) }
--- /dev/null
+++ b/docs/docs_test.go
@@ -0,0 +1,120 @@
+// Package docs has only the checks of the pages.
+package docs
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// pages returns the Markdown pages of the repository by their path from its
+// root.
+func pages(t *testing.T) map[string]string {
+	t.Helper()
+	out := map[string]string{}
+	err := filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || filepath.Ext(path) != ".md" {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		name, _ := filepath.Rel("..", path)
+		out[name] = string(data)
+		return err
+	})
+	require.NoError(t, err)
+	return out
+}
+
+var (
+	linkRE = regexp.MustCompile(`\]\(([^)#:]+)(#[^)]*)?\)`)
+	// fileRE finds files that a page names.
+	fileRE = regexp.MustCompile(`\b((?:docs|entry|plugin|examples|decision|operator|platform|peer|guarantees|internal|cmd|api)/[A-Za-z0-9_./-]+\.(?:md|go|yaml|proto))\b`)
+	testRE = regexp.MustCompile(`\b(Test[A-Z][A-Za-z0-9]+)\b`)
+)
+
+func TestPagesNameOnlyWhatExists(t *testing.T) {
+	tests := testNames(t)
+	for name, text := range pages(t) {
+		for _, m := range linkRE.FindAllStringSubmatch(text, -1) {
+			target := filepath.Join("..", filepath.Dir(name), m[1])
+			_, err := os.Stat(target)
+			require.NoError(t, err, "%s links to %s", name, m[1])
+		}
+		for _, m := range fileRE.FindAllStringSubmatch(text, -1) {
+			_, err := os.Stat(filepath.Join("..", m[1]))
+			require.NoError(t, err, "%s names %s", name, m[1])
+		}
+		for _, m := range testRE.FindAllStringSubmatch(text, -1) {
+			require.True(t, m[1] == "TestNAME" || slices.Contains(tests, m[1]), "%s names %s, which does not exist", name, m[1])
+		}
+	}
+}
+
+var testFuncRE = regexp.MustCompile(`(?m)^func (Test\w+)\(`)
+
+func testNames(t *testing.T) []string {
+	t.Helper()
+	var out []string
+	err := filepath.WalkDir("..", func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		for _, m := range testFuncRE.FindAllStringSubmatch(string(data), -1) {
+			out = append(out, m[1])
+		}
+		return err
+	})
+	require.NoError(t, err)
+	return out
+}
+
+// Every design note and operators' page stands in its index.
+func TestIndexesAreComplete(t *testing.T) {
+	all := pages(t)
+	for name := range all {
+		switch dir := filepath.Dir(name); dir {
+		case "docs/design":
+			require.Contains(t, all["docs/DESIGN.md"], "(design/"+filepath.Base(name)+")", "docs/DESIGN.md lacks %s", name)
+		case "docs/operating":
+			require.Contains(t, all["docs/OPERATING.md"], "(operating/"+filepath.Base(name)+")", "docs/OPERATING.md lacks %s", name)
+		}
+	}
+}
+
+// The words of CONTRIBUTING.md's example are those of the code that is built.
+func TestWorkedExampleIsTheCode(t *testing.T) {
+	text := pages(t)["CONTRIBUTING.md"]
+	var code string
+	for _, file := range []string{"setup.go", "avoidzone.go"} {
+		data, err := os.ReadFile(filepath.Join("..", "examples", "plugin", "avoidzone", file))
+		require.NoError(t, err)
+		code += string(data)
+	}
+	blocks := regexp.MustCompile("(?s)   ```go\n(.*?)   ```").FindAllStringSubmatch(text, -1)
+	require.NotEmpty(t, blocks)
+	for _, b := range blocks {
+		plain := regexp.MustCompile(`(?m)^   `).ReplaceAllString(b[1], "")
+		require.Contains(t, code, plain)
+	}
+}
+
+// Every plug-in that ships has a page with the usual sections.
+func TestEveryPluginHasItsPage(t *testing.T) {
+	setups, err := filepath.Glob("../plugin/*/*/setup.go")
+	require.NoError(t, err)
+	require.NotEmpty(t, setups)
+	for _, setup := range setups {
+		data, err := os.ReadFile(filepath.Join(filepath.Dir(setup), "README.md"))
+		require.NoError(t, err)
+		for _, section := range []string{"## Description", "## Syntax", "## Metrics"} {
+			require.Contains(t, string(data), section, setup)
+		}
+	}
+}
--- a/entry/decisions_test.go
+++ b/entry/decisions_test.go
@@ -48,7 +48,7 @@
 	routed := list.Items[1]
 	require.Equal(t, "desk-1", routed.Upstream)
 	require.Equal(t, "desk-1", routed.Candidates[0].Upstream)
-	require.Contains(t, routed.Candidates[0].Parts, "load")
+	require.Equal(t, "load", routed.Candidates[0].Parts[0].Scorer)
 	list, err = f.client().Decisions(t.Context(), operator.DecisionQuery{Upstream: "desk-1"})
 	require.NoError(t, err)
 	require.NotEmpty(t, list.Items)
