entry: take the objects beside one of an unknown kind

Cause: an object of a kind that this version does not know made Merge drop the whole message of the peer. While a fleet is rolled to a version with a new kind, older entries would have got no configuration from newer ones.

Change: such objects are passed over. One of a known kind that can't be read still stops the message, because passing over it would leave a gap below the revision that the message carries.

TestObjectsBesideAnUnknownKindAreTaken failed before and passes now.

--- a/entry/config.go
+++ b/entry/config.go
@@ -71,7 +71,12 @@
 	delta := config.Delta{Revision: d.GetRevision(), After: d.GetAfter()}
 	for _, data := range d.GetObjects() {
 		o := &api.Object{}
-		if err := json.Unmarshal(data, o); err != nil {
+		err := json.Unmarshal(data, o)
+		var unknown api.UnknownKindError
+		if errors.As(err, &unknown) {
+			continue // of a newer version; this one has no use for it
+		}
+		if err != nil {
 			s.log.Error("object of a peer can't be decoded", "peer", from, "step", "merge", "err", err)
 			return
 		}
--- a/entry/peer_contract_test.go
+++ b/entry/peer_contract_test.go
@@ -89,6 +89,22 @@
 	}
 }
 
+// An object of a kind that only newer versions know does not keep the others
+// of the same message from being taken.
+func TestObjectsBesideAnUnknownKindAreTaken(t *testing.T) {
+	f := newFixture(t)
+	conn, err := grpc.NewClient(f.settings.Listen.Peer, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	require.NoError(t, err)
+	defer conn.Close()
+	req := exchange(
+		`{"kind":"FromTheFuture","name":"x","version":997,"spec":{"a":1}}`,
+		`{"kind":"Customer","name":"beside","version":998,"spec":{"selector":"account=beside"}}`,
+	)()
+	_, err = peerpb.NewPeerClient(conn).Exchange(t.Context(), req)
+	require.NoError(t, err)
+	require.NotNil(t, f.config.get(api.Key{Kind: api.KindCustomer, Name: "beside"}))
+}
+
 // Bytes that are not HTTP/2 disturb no other connection.
 func TestPeerPortTakesBytesThatAreNotHTTP2(t *testing.T) {
 	f := newFixture(t)
