--- a/decision/core.go
+++ b/decision/core.go
@@ -274,6 +274,9 @@
 	if ev.Outcome == OutcomeTooLarge {
 		return c.refuse(now, r, reason.AnswerTooLarge)
 	}
+	if ev.Outcome == OutcomeRejected {
+		return c.refuse(now, r, reason.BadRequest)
+	}
 	if r.timedOut || ev.Outcome == OutcomeCanceled {
 		return c.refuse(now, r, reason.TimedOut)
 	}
--- a/decision/events.go
+++ b/decision/events.go
@@ -73,6 +73,9 @@
 	OutcomeNoAnswer      Outcome = "no_answer"
 	OutcomeCanceled      Outcome = "canceled"
 	OutcomeTooLarge      Outcome = "too_large"
+	// OutcomeRejected means that the upstream found the request itself wrong;
+	// every other upstream would.
+	OutcomeRejected Outcome = "rejected"
 )
 
 // AttemptEvent answers a DispatchAction once the attempt has ended.
--- a/entry/caller_contract_test.go
+++ b/entry/caller_contract_test.go
@@ -6,9 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/http/httputil"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -192,3 +194,28 @@
 	f.leaving.Store(true)
 	check(200, 503, 200)
 }
+
+// A request that an engine finds wrong is refused at once; it neither tries
+// the other upstreams nor makes them suspect.
+func TestRequestThatAnEngineRejectsIsRefusedAtOnce(t *testing.T) {
+	f := newFixture(t)
+	calls := 0
+	strict := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/completions" {
+			calls++
+			w.WriteHeader(http.StatusBadRequest)
+		}
+	}))
+	defer strict.Close()
+	f.apply(t, "kind: Service\nname: strict\nspec: {selector: app=strict, protocol: completions, upstreams: pool=strict}\n---\n"+
+		"kind: Upstream\nname: strict-1\nlabels: {pool: strict}\nspec: {address: \""+strict.Listener.Addr().String()+
+		"\", protocol: completions, availability_zone: a, region: r}\n---\n"+
+		"kind: Policy\nname: strict\nspec: {selector: service=strict, idempotent: true, priority: 2}\n")
+	a := sendTo(t, "POST", "http://"+f.settings.Listen.Caller+"/v1/completions", `{"prompt":"p"}`, "Jaylink-Label-App: strict", accountC)
+	require.Equal(t, 400, a.StatusCode)
+	require.Contains(t, a.body, `"ran":"no"`)
+	require.Equal(t, 1, calls)
+	for _, u := range f.driver.upstreamStatus(time.Now()) {
+		require.False(t, u.Suspect, u.Name)
+	}
+}
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 
 	"github.com/samber/oops"
 	"github.com/tmaxmax/go-sse"
@@ -59,12 +60,20 @@
 	return readStream(ctx, call, resp)
 }
 
+// rejections are the statuses by which an engine says that the request itself
+// is wrong, before it runs any of it.
+var rejections = []int{
+	http.StatusBadRequest, http.StatusNotFound, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity,
+}
+
 // engineStatus maps statuses. An engine that answers 429 or 503 refused the
 // request before running it.
 func engineStatus(peer string, resp *http.Response) (Result, bool) {
 	switch {
 	case resp.StatusCode == http.StatusOK:
 		return Result{}, false
+	case slices.Contains(rejections, resp.StatusCode):
+		return statusFailure(peer, resp.StatusCode, decision.OutcomeRejected, reason.RanNo), true
 	case resp.StatusCode == http.StatusTooManyRequests, resp.StatusCode == http.StatusServiceUnavailable:
 		return statusFailure(peer, resp.StatusCode, decision.OutcomeBusy, reason.RanNo), true
 	}
