--- /dev/null
+++ b/cmd/jaylink/report.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"jaylink/entry"
+	"jaylink/operator"
+)
+
+func addReport(app *kingpin.Application) {
+	cmd := app.Command("report", "Print usage by customer and service, added up over entries. Each entry counts since its start.")
+	entries := cmd.Flag("entry", "Operator ports of the entries to ask, ip:port. May be repeated.").
+		Envar("JAYLINK_ENTRY").Default("127.0.0.1:8081").Strings()
+	output := outputFlag(cmd)
+	cmd.Action(func(*kingpin.ParseContext) error { return runReport(*entries, *output) })
+}
+
+func runReport(entries []string, output string) error {
+	var lists []operator.UsageList
+	for _, address := range entries {
+		list, err := operator.NewClient(address).Usage(context.Background())
+		if err != nil {
+			return statusExit(err)
+		}
+		lists = append(lists, list)
+	}
+	sum := operator.MergeUsage(lists...)
+	if output != "table" {
+		return printAs(output, sum)
+	}
+	for _, list := range lists {
+		fmt.Printf("entry %s counts since %s\n", list.Entry, list.Since.UTC().Format(time.RFC3339))
+	}
+	t := newTable()
+	fmt.Fprintln(t, "CUSTOMER\tSERVICE\tACCEPTED\tANSWERED\tTOKENS\tREFUSED")
+	for _, u := range sum {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%s\n", u.Customer, u.Service, u.Accepted, u.Answered, u.Tokens, refusedText(u))
+	}
+	return t.Flush()
+}
+
+func refusedText(u operator.Usage) string {
+	var parts []string
+	for _, why := range slices.Sorted(maps.Keys(u.Refused)) {
+		parts = append(parts, fmt.Sprintf("%s=%d", why, u.Refused[why]))
+	}
+	if len(parts) == 0 {
+		return "-"
+	}
+	return strings.Join(parts, " ")
+}
+
+func addCredential(app *kingpin.Application) {
+	cmd := app.Command("credential", "Read a bearer token from standard input and print the term of a customer's selector for it.")
+	cmd.Action(func(*kingpin.ParseContext) error { return runCredential(os.Stdin) })
+}
+
+// runCredential never prints the token.
+func runCredential(in io.Reader) error {
+	line, err := bufio.NewReader(in).ReadString('\n')
+	if err != nil && !errors.Is(err, io.EOF) {
+		return err
+	}
+	token := strings.TrimRight(line, "\r\n")
+	if token == "" {
+		return &exitError{exitBadInput, errors.New("standard input has no token")}
+	}
+	fmt.Println("credential=" + entry.Credential(token))
+	return nil
+}
--- a/entry/driver.go
+++ b/entry/driver.go
@@ -24,6 +24,7 @@
 	metrics *counters
 	// decisions keeps what was decided, for explanations.
 	decisions *decisionRecord
+	usage     *usageCounts
 	log       *slog.Logger
 	// dispatch and claim start the work of an action and return at once.
 	dispatch func(rec *Record, a decision.DispatchAction)
@@ -114,6 +115,7 @@
 		rec.customer = a.Resolution.Customer.Name
 	})
 	d.metrics.accepted.Inc(1)
+	d.usage.accepted(rec.customer, rec.service)
 	d.log.Info("request accepted", "request_id", a.ID, "service", rec.service,
 		"customer", rec.customer, "idempotent", a.Resolution.Idempotent, "class", a.Resolution.Class)
 }
@@ -141,6 +143,7 @@
 	rec.finish(now, p)
 	d.records.ended()
 	v, _ := rec.read(0)
+	d.countUsage(v)
 	if p != nil {
 		if p.Ran == reason.RanNo {
 			d.release(rec)
@@ -163,6 +166,17 @@
 		"took", now.Sub(rec.started), "tokens", v.tokens)
 }
 
+// countUsage counts the end of a request that was accepted.
+func (d *driver) countUsage(v view) {
+	switch {
+	case !v.accepted:
+	case v.problem != nil:
+		d.usage.ended(v.customer, v.service, v.tokens, v.problem.Reason)
+	default:
+		d.usage.ended(v.customer, v.service, v.tokens, "")
+	}
+}
+
 // attemptEnded passes the end of an attempt to the core.
 func (d *driver) attemptEnded(rec *Record, a decision.DispatchAction, o decision.Outcome, ran reason.Ran) {
 	v, _ := rec.read(0)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -82,7 +82,7 @@
 	cfg.Observer = &observer{decisions: e.decisions, table: func() *route.Table { return e.driver.core.Table() }}
 	e.background, e.cancel = context.WithCancel(context.Background())
 	e.driver = &driver{
-		core: decision.New(cfg), records: e.records, metrics: e.metrics, log: log, decisions: e.decisions,
+		core: decision.New(cfg), records: e.records, metrics: e.metrics, log: log, decisions: e.decisions, usage: newUsageCounts(),
 		dispatch: e.dispatch, claim: e.startClaim, release: e.releaseClaim,
 	}
 	e.config.changed = func(c *api.Catalog) { e.driver.step(decision.ConfigEvent{Catalog: c}) }
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -28,6 +28,7 @@
 	r.HandleFunc("/v1/objects/{kind}/{name}/labels", e.handleLabel).Methods(http.MethodPost)
 	r.HandleFunc("/v1/status", e.handleStatus).Methods(http.MethodGet)
 	r.HandleFunc("/v1/decisions", e.handleDecisions).Methods(http.MethodGet)
+	r.HandleFunc("/v1/usage", e.handleUsage).Methods(http.MethodGet)
 	r.HandleFunc("/v1/changes", e.handleChanges).Methods(http.MethodGet)
 	r.HandleFunc("/v1/drain", e.handleDrain).Methods(http.MethodPost)
 	r.HandleFunc("/v1/metrics", e.handleMetrics).Methods(http.MethodGet)
--- a/operator/client.go
+++ b/operator/client.go
@@ -110,6 +110,13 @@
 	return c.call(ctx, "drain", http.MethodPost, "/drain", nil, &struct{}{})
 }
 
+// Usage reads what the entry counted by customer and service.
+func (c *Client) Usage(ctx context.Context) (UsageList, error) {
+	var list UsageList
+	err := c.call(ctx, "usage", http.MethodGet, "/usage", nil, &list)
+	return list, err
+}
+
 // Decisions reads the entry's decision record.
 func (c *Client) Decisions(ctx context.Context, q DecisionQuery) (DecisionList, error) {
 	var list DecisionList
