--- a/decision/reason/describe.go
+++ b/decision/reason/describe.go
@@ -38,6 +38,7 @@
 	ClaimUnavailable: {"The idempotency key could not be claimed; nothing ran.", againLater},
 	OutcomeUnknown:   {"The work may have run under this key, but its outcome was lost.", againLookup},
 	Poison:           {"The request has crashed too many upstreams.", againNever},
+	DeadlineUnmet:    {"The request would wait longer than it has time; it was not run.", againLater},
 	AnswerTooLarge:   {"The upstream's answer is over the setting limits.answer.", againLookup},
 
 	ConnectFailed:   {Meaning: "No connection to the upstream; nothing was sent."},
--- a/decision/route/explain.go
+++ b/decision/route/explain.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"path"
 	"reflect"
 	"slices"
@@ -23,13 +24,13 @@
 	Score  float64 `json:"score"`
 }
 
-// Explain returns the best candidates for a request, at most limit of them,
-// best first, and how many upstreams each filter kept out. It allocates, and
-// is meant for explanations only.
+// Explain returns the best candidates for the request that was picked for last,
+// at most limit of them, best first, and how many of those that the decision
+// looked at each filter kept out. It must follow the Pick of the same request.
 func (t *Table) Explain(now time.Time, r *Request, limit int) ([]Candidate, map[string]int) {
 	best := make([]Candidate, 0, limit+1)
 	leftOut := map[string]int{}
-	for _, u := range t.Candidates(r.Upstreams) {
+	for _, u := range t.looked {
 		if name := t.droppedBy(now, r, u); name != "" {
 			leftOut[name]++
 			continue
@@ -42,18 +43,15 @@
 	return best, leftOut
 }
 
-// keepBest inserts a candidate into a list in the order of scores and drops
+// keepBest inserts a candidate into a list in the order of scores and names and drops
 // the last one over the limit.
 func keepBest(best []Candidate, c Candidate, limit int) []Candidate {
-	if len(best) == limit && c.Score >= best[limit-1].Score {
-		return best
-	}
 	at, _ := slices.BinarySearchFunc(best, c, func(a, b Candidate) int {
-		if a.Score <= b.Score {
-			return -1
-		}
-		return 1
+		return cmp.Or(cmp.Compare(a.Score, b.Score), cmp.Compare(a.Upstream, b.Upstream))
 	})
+	if at == limit {
+		return best
+	}
 	best = slices.Insert(best, at, c)
 	return best[:min(len(best), limit)]
 }
@@ -64,6 +62,11 @@
 			return pluginName(f)
 		}
 	}
+	for _, f := range t.choosy {
+		if !f.Keep(now, r, u) {
+			return pluginName(f)
+		}
+	}
 	return ""
 }
 
--- a/decision/route/explain_test.go
+++ b/decision/route/explain_test.go
@@ -31,7 +31,10 @@
 	}
 	objects = append(objects, &api.Object{Name: "x", Spec: &api.UpstreamSpec{AvailabilityZone: "out"}})
 	table.SetObjects(objects)
-	best, leftOut := table.Explain(time.Time{}, &Request{Upstreams: sel}, 3)
+	table.exhaustive = true
+	r := &Request{Upstreams: sel}
+	require.Equal(t, "d", table.Pick(time.Time{}, r).Name)
+	best, leftOut := table.Explain(time.Time{}, r, 3)
 	var names []string
 	for _, c := range best {
 		names = append(names, c.Upstream)
--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -75,17 +75,41 @@
 	return out
 }
 
-// Every design note and operators' page stands in its index.
+// updateEnv makes the test of the indexes write them in place of comparing.
+const updateEnv = "UPDATE_DOCS"
+
+// Every design note and operators' page stands in its index, by its title.
 func TestIndexesAreComplete(t *testing.T) {
-	all := pages(t)
-	for name := range all {
-		switch dir := filepath.Dir(name); dir {
-		case "docs/design":
-			require.Contains(t, all["docs/DESIGN.md"], "(design/"+filepath.Base(name)+")", "docs/DESIGN.md lacks %s", name)
-		case "docs/operating":
-			require.Contains(t, all["docs/OPERATING.md"], "(operating/"+filepath.Base(name)+")", "docs/OPERATING.md lacks %s", name)
+	for index, dir := range map[string]string{"DESIGN.md": "design", "OPERATING.md": "operating"} {
+		data, err := os.ReadFile(index)
+		require.NoError(t, err)
+		begin, end := "<!-- pages: written by make docs -->\n", "<!-- end of pages -->"
+		before, rest, ok := strings.Cut(string(data), begin)
+		require.True(t, ok)
+		_, after, ok := strings.Cut(rest, end)
+		require.True(t, ok)
+		want := before + begin + indexOf(t, dir) + end + after
+		if os.Getenv(updateEnv) != "" {
+			require.NoError(t, os.WriteFile(index, []byte(want), 0o644))
+			continue
 		}
+		require.True(t, want == string(data), "docs/%s is out of date; run make docs", index)
+	}
+}
+
+// indexOf returns a line for each page of a folder, in the order of names.
+func indexOf(t *testing.T, dir string) string {
+	t.Helper()
+	files, err := filepath.Glob(dir + "/*.md")
+	require.NoError(t, err)
+	var b strings.Builder
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		require.NoError(t, err)
+		title, _, _ := strings.Cut(string(data), "\n")
+		b.WriteString("- [" + strings.TrimPrefix(title, "# ") + "](" + filepath.ToSlash(file) + ")\n")
 	}
+	return b.String()
 }
 
 // The words of CONTRIBUTING.md's example are those of the code that is built.
--- a/entry/decisions_bench_test.go
+++ b/entry/decisions_bench_test.go
@@ -13,8 +13,8 @@
 	"jaylink/operator"
 )
 
-// BenchmarkRecordRouting measures what recording one routing among 710
-// upstreams costs, and the memory that a full record takes.
+// BenchmarkRecordRouting measures what picking among 710 upstreams and recording
+// that cost, and the memory that a full record takes.
 func BenchmarkRecordRouting(b *testing.B) {
 	const upstreams, size = 710, 4096
 	cfg, err := chain(DefaultSettings())
@@ -35,6 +35,7 @@
 	before := heap()
 	for b.Loop() {
 		r.ID = newRequestID("one")
+		table.Pick(time.Now(), r)
 		o.Routed(time.Now(), r, 1, "caption-lm-1")
 	}
 	b.ReportMetric(float64(heap()-before)/float64(len(o.decisions.list(operator.DecisionQuery{}).Items)), "heap_B/decision")
--- a/entry/metrics_test.go
+++ b/entry/metrics_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"os"
 	"regexp"
 	"slices"
@@ -38,6 +39,25 @@
 
 var metricRowRE = regexp.MustCompile("(?m)^\\| `([a-z0-9_.]+)` \\|")
 
+// The rows of reasons are written from the enumeration.
+func TestMetricsPageHasEveryReason(t *testing.T) {
+	page, err := os.ReadFile("../docs/METRICS.md")
+	require.NoError(t, err)
+	text := replaceSection(t, string(page), "refusals", reasonRows("request.refused.", reason.Refusals))
+	text = replaceSection(t, text, "retries", reasonRows("request.retried.", reason.Retries))
+	requireGenerated(t, "../docs/METRICS.md", text)
+}
+
+func reasonRows(prefix string, reasons []reason.Reason) string {
+	var b strings.Builder
+	b.WriteString("| Name | Kind | Meaning |\n|---|---|---|\n")
+	for _, r := range reasons {
+		d, _ := reason.Describe(r)
+		fmt.Fprintf(&b, "| `%s%s` | counter | %s |\n", prefix, r, d.Meaning)
+	}
+	return b.String()
+}
+
 // docs/METRICS.md has a row for each metric of an entry, and no other.
 func TestMetricsPageIsCurrent(t *testing.T) {
 	f := newFixture(t)
--- a/plugin/standard/standard.go
+++ b/plugin/standard/standard.go
@@ -8,14 +8,19 @@
 	// The blank imports register the modules.
 	_ "jaylink/plugin/filter/capacity"
 	_ "jaylink/plugin/filter/leaving"
+	_ "jaylink/plugin/filter/patience"
 	_ "jaylink/plugin/filter/suspect"
 	_ "jaylink/plugin/limit/customer"
+	_ "jaylink/plugin/limit/deadline"
 	_ "jaylink/plugin/limit/queue"
 	_ "jaylink/plugin/retry/budget"
 	_ "jaylink/plugin/retry/repeatable"
+	_ "jaylink/plugin/scorer/leastloaded"
 	_ "jaylink/plugin/scorer/load"
 	_ "jaylink/plugin/scorer/locality"
+	_ "jaylink/plugin/scorer/prefix"
 	_ "jaylink/plugin/scorer/price"
+	_ "jaylink/plugin/scorer/roundrobin"
 )
 
 // Order is the default chain; settings may replace it. Within a namespace the
@@ -23,10 +28,13 @@
 var Order = []kernel.ModuleID{
 	"limit.customer",
 	"limit.queue",
+	"limit.deadline",
 	"filter.leaving",
 	"filter.suspect",
 	"filter.capacity",
+	"filter.patience",
 	"scorer.load",
+	"scorer.prefix",
 	"scorer.price",
 	"scorer.locality",
 	"retry.repeatable",
