--- /dev/null
+++ b/entry/fuzz_test.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Whatever stands in a settings file is settings or mistakes with a place.
+func FuzzParseSettings(f *testing.F) {
+	f.Add(goodSettings)
+	f.Add(goodSettings + "plugins:\n  - id: filter.capacity\n    options: {reserved: 0.5}\n")
+	f.Add("listen: [1]\nplugins: {}\nlimits: x\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		_, err := ParseSettings("entry.yaml", []byte(text), Override{Field: "log.level", Value: "warn", Source: "flag --set"})
+		if err != nil {
+			require.True(t, strings.Contains(err.Error(), "entry.yaml") || strings.Contains(err.Error(), "flag --set"), err.Error())
+		}
+	})
+}
+
+// An offset is a number of 0 or more, or an error.
+func FuzzLastEventOffset(f *testing.F) {
+	for _, text := range []string{"", "0", "412", "-1", "+1", "1e3", "99999999999999999999", "०"} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		r := &http.Request{Header: http.Header{}}
+		r.Header.Set(headerLastEventID, text)
+		offset, err := lastEventOffset(r)
+		if err == nil && text != "" {
+			want, convErr := strconv.Atoi(text)
+			require.NoError(t, convErr)
+			require.Equal(t, want, offset)
+			require.GreaterOrEqual(t, offset, 0)
+		}
+	})
+}
+
+// Only an ID of the form that newRequestID gives names an entry.
+func FuzzAcceptingEntry(f *testing.F) {
+	f.Add(newRequestID("one"))
+	f.Add("..")
+	f.Add(strings.Repeat("0", 32) + ".")
+	f.Fuzz(func(t *testing.T, id string) {
+		name, ok := acceptingEntry(id)
+		if ok {
+			require.NotEmpty(t, name)
+			require.Equal(t, 2*requestIDBytes+1+len(name), len(id))
+		}
+	})
+}
+
+// Labels from headers never stand for what comes from the request itself.
+func FuzzRequestLabels(f *testing.F) {
+	f.Add("App", "captions")
+	f.Add("Method", "POST")
+	f.Add("Credential", "00")
+	f.Add("Service.x", "y")
+	f.Fuzz(func(t *testing.T, name, value string) {
+		r, err := http.NewRequest(http.MethodGet, "http://x/a/b", nil)
+		require.NoError(t, err)
+		r.Header = http.Header{headerLabelPrefix + name: {value}}
+		l, err := requestLabels(r)
+		if err != nil {
+			return
+		}
+		require.Equal(t, "GET", l["method"])
+		require.Equal(t, "/a/b", l["path"])
+		for _, key := range []string{"credential", "service", "customer"} {
+			require.NotContains(t, l, key)
+		}
+	})
+}
