--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -81,20 +81,43 @@
 // Every design note and operators' page stands in its index, by its title.
 func TestIndexesAreComplete(t *testing.T) {
 	for index, dir := range map[string]string{"DESIGN.md": "design", "OPERATING.md": "operating"} {
-		data, err := os.ReadFile(index)
-		require.NoError(t, err)
-		begin, end := "<!-- pages: written by make docs -->\n", "<!-- end of pages -->"
-		before, rest, ok := strings.Cut(string(data), begin)
-		require.True(t, ok)
-		_, after, ok := strings.Cut(rest, end)
-		require.True(t, ok)
-		want := before + begin + indexOf(t, dir) + end + after
-		if os.Getenv(updateEnv) != "" {
-			require.NoError(t, os.WriteFile(index, []byte(want), 0o644))
-			continue
-		}
-		require.True(t, want == string(data), "docs/%s is out of date; run make docs", index)
+		requireSection(t, index, "pages", indexOf(t, dir))
+	}
+}
+
+var rpcRE = regexp.MustCompile(`((?:  // .*\n)+)  rpc (\w+)\((\w+)\) returns \((\w+)\);`)
+
+// docs/PEERS.md has a row for each call of the peer protocol, with the comment
+// that it has there.
+func TestPeersPageHasEveryCall(t *testing.T) {
+	proto, err := os.ReadFile("../peer/peerpb/peer.proto")
+	require.NoError(t, err)
+	rows := "| Call | Message | Answer | Meaning |\n|---|---|---|---|\n"
+	calls := rpcRE.FindAllStringSubmatch(string(proto), -1)
+	require.Len(t, calls, strings.Count(string(proto), "  rpc "), "a call has no comment")
+	for _, m := range calls {
+		meaning := strings.Join(strings.Fields(strings.ReplaceAll(m[1], "//", "")), " ")
+		rows += "| `" + m[2] + "` | `" + m[3] + "` | `" + m[4] + "` | " + meaning + " |\n"
+	}
+	requireSection(t, "PEERS.md", "calls", rows)
+}
+
+// requireSection compares the text between the marks of a section, or writes it.
+func requireSection(t *testing.T, file, name, text string) {
+	t.Helper()
+	data, err := os.ReadFile(file)
+	require.NoError(t, err)
+	begin, end := "<!-- "+name+": written by make docs -->\n", "<!-- end of "+name+" -->"
+	before, rest, ok := strings.Cut(string(data), begin)
+	require.True(t, ok, "%s has no section %s", file, name)
+	_, after, ok := strings.Cut(rest, end)
+	require.True(t, ok, "%s: section %s has no end", file, name)
+	want := before + begin + text + end + after
+	if os.Getenv(updateEnv) != "" {
+		require.NoError(t, os.WriteFile(file, []byte(want), 0o644))
+		return
 	}
+	require.True(t, want == string(data), "docs/%s is out of date; run make docs", file)
 }
 
 // indexOf returns a line for each page of a folder, in the order of names.
