claim: keep claims on pages that are only ever replaced

Cause: a claim was an object of its own, created once. A create whose answer was lost could take effect after a read-back that found nothing, and then held its key for ever; a claim whose entry had died was said to be in progress for ever; the outcome's write delayed the caller's answer for up to 30 s of outage.

Ruled out: deleting the object again (a delayed create then takes effect after the deletion); taking a claim over from a silent holder (it may be frozen between its check and its dispatch, and both would run); a mark at dispatch (a third write a claim, for the milliseconds between claim and dispatch).

Change: decision/claim is the pure life of a page of claims. Pages are replaced under a condition on their version and never deleted, so one later write fences every delayed one. What was won and certainly not run is released. The answer no longer waits for the outcome's write; a planned stop does. The incarnation of the holder says at once that an outcome is unknown. The transport counts the bytes that were given away, so a connection that broke before the first one proves that nothing ran; a success status that was cut in its body proves that it ran. key_in_progress says ran: unknown, because the key's work may run.

--- /dev/null
+++ b/decision/claim/schedule_test.go
@@ -0,0 +1,286 @@
+package claim
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// modelStore is one page of the platform's store.
+type modelStore struct {
+	version uint64
+	page    Page
+}
+
+// call is a store call under way. A write takes effect at any time, also after
+// its answer was lost or its entry died.
+type call struct {
+	entry    *modelEntry // nil once answered or dead
+	write    *WriteAction
+	executed bool
+	answer   Answer
+}
+
+type modelEntry struct {
+	name   string
+	writer *Writer
+	// won are requests that hold their key here and were not dispatched;
+	// ran were dispatched and have no recorded outcome.
+	won, ran map[string]Claim
+}
+
+// schedule drives several entries against one store with random faults and
+// checks that each key's work runs at most once.
+type schedule struct {
+	t       *rapid.T
+	now     time.Time
+	store   modelStore
+	entries []*modelEntry
+	calls   []*call
+	next    int
+	runs    map[string]string // key to the request that ran
+	failed  map[string]bool   // requests whose callers were told that they did not run
+	killed  map[string]bool   // requests whose entry died before their release
+}
+
+func newSchedule(t *rapid.T) *schedule {
+	s := &schedule{t: t, now: start, runs: map[string]string{}, failed: map[string]bool{}, killed: map[string]bool{}}
+	for i := range 3 {
+		s.entries = append(s.entries, newModelEntry(i))
+	}
+	return s
+}
+
+func newModelEntry(i int) *modelEntry {
+	return &modelEntry{name: fmt.Sprintf("e%d", i), writer: NewWriter(), won: map[string]Claim{}, ran: map[string]Claim{}}
+}
+
+func (s *schedule) entry() *modelEntry { return rapid.SampledFrom(s.entries).Draw(s.t, "entry") }
+
+func (s *schedule) step(e *modelEntry, ev Event) {
+	for _, a := range e.writer.Step(s.now, ev) {
+		switch a := a.(type) {
+		case ReadAction:
+			s.calls = append(s.calls, &call{entry: e})
+		case WriteAction:
+			s.calls = append(s.calls, &call{entry: e, write: &a})
+		case SettleAction:
+			s.settled(e, a)
+		}
+	}
+}
+
+func (s *schedule) settled(e *modelEntry, a SettleAction) {
+	c, ok := e.won[a.ID]
+	if !ok {
+		return // the end of a record or release
+	}
+	if a.Result != Won {
+		delete(e.won, a.ID)
+	}
+	switch a.Result {
+	case Won:
+		c.Outcome = &Outcome{} // marks the claim as won, see dispatch
+		e.won[a.ID] = c
+		if ran := s.runs[c.Key]; ran != "" {
+			s.t.Fatalf("%s won key %s, which ran as %s", a.ID, c.Key, ran)
+		}
+	case Failed:
+		s.failed[a.ID] = true
+	case Done:
+		if a.Claim.RequestID != s.runs[c.Key] {
+			s.t.Fatalf("%s got the outcome of %s; the work ran as %s", a.ID, a.Claim.RequestID, s.runs[c.Key])
+		}
+	}
+}
+
+func (s *schedule) submitClaim(*rapid.T) {
+	e := s.entry()
+	s.next++
+	id := fmt.Sprintf("r%d", s.next)
+	c := Claim{
+		Key: rapid.SampledFrom([]string{"k1", "k2"}).Draw(s.t, "key"), RequestID: id, Fingerprint: 1,
+		Holder: e.name, Deadline: s.now.Add(time.Minute), Expires: s.now.Add(time.Hour),
+	}
+	e.won[id] = c
+	s.step(e, Submit{ID: id, Op: Op{Kind: OpClaim, Claim: c}})
+}
+
+// pick draws one of the requests that are in a state; "" if there is none.
+func (s *schedule) pick(requests map[string]Claim, won bool) string {
+	var ids []string
+	for i := range s.next {
+		id := fmt.Sprintf("r%d", i+1)
+		if c, ok := requests[id]; ok && (c.Outcome != nil) == won {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 {
+		return ""
+	}
+	return rapid.SampledFrom(ids).Draw(s.t, "request")
+}
+
+func (s *schedule) dispatch(*rapid.T) {
+	e := s.entry()
+	id := s.pick(e.won, true)
+	if id == "" {
+		return
+	}
+	c := e.won[id]
+	if ran := s.runs[c.Key]; ran != "" {
+		s.t.Fatalf("key %s ran as %s and as %s", c.Key, ran, id)
+	}
+	s.runs[c.Key] = id
+	delete(e.won, id)
+	e.ran[id] = c
+}
+
+func (s *schedule) record(*rapid.T) {
+	e := s.entry()
+	id := s.pick(e.ran, true)
+	if id == "" {
+		return
+	}
+	c := e.ran[id]
+	delete(e.ran, id)
+	s.step(e, Submit{ID: id + "/end", Op: Op{Kind: OpRecord, Claim: c}})
+}
+
+func (s *schedule) release(*rapid.T) {
+	e := s.entry()
+	id := s.pick(e.won, true)
+	if id == "" {
+		return
+	}
+	c := e.won[id]
+	delete(e.won, id)
+	s.step(e, Submit{ID: id + "/end", Op: Op{Kind: OpRelease, Claim: c}})
+}
+
+func (s *schedule) kill(*rapid.T) {
+	i := rapid.IntRange(0, len(s.entries)-1).Draw(s.t, "killed")
+	// A death before the release of a failed claim leaves the key taken.
+	for _, p := range s.entries[i].writer.ops {
+		s.killed[p.id] = true
+	}
+	for _, c := range s.calls {
+		if c.entry == s.entries[i] {
+			c.entry = nil
+		}
+	}
+	s.entries[i] = newModelEntry(i)
+}
+
+func (s *schedule) pickCall(want func(*call) bool) *call {
+	var list []*call
+	for _, c := range s.calls {
+		if want(c) {
+			list = append(list, c)
+		}
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	return list[rapid.IntRange(0, len(list)-1).Draw(s.t, "call")]
+}
+
+// execute lets a call reach the store.
+func (s *schedule) execute(c *call) {
+	c.executed = true
+	switch {
+	case c.write == nil:
+		c.answer = Answer{Kind: Found, Version: s.store.version, Page: s.store.page.clone()}
+	case c.write.Base == s.store.version:
+		s.store = modelStore{version: s.store.version + 1, page: c.write.Page.clone()}
+		c.answer = Answer{Kind: Written, Version: s.store.version}
+	default:
+		c.answer = Answer{Kind: Conflict, Version: s.store.version, Page: s.store.page.clone()}
+	}
+}
+
+func (s *schedule) executeAny(*rapid.T) {
+	if c := s.pickCall(func(c *call) bool { return !c.executed }); c != nil {
+		s.execute(c)
+	}
+}
+
+func (s *schedule) answerAny(*rapid.T) {
+	if c := s.pickCall(func(c *call) bool { return c.executed && c.entry != nil }); c != nil {
+		e := c.entry
+		c.entry = nil
+		s.step(e, c.answer)
+	}
+}
+
+func (s *schedule) loseAny(*rapid.T) {
+	if c := s.pickCall(func(c *call) bool { return c.entry != nil }); c != nil {
+		e := c.entry
+		c.entry = nil
+		s.step(e, Answer{Kind: Lost})
+	}
+}
+
+func (s *schedule) pass(*rapid.T) {
+	s.now = s.now.Add(time.Second)
+	for _, e := range s.entries {
+		s.step(e, Tick{})
+	}
+}
+
+// heal ends all faults: calls reach the store and are answered in turn.
+func (s *schedule) heal() {
+	for range 1000 {
+		for _, c := range s.calls {
+			if !c.executed {
+				s.execute(c)
+			}
+			if e := c.entry; e != nil {
+				c.entry = nil
+				s.step(e, c.answer)
+			}
+		}
+		s.pass(s.t)
+		idle := true
+		for _, e := range s.entries {
+			idle = idle && e.writer.Pending() == 0 && !e.writer.busy
+		}
+		if idle {
+			return
+		}
+	}
+	s.t.Fatal("operations are not settled although every call is answered")
+}
+
+// check states what must hold once everything is settled.
+func (s *schedule) check() {
+	for _, c := range s.store.page.Claims {
+		if s.failed[c.RequestID] && !s.killed[c.RequestID] {
+			s.t.Fatalf("the key of %s, which failed, is still taken", c.RequestID)
+		}
+	}
+	for key, id := range s.runs {
+		found := false
+		for _, c := range s.store.page.Claims {
+			found = found || c.Key == key && c.RequestID == id
+		}
+		if !found {
+			s.t.Fatalf("the claim of %s, which ran, is gone", id)
+		}
+	}
+}
+
+func TestSchedulesRunEachKeyAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSchedule(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"claim": s.submitClaim, "dispatch": s.dispatch, "record": s.record, "release": s.release,
+			"execute": s.executeAny, "execute2": s.executeAny, "answer": s.answerAny, "answer2": s.answerAny,
+			"lose": s.loseAny, "pass": s.pass, "kill": s.kill,
+		})
+		s.heal()
+		s.check()
+	})
+}
--- a/decision/core.go
+++ b/decision/core.go
@@ -203,7 +203,7 @@
 	switch ev.Result {
 	case ClaimWon:
 		r.claimed = true
-		if r.timedOut {
+		if r.timedOut || !now.Before(r.deadline) {
 			return c.refuse(now, r, reason.TimedOut)
 		}
 		c.queue.push(r)
@@ -212,12 +212,17 @@
 		c.remove(r)
 		return []Action{ReplayAction{ID: r.id}}
 	case ClaimHeld:
+		// This request did not run, but the key's work may have.
+		r.ran = reason.RanUnknown
 		return c.refuse(now, r, reason.KeyInProgress)
 	case ClaimMismatch:
 		return c.refuse(now, r, reason.KeyReused)
 	case ClaimLost:
 		r.ran = reason.RanUnknown
 		return c.refuse(now, r, reason.OutcomeUnknown)
+	case ClaimUnkept:
+		r.ran = reason.RanYes
+		return c.refuse(now, r, reason.OutcomeNotKept)
 	default:
 		return c.refuse(now, r, reason.ClaimUnavailable)
 	}
@@ -227,6 +232,9 @@
 func (c *Core) dispatch(now time.Time) []Action {
 	var out []Action
 	c.queue.each(func(r *request) bool {
+		if !now.Before(r.deadline) {
+			return false // the tick that refuses it is due
+		}
 		u := c.table.Pick(now, &r.route)
 		if u == nil {
 			return false
--- a/decision/events.go
+++ b/decision/events.go
@@ -45,6 +45,9 @@
 	// ClaimLost means that a request took the key and will never record an
 	// outcome.
 	ClaimLost ClaimResult = "lost"
+	// ClaimUnkept means that the key's work ran and its answer was too large
+	// to keep.
+	ClaimUnkept ClaimResult = "unkept"
 	// ClaimMismatch means that the key was used with a different body.
 	ClaimMismatch ClaimResult = "mismatch"
 	// ClaimFailed means that the platform could not be asked, and it is
@@ -52,6 +55,11 @@
 	ClaimFailed ClaimResult = "failed"
 )
 
+// ClaimResults lists every result.
+var ClaimResults = []ClaimResult{
+	ClaimWon, ClaimDone, ClaimHeld, ClaimLost, ClaimUnkept, ClaimMismatch, ClaimFailed,
+}
+
 // ClaimEvent answers a ClaimAction.
 type ClaimEvent struct {
 	ID     string
--- a/decision/outcome.go
+++ b/decision/outcome.go
@@ -47,7 +47,7 @@
 // It is zero where sending the same request again can't help.
 func admissionDelay(why reason.Reason, r *admission.Request) time.Duration {
 	switch why {
-	case reason.KeyReused, reason.OutcomeUnknown, reason.Poison, reason.AnswerTooLarge:
+	case reason.KeyReused, reason.OutcomeUnknown, reason.OutcomeNotKept, reason.Poison, reason.AnswerTooLarge:
 		return 0
 	case reason.ClaimUnavailable:
 		return unavailableRetryAfter
--- a/decision/reason/reason.go
+++ b/decision/reason/reason.go
@@ -26,6 +26,7 @@
 	KeyInProgress    Reason = "key_in_progress"
 	ClaimUnavailable Reason = "claim_unavailable"
 	OutcomeUnknown   Reason = "outcome_unknown"
+	OutcomeNotKept   Reason = "outcome_not_kept"
 	Poison           Reason = "poison"
 	AnswerTooLarge   Reason = "answer_too_large"
 )
@@ -35,7 +36,7 @@
 	BadRequest, BodyTooLarge, UnknownService, UnknownCustomer, UnknownRequest,
 	WrongCustomer, Draining, CustomerLimit, QueueFull, NoUpstream, TimedOut,
 	AttemptsUsedUp, NotRepeatable, RetryBudget, KeyReused, KeyInProgress,
-	ClaimUnavailable, OutcomeUnknown, Poison, AnswerTooLarge,
+	ClaimUnavailable, OutcomeUnknown, OutcomeNotKept, Poison, AnswerTooLarge,
 }
 
 // Reasons for repeating an attempt.
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -1,163 +1,147 @@
 package entry
 
 import (
-	"context"
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
-	"errors"
-	"net/http"
 	"time"
 
 	"jaylink/decision"
+	"jaylink/decision/claim"
 	"jaylink/decision/reason"
-	"jaylink/platform"
 	"jaylink/upstream"
 )
 
-// kindClaim is the kind of the objects that hold claims.
-const kindClaim = "Claim"
-
 const (
-	claimTimeout = 5 * time.Second
-	// outcomeTimeout bounds the attempts at writing an outcome.
-	outcomeTimeout = 30 * time.Second
-	outcomePause   = 200 * time.Millisecond
+	// minClaimLife is how long a claim outlives its request at least.
+	minClaimLife = time.Hour
+	// holderSettle is how long an entry has to run before the silence of a
+	// holder means that it is gone.
+	holderSettle = 10 * time.Second
 )
 
-// claimValue is the stored form of a claim on an idempotency key.
-type claimValue struct {
-	// Token is drawn by the claimant; it settles whether a write whose
-	// answer was lost took effect.
-	Token       string        `json:"token"`
-	Fingerprint uint64        `json:"fingerprint"`
-	RequestID   string        `json:"request_id"`
-	Outcome     *claimOutcome `json:"outcome,omitempty"`
-}
-
-// claimOutcome is the recorded answer. Unknown says that the work may have run
-// but its answer was lost.
-type claimOutcome struct {
-	Unknown bool        `json:"unknown,omitempty"`
-	Status  int         `json:"status,omitempty"`
-	Header  http.Header `json:"header,omitempty"`
-	Body    []byte      `json:"body,omitempty"`
-}
-
-// claim is what a record holds of its claim.
-type claim struct {
-	name    string
-	version uint64
-	value   claimValue
-}
-
-// claimName returns the object's name for a customer's key.
-func claimName(customer, service, key string) string {
-	sum := sha256.Sum256([]byte(customer + "\x00" + service + "\x00" + key))
-	return hex.EncodeToString(sum[:])
-}
-
-// startClaim claims the record's key in the background.
+// startClaim claims the record's key. The result comes as a ClaimEvent.
 func (e *Entry) startClaim(rec *Record) {
-	e.work.Go(func() {
-		ctx, cancel := context.WithTimeout(e.background, claimTimeout)
-		defer cancel()
-		result := e.claim(ctx, rec)
+	c := e.newClaim(rec, time.Now())
+	e.claims.submit(rec.ID, claim.Op{Kind: claim.OpClaim, Claim: c}, func(s claim.SettleAction) {
+		result := e.claimResult(rec, s, time.Now())
+		if result == decision.ClaimFailed {
+			e.log.Warn("claim failed", "request_id", rec.ID, "step", "claim")
+		}
+		e.metrics.claim(result)
 		e.driver.step(decision.ClaimEvent{ID: rec.ID, Result: result})
 	})
 }
 
-func (e *Entry) claim(ctx context.Context, rec *Record) decision.ClaimResult {
-	v, _ := rec.read(0)
-	name := claimName(v.customer, v.service, rec.Call.Key)
-	value := claimValue{Token: newRequestID(e.settings.Name), Fingerprint: rec.Fingerprint, RequestID: rec.ID}
-	stored, err := e.platform.Create(ctx, kindClaim, name, value)
-	var conflict *platform.ConflictError
-	switch {
-	case err == nil:
-	case errors.As(err, &conflict):
-		stored = conflict.Current
-	case errors.Is(err, platform.ErrUnavailable):
-		stored, err = e.platform.Get(ctx, kindClaim, name)
-		if err != nil {
-			e.log.Warn("claim failed", "request_id", rec.ID, "step", "claim", "err", err)
-			return decision.ClaimFailed
-		}
-	default:
-		return decision.ClaimFailed
+// newClaim returns the claim of a record's key.
+func (e *Entry) newClaim(rec *Record, now time.Time) claim.Claim {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	expires := now.Add(e.settings.Claims.Retention.Std())
+	if least := rec.deadline.Add(minClaimLife); expires.Before(least) {
+		expires = least
+	}
+	return claim.Claim{
+		Key:         claim.Key(rec.customer, rec.service, rec.Call.Key),
+		RequestID:   rec.ID,
+		Fingerprint: rec.Fingerprint,
+		Holder:      e.settings.Name,
+		Incarnation: e.incarnation,
+		Deadline:    rec.deadline.Round(0),
+		Expires:     expires.Round(0),
 	}
-	return e.judgeClaim(rec, name, stored, value)
 }
 
-// judgeClaim compares what is stored under the key with our own claim.
-func (e *Entry) judgeClaim(rec *Record, name string, stored platform.Record, own claimValue) decision.ClaimResult {
-	held := own
-	if len(stored.Value) > 0 {
-		if err := json.Unmarshal(stored.Value, &held); err != nil {
-			return decision.ClaimFailed
+// claimResult turns what became of a claim into the core's event.
+func (e *Entry) claimResult(rec *Record, s claim.SettleAction, now time.Time) decision.ClaimResult {
+	switch s.Result {
+	case claim.Won:
+		rec.update(func() { rec.claimed = true })
+		return decision.ClaimWon
+	case claim.Mismatch:
+		return decision.ClaimMismatch
+	case claim.Done:
+		return replay(rec, s.Claim.Outcome)
+	case claim.Held:
+		if claim.InProgress(s.Claim, now, e.holderState(s.Claim, now)) {
+			return decision.ClaimHeld
 		}
+		return decision.ClaimLost
 	}
+	return decision.ClaimFailed
+}
+
+// replay gives the record the recorded outcome of its key.
+func replay(rec *Record, o *claim.Outcome) decision.ClaimResult {
 	switch {
-	case held.Fingerprint != own.Fingerprint:
-		return decision.ClaimMismatch
-	case held.Token == own.Token:
-		rec.update(func() { rec.claim = &claim{name: name, version: stored.Version, value: own} })
-		return decision.ClaimWon
-	case held.Outcome == nil:
-		return decision.ClaimHeld
-	case held.Outcome.Unknown:
+	case o.Unknown:
 		return decision.ClaimLost
+	case o.Unkept:
+		return decision.ClaimUnkept
 	}
-	o := held.Outcome
-	rec.update(func() { rec.answer = &upstream.Answer{Status: o.Status, Header: o.Header, Body: o.Body} })
+	rec.update(func() {
+		rec.text, rec.tokens = []byte(o.Text), o.Tokens
+		if rec.Call.Completion == nil {
+			rec.answer = &upstream.Answer{Status: o.Status, Header: o.Header, Body: o.Body}
+		}
+	})
 	return decision.ClaimDone
 }
 
-// settleClaim records the outcome of claimed work, or releases the claim if it
-// is certain that nothing ran.
-func (e *Entry) settleClaim(rec *Record, res upstream.Result) {
-	rec.mu.Lock()
-	c, answer := rec.claim, rec.answer
-	rec.mu.Unlock()
-	if c == nil || res.Ran == reason.RanNo {
-		return
-	}
-	outcome := &claimOutcome{Unknown: true}
-	if answer != nil {
-		outcome = &claimOutcome{Status: answer.Status, Header: answer.Header, Body: answer.Body}
+// holderState says whether the process that holds a claim still runs.
+func (e *Entry) holderState(c claim.Claim, now time.Time) claim.HolderState {
+	if c.Holder == e.settings.Name {
+		if c.Incarnation == e.incarnation {
+			return claim.HolderAlive
+		}
+		return claim.HolderGone
 	}
-	value := c.value
-	value.Outcome = outcome
-	ctx, cancel := context.WithTimeout(e.background, outcomeTimeout)
-	defer cancel()
-	for {
-		_, err := e.platform.Update(ctx, kindClaim, c.name, c.version, value)
-		if !errors.Is(err, platform.ErrUnavailable) {
-			return
+	for _, m := range e.peers.Live() {
+		if m.GetName() != c.Holder {
+			continue
 		}
-		select {
-		case <-time.After(outcomePause):
-		case <-ctx.Done():
-			e.log.Error("outcome was not recorded", "request_id", rec.ID, "step", "outcome", "err", err)
-			return
+		if m.GetIncarnation() > c.Incarnation {
+			return claim.HolderGone
 		}
+		return claim.HolderAlive
+	}
+	if now.Sub(e.started) < holderSettle {
+		return claim.HolderUnheard
 	}
+	return claim.HolderGone
 }
 
-// releaseClaim removes the claim of a request that certainly did not run, so
-// that the caller can send it again under the same key.
-func (e *Entry) releaseClaim(rec *Record) {
+// endClaim records the outcome of a request that held its key, or frees the
+// key if it is certain that nothing ran. The caller has its answer already: it
+// does not wait for the platform. p is nil for a complete answer.
+func (e *Entry) endClaim(rec *Record, p *Problem) {
 	rec.mu.Lock()
-	c := rec.claim
+	claimed := rec.claimed
 	rec.mu.Unlock()
-	if c == nil {
+	if !claimed {
 		return
 	}
-	e.work.Go(func() {
-		ctx, cancel := context.WithTimeout(e.background, claimTimeout)
-		defer cancel()
-		if _, err := e.platform.Delete(ctx, kindClaim, c.name, c.version); err != nil {
-			e.log.Warn("claim was not released", "request_id", rec.ID, "step", "release", "err", err)
+	c := e.newClaim(rec, time.Now())
+	op := claim.Op{Kind: claim.OpRelease, Claim: c}
+	if p == nil || p.Ran != reason.RanNo {
+		op.Kind, op.Claim.Outcome = claim.OpRecord, outcomeOf(rec, p)
+	}
+	e.claims.submit(rec.ID+"/end", op, func(s claim.SettleAction) {
+		if s.Result == claim.Dropped {
+			e.log.Error("outcome was not recorded", "request_id", rec.ID, "step", "outcome")
 		}
 	})
 }
+
+// outcomeOf returns what repeats of an ended request are told.
+func outcomeOf(rec *Record, p *Problem) *claim.Outcome {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	switch {
+	case rec.answer != nil:
+		a := rec.answer
+		return claim.NewOutcome(claim.Outcome{Status: a.Status, Header: a.Header, Body: a.Body})
+	case p == nil:
+		return claim.NewOutcome(claim.Outcome{Text: string(rec.text), Tokens: rec.tokens})
+	case p.Ran == reason.RanYes:
+		return &claim.Outcome{Unkept: true}
+	}
+	return &claim.Outcome{Unknown: true}
+}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -27,7 +27,6 @@
 			e.log.Warn("attempt failed", "request_id", rec.ID, "upstream", a.Upstream,
 				"attempt", a.Attempt, "reason", res.Outcome, "ran", res.Ran, "err", res.Err)
 		}
-		e.settleClaim(rec, res)
 		e.driver.attemptEnded(rec, a, res.Outcome, res.Ran)
 	})
 }
--- a/entry/driver.go
+++ b/entry/driver.go
@@ -23,7 +23,7 @@
 	// dispatch and claim start the work of an action and return at once.
 	dispatch func(rec *Record, a decision.DispatchAction)
 	claim    func(rec *Record)
-	release  func(rec *Record)
+	endClaim func(rec *Record, p *Problem)
 }
 
 // step passes one event to the core. Actions are carried out under the lock,
@@ -84,6 +84,7 @@
 	rec := d.records.get(a.ID)
 	rec.update(func() {
 		rec.accepted = true
+		rec.deadline = a.Deadline
 		rec.idempotent = a.Resolution.Idempotent
 		rec.service = a.Resolution.Service.Name
 		rec.customer = a.Resolution.Customer.Name
@@ -114,12 +115,10 @@
 func (d *driver) finish(now time.Time, id string, p *Problem) {
 	rec := d.records.get(id)
 	rec.finish(now, p)
+	d.endClaim(rec, p)
 	d.records.ended()
 	v, _ := rec.read(0)
 	if p != nil {
-		if p.Ran == reason.RanNo {
-			d.release(rec)
-		}
 		d.metrics.refusal(p.Reason)
 		d.log.Info("request refused", "request_id", id, "service", v.service, "customer", v.customer,
 			"reason", p.Reason, "ran", p.Ran)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -38,7 +38,11 @@
 	platform  *platform.Client
 	upstreams *upstream.Client
 	peers     *peer.Node
-	leaving   atomic.Bool
+	claims    *claimBook
+	// incarnation and started identify this process and say since when it runs.
+	incarnation uint64
+	started     time.Time
+	leaving     atomic.Bool
 
 	signsMu sync.Mutex
 	signs   map[string][signCount]bool
@@ -71,15 +75,18 @@
 		signs:     map[string][signCount]bool{},
 	}
 	e.background, e.cancel = context.WithCancel(context.Background())
+	e.started = time.Now()
+	e.incarnation = uint64(e.started.UnixNano())
+	e.claims = newClaimBook(e.background, &e.work, e.platform, log)
 	e.driver = &driver{
 		core: decision.New(cfg), records: e.records, metrics: e.metrics, log: log,
-		dispatch: e.dispatch, claim: e.startClaim, release: e.releaseClaim,
+		dispatch: e.dispatch, claim: e.startClaim, endClaim: e.endClaim,
 	}
 	e.config.changed = func(c *api.Catalog) { e.driver.step(decision.ConfigEvent{Catalog: c}) }
 	e.peers = peer.New(peer.Options{
 		Self: &peerpb.Member{
 			Name: s.Name, Address: s.Listen.Peer, AvailabilityZone: s.AvailabilityZone, Region: s.Region,
-			Incarnation: uint64(time.Now().UnixNano()), CallerAddress: s.Listen.Caller,
+			Incarnation: e.incarnation, CallerAddress: s.Listen.Caller,
 		},
 		Seeds:     s.Peers,
 		Heartbeat: s.Intervals.Heartbeat.Std(),
@@ -167,12 +174,23 @@
 	n, idle := e.records.inFlight()
 	select {
 	case <-idle:
-		return nil
+		return e.storeOutcomes(ctx)
 	case <-ctx.Done():
 		return oops.In("entry").With("step", "drain").Errorf("%d requests were in flight at the end of the drain timeout", n)
 	}
 }
 
+// storeOutcomes waits until the outcomes of claimed work are stored.
+func (e *Entry) storeOutcomes(ctx context.Context) error {
+	n, stored := e.claims.stored()
+	select {
+	case <-stored:
+		return nil
+	case <-ctx.Done():
+		return oops.In("entry").With("step", "drain").Errorf("%d outcomes were not stored at the end of the drain timeout", n)
+	}
+}
+
 func (e *Entry) shutdown(ctx context.Context) {
 	if err := e.caller.Shutdown(ctx); err != nil {
 		e.log.Warn("callers were cut off", "step", "shutdown", "err", err)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rcrowley/go-metrics"
 
+	"jaylink/decision"
 	"jaylink/decision/reason"
 )
 
@@ -13,6 +14,7 @@
 	answered metrics.Counter
 	refused  map[reason.Reason]metrics.Counter
 	retried  map[reason.Reason]metrics.Counter
+	claims   map[decision.ClaimResult]metrics.Counter
 }
 
 func newCounters() *counters {
@@ -23,6 +25,7 @@
 		answered: metrics.NewRegisteredCounter("request.answered", r),
 		refused:  map[reason.Reason]metrics.Counter{},
 		retried:  map[reason.Reason]metrics.Counter{},
+		claims:   map[decision.ClaimResult]metrics.Counter{},
 	}
 	for _, why := range reason.Refusals {
 		c.refused[why] = metrics.NewRegisteredCounter("request.refused."+string(why), r)
@@ -30,9 +33,14 @@
 	for _, why := range reason.Retries {
 		c.retried[why] = metrics.NewRegisteredCounter("request.retried."+string(why), r)
 	}
+	for _, result := range decision.ClaimResults {
+		c.claims[result] = metrics.NewRegisteredCounter("claim."+string(result), r)
+	}
 	return c
 }
 
+func (c *counters) claim(result decision.ClaimResult) { c.claims[result].Inc(1) }
+
 func (c *counters) refusal(why reason.Reason) { c.refused[why].Inc(1) }
 
 func (c *counters) retry(why reason.Reason) { c.retried[why].Inc(1) }
--- a/entry/problem.go
+++ b/entry/problem.go
@@ -35,6 +35,7 @@
 	reason.KeyInProgress:    http.StatusConflict,
 	reason.ClaimUnavailable: http.StatusServiceUnavailable,
 	reason.OutcomeUnknown:   http.StatusConflict,
+	reason.OutcomeNotKept:   http.StatusConflict,
 	reason.Poison:           http.StatusUnprocessableEntity,
 	reason.AnswerTooLarge:   http.StatusBadGateway,
 }
--- a/entry/record.go
+++ b/entry/record.go
@@ -54,10 +54,13 @@
 	text   []byte
 	tokens int
 	// answer is the answer of a plain service.
-	answer  *upstream.Answer
-	claim   *claim
-	problem *Problem
-	done    bool
+	answer *upstream.Answer
+	// claimed says that the record holds its idempotency key.
+	claimed bool
+	// deadline is when the request is given up.
+	deadline time.Time
+	problem  *Problem
+	done     bool
 }
 
 func newRecord(id string, call Call, now time.Time) *Record {
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -30,6 +30,8 @@
 	Limits LimitSettings `yaml:"limits"`
 	// Drain says how the entry stops.
 	Drain DrainSettings `yaml:"drain"`
+	// Claims says how long idempotency keys are kept.
+	Claims ClaimSettings `yaml:"claims"`
 	// Intervals say how often things are asked for.
 	Intervals IntervalSettings `yaml:"intervals"`
 	// Log says what is logged.
@@ -67,6 +69,13 @@
 	Timeout api.Duration `yaml:"timeout"`
 }
 
+// ClaimSettings say how long idempotency keys are kept.
+type ClaimSettings struct {
+	// Retention is how long a key is kept after its first use. A repeat that
+	// comes later is run again. At least 1h. Default 24h.
+	Retention api.Duration `yaml:"retention"`
+}
+
 // IntervalSettings say how often things are asked for.
 type IntervalSettings struct {
 	// Heartbeat is the time between rounds with peers. Default 500ms.
@@ -105,6 +114,7 @@
 			LeaveDelay: api.Duration(3 * time.Second),
 			Timeout:    api.Duration(2 * time.Minute),
 		},
+		Claims: ClaimSettings{Retention: api.Duration(24 * time.Hour)},
 		Intervals: IntervalSettings{
 			Heartbeat: api.Duration(500 * time.Millisecond),
 			Load:      api.Duration(time.Second),
@@ -167,6 +177,9 @@
 	address("listen.peer", s.Listen.Peer)
 	address("platform", s.Platform)
 	oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
+	if s.Claims.Retention.Std() < time.Hour {
+		errs = append(errs, doc.Errorf("claims.retention", "%s is too short; at least 1h is allowed", s.Claims.Retention))
+	}
 	oneOf("log.format", s.Log.Format, "text", "json")
 	return errs
 }
--- /dev/null
+++ b/guarantees/g4_claims_test.go
@@ -0,0 +1,343 @@
+package guarantees
+
+import (
+	"fmt"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"jaylink/api"
+	"jaylink/decision/reason"
+	"jaylink/internal/procs"
+	"jaylink/internal/testfleet"
+	"jaylink/standin/platform"
+	"jaylink/standin/service"
+)
+
+// slotObjects describe a service whose one upstream has one slot.
+const slotObjects = testfleet.DeskObjects + `
+---
+kind: Service
+name: slot
+spec: {selector: app=slot, protocol: http, upstreams: pool=slot, timeout: 2s}
+---
+kind: Service
+name: patient-slot
+spec: {selector: app=patient-slot, protocol: http, upstreams: pool=slot, timeout: 60s}
+`
+
+// kindClaimPage is the kind of the platform's objects that hold claims.
+const kindClaimPage = "ClaimPage"
+
+// claimFleet is a fleet for bookings: two desks and two entries.
+type claimFleet struct {
+	*testfleet.Fleet
+	t        *testing.T
+	one, two *testfleet.Entry
+	// problems are the violations that the cases found.
+	problems []string
+}
+
+func newClaimFleet(t *testing.T, apart bool) *claimFleet {
+	f := &claimFleet{Fleet: testfleet.New(t), t: t}
+	f.Apart = apart
+	f.Upstream("service", "desk", "d1", "a", "r")
+	f.Upstream("service", "desk", "d2", "b", "r")
+	slot := f.Upstream("service", "slot", "s1", "a", "r")
+	slot.Object.Spec.(*api.UpstreamSpec).Slots = 1
+	const settings = "drain: {leave_delay: 50ms}\nintervals: {heartbeat: 100ms}"
+	f.one = f.StartEntry("one", "a", "r", settings)
+	f.two = f.StartEntry("two", "b", "r", settings)
+	f.Ready()
+	f.Apply(f.one, slotObjects)
+	return f
+}
+
+// want notes a violation unless the condition holds.
+func (f *claimFleet) want(ok bool, format string, args ...any) {
+	if !ok {
+		f.problems = append(f.problems, fmt.Sprintf(format, args...))
+	}
+}
+
+// wantRefusal checks a refusal; one that the caller may repeat says when.
+func (f *claimFleet) wantRefusal(r testfleet.Response, why reason.Reason, ran reason.Ran, retry bool) {
+	f.want(r.Reason == why && r.Ran == ran, "want %s and ran %s, got %+v", why, ran, r)
+	f.want(!retry || r.RetryAfter != "", "want a Retry-After, got %+v", r)
+}
+
+// wantRuns checks how often the work of a key ran, by the services' record.
+func (f *claimFleet) wantRuns(key string, n int) {
+	runs := 0
+	for _, run := range f.ServiceRuns("d1", "d2", "s1") {
+		if run.Key == key {
+			runs++
+		}
+	}
+	f.want(runs == n, "key %s: want %d runs, got %d", key, n, runs)
+}
+
+// awaitAnswer repeats a booking while it is said to be in progress.
+func (f *claimFleet) awaitAnswer(e *testfleet.Entry, key string) testfleet.Response {
+	f.t.Helper()
+	var r testfleet.Response
+	require.NoError(f.t, procs.Await("the end of "+key, func() bool {
+		r = e.Book(key, "{}")
+		return r.Reason != reason.KeyInProgress
+	}))
+	return r
+}
+
+// start sends a booking in the background.
+func (f *claimFleet) start(e *testfleet.Entry, key string) <-chan testfleet.Response {
+	out := make(chan testfleet.Response, 1)
+	go func() { out <- e.Book(key, "{}") }()
+	return out
+}
+
+func (f *claimFleet) restart(e *testfleet.Entry) {
+	f.t.Helper()
+	f.Restart(e)
+	f.Ready()
+}
+
+func (f *claimFleet) hold(before, after bool) {
+	for _, name := range []string{"d1", "d2"} {
+		f.ServiceFaults(name, service.Faults{HoldBefore: before, HoldAfter: after})
+	}
+}
+
+func (f *claimFleet) awaitDesk(n int) {
+	f.t.Helper()
+	require.NoError(f.t, procs.Await("calls at the desks", func() bool {
+		return f.running("d1")+f.running("d2") == n
+	}))
+}
+
+func (f *claimFleet) running(name string) int {
+	var load struct{ Running int }
+	f.Read("http://"+f.Nodes[name].Address+"/load", &load)
+	return load.Running
+}
+
+var claimCases = []struct {
+	fault string
+	run   func(f *claimFleet, key string)
+}{
+	{"repeats_at_once", repeatsAtOnce},
+	{"different_body", differentBody},
+	{"claim_answer_lost", claimAnswerLost},
+	{"claim_takes_effect_late", claimTakesEffectLate},
+	{"store_out", storeOut},
+	{"upstream_reset_before_run", resetBeforeRun},
+	{"upstream_reset_after_run", resetAfterRun},
+	{"timed_out_in_queue", timedOutInQueue},
+	{"answer_cut_in_body", answerCut},
+	{"store_out_at_outcome_then_sigterm", storeOutAtOutcome},
+	{"killed_between_claim_and_dispatch", killedBeforeDispatch},
+	{"killed_between_dispatch_and_outcome", killedAfterDispatch},
+	{"frozen_between_claim_and_dispatch", frozenBeforeDispatch},
+}
+
+func TestClaimedWorkRunsAtMostOnce(t *testing.T) {
+	f := newClaimFleet(t, false)
+	for _, tc := range claimCases {
+		t.Run(tc.fault, func(t *testing.T) { f.check(t, tc.fault, tc.run) })
+	}
+}
+
+func TestClaimedWorkRunsAtMostOnceInZonesCutOffFromEachOther(t *testing.T) {
+	f := newClaimFleet(t, true)
+	t.Run("zones_cut_off", func(t *testing.T) { f.check(t, "zones_cut_off", repeatsAtOnce) })
+	f.Stop()
+}
+
+// check runs one case and reports its violations.
+func (f *claimFleet) check(t *testing.T, fault string, run func(f *claimFleet, key string)) {
+	f.t, f.problems = t, nil
+	run(f, "key-"+fault)
+	for _, p := range f.problems {
+		t.Log(p)
+	}
+	testfleet.Report(t, testfleet.Guarantee{Number: 4, Fault: fault, Cases: 1, Violations: len(f.problems)})
+}
+
+func repeatsAtOnce(f *claimFleet, key string) {
+	const keys, repeats = 8, 6
+	var work sync.WaitGroup
+	var mu sync.Mutex
+	bodies := map[string]map[string]bool{}
+	for i := range keys * repeats {
+		k := fmt.Sprintf("%s-%d", key, i%keys)
+		e := []*testfleet.Entry{f.one, f.two}[i/keys%2]
+		work.Go(func() {
+			r := e.Book(k, "{}")
+			mu.Lock()
+			defer mu.Unlock()
+			if r.Status == 201 {
+				if bodies[k] == nil {
+					bodies[k] = map[string]bool{}
+				}
+				bodies[k][r.Body] = true
+				return
+			}
+			f.want(r.Reason == reason.KeyInProgress && r.RetryAfter != "", "repeat of %s got %+v", k, r)
+		})
+	}
+	work.Wait()
+	for i := range keys {
+		k := fmt.Sprintf("%s-%d", key, i)
+		r := f.awaitAnswer(f.two, k)
+		f.want(r.Status == 201 && bodies[k][r.Body] && len(bodies[k]) == 1, "%s: later repeat got %+v, first ones %v", k, r, bodies[k])
+		f.wantRuns(k, 1)
+	}
+}
+
+func differentBody(f *claimFleet, key string) {
+	f.want(f.one.Book(key, "{}").Status == 201, "the booking failed")
+	f.wantRefusal(f.two.Book(key, `{"other": 1}`), reason.KeyReused, reason.RanNo, false)
+	f.wantRuns(key, 1)
+}
+
+func claimAnswerLost(f *claimFleet, key string) {
+	f.PlatformFaults(platform.Faults{LoseAnswers: 1})
+	r := f.one.Book(key, "{}")
+	f.want(r.Status == 201, "got %+v", r)
+	f.want(f.awaitAnswer(f.two, key).Body == r.Body, "another outcome")
+	f.wantRuns(key, 1)
+}
+
+func claimTakesEffectLate(f *claimFleet, key string) {
+	f.PlatformFaults(platform.Faults{LateKind: kindClaimPage})
+	f.wantRefusal(f.one.Book(key, "{}"), reason.ClaimUnavailable, reason.RanNo, true)
+	f.wantRuns(key, 0)
+	f.PlatformFaults(platform.Faults{})
+	r := f.awaitAnswer(f.two, key)
+	f.want(r.Status == 201, "the key was not freed: %+v", r)
+	f.wantRuns(key, 1)
+}
+
+func storeOut(f *claimFleet, key string) {
+	f.PlatformFaults(platform.Faults{Outage: true})
+	f.wantRefusal(f.one.Book(key, "{}"), reason.ClaimUnavailable, reason.RanNo, true)
+	f.wantRuns(key, 0)
+	f.PlatformFaults(platform.Faults{})
+	f.want(f.two.Book(key, "{}").Status == 201, "the key was not free")
+	f.wantRuns(key, 1)
+}
+
+func (f *claimFleet) desks(faults service.Faults) {
+	f.ServiceFaults("d1", faults)
+	f.ServiceFaults("d2", faults)
+}
+
+func resetBeforeRun(f *claimFleet, key string) {
+	resetAndRepeat(f, key, service.Faults{ResetBefore: 1}, 0)
+}
+func resetAfterRun(f *claimFleet, key string) {
+	resetAndRepeat(f, key, service.Faults{ResetAfter: 1}, 1)
+}
+
+func resetAndRepeat(f *claimFleet, key string, faults service.Faults, runs int) {
+	f.desks(faults)
+	f.wantRefusal(f.one.Book(key, "{}"), reason.NotRepeatable, reason.RanUnknown, false)
+	f.desks(service.Faults{})
+	f.wantRefusal(f.awaitAnswer(f.two, key), reason.OutcomeUnknown, reason.RanUnknown, false)
+	f.wantRuns(key, runs)
+}
+
+func answerCut(f *claimFleet, key string) {
+	f.desks(service.Faults{CutAnswer: 1})
+	r := f.one.Book(key, "{}")
+	f.desks(service.Faults{})
+	f.want(r.Ran == reason.RanYes, "an answer with status 201 proves that it ran, got %+v", r)
+	f.wantRefusal(f.awaitAnswer(f.two, key), reason.OutcomeNotKept, reason.RanYes, false)
+	f.wantRuns(key, 1)
+}
+
+func timedOutInQueue(f *claimFleet, key string) {
+	f.ServiceFaults("s1", service.Faults{HoldAfter: true})
+	first := make(chan testfleet.Response, 1)
+	go func() { first <- f.one.Call("POST", "/bookings", "patient-slot", key+"-first", "{}") }()
+	f.AwaitRunning("s1", 1)
+	r := f.one.Call("POST", "/bookings", "slot", key, "{}")
+	f.want(r.Ran == reason.RanNo && r.RetryAfter != "", "got %+v", r)
+	f.ServiceFaults("s1", service.Faults{})
+	<-first
+	require.NoError(f.t, procs.Await("the key to be free", func() bool {
+		r = f.two.Call("POST", "/bookings", "slot", key, "{}")
+		return r.Reason != reason.KeyInProgress
+	}))
+	f.want(r.Status == 201, "the key was not freed: %+v", r)
+	f.wantRuns(key, 1)
+}
+
+func storeOutAtOutcome(f *claimFleet, key string) {
+	f.hold(false, true)
+	first := f.start(f.two, key)
+	f.awaitDesk(1)
+	f.PlatformFaults(platform.Faults{Outage: true})
+	f.hold(false, false)
+	answer := <-first
+	f.want(answer.Status == 201, "the answer waits for the store: %+v", answer)
+	f.want(f.two.Book(key, "{}").Body == answer.Body, "a repeat on the same entry got another answer")
+	require.NoError(f.t, f.two.Signal(syscall.SIGTERM))
+	f.PlatformFaults(platform.Faults{})
+	<-f.two.Done()
+	f.want(f.one.Book(key, "{}").Body == answer.Body, "the outcome was lost in a planned stop")
+	f.wantRuns(key, 1)
+	f.restart(f.two)
+}
+
+func killedBeforeDispatch(f *claimFleet, key string) {
+	f.PlatformFaults(platform.Faults{HoldKind: kindClaimPage})
+	first := f.start(f.two, key)
+	f.AwaitHeld(1)
+	f.killed(first, key, 0)
+}
+
+func killedAfterDispatch(f *claimFleet, key string) {
+	f.hold(false, true)
+	first := f.start(f.two, key)
+	f.awaitDesk(1)
+	f.killed(first, key, 1)
+}
+
+// killed ends entry two with SIGKILL and checks what repeats are told.
+func (f *claimFleet) killed(first <-chan testfleet.Response, key string, runs int) {
+	f.two.Kill()
+	<-first
+	f.PlatformFaults(platform.Faults{})
+	f.hold(false, false)
+	f.restart(f.two)
+	for _, e := range []*testfleet.Entry{f.one, f.two} {
+		f.wantRefusal(f.awaitAnswer(e, key), reason.OutcomeUnknown, reason.RanUnknown, false)
+	}
+	f.wantRuns(key, runs)
+}
+
+func frozenBeforeDispatch(f *claimFleet, key string) {
+	f.PlatformFaults(platform.Faults{HoldKind: kindClaimPage})
+	first := make(chan testfleet.Response, 1)
+	go func() { first <- f.two.Call("POST", "/bookings", "slot", key, "{}") }()
+	f.AwaitHeld(1)
+	require.NoError(f.t, f.two.Signal(syscall.SIGSTOP))
+	f.PlatformFaults(platform.Faults{})
+	var r testfleet.Response
+	require.NoError(f.t, procs.Await("the holder to count as gone", func() bool {
+		r = f.one.Call("POST", "/bookings", "slot", key, "{}")
+		return r.Reason != reason.KeyInProgress
+	}))
+	f.wantRefusal(r, reason.OutcomeUnknown, reason.RanUnknown, false)
+	require.NoError(f.t, f.two.Signal(syscall.SIGCONT))
+	late := <-first
+	f.want(late.Ran == reason.RanNo, "the deadline passed while the entry was frozen, got %+v", late)
+	f.wantRuns(key, 0)
+	require.NoError(f.t, procs.Await("the key to be free", func() bool {
+		r = f.one.Call("POST", "/bookings", "slot", key, "{}")
+		return r.Status == 201
+	}))
+	f.wantRuns(key, 1)
+}
--- a/internal/testfleet/fleet.go
+++ b/internal/testfleet/fleet.go
@@ -59,7 +59,10 @@
 	Platform string // address
 	Entries  map[string]*Entry
 	Nodes    map[string]*Node // engines and services by upstream name
-	dir      string
+	// Apart starts entries that know no other entry, as in zones that are
+	// cut off from each other.
+	Apart bool
+	dir   string
 }
 
 // Entry is a running entry process.
@@ -128,6 +131,9 @@
 	e := &Entry{Name: name, Zone: zone, Region: region, Caller: procs.Address(), Operator: procs.Address(), Peer: procs.Address()}
 	var peers []string
 	for _, other := range f.Entries {
+		if f.Apart {
+			break
+		}
 		peers = append(peers, other.Peer)
 	}
 	e.Settings = filepath.Join(f.dir, "entry-"+name+".yaml")
--- a/standin/platform/cloud.go
+++ b/standin/platform/cloud.go
@@ -126,6 +126,8 @@
 	}
 	s.mu.Lock()
 	s.faults = f
+	close(s.switched)
+	s.switched = make(chan struct{})
 	s.mu.Unlock()
 	standin.WriteJSON(w, http.StatusOK, f)
 }
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"slices"
@@ -22,6 +23,12 @@
 	// LoseAnswers is the number of coming writes that take effect while
 	// their answer is lost.
 	LoseAnswers int `json:"lose_answers"`
+	// HoldKind holds back the answers to writes of objects of this kind, after
+	// the writes took effect, until the switch is taken back.
+	HoldKind string `json:"hold_kind,omitempty"`
+	// LateKind loses the answers to writes of objects of this kind; the
+	// writes take effect when the switch is taken back.
+	LateKind string `json:"late_kind,omitempty"`
 	// DelayMS delays every call by so many milliseconds.
 	DelayMS int `json:"delay_ms"`
 	// ReplayFrom makes watches start again at this revision once.
@@ -38,23 +45,27 @@
 	store  *store
 	router *mux.Router
 
-	mu      sync.Mutex
-	faults  Faults
-	calls   map[string]int
-	hosts   []platform.Host
-	notices []platform.Notice
-	noticed chan struct{}
-	weights map[string]int
+	mu     sync.Mutex
+	faults Faults
+	// switched closes when the faults are set again.
+	switched chan struct{}
+	held     int
+	calls    map[string]int
+	hosts    []platform.Host
+	notices  []platform.Notice
+	noticed  chan struct{}
+	weights  map[string]int
 }
 
 // New returns an empty platform.
 func New() *Server {
 	s := &Server{
-		store:   newStore(),
-		router:  mux.NewRouter(),
-		calls:   map[string]int{},
-		noticed: make(chan struct{}),
-		weights: map[string]int{},
+		store:    newStore(),
+		router:   mux.NewRouter(),
+		calls:    map[string]int{},
+		noticed:  make(chan struct{}),
+		switched: make(chan struct{}),
+		weights:  map[string]int{},
 	}
 	v1 := s.router.PathPrefix("/v1").Subrouter()
 	v1.HandleFunc("/objects/{kind}", s.counted("list", s.list)).Methods(http.MethodGet)
@@ -69,6 +80,7 @@
 	v1.HandleFunc("/host-orders", s.counted("host-orders", s.orderHost)).Methods(http.MethodPost)
 	v1.HandleFunc("/weights/{name}", s.counted("weights", s.loadWeights)).Methods(http.MethodGet)
 	v1.HandleFunc("/calls", s.listCalls).Methods(http.MethodGet)
+	v1.HandleFunc("/held", s.listHeld).Methods(http.MethodGet)
 	v1.HandleFunc("/faults", s.getFaults).Methods(http.MethodGet)
 	v1.HandleFunc("/faults", s.setFaults).Methods(http.MethodPut)
 	return s
@@ -138,7 +150,15 @@
 
 func (s *Server) write(w http.ResponseWriter, r *http.Request, version uint64, value json.RawMessage) {
 	v := mux.Vars(r)
+	if s.loseLate(v["kind"]) {
+		go func() {
+			s.hold(context.Background(), func(f Faults) bool { return f.LateKind == v["kind"] })
+			s.store.write(v["kind"], v["name"], version, value)
+		}()
+		panic(http.ErrAbortHandler)
+	}
 	rec, ok := s.store.write(v["kind"], v["name"], version, value)
+	s.hold(r.Context(), func(f Faults) bool { return f.HoldKind == v["kind"] })
 	if !ok {
 		standin.WriteJSON(w, http.StatusPreconditionFailed, rec)
 		return
@@ -149,6 +169,40 @@
 	standin.WriteJSON(w, http.StatusOK, rec)
 }
 
+// loseLate reports whether a write of a kind is to take effect late.
+func (s *Server) loseLate(kind string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.LateKind == kind
+}
+
+// hold waits while the faults say so.
+func (s *Server) hold(ctx context.Context, wanted func(Faults) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held++
+	defer func() { s.held-- }()
+	for wanted(s.faults) {
+		switched := s.switched
+		s.mu.Unlock()
+		select {
+		case <-switched:
+		case <-ctx.Done():
+		}
+		s.mu.Lock()
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// listHeld answers with the number of calls that are held back.
+func (s *Server) listHeld(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	standin.WriteJSON(w, http.StatusOK, s.held)
+}
+
 func (s *Server) loseAnswer() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -57,7 +57,7 @@
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         dialCounted(dialer),
 			DisableKeepAlives:   single,
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: maxIdlePerHost,
@@ -79,21 +79,23 @@
 	if idempotent {
 		client = c.shared
 	}
-	connected := false
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	var used usedConns
+	trace := &httptrace.ClientTrace{GotConn: used.got}
 	resp, err := client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err == nil {
 		return resp, Result{}
 	}
-	return nil, failure(req.Context(), "send", req.URL.Host, connected, err)
+	return nil, failure(req.Context(), "send", req.URL.Host, used.given(), err)
 }
 
-// failure maps a transport error to a Result. Without a connection nothing
-// was given to the upstream; with one, whether it ran is not known.
-func failure(ctx context.Context, step, peer string, connected bool, err error) Result {
+// failure maps a transport error to a Result. As long as the system took no
+// byte of the request, nothing was given to the upstream. After the first byte
+// it is not known whether it ran: also a request that was cut off may have
+// been run by an upstream that does not wait for its end.
+func failure(ctx context.Context, step, peer string, given bool, err error) Result {
 	res := Result{Outcome: decision.OutcomeNoAnswer, Ran: reason.RanUnknown}
 	switch {
-	case !connected:
+	case !given:
 		res = Result{Outcome: decision.OutcomeConnectFailed, Ran: reason.RanNo}
 	case step == "read":
 		res.Outcome = decision.OutcomeBroken
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -57,7 +57,7 @@
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, call.MaxAnswer+1))
 	if err != nil {
-		return nil, failure(ctx, "read", call.Address, true, err)
+		return nil, cutAnswer(ctx, call.Address, resp.StatusCode, err)
 	}
 	if int64(len(body)) > call.MaxAnswer {
 		err := oops.In("upstream").With("step", "read", "peer", call.Address).Errorf("answer is larger than %d bytes", call.MaxAnswer)
@@ -70,6 +70,16 @@
 	return answer, Result{Outcome: decision.OutcomeDone, Ran: reason.RanYes}
 }
 
+// cutAnswer is the Result of an answer that broke in its body. A status of
+// success says that the call ran, whatever became of the rest.
+func cutAnswer(ctx context.Context, peer string, status int, err error) Result {
+	res := failure(ctx, "read", peer, true, err)
+	if status >= 200 && status < 300 {
+		res.Ran = reason.RanYes
+	}
+	return res
+}
+
 func endToEnd(h http.Header) http.Header {
 	out := h.Clone()
 	if out == nil {
