--- a/guarantees/g4_cost_test.go
+++ b/guarantees/g4_cost_test.go
@@ -10,6 +10,7 @@
 
 	"jaylink/internal/procs"
 	"jaylink/internal/testfleet"
+	"jaylink/platform"
 )
 
 // claimCalls counts the platform's calls for claims: reads and writes.
@@ -28,6 +29,17 @@
 	return reads, writes
 }
 
+// storedClaimBytes returns the size of all stored pages of claims.
+func storedClaimBytes(f *claimFleet) int {
+	var list platform.RecordList
+	f.Read("http://"+f.Platform+"/v1/objects/"+kindClaimPage, &list)
+	n := 0
+	for _, rec := range list.Items {
+		n += len(rec.Value)
+	}
+	return n
+}
+
 // A claim costs one read and two writes, however many are under way.
 func TestPlatformCallsPerClaim(t *testing.T) {
 	const claims, callers = 400, 16
@@ -49,6 +61,7 @@
 	testfleet.Figure("platform_reads_per_claim", float64(reads)/claims, "calls")
 	testfleet.Figure("platform_writes_per_claim", float64(writes)/claims, "calls")
 	testfleet.Figure("platform_calls_per_claim", float64(reads+writes)/claims, "calls")
+	testfleet.Figure("claim_stored_bytes", float64(storedClaimBytes(f))/claims, "bytes")
 	require.LessOrEqual(t, reads, claims)
 	// Two keys of a page may meet: each meeting costs at most two calls.
 	require.LessOrEqual(t, writes, 2*claims+claims/100)
