--- a/guarantees/g4_claims_test.go
+++ b/guarantees/g4_claims_test.go
@@ -142,6 +142,7 @@
 }
 
 func TestClaimedWorkRunsAtMostOnce(t *testing.T) {
+	t.Parallel()
 	f := newClaimFleet(t, false)
 	for _, tc := range claimCases {
 		t.Run(tc.fault, func(t *testing.T) { f.check(t, tc.fault, tc.run) })
@@ -149,6 +150,7 @@
 }
 
 func TestClaimedWorkRunsAtMostOnceInZonesCutOffFromEachOther(t *testing.T) {
+	t.Parallel()
 	f := newClaimFleet(t, true)
 	t.Run("zones_cut_off", func(t *testing.T) { f.check(t, "zones_cut_off", repeatsAtOnce) })
 	f.Stop()
--- a/guarantees/g4_cost_test.go
+++ b/guarantees/g4_cost_test.go
@@ -42,6 +42,7 @@
 
 // A claim costs one read and two writes, however many are under way.
 func TestPlatformCallsPerClaim(t *testing.T) {
+	t.Parallel()
 	const claims, callers = 400, 16
 	f := newClaimFleet(t, false)
 	var work sync.WaitGroup
