--- a/decision/route/explain.go
+++ b/decision/route/explain.go
@@ -18,20 +18,22 @@
 	Slots int                `json:"slots"`
 }
 
-// Explain returns the best candidates for a request, at most limit of them,
-// best first, and how many upstreams each filter kept out. It allocates, and
-// is meant for explanations only.
+// Explain returns the best candidates for the request that was picked for last,
+// at most limit of them, best first, and how many of those that the decision
+// looked at each filter kept out. It must follow the Pick of the same request.
 func (t *Table) Explain(now time.Time, r *Request, limit int) ([]Candidate, map[string]int) {
 	var list []Candidate
 	leftOut := map[string]int{}
-	for _, u := range t.Candidates(r.Upstreams) {
+	for _, u := range t.looked {
 		if name := t.droppedBy(now, r, u); name != "" {
 			leftOut[name]++
 			continue
 		}
 		list = append(list, Candidate{Upstream: u.Name, Score: t.score(now, r, u), Busy: u.Busy(), Slots: u.Slots()})
 	}
-	slices.SortStableFunc(list, func(a, b Candidate) int { return cmp.Compare(a.Score, b.Score) })
+	slices.SortFunc(list, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(a.Score, b.Score), cmp.Compare(a.Upstream, b.Upstream))
+	})
 	list = list[:min(len(list), limit)]
 	for i := range list {
 		list[i].Parts = t.parts(now, r, t.Get(list[i].Upstream))
@@ -45,6 +47,11 @@
 			return pluginName(f)
 		}
 	}
+	for _, f := range t.choosy {
+		if !f.Keep(now, r, u) {
+			return pluginName(f)
+		}
+	}
 	return ""
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -12,7 +13,6 @@
 
 	"github.com/samber/oops"
 
-	"jaylink/api"
 	"jaylink/decision"
 	"jaylink/decision/route"
 	"jaylink/kernel"
@@ -49,8 +49,10 @@
 	started     time.Time
 	leaving     atomic.Bool
 
-	signsMu sync.Mutex
-	signs   map[string][signCount]bool
+	signs *signStore
+	loads *loadStore
+	// noticesSeen is the sequence of the last reclaim notice.
+	noticesSeen atomic.Uint64
 
 	// background ends when the entry has nothing left to do.
 	background context.Context
@@ -75,9 +77,10 @@
 		metrics:   newCounters(),
 		config:    newConfigStore(log),
 		records:   newRegistry(),
-		platform:  platform.New(s.Platform),
+		platform:  platform.New(s.Platform).InZone(s.AvailabilityZone),
 		upstreams: upstream.New(),
-		signs:     map[string][signCount]bool{},
+		signs:     newSignStore(s.Name, log),
+		loads:     newLoadStore(),
 		decisions: newDecisionRecord(s.Name, s.Record.Decisions),
 	}
 	cfg.Observer = &observer{decisions: e.decisions, table: func() *route.Table { return e.driver.core.Table() }}
@@ -89,21 +92,42 @@
 		core: decision.New(cfg), records: e.records, metrics: e.metrics, log: log, decisions: e.decisions,
 		dispatch: e.dispatch, claim: e.startClaim, endClaim: e.endClaim,
 	}
-	e.config.changed = func(c *api.Catalog) { e.driver.step(decision.ConfigEvent{Catalog: c}) }
+	e.signs.step, e.loads.step = e.driver.step, e.driver.step
+	e.signs.catalog = e.config.catalog
+	e.config.changed = e.signs.configChanged
+	credentials, err := peerCredentials(s.PeerTLS)
+	if err != nil {
+		return nil, oops.In("entry").With("step", "peer_tls").Wrap(err)
+	}
+	source, _, _ := net.SplitHostPort(s.Listen.Peer)
 	e.peers = peer.New(peer.Options{
 		Self: &peerpb.Member{
-			Name: s.Name, Address: s.Listen.Peer, AvailabilityZone: s.AvailabilityZone, Region: s.Region,
+			Name: s.Name, Address: cmp.Or(s.Advertise.Peer, s.Listen.Peer), AvailabilityZone: s.AvailabilityZone, Region: s.Region,
 			Incarnation: e.incarnation, CallerAddress: s.Listen.Caller,
 		},
 		Seeds:     s.Peers,
 		Heartbeat: s.Intervals.Heartbeat.Std(),
 		Config:    e.config,
+		Signs:     e.signs,
+		Loads:     e.loads,
 		Log:       log,
 		Changed:   e.peersChanged,
+
+		Credentials: credentials,
+		Source:      source,
 	})
+	e.signs.tell = e.peers.PushSigns
 	return e, nil
 }
 
+// peerCredentials returns nil where the settings allow plaintext.
+func peerCredentials(s PeerTLSSettings) (*peer.Credentials, error) {
+	if s.Plaintext {
+		return nil, nil
+	}
+	return peer.LoadCredentials(s.Certificate, s.Key, s.Authority)
+}
+
 func (e *Entry) peersChanged() {
 	e.driver.step(decision.EntriesEvent{Live: 1 + len(e.peers.Live())})
 }
@@ -147,10 +171,11 @@
 
 func (e *Entry) startLoops() {
 	ctx, in := e.background, e.settings.Intervals
-	e.work.Go(func() { e.watchConfig(ctx) })
-	e.work.Go(func() { e.followNotices(ctx) })
+	e.work.Go(func() { e.read(ctx, "watch", e.readConfig) })
+	e.work.Go(func() { e.read(ctx, "notices", e.followNotices) })
+	e.work.Go(func() { e.read(ctx, "hosts", e.pollHosts) })
 	e.work.Go(func() { every(ctx, in.Load.Std(), e.pollLoad) })
-	e.work.Go(func() { every(ctx, in.Hosts.Std(), e.pollHosts) })
+	e.work.Go(func() { every(ctx, time.Second, func(context.Context) { e.signs.expire() }) })
 	e.work.Go(func() { every(ctx, forgetInterval, e.tidy) })
 }
 
--- a/entry/peer_contract_test.go
+++ b/entry/peer_contract_test.go
@@ -22,8 +22,8 @@
 // peerFault is one kind of odd input on the peer port.
 type peerFault struct {
 	name   string
-	method string // default: Exchange
-	req    func() *peerpb.ExchangeRequest
+	method string
+	req    func() proto.Message
 	code   codes.Code
 }
 
@@ -31,38 +31,56 @@
 	return &peerpb.Member{Name: name, Address: "127.0.0.1:1", AvailabilityZone: "b", Region: "r", Incarnation: 1}
 }
 
-func exchange(objects ...string) func() *peerpb.ExchangeRequest {
-	return func() *peerpb.ExchangeRequest {
+const (
+	probe = peerpb.Peer_Probe_FullMethodName
+	push  = peerpb.Peer_Push_FullMethodName
+	table = peerpb.Peer_Sync_FullMethodName
+	pull  = peerpb.Peer_Pull_FullMethodName
+)
+
+func news(objects ...string) func() proto.Message {
+	return func() proto.Message {
 		d := &peerpb.Delta{Revision: 1000, After: 0}
 		for _, o := range objects {
 			d.Objects = append(d.Objects, []byte(o))
 		}
-		return &peerpb.ExchangeRequest{Self: member("two"), Delta: d}
+		return &peerpb.News{From: "two", Delta: d}
 	}
 }
 
 // newer returns a request with a field that this version does not know.
-func newer() *peerpb.ExchangeRequest {
-	req := &peerpb.ExchangeRequest{Self: member("newer")}
+func newer() proto.Message {
+	req := &peerpb.ProbeMessage{From: member("newer")}
 	field := protowire.AppendTag(nil, 500, protowire.BytesType)
 	field = protowire.AppendString(field, "from a newer version")
 	req.ProtoReflect().SetUnknown(field)
-	req.Self.ProtoReflect().SetUnknown(field)
+	req.From.ProtoReflect().SetUnknown(field)
 	return req
 }
 
+func hugeProbe() proto.Message {
+	return &peerpb.ProbeMessage{From: member(strings.Repeat("x", 8<<20))}
+}
+
 var peerFaults = []peerFault{
 	{"unknown RPC", "/jaylink.peer.v1.Peer/FromTheFuture", newer, codes.Unimplemented},
-	{"unknown service", "/jaylink.peer.v9.Peer/Exchange", newer, codes.Unimplemented},
-	{"unknown fields", "", newer, codes.OK},
-	{"empty request", "", func() *peerpb.ExchangeRequest { return &peerpb.ExchangeRequest{} }, codes.OK},
-	{"object that is not JSON", "", exchange("{"), codes.OK},
-	{"null object", "", exchange("null"), codes.OK},
-	{"unknown kind", "", exchange(`{"kind":"Nope","name":"x","version":999}`), codes.OK},
-	{"object with fields of a newer version", "", exchange(`{"kind":"Customer","name":"n","version":998,"later":1,"spec":{"selector":"account=n","later":2}}`), codes.OK},
-	{"message over the limit", "", func() *peerpb.ExchangeRequest {
-		return &peerpb.ExchangeRequest{Self: member(strings.Repeat("x", 8<<20))}
-	}, codes.ResourceExhausted},
+	{"unknown service", "/jaylink.peer.v9.Peer/Probe", newer, codes.Unimplemented},
+	{"unknown fields", probe, newer, codes.OK},
+	{"empty probe", probe, func() proto.Message { return &peerpb.ProbeMessage{} }, codes.OK},
+	{"empty push", push, func() proto.Message { return &peerpb.News{} }, codes.OK},
+	{"empty table", table, func() proto.Message { return &peerpb.MemberTable{} }, codes.OK},
+	{"nameless members", table, func() proto.Message {
+		return &peerpb.MemberTable{Members: []*peerpb.Member{{}, nil}}
+	}, codes.OK},
+	{"empty pull", pull, func() proto.Message { return &peerpb.PullRequest{} }, codes.OK},
+	{"object that is not JSON", push, news("{"), codes.OK},
+	{"null object", push, news("null"), codes.OK},
+	{"unknown kind", push, news(`{"kind":"Nope","name":"x","version":999}`), codes.OK},
+	{"object with fields of a newer version", push, news(`{"kind":"Customer","name":"n","version":998,"later":1,"spec":{"selector":"account=n","later":2}}`), codes.OK},
+	{"sign of an unknown source", push, func() proto.Message {
+		return &peerpb.News{Signs: []*peerpb.Sign{{Host: "h", Source: "later", ValidMs: 1000}, {}, nil}}
+	}, codes.OK},
+	{"message over the limit", probe, hugeProbe, codes.ResourceExhausted},
 }
 
 // Odd input on the peer port is refused or passed over; the configuration in
@@ -75,20 +93,28 @@
 	before := f.config.get(customerKey)
 	for _, c := range peerFaults {
 		t.Run(c.name, func(t *testing.T) {
-			method := c.method
-			if method == "" {
-				method = peerpb.Peer_Exchange_FullMethodName
-			}
-			err := conn.Invoke(t.Context(), method, c.req(), &peerpb.ExchangeReply{})
+			err := conn.Invoke(t.Context(), c.method, c.req(), replyOf(c.method))
 			require.Equal(t, c.code, status.Code(err), "%v", err)
 			require.Equal(t, before, f.config.get(customerKey))
-			reply, err := peerpb.NewPeerClient(conn).Exchange(t.Context(), &peerpb.ExchangeRequest{Self: member("two")})
+			reply, err := peerpb.NewPeerClient(conn).Probe(t.Context(), &peerpb.ProbeMessage{From: member("two")})
 			require.NoError(t, err)
-			require.Equal(t, "one", reply.GetSelf().GetName())
+			require.Equal(t, "one", reply.GetFrom().GetName())
 		})
 	}
 }
 
+func replyOf(method string) proto.Message {
+	switch method {
+	case push:
+		return &peerpb.PushReply{}
+	case table:
+		return &peerpb.MemberTable{}
+	case pull:
+		return &peerpb.News{}
+	}
+	return &peerpb.ProbeMessage{}
+}
+
 // Bytes that are not HTTP/2 disturb no other connection.
 func TestPeerPortTakesBytesThatAreNotHTTP2(t *testing.T) {
 	f := newFixture(t)
@@ -100,17 +126,17 @@
 	client, err := grpc.NewClient(f.settings.Listen.Peer, grpc.WithTransportCredentials(insecure.NewCredentials()))
 	require.NoError(t, err)
 	defer client.Close()
-	_, err = peerpb.NewPeerClient(client).Exchange(t.Context(), &peerpb.ExchangeRequest{Self: member("two")})
+	_, err = peerpb.NewPeerClient(client).Probe(t.Context(), &peerpb.ProbeMessage{From: member("two")})
 	require.NoError(t, err)
 }
 
 // A reply with fields that this version does not know is read without them.
 func TestReplyOfANewerPeerIsRead(t *testing.T) {
-	reply := &peerpb.ExchangeReply{Self: member("newer")}
+	reply := &peerpb.ProbeMessage{From: member("newer")}
 	reply.ProtoReflect().SetUnknown(newer().ProtoReflect().GetUnknown())
 	data, err := proto.Marshal(reply)
 	require.NoError(t, err)
-	var read peerpb.ExchangeReply
+	var read peerpb.ProbeMessage
 	require.NoError(t, proto.Unmarshal(data, &read))
-	require.Equal(t, "newer", read.GetSelf().GetName())
+	require.Equal(t, "newer", read.GetFrom().GetName())
 }
