--- a/decision/reason/describe.go
+++ b/decision/reason/describe.go
@@ -37,6 +37,7 @@
 	KeyInProgress:    {"Another request with this idempotency key is still running.", againLater},
 	ClaimUnavailable: {"The idempotency key could not be claimed; nothing ran.", againLater},
 	OutcomeUnknown:   {"The work may have run under this key, but its outcome was lost.", againLookup},
+	OutcomeNotKept:   {"The work ran under this key before; its answer was too large to keep.", againLookup},
 	Poison:           {"The request has crashed too many upstreams.", againNever},
 	DeadlineUnmet:    {"The request would wait longer than it has time; it was not run.", againLater},
 	AnswerTooLarge:   {"The upstream's answer is over the setting limits.answer.", againLookup},
--- a/decision/reason/reason.go
+++ b/decision/reason/reason.go
@@ -28,6 +28,7 @@
 	KeyInProgress    Reason = "key_in_progress"
 	ClaimUnavailable Reason = "claim_unavailable"
 	OutcomeUnknown   Reason = "outcome_unknown"
+	OutcomeNotKept   Reason = "outcome_not_kept"
 	Poison           Reason = "poison"
 	AnswerTooLarge   Reason = "answer_too_large"
 	// DeadlineUnmet means that the request could not be answered before its
@@ -40,7 +41,7 @@
 	BadRequest, BodyTooLarge, HeaderTooLarge, WrongMethod, UnknownService, UnknownCustomer, UnknownRequest,
 	WrongCustomer, Draining, CustomerLimit, QueueFull, NoUpstream, TimedOut,
 	AttemptsUsedUp, NotRepeatable, RetryBudget, KeyReused, KeyInProgress,
-	ClaimUnavailable, OutcomeUnknown, Poison, AnswerTooLarge,
+	ClaimUnavailable, OutcomeUnknown, OutcomeNotKept, Poison, AnswerTooLarge,
 	DeadlineUnmet,
 }
 
--- a/entry/driver.go
+++ b/entry/driver.go
@@ -29,7 +29,7 @@
 	// dispatch and claim start the work of an action and return at once.
 	dispatch func(rec *Record, a decision.DispatchAction)
 	claim    func(rec *Record)
-	release  func(rec *Record)
+	endClaim func(rec *Record, p *Problem)
 }
 
 // step passes one event to the core. Actions are carried out under the lock,
@@ -107,6 +107,7 @@
 	rec := d.records.get(a.ID)
 	rec.update(func() {
 		rec.accepted = true
+		rec.deadline = a.Deadline
 		if a.Resolution.Protocol != api.ProtocolCompletions {
 			rec.Call.Completion = nil
 		}
@@ -141,13 +142,11 @@
 func (d *driver) finish(now time.Time, id string, p *Problem) {
 	rec := d.records.get(id)
 	rec.finish(now, p)
+	d.endClaim(rec, p)
 	d.records.ended()
 	v, _ := rec.read(0)
 	d.countUsage(v)
 	if p != nil {
-		if p.Ran == reason.RanNo {
-			d.release(rec)
-		}
 		d.metrics.refusal(p.Reason)
 		d.decisions.add(operator.Decision{
 			At: now, Kind: operator.DecisionRefused, RequestID: id, Service: v.service, Customer: v.customer,
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -32,6 +32,8 @@
 	Limits LimitSettings `yaml:"limits"`
 	// Drain says how the entry stops.
 	Drain DrainSettings `yaml:"drain"`
+	// Claims says how long idempotency keys are kept.
+	Claims ClaimSettings `yaml:"claims"`
 	// Intervals say how often things are asked for.
 	Intervals IntervalSettings `yaml:"intervals"`
 	// Record bounds what the entry remembers of its decisions.
@@ -97,6 +99,13 @@
 	Timeout api.Duration `yaml:"timeout"`
 }
 
+// ClaimSettings say how long idempotency keys are kept.
+type ClaimSettings struct {
+	// Retention is how long a key is kept after its first use. A repeat that
+	// comes later is run again. At least 1h, at most 720h. Default 24h.
+	Retention api.Duration `yaml:"retention"`
+}
+
 // IntervalSettings say how often things are asked for.
 type IntervalSettings struct {
 	// Heartbeat is the time between rounds with peers. Default 500ms.
@@ -142,6 +151,7 @@
 			LeaveDelay: api.Duration(3 * time.Second),
 			Timeout:    api.Duration(2 * time.Minute),
 		},
+		Claims: ClaimSettings{Retention: api.Duration(24 * time.Hour)},
 		Intervals: IntervalSettings{
 			Heartbeat: api.Duration(500 * time.Millisecond),
 			Load:      api.Duration(time.Second),
--- a/internal/testfleet/fleet.go
+++ b/internal/testfleet/fleet.go
@@ -60,6 +60,9 @@
 	Platform string // address
 	Entries  map[string]*Entry
 	Nodes    map[string]*Node // engines and services by upstream name
+	// Apart starts entries that know no other entry, as in zones that are
+	// cut off from each other.
+	Apart bool
 	// Relayed makes the connections between entries that are started from
 	// now on subject to CutZone.
 	Relayed bool
@@ -139,6 +142,9 @@
 	}
 	var peers []string
 	for _, other := range f.Entries {
+		if f.Apart {
+			break
+		}
 		peers = append(peers, other.Peer)
 	}
 	e.Settings = filepath.Join(f.dir, "entry-"+name+".yaml")
