--- a/entry/apply.go
+++ b/entry/apply.go
@@ -8,10 +8,10 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 
 	"jaylink/api"
-	"jaylink/decision/config"
 	"jaylink/operator"
 	"jaylink/platform"
 )
@@ -132,63 +132,6 @@
 	return errX == nil && errY == nil && bytes.Equal(x, y)
 }
 
-// writeObject replaces the given version of an object; 0 creates it. On errStale
-// it returns the object as it stands. The accepted object is in force on this
-// entry when writeObject returns.
-func (e *Entry) writeObject(ctx context.Context, o *api.Object, version uint64) (*api.Object, error) {
-	write := *o
-	write.Version = 0
-	write.Writer = newRequestID(e.settings.Name)
-	rec, err := e.putObject(ctx, &write, version)
-	if errors.Is(err, platform.ErrUnavailable) {
-		rec, err = e.settleWrite(ctx, &write, err)
-	}
-	if current, ok := errConflict(err); ok {
-		stored, decodeErr := decodeRecord(current)
-		if current.Version == 0 || decodeErr != nil {
-			return nil, fmt.Errorf("%w: it does not exist", errStale)
-		}
-		e.putInForce(stored)
-		return stored, fmt.Errorf("%w: it is at version %d by now", errStale, current.Version)
-	}
-	if err != nil {
-		return nil, err
-	}
-	stored, err := decodeRecord(rec)
-	if err != nil {
-		return nil, err
-	}
-	e.putInForce(stored)
-	return stored, nil
-}
-
-func (e *Entry) putObject(ctx context.Context, o *api.Object, version uint64) (platform.Record, error) {
-	if version == 0 {
-		return e.platform.Create(ctx, string(o.Kind), o.Name, o)
-	}
-	return e.platform.Update(ctx, string(o.Kind), o.Name, version, o)
-}
-
-// settleWrite finds out whether a write whose answer was lost took effect.
-func (e *Entry) settleWrite(ctx context.Context, o *api.Object, lost error) (platform.Record, error) {
-	rec, err := e.platform.Get(ctx, string(o.Kind), o.Name)
-	if err != nil {
-		return rec, lost
-	}
-	stored, err := decodeRecord(rec)
-	if err != nil || stored.Writer != o.Writer {
-		return rec, lost
-	}
-	return rec, nil
-}
-
-// putInForce merges an object that is known to be stored.
-func (e *Entry) putInForce(o *api.Object) {
-	e.config.apply(func(st *config.State) bool { return st.Put(o) })
-	revision := e.config.Revision()
-	e.peers.Announce(e.config.deltaProto(config.Delta{Revision: revision, After: revision, Objects: []*api.Object{o}}))
-}
-
 func (e *Entry) handleLabel(w http.ResponseWriter, r *http.Request) {
 	key, ok := pathKey(w, r)
 	if !ok {
@@ -228,8 +171,8 @@
 		return nil, fmt.Errorf("%w: %s", platform.ErrNotFound, key)
 	}
 	for range labelAttempts {
-		if req.Version != 0 && req.Version != current.Version && !labelsAsExpected(current, req) {
-			return current, fmt.Errorf("%w: a label of it was changed by someone else; it is at version %d by now", errStale, current.Version)
+		if sameLabelChanged(current, req) {
+			return current, staleError(current)
 		}
 		next := *current
 		next.Labels = changedLabels(current.Labels, req)
@@ -246,18 +189,22 @@
 	return current, fmt.Errorf("%w: too many writers at once", errStale)
 }
 
-func labelsAsExpected(o *api.Object, req operator.LabelRequest) bool {
-	for key := range req.Set {
-		if o.Labels[key] != req.Expect[key] {
-			return false
-		}
+// sameLabelChanged reports whether a label that the request is about differs
+// from what the operator saw, unless it is what the request wants already.
+func sameLabelChanged(now *api.Object, req operator.LabelRequest) bool {
+	if req.Version == 0 || req.Version >= now.Version {
+		return false
 	}
-	for _, key := range req.Remove {
-		if o.Labels[key] != req.Expect[key] {
-			return false
+	wanted := changedLabels(now.Labels, req)
+	changed := func(key string) bool {
+		return now.Labels[key] != req.Expect[key] && now.Labels[key] != wanted[key]
+	}
+	for key := range req.Set {
+		if changed(key) {
+			return true
 		}
 	}
-	return true
+	return slices.ContainsFunc(req.Remove, changed)
 }
 
 func changedLabels(old api.Labels, req operator.LabelRequest) api.Labels {
@@ -290,19 +237,9 @@
 	if version == 0 {
 		version = current.Version
 	}
-	rec, err := e.platform.Delete(r.Context(), string(key.Kind), key.Name, version)
-	if now, ok := errConflict(err); ok {
-		err = fmt.Errorf("%w: it is at version %d by now", errStale, now.Version)
-		if stored, decodeErr := decodeRecord(now); decodeErr == nil && now.Version != 0 {
-			current = stored
-		}
-		writeResult(w, current, err)
-		return
-	}
-	if err != nil {
-		writeResult(w, nil, err)
+	if stored, err := e.deleteObject(r.Context(), current, version); err != nil {
+		writeResult(w, stored, err)
 		return
 	}
-	e.putInForce(&api.Object{Kind: key.Kind, Name: key.Name, Version: rec.Version, Deleted: true})
 	writeJSON(w, http.StatusOK, struct{}{})
 }
