--- a/decision/events.go
+++ b/decision/events.go
@@ -22,6 +22,13 @@
 // EntriesEvent says how many entries are live, this one included.
 type EntriesEvent struct{ Live int }
 
+// UsageEvent carries another entry's accepted requests by customer. It replaces
+// what that entry reported before; an empty one says that the entry is gone.
+type UsageEvent struct {
+	Peer     string
+	InFlight map[string]int
+}
+
 // RequestEvent says that a caller sent a request.
 type RequestEvent struct {
 	ID     string
@@ -102,6 +109,12 @@
 	Load     route.Load
 }
 
+// CacheEvent carries what an upstream says about its prefix memory.
+type CacheEvent struct {
+	Upstream string
+	Report   route.CacheReport
+}
+
 // LeavingEvent says that an upstream is leaving, or that it is back.
 type LeavingEvent struct {
 	Upstream string
@@ -116,10 +129,12 @@
 
 func (ConfigEvent) event()  {}
 func (EntriesEvent) event() {}
+func (UsageEvent) event()   {}
 func (RequestEvent) event() {}
 func (ClaimEvent) event()   {}
 func (AttemptEvent) event() {}
 func (LoadEvent) event()    {}
+func (CacheEvent) event()   {}
 func (LeavingEvent) event() {}
 func (DrainEvent) event()   {}
 func (TickEvent) event()    {}
