peer: find missed signs by digest; prove that a leaving upstream gets no new work

Cause: signs were pushed once; an entry that missed the push heard of it with the renewal half a minute later. Change: probes carry a digest of the signs, and a difference is pulled; a sign that is known before its upstream is configured counts from the first moment. Run: go test -count=1 ./guarantees -run 'Leaving|Notice|SignIs': ok. go test -race -count=3 ./peer: ok.

--- a/decision/sign/sign.go
+++ b/decision/sign/sign.go
@@ -11,6 +11,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Source is where an observer sees that a host is leaving.
@@ -192,3 +194,17 @@
 	})
 	return out
 }
+
+// Digest is a hash of the signs that say that a host is leaving. Entries with
+// the same digest know the same.
+func (s *Set) Digest(now time.Time) uint64 {
+	var sum uint64
+	for _, signs := range s.hosts {
+		for _, h := range signs {
+			if h.Leaving && now.Before(h.until) {
+				sum ^= xxhash.Sum64String(h.Host + "\x00" + string(h.Source) + "\x00" + h.Observer)
+			}
+		}
+	}
+	return sum
+}
--- a/entry/signs.go
+++ b/entry/signs.go
@@ -133,6 +133,13 @@
 	return signsProto(s.set.All(time.Now()))
 }
 
+// Digest implements peer.Signs.
+func (s *signStore) Digest() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.set.Digest(time.Now())
+}
+
 // Merge implements peer.Signs.
 func (s *signStore) Merge(signs []*peerpb.Sign) []*peerpb.Sign {
 	if len(signs) == 0 {
--- /dev/null
+++ b/guarantees/g5_leaving_test.go
@@ -0,0 +1,212 @@
+package guarantees
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jaylink/internal/procs"
+	"jaylink/internal/testfleet"
+	"jaylink/platform"
+	"jaylink/standin/engine"
+	platformstandin "jaylink/standin/platform"
+)
+
+// leavingFleet is entries in two zones that send captions all the time to an
+// engine that will leave and to one that stays.
+type leavingFleet struct {
+	*testfleet.Fleet
+	t      *testing.T
+	leaver *testfleet.Node
+	stop   context.CancelFunc
+	load   sync.WaitGroup
+}
+
+func newLeavingFleet(t *testing.T) *leavingFleet {
+	f := &leavingFleet{Fleet: testfleet.New(t), t: t}
+	f.Relayed = true
+	f.leaver = f.Upstream("engine", "caption-lm", "leaver", "a", "r", "--token-interval", "1ms")
+	f.Upstream("engine", "caption-lm", "stayer", "a", "r", "--token-interval", "1ms")
+	f.list("leaver", "stayer")
+	for _, zone := range []string{"a", "b"} {
+		for _, n := range []string{"1", "2"} {
+			f.StartEntry(zone+n, zone, "r", "intervals: {heartbeat: 100ms, watch: 5s}\ndrain: {leave_delay: 50ms}\n")
+		}
+	}
+	f.Ready()
+	f.Apply(f.Entries["a1"], captionObjects)
+	for _, e := range f.Entries {
+		require.NoError(t, procs.Await("the peers of "+e.Name, func() bool {
+			s, err := e.Client().Status(t.Context())
+			return err == nil && len(s.Peers) == 3
+		}))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.stop = cancel
+	t.Cleanup(f.end)
+	for _, e := range f.Entries {
+		f.load.Go(func() { f.call(ctx, e) })
+	}
+	return f
+}
+
+func (f *leavingFleet) end() {
+	f.stop()
+	f.load.Wait()
+}
+
+// call sends one caption after the other through an entry.
+func (f *leavingFleet) call(ctx context.Context, e *testfleet.Entry) {
+	for i := 0; ctx.Err() == nil; i++ {
+		_, _ = caption(f.t, e, fmt.Sprintf("%s %d", e.Name, i), 2)
+	}
+}
+
+// list sets the host list; the live ones are named.
+func (f *leavingFleet) list(live ...string) {
+	var hosts []platform.Host
+	for _, name := range []string{"leaver", "stayer"} {
+		state := platform.HostLeaving
+		if slices.Contains(live, name) {
+			state = platform.HostLive
+		}
+		hosts = append(hosts, platform.Host{Name: name, Role: platform.RoleUpstream, State: state})
+	}
+	f.Hosts(hosts)
+}
+
+func (f *leavingFleet) notice(host string) {
+	f.Post("http://"+f.Platform+"/v1/notices", platform.Notice{Host: host, Deadline: time.Now().Add(time.Minute)})
+}
+
+func (f *leavingFleet) runs(n *testfleet.Node) []*engine.Run {
+	var runs []*engine.Run
+	f.Read("http://"+n.Address+"/runs", &runs)
+	return runs
+}
+
+// leaving reports whether an entry holds an upstream for leaving.
+func (f *leavingFleet) leaving(e *testfleet.Entry, name string) bool {
+	s, err := e.Client().Status(f.t.Context())
+	if err != nil {
+		return false
+	}
+	for _, u := range s.Upstreams {
+		if u.Name == name {
+			return u.Leaving
+		}
+	}
+	return false
+}
+
+// awaitBusy waits until the upstream has begun more runs than before.
+func (f *leavingFleet) awaitBusy(n *testfleet.Node) {
+	f.t.Helper()
+	before := len(f.runs(n))
+	require.NoError(f.t, procs.Await("new work", func() bool { return len(f.runs(n)) >= before+4 }))
+}
+
+// judge waits until every entry knows that the upstream leaves, lets a good many
+// requests pass after that, and returns how many began on it meanwhile and how
+// long after the sign the last one did.
+func (f *leavingFleet) judge(sign time.Time) (violations int, last time.Duration) {
+	f.t.Helper()
+	for _, e := range f.Entries {
+		require.NoError(f.t, procs.Await("the sign on "+e.Name, func() bool { return f.leaving(e, "leaver") }))
+	}
+	// What was dispatched before the entries knew has begun once later
+	// requests have been answered.
+	f.awaitBusy(f.Nodes["stayer"])
+	known := len(f.runs(f.leaver))
+	f.awaitBusy(f.Nodes["stayer"])
+	f.awaitBusy(f.Nodes["stayer"])
+	runs := f.runs(f.leaver)
+	if len(runs) > 0 {
+		last = runs[len(runs)-1].At.Sub(sign)
+	}
+	return len(runs) - known, max(last, 0)
+}
+
+func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	cases := []struct {
+		fault  string
+		before func(f *leavingFleet)
+		sign   func(f *leavingFleet)
+	}{
+		{"host_list_lags", nil, func(f *leavingFleet) { f.notice("leaver") }},
+		{"notice_lost_host_list_only", nil, func(f *leavingFleet) { f.list("stayer") }},
+		{"own_report_only", nil, func(f *leavingFleet) {
+			f.Put("http://"+f.leaver.Address+"/faults", engine.Faults{Leaving: true})
+		}},
+		{"notice_lost_on_the_path_to_one_zone", func(f *leavingFleet) {
+			f.PlatformFaults(platformstandin.Faults{BlockZones: []string{"a"}})
+		}, func(f *leavingFleet) { f.notice("leaver") }},
+		{"host_list_unreadable_in_one_zone", func(f *leavingFleet) {
+			f.PlatformFaults(platformstandin.Faults{BlockZones: []string{"b"}})
+		}, func(f *leavingFleet) { f.list("stayer") }},
+		{"platform_out_own_report", func(f *leavingFleet) {
+			f.PlatformFaults(platformstandin.Faults{Outage: true})
+		}, func(f *leavingFleet) { f.Put("http://"+f.leaver.Address+"/faults", engine.Faults{Leaving: true}) }},
+		{"zone_cut_from_platform_and_peers_own_report", func(f *leavingFleet) {
+			f.PlatformFaults(platformstandin.Faults{BlockZones: []string{"b"}})
+			f.CutZone("b")
+		}, func(f *leavingFleet) { f.Put("http://"+f.leaver.Address+"/faults", engine.Faults{Leaving: true}) }},
+	}
+	for _, c := range cases {
+		t.Run(c.fault, func(t *testing.T) {
+			f := newLeavingFleet(t)
+			f.awaitBusy(f.leaver)
+			if c.before != nil {
+				c.before(f)
+			}
+			begin := time.Now()
+			c.sign(f)
+			violations, last := f.judge(begin)
+			f.end()
+			testfleet.Figure("leaving_last_dispatch_ms_"+c.fault, float64(last.Microseconds())/1000, "ms")
+			testfleet.Report(t, testfleet.Guarantee{Number: 5, Fault: c.fault, Cases: len(f.Entries), Violations: violations})
+		})
+	}
+}
+
+// A notice about a host that is not configured yet counts once it is.
+func TestNoticeOfAnUnknownHostIsKept(t *testing.T) {
+	f := newLeavingFleet(t)
+	late := f.Upstream("engine", "caption-lm", "late", "a", "r", "--token-interval", "1ms")
+	f.Hosts([]platform.Host{
+		{Name: "leaver", Role: platform.RoleUpstream, State: platform.HostLive},
+		{Name: "stayer", Role: platform.RoleUpstream, State: platform.HostLive},
+		{Name: "late", Role: platform.RoleUpstream, State: platform.HostLive},
+	})
+	f.notice("late")
+	f.notice("leaver") // comes after it, on every path
+	for _, e := range f.Entries {
+		require.NoError(t, procs.Await("the notices on "+e.Name, func() bool { return f.leaving(e, "leaver") }))
+	}
+	f.Apply(f.Entries["b1"], captionObjects)
+	f.awaitBusy(f.Nodes["stayer"])
+	f.awaitBusy(f.Nodes["stayer"])
+	f.end()
+	testfleet.Report(t, testfleet.Guarantee{Number: 5, Fault: "notice_before_configuration", Cases: len(f.Entries), Violations: len(f.runs(late))})
+}
+
+// A sign that is withdrawn lets work in again.
+func TestSignIsWithdrawn(t *testing.T) {
+	f := newLeavingFleet(t)
+	f.list("stayer")
+	for _, e := range f.Entries {
+		require.NoError(t, procs.Await("the sign on "+e.Name, func() bool { return f.leaving(e, "leaver") }))
+	}
+	f.list("stayer", "leaver")
+	for _, e := range f.Entries {
+		require.NoError(t, procs.Await("its withdrawal on "+e.Name, func() bool { return !f.leaving(e, "leaver") }))
+	}
+	f.awaitBusy(f.leaver)
+	f.end()
+	testfleet.Report(t, testfleet.Guarantee{Number: 5, Fault: "sign_withdrawn", Cases: len(f.Entries)})
+}
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -60,6 +60,9 @@
 	for _, u := range m.Updates {
 		out.Updates = append(out.Updates, memberProto(u))
 	}
+	if n.opts.Signs != nil {
+		out.SignDigest = n.opts.Signs.Digest()
+	}
 	if n.opts.Loads != nil {
 		out.Loads = n.opts.Loads.Newest(maxLoads)
 	}
--- a/peer/node.go
+++ b/peer/node.go
@@ -39,6 +39,8 @@
 type Signs interface {
 	// All returns the signs that hold.
 	All() []*peerpb.Sign
+	// Digest is a hash of them.
+	Digest() uint64
 	// Merge takes what a peer sent and returns what was new.
 	Merge(signs []*peerpb.Sign) []*peerpb.Sign
 }
--- a/peer/round.go
+++ b/peer/round.go
@@ -133,7 +133,7 @@
 	if n.opts.Loads != nil && len(m.GetLoads()) > 0 {
 		n.opts.Loads.Merge(m.GetLoads())
 	}
-	n.compareConfig(m)
+	n.compare(m)
 }
 
 // Survey asks every live member for its state, so that Live has the present
--- a/peer/spread.go
+++ b/peer/spread.go
@@ -108,10 +108,12 @@
 	return m.Address
 }
 
-// compareConfig pulls from a peer that has configuration which is missing here.
-func (n *Node) compareConfig(m *peerpb.ProbeMessage) {
+// compare pulls from a peer that may know what is missing here.
+func (n *Node) compare(m *peerpb.ProbeMessage) {
 	own, theirs := n.opts.Config.Revision(), m.GetFrom().GetConfigRevision()
-	if theirs > own || (theirs == own && m.GetConfigDigest() != n.opts.Config.Digest()) {
+	config := theirs > own || (theirs == own && m.GetConfigDigest() != n.opts.Config.Digest())
+	signs := n.opts.Signs != nil && m.GetSignDigest() != n.opts.Signs.Digest()
+	if config || signs {
 		n.wantPull(m.GetFrom().GetAddress())
 	}
 }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -56,6 +56,8 @@
 	Cached    int    `json:"cached_tokens"`
 	Generated int    `json:"generated_tokens"`
 	Whole     bool   `json:"whole"`
+	// At is when the request began to run.
+	At time.Time `json:"at"`
 }
 
 // Server is the stand-in's HTTP handler.
@@ -176,7 +178,7 @@
 // prefill reads the part of the prompt that the cache does not have.
 func (s *Server) prefill(r *http.Request, c upstream.Completion) *Run {
 	s.mu.Lock()
-	run := &Run{RequestID: r.Header.Get(upstream.HeaderRequestID), Prompt: CountTokens(c.Prompt)}
+	run := &Run{RequestID: r.Header.Get(upstream.HeaderRequestID), Prompt: CountTokens(c.Prompt), At: time.Now()}
 	run.Cached = s.cache.lookup(c.Prompt)
 	s.cache.add(c.Prompt)
 	s.runs = append(s.runs, run)
