--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -32,7 +32,6 @@
 				"attempt", id.tag(rec.ID), "reason", res.Outcome, "ran", res.Ran, "err", res.Err)
 		}
 		close(ended)
-		e.settleClaim(rec, res)
 		e.driver.attemptEnded(rec, a, res.Outcome, res.Ran)
 	})
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -43,8 +43,14 @@
 	platform  *platform.Client
 	upstreams *upstream.Client
 	peers     *peer.Node
-	leaving   atomic.Bool
-	reclaims  *reclaims
+	claims    *claimBook
+	// incarnation and started identify this process and say since when it runs.
+	incarnation uint64
+	started     time.Time
+	leaving     atomic.Bool
+	leave       chan struct{}
+	leaveOnce   sync.Once
+	reclaims    *reclaims
 
 	signs *signStore
 	loads *loadStore
@@ -77,15 +83,19 @@
 		platform:  platform.New(s.Platform).InZone(s.AvailabilityZone),
 		upstreams: upstream.New(),
 		reclaims:  newReclaims(),
+		leave:     make(chan struct{}),
 		signs:     newSignStore(s.Name, log),
 		loads:     newLoadStore(),
 		decisions: newDecisionRecord(s.Name, s.Record.Decisions),
 	}
 	cfg.Observer = &observer{decisions: e.decisions, table: func() *route.Table { return e.driver.core.Table() }}
 	e.background, e.cancel = context.WithCancel(context.Background())
+	e.started = time.Now()
+	e.incarnation = uint64(e.started.UnixNano())
+	e.claims = newClaimBook(e.background, &e.work, e.platform, log)
 	e.driver = &driver{
-		core: decision.New(cfg), records: e.records, metrics: e.metrics, log: log, decisions: e.decisions,
-		dispatch: e.dispatch, claim: e.startClaim, release: e.releaseClaim,
+		core: decision.New(cfg), records: e.records, metrics: e.metrics, log: log, decisions: e.decisions, usage: newUsageCounts(),
+		dispatch: e.dispatch, claim: e.startClaim, endClaim: e.endClaim,
 		move: e.move,
 	}
 	e.signs.step, e.loads.step = e.driver.step, e.driver.step
@@ -99,7 +109,7 @@
 	e.peers = peer.New(peer.Options{
 		Self: &peerpb.Member{
 			Name: s.Name, Address: cmp.Or(s.Advertise.Peer, s.Listen.Peer), AvailabilityZone: s.AvailabilityZone, Region: s.Region,
-			Incarnation: uint64(time.Now().UnixNano()), CallerAddress: s.Listen.Caller,
+			Incarnation: e.incarnation, CallerAddress: s.Listen.Caller,
 		},
 		Seeds:     s.Peers,
 		Heartbeat: s.Intervals.Heartbeat.Std(),
@@ -115,6 +125,7 @@
 	e.registerHandover(e.peers.Server())
 	e.signs.reclaimed = e.noticed
 	e.signs.tell = e.peers.PushSigns
+	e.registerGauges()
 	return e, nil
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rcrowley/go-metrics"
 
+	"jaylink/decision"
 	"jaylink/decision/reason"
 )
 
@@ -23,6 +24,7 @@
 	cacheFailed metrics.Counter
 	refused     map[reason.Reason]metrics.Counter
 	retried     map[reason.Reason]metrics.Counter
+	claims      map[decision.ClaimResult]metrics.Counter
 }
 
 func newCounters() *counters {
@@ -38,6 +40,7 @@
 		cacheFailed: metrics.NewRegisteredCounter("recovery.cache_failed", r),
 		refused:     map[reason.Reason]metrics.Counter{},
 		retried:     map[reason.Reason]metrics.Counter{},
+		claims:      map[decision.ClaimResult]metrics.Counter{},
 	}
 	for _, why := range reason.Refusals {
 		c.refused[why] = metrics.NewRegisteredCounter("request.refused."+string(why), r)
@@ -45,9 +48,14 @@
 	for _, why := range reason.Retries {
 		c.retried[why] = metrics.NewRegisteredCounter("request.retried."+string(why), r)
 	}
+	for _, result := range decision.ClaimResults {
+		c.claims[result] = metrics.NewRegisteredCounter("claim."+string(result), r)
+	}
 	return c
 }
 
+func (c *counters) claim(result decision.ClaimResult) { c.claims[result].Inc(1) }
+
 func (c *counters) refusal(why reason.Reason) { c.refused[why].Inc(1) }
 
 func (c *counters) retry(why reason.Reason) { c.retried[why].Inc(1) }
--- a/entry/record.go
+++ b/entry/record.go
@@ -62,8 +62,9 @@
 	// finishReason is the engine's; "" stands for the length asked for.
 	finishReason string
 	// answer is the answer of a plain service.
-	answer  *upstream.Answer
-	claim   *claim
+	answer *upstream.Answer
+	// claimed says that the record holds its idempotency key.
+	claimed bool
 	problem *Problem
 	done    bool
 	// held says that the record began as a copy of another entry's request.
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -69,14 +70,14 @@
 		return
 	}
 	e.log.Info("this host is being reclaimed", "step", "reclaim", "deadline", deadline)
-	e.work.Go(func() { e.leave(e.background, deadline) })
+	e.work.Go(func() { e.evacuate(e.background, deadline) })
 }
 
-// leave takes the entry out of service before a deadline. The balancer and the
+// evacuate takes the entry out of service before a deadline. The balancer and the
 // peers are told first, and copies of what is in flight go to peers; requests
 // go on being accepted for the leave delay. What will not end in time is handed
 // over. It returns when nothing is in flight any more, or at the deadline.
-func (e *Entry) leave(ctx context.Context, deadline time.Time) {
+func (e *Entry) evacuate(ctx context.Context, deadline time.Time) {
 	e.leaving.Store(true)
 	e.peers.SetLeaving()
 	delay := min(e.settings.Drain.LeaveDelay.Std(), max(time.Until(deadline), 0)/reclaimLeaveShare)
@@ -91,21 +92,42 @@
 // at the end of the drain timeout and could not be handed over gets a final
 // answer.
 func (e *Entry) Stop(ctx context.Context) error {
-	e.leave(ctx, time.Now().Add(e.settings.Drain.LeaveDelay.Std()+e.settings.Drain.Timeout.Std()))
+	deadline := time.Now().Add(e.settings.Drain.LeaveDelay.Std() + e.settings.Drain.Timeout.Std())
+	e.evacuate(ctx, deadline)
+	err := e.finishAll(ctx)
+	storing, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	err = errors.Join(err, e.storeOutcomes(storing))
+	ctx, cancel = context.WithTimeout(ctx, finalAnswerTimeout)
+	defer cancel()
+	e.shutdown(ctx)
+	return err
+}
+
+// finishAll gives a final answer to what is in flight.
+func (e *Entry) finishAll(ctx context.Context) error {
 	n, idle := e.records.inFlight()
-	var err error
-	if n > 0 {
-		err = oops.In("entry").With("step", "drain").Errorf("%d requests were in flight at the end of the drain timeout", n)
-		e.driver.step(decision.StopEvent{})
+	if n == 0 {
+		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, finalAnswerTimeout)
-	defer cancel()
+	e.driver.step(decision.StopEvent{})
 	select {
 	case <-idle:
+	case <-time.After(finalAnswerTimeout):
 	case <-ctx.Done():
 	}
-	e.shutdown(ctx)
-	return err
+	return oops.In("entry").With("step", "drain").Errorf("%d requests were in flight at the end of the drain timeout", n)
+}
+
+// storeOutcomes waits until the outcomes of claimed work are stored.
+func (e *Entry) storeOutcomes(ctx context.Context) error {
+	n, stored := e.claims.stored()
+	select {
+	case <-stored:
+		return nil
+	case <-ctx.Done():
+		return oops.In("entry").With("step", "drain").Errorf("%d outcomes were not stored at the end of the drain timeout", n)
+	}
 }
 
 func (e *Entry) shutdown(ctx context.Context) {
