make: run every test anew

Cause: the proofs in guarantees/ build the binary by a command, so the test cache does not see that the code under test has changed; a cached pass could stand for code that was never run.

Ruled out: importing entry from the proofs only to invalidate the cache.

Change: make test passes -count=1.

Before: make test after a change of entry/ took 5 s and reported guarantees from the cache.

Conclusion: the verdict is about the code at hand.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	$(GO) build -o $(BIN)/jaylink ./cmd/jaylink
 
 test:
-	$(GO) run ./internal/testrun -- ./...
+	$(GO) run ./internal/testrun -- -count=1 ./...
 
 # The proofs of what must always hold; prints a line a case.
 guarantees:
