entry: give orders to engines under a lease with fencing numbers

Cause: nobody gave engines orders; two entries that both believe they hold the lease must not undo each other. Change: decision/lease (pure), one lease object renewed by conditional update, three candidates; an order is given only while its whole timeout lies inside the lease, asked on the monotonic clock just before it; a new holder waits for the old one's last order where engines don't check fencing numbers. Orders are compared levels, labels model and role, so that they can be repeated. Failed first: with the check of the time left taken out, or a takeover after half the lease, TestOrdersOfDifferentHoldersNeverOverlap and TestHolderThatIsPausedPastItsLeaseGivesNoOrder fail. Run: go test ./decision/lease -rapid.checks=30000: no failure of the property; go test -count=2 ./guarantees -run PausedLease: ok.

--- a/cmd/jaylink/standin.go
+++ b/cmd/jaylink/standin.go
@@ -42,6 +42,7 @@
 	cmd.Flag("token-interval", "Time between tokens.").Default("5ms").DurationVar(&opts.TokenInterval)
 	cmd.Flag("prefill", "Time to read one prompt token.").Default("100us").DurationVar(&opts.PrefillPerToken)
 	cmd.Flag("load-lag", "Age of the reported load.").Default("500ms").DurationVar(&opts.LoadLag)
+	cmd.Flag("check-fencing", "Refuse orders with an old fencing number.").BoolVar(&opts.ChecksFencing)
 	cmd.Flag("prefix-tokens", "Size of the prefix cache in tokens.").Default("4096").IntVar(&opts.PrefixTokens)
 	cmd.Action(func(*kingpin.ParseContext) error { return runStandin(*listen, engine.New(opts)) })
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -167,6 +167,7 @@
 	e.work.Go(func() { e.read(ctx, "watch", e.readConfig) })
 	e.work.Go(func() { e.read(ctx, "notices", e.followNotices) })
 	e.work.Go(func() { e.read(ctx, "hosts", e.pollHosts) })
+	e.work.Go(func() { newOrderer(e).run(ctx) })
 	e.work.Go(func() { every(ctx, in.Load.Std(), e.pollLoad) })
 	e.work.Go(func() { every(ctx, time.Second, func(context.Context) { e.signs.expire() }) })
 	e.work.Go(func() { every(ctx, forgetInterval, e.tidy) })
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -107,6 +107,9 @@
 	Hosts api.Duration `yaml:"hosts"`
 	// Watch bounds one waiting watch. Default 30s.
 	Watch api.Duration `yaml:"watch"`
+	// Lease is how long the lease for orders holds after a renewal; it is
+	// the same on all entries. Default 9s.
+	Lease api.Duration `yaml:"lease"`
 	// Retain is how long an ended request can be read again. Default 2m.
 	Retain api.Duration `yaml:"retain"`
 }
@@ -147,6 +150,7 @@
 			Load:      api.Duration(time.Second),
 			Hosts:     api.Duration(2 * time.Second),
 			Watch:     api.Duration(30 * time.Second),
+			Lease:     api.Duration(9 * time.Second),
 			Retain:    api.Duration(2 * time.Minute),
 		},
 		Record: RecordSettings{Decisions: 4096},
--- a/entry/settings_check.go
+++ b/entry/settings_check.go
@@ -134,6 +134,7 @@
 	c.interval("intervals.load", s.Intervals.Load)
 	c.interval("intervals.hosts", s.Intervals.Hosts)
 	c.interval("intervals.watch", s.Intervals.Watch)
+	c.interval("intervals.lease", s.Intervals.Lease)
 	c.interval("intervals.retain", s.Intervals.Retain)
 	between(c, "drain.leave_delay", s.Drain.LeaveDelay, 0, api.Duration(maxInterval))
 	c.interval("drain.timeout", s.Drain.Timeout)
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -33,6 +33,8 @@
 	PrefillPerToken time.Duration
 	// LoadLag is how old the reported load is.
 	LoadLag time.Duration
+	// ChecksFencing refuses orders with an old fencing number.
+	ChecksFencing bool
 	// PrefixTokens is the size of the prefix cache.
 	PrefixTokens int
 }
@@ -72,6 +74,7 @@
 	queued  int
 	history []sample
 	runs    []*Run
+	orders  orders
 	cache   prefixCache
 }
 
@@ -90,6 +93,9 @@
 	}
 	s.router.HandleFunc("/v1/completions", s.complete).Methods(http.MethodPost)
 	s.router.HandleFunc("/load", s.load).Methods(http.MethodGet)
+	s.router.HandleFunc("/state", s.getState).Methods(http.MethodGet)
+	s.router.HandleFunc("/state", s.takeOrder).Methods(http.MethodPost)
+	s.router.HandleFunc("/orders", s.listOrders).Methods(http.MethodGet)
 	s.router.HandleFunc("/runs", s.listRuns).Methods(http.MethodGet)
 	s.router.HandleFunc("/faults", s.setFaults).Methods(http.MethodPut)
 	return s
