--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 TOOL = $(GO) tool -modfile=tools/go.mod
 BIN = bin
 
-.PHONY: build test guarantees bench demo check generate clean
+.PHONY: build test guarantees bench demo check docs generate clean
 
 build:
 	$(GO) build -o $(BIN)/jaylink ./cmd/jaylink
@@ -26,6 +26,10 @@
 	$(GO) vet ./...
 	$(TOOL) staticcheck ./...
 
+# Writes the pages and sections that tests otherwise compare.
+docs:
+	UPDATE_DOCS=1 $(GO) test ./entry ./docs
+
 generate:
 	$(GO) build -modfile=tools/go.mod -o $(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
 	PATH="$(CURDIR)/$(BIN):$$PATH" protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative peer/peerpb/peer.proto
--- a/entry/settings_check.go
+++ b/entry/settings_check.go
@@ -23,6 +23,8 @@
 	minInterval    = 10 * time.Millisecond
 	maxInterval    = time.Hour
 	maxDecisions   = 1 << 20
+	minRetention   = time.Hour
+	maxRetention   = 30 * 24 * time.Hour
 )
 
 // entryNameRE is the form of an entry's name, which is a part of request IDs.
@@ -138,6 +140,7 @@
 	c.interval("intervals.retain", s.Intervals.Retain)
 	between(c, "drain.leave_delay", s.Drain.LeaveDelay, 0, api.Duration(maxInterval))
 	c.interval("drain.timeout", s.Drain.Timeout)
+	between(c, "claims.retention", s.Claims.Retention, api.Duration(minRetention), api.Duration(maxRetention))
 }
 
 func (c *settingsCheck) interval(field string, value api.Duration) {
--- a/entry/settings_doc_test.go
+++ b/entry/settings_doc_test.go
@@ -28,7 +28,7 @@
 	}
 	have, err := os.ReadFile(file)
 	require.NoError(t, err)
-	require.Equal(t, want, string(have), "%s is out of date; run %s=1 go test ./entry", file, updateEnv)
+	require.True(t, want == string(have), "%s is out of date; run make docs", file)
 }
 
 // settingsDocs returns the doc comment of each field, by type and field name.
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"slices"
@@ -23,6 +24,12 @@
 	// LoseAnswers is the number of coming writes that take effect while
 	// their answer is lost.
 	LoseAnswers int `json:"lose_answers"`
+	// HoldKind holds back the answers to writes of objects of this kind, after
+	// the writes took effect, until the switch is taken back.
+	HoldKind string `json:"hold_kind,omitempty"`
+	// LateKind loses the answers to writes of objects of this kind; the
+	// writes take effect when the switch is taken back.
+	LateKind string `json:"late_kind,omitempty"`
 	// DropWrites is the number of coming writes that have no effect and get
 	// no answer.
 	DropWrites int `json:"drop_writes"`
@@ -57,6 +64,7 @@
 	faults Faults
 	// switched is closed when the faults change.
 	switched chan struct{}
+	held     int
 	calls    map[string]int
 	hosts    []platform.Host
 	notices  []platform.Notice
@@ -87,6 +95,7 @@
 	v1.HandleFunc("/host-orders", s.counted("host-orders", s.orderHost)).Methods(http.MethodPost)
 	v1.HandleFunc("/weights/{name}", s.counted("weights", s.loadWeights)).Methods(http.MethodGet)
 	v1.HandleFunc("/calls", s.listCalls).Methods(http.MethodGet)
+	v1.HandleFunc("/held", s.listHeld).Methods(http.MethodGet)
 	v1.HandleFunc("/faults", s.getFaults).Methods(http.MethodGet)
 	v1.HandleFunc("/faults", s.setFaults).Methods(http.MethodPut)
 	return s
@@ -158,7 +167,15 @@
 		panic(http.ErrAbortHandler)
 	}
 	v := mux.Vars(r)
+	if s.loseLate(v["kind"]) {
+		go func() {
+			s.hold(context.Background(), func(f Faults) bool { return f.LateKind == v["kind"] })
+			s.store.write(v["kind"], v["name"], version, value)
+		}()
+		panic(http.ErrAbortHandler)
+	}
 	rec, ok := s.store.write(v["kind"], v["name"], version, value)
+	s.hold(r.Context(), func(f Faults) bool { return f.HoldKind == v["kind"] })
 	if !ok {
 		standin.WriteJSON(w, http.StatusPreconditionFailed, rec)
 		return
@@ -169,6 +186,40 @@
 	standin.WriteJSON(w, http.StatusOK, rec)
 }
 
+// loseLate reports whether a write of a kind is to take effect late.
+func (s *Server) loseLate(kind string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.LateKind == kind
+}
+
+// hold waits while the faults say so.
+func (s *Server) hold(ctx context.Context, wanted func(Faults) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held++
+	defer func() { s.held-- }()
+	for wanted(s.faults) {
+		switched := s.switched
+		s.mu.Unlock()
+		select {
+		case <-switched:
+		case <-ctx.Done():
+		}
+		s.mu.Lock()
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// listHeld answers with the number of calls that are held back.
+func (s *Server) listHeld(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	standin.WriteJSON(w, http.StatusOK, s.held)
+}
+
 // countDown uses up one of a counted fault and reports whether there was one.
 func (s *Server) countDown(field func(*Faults) *int) bool {
 	s.mu.Lock()
