entry: get ready with an empty configuration, and list it once

Cause: an entry that does not read the platform took no configuration at revision 0 for known, so in a fleet with an empty platform it never got ready; a reader at revision 0 listed again and again without a pause. Change: peers say whether they have read the configuration; a known one is watched from its revision, 0 included.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -231,7 +231,7 @@
 	switch {
 	case e.leaving.Load():
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
-	case !e.config.known():
+	case !e.config.Known():
 		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
 	default:
 		_, _ = io.WriteString(w, "ready\n")
--- a/entry/config.go
+++ b/entry/config.go
@@ -41,9 +41,9 @@
 // catalog returns the configuration in force.
 func (s *configStore) catalog() *api.Catalog { return s.current.Load() }
 
-// known reports whether the configuration has been read, from the platform or
-// from a peer.
-func (s *configStore) known() bool { return s.seen.Load() }
+// Known implements peer.Config: the configuration has been read, from the
+// platform or from a peer.
+func (s *configStore) Known() bool { return s.seen.Load() }
 
 // Revision implements peer.Config.
 func (s *configStore) Revision() uint64 { return s.revision.Load() }
@@ -56,7 +56,11 @@
 	s.mu.Lock()
 	d := s.state.Since(after)
 	s.mu.Unlock()
-	return s.deltaProto(d)
+	out := s.deltaProto(d)
+	if out != nil {
+		out.Known = s.Known()
+	}
+	return out
 }
 
 // deltaProto encodes a delta for peers; nil if that fails.
@@ -87,7 +91,7 @@
 	}
 	before := s.Revision()
 	changed := s.apply(func(st *config.State) bool { return st.Merge(delta) })
-	if s.Revision() > 0 {
+	if d.GetKnown() {
 		s.seen.Store(true)
 	}
 	return changed || s.Revision() > before
@@ -180,10 +184,10 @@
 // readConfig reads the whole configuration if nothing of it is known, and waits
 // for its next change otherwise. It is one step of a reader of the platform.
 func (e *Entry) readConfig(ctx context.Context) error {
-	after := e.config.cursor()
-	if after == 0 {
+	if !e.config.Known() {
 		return e.listConfig(ctx)
 	}
+	after := e.config.cursor()
 	list, err := e.platform.Watch(ctx, configKinds(), after, e.settings.Intervals.Watch.Std())
 	if errors.Is(err, platform.ErrCompacted) {
 		e.log.Warn("changes are no longer held by the platform; reading everything", "step", "watch", "revision", after)
--- a/entry/config_test.go
+++ b/entry/config_test.go
@@ -35,3 +35,14 @@
 	s.apply(func(st *config.State) bool { return st.MergeList(api.KindCustomer, 7, objects) })
 	require.NotNil(t, s.get(customerKey), "after a list of the platform")
 }
+
+// An entry that reads nothing itself gets ready with an empty configuration too.
+func TestEmptyConfigurationOfAPeerIsKnown(t *testing.T) {
+	reader, other := newTestStore(), newTestStore()
+	require.False(t, other.Known())
+	other.Merge("reader", reader.Delta(0))
+	require.False(t, other.Known(), "the peer has read nothing either")
+	reader.complete(0)
+	other.Merge("reader", reader.Delta(0))
+	require.True(t, other.Known())
+}
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -55,6 +55,7 @@
 		MemberDigest: m.Digest,
 		Pending:      m.Pending,
 		ConfigDigest: n.opts.Config.Digest(),
+		ConfigKnown:  n.opts.Config.Known(),
 	}
 	out.From.ConfigRevision = n.opts.Config.Revision()
 	for _, u := range m.Updates {
--- a/peer/node.go
+++ b/peer/node.go
@@ -33,6 +33,8 @@
 	Revision() uint64
 	// Digest is a hash of the objects in force.
 	Digest() uint64
+	// Known reports whether the configuration has been read; it may be empty.
+	Known() bool
 }
 
 // Signs gives a node access to the leaving signs of its entry.
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -43,6 +43,8 @@
 
 func (c *fakeConfig) Digest() uint64 { return c.Revision() }
 
+func (c *fakeConfig) Known() bool { return true }
+
 func (c *fakeConfig) set(revision uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/peer/spread.go
+++ b/peer/spread.go
@@ -111,7 +111,8 @@
 // compare pulls from a peer that may know what is missing here.
 func (n *Node) compare(m *peerpb.ProbeMessage) {
 	own, theirs := n.opts.Config.Revision(), m.GetFrom().GetConfigRevision()
-	config := theirs > own || (theirs == own && m.GetConfigDigest() != n.opts.Config.Digest())
+	unknown := m.GetConfigKnown() && !n.opts.Config.Known()
+	config := unknown || theirs > own || (theirs == own && m.GetConfigDigest() != n.opts.Config.Digest())
 	signs := n.opts.Signs != nil && m.GetSignDigest() != n.opts.Signs.Digest()
 	if config || signs {
 		n.wantPull(m.GetFrom().GetAddress())
