--- a/entry/plugins.go
+++ b/entry/plugins.go
@@ -2,13 +2,14 @@
 
 import (
 	"jaylink/decision"
+	"jaylink/decision/recovery"
 	"jaylink/kernel"
 	"jaylink/plugin/standard"
 )
 
 // chain builds the modules that the settings name, or the standard ones.
 func chain(s Settings) (decision.Config, error) {
-	cfg := decision.Config{Zone: s.AvailabilityZone, Region: s.Region}
+	cfg := decision.Config{Zone: s.AvailabilityZone, Region: s.Region, Recovery: recovery.NewPlanner(s.Recovery.rates())}
 	plugins := s.Plugins
 	if len(plugins) == 0 {
 		for _, id := range standard.Order {
