entry: wait for readiness before tests use the fixture

Cause: TestHealthAnswersAreSeparate asked for readiness at once after the start; the entry is ready only when it has listed the configuration, so the verdict depended on who came first (503 instead of 200 once in a run under load).

Ruled out: expecting either answer; that would be a weaker check.

Change: the fixture waits until the entry says that it is ready.

Conclusion: the check is as strict as before and no longer a race.

--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -115,6 +115,7 @@
 		f.platform.Close()
 	})
 	f.apply(t, fmt.Sprintf(fixtureObjects, f.service.Listener.Addr(), f.engine.Listener.Addr()))
+	require.NoError(t, procs.AwaitHTTP("http://"+s.Listen.Caller+"/healthz/ready"))
 	return f
 }
 
