poison: refuse requests that crash the upstreams that run them

Cause: a request that crashes its upstream was repeated on the next one until its attempts were used up, and again for each repeat of its caller.

Ruled out: blaming each broken stream (an engine that cuts one, or a zone that is cut off, would make innocent requests poison); counts in the platform's store (out when waves of reclaims come, and a call a crash).

Change: decision/poison counts crashes by fingerprint, bounded and expiring; after three the request is refused at once, also where it waits. An attempt whose connection broke looks at its upstream: only one that refuses connections or runs for less time than the attempt has crashed, and one that said it was leaving has not. filter.isolate keeps requests that took part in a crash apart, so that the next crash has one cause. Entries tell each other over an RPC of its own. An answer whose last token had come before its stream broke is whole; it was sent on with max_tokens 0 and failed (TestBreaksWithoutCrashesBlameNobody).

Conclusion: crashes are bounded by the limit and the entries that have the request under way at the same moment.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 
 generate:
 	$(GO) build -modfile=tools/go.mod -o $(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
-	PATH="$(CURDIR)/$(BIN):$$PATH" protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative peer/peerpb/peer.proto
+	PATH="$(CURDIR)/$(BIN):$$PATH" protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative peer/peerpb/peer.proto peer/peerpb/poison.proto
 
 clean:
 	rm -rf $(BIN)
--- a/cmd/jaylink/standin.go
+++ b/cmd/jaylink/standin.go
@@ -43,6 +43,7 @@
 	cmd.Flag("prefill", "Time to read one prompt token.").Default("100us").DurationVar(&opts.PrefillPerToken)
 	cmd.Flag("load-lag", "Age of the reported load.").Default("500ms").DurationVar(&opts.LoadLag)
 	cmd.Flag("prefix-tokens", "Size of the prefix cache in tokens.").Default("4096").IntVar(&opts.PrefixTokens)
+	cmd.Flag("exit-on", "End the process at a prompt that contains this text.").StringVar(&opts.ExitOn)
 	cmd.Action(func(*kingpin.ParseContext) error { return runStandin(*listen, engine.New(opts)) })
 }
 
--- a/decision/core.go
+++ b/decision/core.go
@@ -26,6 +26,7 @@
 
 	"jaylink/api"
 	"jaylink/decision/admission"
+	"jaylink/decision/poison"
 	"jaylink/decision/reason"
 	"jaylink/decision/retry"
 	"jaylink/decision/route"
@@ -54,6 +55,7 @@
 	usage    usage
 	entries  int
 	draining bool
+	poison   *poison.Tracker
 	// number counts accepted requests, and stepped is the time of the last
 	// step.
 	number  uint64
@@ -72,19 +74,21 @@
 
 // request is the state of one accepted request.
 type request struct {
-	id       string
-	key      string
-	res      api.Resolution
-	route    route.Request
-	phase    phase
-	claimed  bool
-	attempts int
-	upstream string
-	retry    reason.Reason
-	ran      reason.Ran
-	accepted time.Time
-	started  time.Time
-	deadline time.Time
+	id  string
+	key string
+	// fingerprint is a hash of the request's content.
+	fingerprint uint64
+	res         api.Resolution
+	route       route.Request
+	phase       phase
+	claimed     bool
+	attempts    int
+	upstream    string
+	retry       reason.Reason
+	ran         reason.Ran
+	accepted    time.Time
+	started     time.Time
+	deadline    time.Time
 	// number is the request's place in the order of acceptance.
 	number uint64
 	// due is when the request needs attention; place is its index in wakes.
@@ -107,6 +111,7 @@
 		requests: map[string]*request{},
 		usage:    newUsage(),
 		entries:  1,
+		poison:   poison.NewTracker(),
 	}
 }
 
@@ -135,6 +140,8 @@
 		out = c.claimed(now, ev)
 	case AttemptEvent:
 		out = c.attemptEnded(now, ev)
+	case CrashEvent:
+		out = c.crashed(now, ev.Crash)
 	case LoadEvent:
 		c.table.Report(ev.Upstream, ev.Load)
 	case CacheEvent:
@@ -180,6 +187,9 @@
 	if c.draining {
 		return []Action{RefuseAction{ID: ev.ID, Reason: reason.Draining, Ran: reason.RanNo, RetryAfter: drainRetryAfter}}
 	}
+	if c.poison.Poisoned(now, ev.Fingerprint) {
+		return []Action{RefuseAction{ID: ev.ID, Reason: reason.Poison, Ran: reason.RanNo}}
+	}
 	limits := c.admissionRequest(&res)
 	if v := admission.Check(c.cfg.Limits, limits); v.Refusal != "" {
 		c.observeLimit(now, ev.ID, limits, v.Refusal)
@@ -191,13 +201,14 @@
 		r.phase = phaseClaim
 		return append(actions, ClaimAction{ID: r.id})
 	}
-	c.enqueue(r)
+	c.enqueue(now, r)
 	return actions
 }
 
 // enqueue lets a request wait for an upstream. It needs attention when its
 // deadline can't be met any more, or once that has passed if it already ran.
-func (c *Core) enqueue(r *request) {
+func (c *Core) enqueue(now time.Time, r *request) {
+	c.suspect(now, r)
 	c.queue.push(r)
 	due := r.deadline
 	if r.attempts == 0 {
@@ -215,7 +226,9 @@
 		accepted: now,
 		deadline: now.Add(res.Timeout),
 		number:   c.number,
-		place:    noPlace,
+
+		fingerprint: ev.Fingerprint,
+		place:       noPlace,
 	}
 	c.number++
 	r.route = route.Request{
@@ -250,7 +263,10 @@
 		if r.timedOut || !now.Before(r.deadline) {
 			return c.refuse(now, r, reason.TimedOut)
 		}
-		c.enqueue(r)
+		if c.poison.Poisoned(now, r.fingerprint) {
+			return c.refuse(now, r, reason.Poison)
+		}
+		c.enqueue(now, r)
 		return nil
 	case ClaimDone:
 		c.remove(r)
@@ -297,6 +313,7 @@
 	r.upstream = u.Name
 	c.wakes.set(r, r.deadline)
 	c.table.Started(u.Name, r.route.Prefix)
+	c.setSuspect(r, u.Name, 1)
 	if r.attempts == 1 {
 		retry.FirstAttempt(c.cfg.Rules)
 	}
@@ -310,6 +327,7 @@
 		return nil
 	}
 	c.table.Ended(now, ev.Upstream, blamesUpstream(ev.Outcome))
+	c.setSuspect(r, ev.Upstream, -1)
 	r.ran = r.ran.Join(ev.Ran)
 	if ev.Outcome == OutcomeDone {
 		c.usage.observe(r, now)
@@ -322,7 +340,11 @@
 	if r.timedOut || ev.Outcome == OutcomeCanceled {
 		return c.refuse(now, r, reason.TimedOut)
 	}
-	return c.again(now, r, ev)
+	out := c.blame(now, r, ev)
+	if c.poison.Poisoned(now, r.fingerprint) {
+		return append(out, c.refuse(now, r, reason.Poison)...)
+	}
+	return append(out, c.again(now, r, ev)...)
 }
 
 // again asks the retry rules about a failed attempt.
@@ -352,7 +374,7 @@
 		c.wakes.set(r, wake)
 		return nil
 	}
-	c.enqueue(r)
+	c.enqueue(now, r)
 	return nil
 }
 
@@ -364,7 +386,7 @@
 		r := c.wakes[0]
 		switch {
 		case r.phase == phaseBackoff && now.Before(r.deadline):
-			c.enqueue(r)
+			c.enqueue(now, r)
 		default:
 			out = append(out, c.timeOut(now, r)...)
 		}
--- a/decision/events.go
+++ b/decision/events.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"jaylink/api"
+	"jaylink/decision/poison"
 	"jaylink/decision/reason"
 	"jaylink/decision/route"
 )
@@ -103,6 +104,8 @@
 	Outcome  Outcome
 	// Ran is what this attempt proves on its own.
 	Ran reason.Ran
+	// Crashed says that the upstream crashed while it ran the attempt.
+	Crashed bool
 	// Relayed is the size of the answer so far in bytes.
 	Relayed int
 	// Resumable says that the answer can be continued on another upstream.
@@ -111,6 +114,9 @@
 	Jitter float64
 }
 
+// CrashEvent carries an upstream crash that another entry saw.
+type CrashEvent struct{ Crash poison.Crash }
+
 // LoadEvent carries an upstream's own report.
 type LoadEvent struct {
 	Upstream string
@@ -141,6 +147,7 @@
 func (RequestEvent) event() {}
 func (ClaimEvent) event()   {}
 func (AttemptEvent) event() {}
+func (CrashEvent) event()   {}
 func (LoadEvent) event()    {}
 func (CacheEvent) event()   {}
 func (LeavingEvent) event() {}
@@ -174,6 +181,9 @@
 // CancelAction asks the driver to end the running attempt of a request.
 type CancelAction struct{ ID string }
 
+// CrashAction asks the driver to tell the other entries about a crash.
+type CrashAction struct{ Crash poison.Crash }
+
 // FinishAction says that the answer is complete.
 type FinishAction struct{ ID string }
 
@@ -192,6 +202,7 @@
 func (ClaimAction) action()    {}
 func (DispatchAction) action() {}
 func (CancelAction) action()   {}
+func (CrashAction) action()    {}
 func (FinishAction) action()   {}
 func (ReplayAction) action()   {}
 func (RefuseAction) action()   {}
--- a/decision/route/route.go
+++ b/decision/route/route.go
@@ -26,9 +26,12 @@
 
 // Upstream is what an entry believes about one upstream.
 type Upstream struct {
-	Name   string
-	Labels api.Labels
-	Spec   *api.UpstreamSpec
+	// Suspects counts the requests of this entry that the upstream runs and
+	// that took part in a crash.
+	Suspects int
+	Name     string
+	Labels   api.Labels
+	Spec     *api.UpstreamSpec
 	// Load is the newest report; LoadInFlight is this entry's own number of
 	// requests on the upstream when that report came.
 	Load         Load
@@ -96,6 +99,8 @@
 	Tried    []string
 	Accepted time.Time
 	Deadline time.Time
+	// Suspect says that the request took part in an upstream's crash.
+	Suspect bool
 }
 
 // Filter says whether an upstream may run a request. Its answer may depend on
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/samber/oops"
 
@@ -22,12 +23,14 @@
 	})
 	e.work.Go(func() {
 		defer cancel()
+		began := time.Now()
 		res := e.attempt(ctx, rec, a)
+		crashed := e.crashed(ctx, a.Spec.Address, began, res)
 		if res.Err != nil {
 			e.log.Warn("attempt failed", "request_id", rec.ID, "upstream", a.Upstream,
 				"attempt", a.Attempt, "reason", res.Outcome, "ran", res.Ran, "err", res.Err)
 		}
-		e.driver.attemptEnded(rec, a, res.Outcome, res.Ran)
+		e.driver.attemptEnded(rec, a, res, crashed)
 	})
 }
 
@@ -60,6 +63,10 @@
 		return upstream.Result{Outcome: decision.OutcomeServerError, Ran: reason.RanNo, Err: err}
 	}
 	v, _ := rec.read(0)
+	if v.tokens >= rec.Call.Completion.MaxTokens {
+		// Only the end of the stream was lost.
+		return upstream.Result{Outcome: decision.OutcomeDone, Ran: reason.RanYes}
+	}
 	return e.upstreams.Complete(ctx, upstream.CompletionCall{
 		Address:    a.Spec.Address,
 		RequestID:  tag,
--- a/entry/driver.go
+++ b/entry/driver.go
@@ -9,8 +9,9 @@
 
 	"jaylink/api"
 	"jaylink/decision"
-	"jaylink/decision/reason"
+	"jaylink/decision/poison"
 	"jaylink/operator"
+	"jaylink/upstream"
 )
 
 // driver runs the decision core: it passes events in, one at a time, and
@@ -29,6 +30,7 @@
 	dispatch func(rec *Record, a decision.DispatchAction)
 	claim    func(rec *Record)
 	endClaim func(rec *Record, p *Problem)
+	crash    func(poison.Crash)
 }
 
 // step passes one event to the core. Actions are carried out under the lock,
@@ -93,6 +95,8 @@
 		d.dispatched(a)
 	case decision.CancelAction:
 		d.canceled(a.ID)
+	case decision.CrashAction:
+		d.crash(a.Crash)
 	case decision.FinishAction:
 		d.finish(now, a.ID, nil)
 	case decision.ReplayAction:
@@ -163,7 +167,8 @@
 }
 
 // attemptEnded passes the end of an attempt to the core.
-func (d *driver) attemptEnded(rec *Record, a decision.DispatchAction, o decision.Outcome, ran reason.Ran) {
+func (d *driver) attemptEnded(rec *Record, a decision.DispatchAction, res upstream.Result, crashed bool) {
+	o, ran := res.Outcome, res.Ran
 	v, _ := rec.read(0)
 	if o != decision.OutcomeDone {
 		d.decisions.add(operator.Decision{
@@ -177,6 +182,7 @@
 		Upstream:  a.Upstream,
 		Outcome:   o,
 		Ran:       ran,
+		Crashed:   crashed,
 		Relayed:   v.total,
 		Resumable: rec.Call.Completion != nil,
 		Jitter:    rand.Float64(),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -90,7 +90,7 @@
 	e.claims = newClaimBook(e.background, &e.work, e.platform, log)
 	e.driver = &driver{
 		core: decision.New(cfg), records: e.records, metrics: e.metrics, log: log, decisions: e.decisions,
-		dispatch: e.dispatch, claim: e.startClaim, endClaim: e.endClaim,
+		dispatch: e.dispatch, claim: e.startClaim, endClaim: e.endClaim, crash: e.spreadCrash,
 	}
 	e.signs.step, e.loads.step = e.driver.step, e.driver.step
 	e.signs.catalog = e.config.catalog
@@ -144,6 +144,7 @@
 	}
 	e.caller = e.newServer(e.callerHandler())
 	e.operator = e.newServer(e.operatorHandler())
+	registerCrashServer(e.peers.Server(), e.driver.step)
 	e.peers.Serve(e.listeners[2])
 	e.work.Go(func() { e.serve(e.caller, e.listeners[0]) })
 	e.work.Go(func() { e.serve(e.operator, e.listeners[1]) })
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -11,6 +11,7 @@
 type counters struct {
 	registry metrics.Registry
 	accepted metrics.Counter
+	crashes  metrics.Counter
 	answered metrics.Counter
 	refused  map[reason.Reason]metrics.Counter
 	retried  map[reason.Reason]metrics.Counter
@@ -23,6 +24,7 @@
 		registry: r,
 		accepted: metrics.NewRegisteredCounter("request.accepted", r),
 		answered: metrics.NewRegisteredCounter("request.answered", r),
+		crashes:  metrics.NewRegisteredCounter("upstream.crashes", r),
 		refused:  map[reason.Reason]metrics.Counter{},
 		retried:  map[reason.Reason]metrics.Counter{},
 		claims:   map[decision.ClaimResult]metrics.Counter{},
--- a/internal/testfleet/fleet.go
+++ b/internal/testfleet/fleet.go
@@ -89,6 +89,16 @@
 	*procs.Process
 	Address string
 	Object  *api.Object
+	args    []string
+}
+
+// RestartNode starts an engine or service again at its address. It does not
+// wait for it: an engine may crash again at once.
+func (f *Fleet) RestartNode(n *Node) {
+	f.t.Helper()
+	p, err := f.Group.Start(n.Object.Name, n.args...)
+	require.NoError(f.t, err)
+	n.Process = p
 }
 
 // New starts a platform. Everything is ended with the test, and the logs of
@@ -121,7 +131,7 @@
 	if kind == "engine" {
 		protocol = api.ProtocolCompletions
 	}
-	n := &Node{Process: p, Address: address, Object: &api.Object{
+	n := &Node{Process: p, Address: address, args: args, Object: &api.Object{
 		Kind: api.KindUpstream, Name: name, Labels: api.Labels{"pool": pool},
 		Spec: &api.UpstreamSpec{Address: address, Protocol: protocol, AvailabilityZone: zone, Region: region, Slots: api.DefaultSlots},
 	}}
--- a/plugin/standard/standard.go
+++ b/plugin/standard/standard.go
@@ -7,6 +7,7 @@
 
 	// The blank imports register the modules.
 	_ "jaylink/plugin/filter/capacity"
+	_ "jaylink/plugin/filter/isolate"
 	_ "jaylink/plugin/filter/leaving"
 	_ "jaylink/plugin/filter/patience"
 	_ "jaylink/plugin/filter/suspect"
@@ -31,6 +32,7 @@
 	"limit.deadline",
 	"filter.leaving",
 	"filter.suspect",
+	"filter.isolate",
 	"filter.capacity",
 	"filter.patience",
 	"scorer.load",
--- a/standin/engine/admin.go
+++ b/standin/engine/admin.go
@@ -33,6 +33,7 @@
 		report = h.report
 	}
 	report.Leaving = s.faults.Leaving
+	report.UptimeMS = max(time.Since(s.began).Milliseconds(), 1)
 	standin.WriteJSON(w, http.StatusOK, report)
 }
 
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -9,6 +9,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -35,8 +36,13 @@
 	LoadLag time.Duration
 	// PrefixTokens is the size of the prefix cache.
 	PrefixTokens int
+	// ExitOn ends the process when a prompt contains it; "" means never.
+	ExitOn string
 }
 
+// exitCrash is the exit status of an engine that crashed on a prompt.
+const exitCrash = 3
+
 // Faults are the switches of the stand-in. They are set by PUT /faults.
 type Faults struct {
 	// BreakAfter cuts each stream after so many tokens; 0 means never.
@@ -61,6 +67,7 @@
 // Server is the stand-in's HTTP handler.
 type Server struct {
 	opts   Options
+	began  time.Time
 	router *mux.Router
 	slots  chan struct{}
 
@@ -82,6 +89,7 @@
 func New(opts Options) *Server {
 	s := &Server{
 		opts:   opts,
+		began:  time.Now(),
 		router: mux.NewRouter(),
 		slots:  make(chan struct{}, opts.Slots),
 		cache:  prefixCache{limit: opts.PrefixTokens},
@@ -129,6 +137,9 @@
 		return
 	}
 	defer s.leave()
+	if s.opts.ExitOn != "" && strings.Contains(c.Prompt, s.opts.ExitOn) {
+		os.Exit(exitCrash)
+	}
 	f := s.currentFaults()
 	if f.CrashOn != "" && strings.Contains(c.Prompt, f.CrashOn) {
 		panic(http.ErrAbortHandler)
--- a/upstream/load.go
+++ b/upstream/load.go
@@ -21,6 +21,9 @@
 	Queued  int `json:"queued"`
 	// Leaving says that the upstream wants no new work.
 	Leaving bool `json:"leaving"`
+	// UptimeMS is how long the upstream's process has run, in milliseconds;
+	// 0 if it does not say.
+	UptimeMS int64 `json:"uptime_ms,omitempty"`
 }
 
 // Load asks an upstream for its report.
