--- a/decision/core.go
+++ b/decision/core.go
@@ -14,7 +14,8 @@
 // times give the same actions, so a recorded run can be replayed.
 //
 // Every request that is passed in gets exactly one final action: a
-// FinishAction, a ReplayAction or a RefuseAction.
+// FinishAction, a ReplayAction or a RefuseAction, but for those that a
+// ReleaseEvent takes out.
 package decision
 
 import (
@@ -28,6 +29,7 @@
 	"jaylink/decision/admission"
 	"jaylink/decision/poison"
 	"jaylink/decision/reason"
+	"jaylink/decision/recovery"
 	"jaylink/decision/retry"
 	"jaylink/decision/route"
 )
@@ -40,6 +42,8 @@
 	Scorers      []route.Scorer
 	Limits       []admission.Limit
 	Rules        []retry.Rule
+	// Recovery plans for streams on reclaimed upstreams; nil leaves them.
+	Recovery *recovery.Planner
 	// Observer is optional.
 	Observer Observer
 }
@@ -89,6 +93,7 @@
 	accepted    time.Time
 	started     time.Time
 	deadline    time.Time
+	move        move
 	// number is the request's place in the order of acceptance.
 	number uint64
 	// due is when the request needs attention; place is its index in wakes.
@@ -150,6 +155,16 @@
 		c.table.SetLeaving(ev.Upstream, ev.Leaving)
 	case DrainEvent:
 		c.draining = true
+	case AdoptEvent:
+		out = c.adopt(now, ev)
+	case ReleaseEvent:
+		c.release(now, ev)
+	case ReclaimEvent:
+		out = c.reclaim(now, ev)
+	case MovedEvent:
+		out = c.moved(ev)
+	case StopEvent:
+		out = c.stop(now)
 	case TickEvent:
 		out = c.expire(now)
 	default:
@@ -201,14 +216,14 @@
 		r.phase = phaseClaim
 		return append(actions, ClaimAction{ID: r.id})
 	}
-	c.enqueue(now, r)
+	c.enqueue(r)
 	return actions
 }
 
 // enqueue lets a request wait for an upstream. It needs attention when its
 // deadline can't be met any more, or once that has passed if it already ran.
-func (c *Core) enqueue(now time.Time, r *request) {
-	c.suspect(now, r)
+func (c *Core) enqueue(r *request) {
+	c.suspect(r)
 	c.queue.push(r)
 	due := r.deadline
 	if r.attempts == 0 {
@@ -266,7 +281,7 @@
 		if c.poison.Poisoned(now, r.fingerprint) {
 			return c.refuse(now, r, reason.Poison)
 		}
-		c.enqueue(now, r)
+		c.enqueue(r)
 		return nil
 	case ClaimDone:
 		c.remove(r)
@@ -295,7 +310,7 @@
 		if !now.Before(r.deadline) {
 			return false // the tick that refuses it is due
 		}
-		u := c.table.Pick(now, &r.route)
+		u := c.pick(now, r)
 		if u == nil {
 			return false
 		}
@@ -334,9 +349,15 @@
 		c.remove(r)
 		return []Action{FinishAction{ID: r.id}}
 	}
+	if c.movesOn(r, ev) {
+		return nil
+	}
 	if ev.Outcome == OutcomeTooLarge {
 		return c.refuse(now, r, reason.AnswerTooLarge)
 	}
+	if ev.Outcome == OutcomeRejected {
+		return c.refuse(now, r, reason.BadRequest)
+	}
 	if r.timedOut || ev.Outcome == OutcomeCanceled {
 		return c.refuse(now, r, reason.TimedOut)
 	}
@@ -351,7 +372,7 @@
 func (c *Core) again(now time.Time, r *request, ev AttemptEvent) []Action {
 	why := retryReason(ev.Outcome)
 	v := retry.Check(c.cfg.Rules, &retry.Attempt{
-		Number:      r.attempts,
+		Number:      r.attempts - r.move.count,
 		MaxAttempts: r.res.MaxAttempts,
 		Why:         why,
 		Ran:         r.ran,
@@ -374,7 +395,7 @@
 		c.wakes.set(r, wake)
 		return nil
 	}
-	c.enqueue(now, r)
+	c.enqueue(r)
 	return nil
 }
 
@@ -386,7 +407,7 @@
 		r := c.wakes[0]
 		switch {
 		case r.phase == phaseBackoff && now.Before(r.deadline):
-			c.enqueue(now, r)
+			c.enqueue(r)
 		default:
 			out = append(out, c.timeOut(now, r)...)
 		}
--- a/decision/poison/poison.go
+++ b/decision/poison/poison.go
@@ -1,24 +1,31 @@
 // Package poison finds requests that crash the upstreams that run them. It does
 // no I/O, reads no clock and draws no randomness.
 //
-// A crash is counted for the fingerprint of each request whose connection broke
-// in it. Crashes that other entries saw are counted alike, so that a repeat is
-// refused on any of them.
+// A crash is noted with the fingerprints of the requests whose connections
+// broke in it, as this entry and the others saw them. A request that took part
+// in several crashes is poison, unless another one took part in the same ones:
+// then either may be the cause, and the next crash tells.
 package poison
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// Limit is the number of crashes after which a request is poison.
 	Limit = 3
-	// memory is how long the last crash of a request is remembered.
+	// HardLimit is the number after which it is, whatever ran beside it.
+	HardLimit = 5
+	// memory is how long a crash, and that a request is poison, is remembered.
 	memory = 15 * time.Minute
 	// sameCrash is the time within which crashes of one upstream are one:
 	// several entries, or several repeats, see the same one.
-	sameCrash = time.Second
-	// maxTracked bounds the number of fingerprints; the one whose last
-	// crash is oldest is dropped.
-	maxTracked = 4096
+	sameCrash = 300 * time.Millisecond
+	// maxCrashes and maxShared bound what is remembered: the oldest crash is
+	// dropped, and further requests of one crash are not noted.
+	maxCrashes = 1024
+	maxShared  = 256
 )
 
 // Crash is one upstream crash that a request took part in.
@@ -30,99 +37,125 @@
 
 // Tracker counts crashes by fingerprint. It is not safe for concurrent use.
 type Tracker struct {
-	requests map[uint64]*record
+	crashes  []*crash // the oldest report first
+	counts   map[uint64]int
+	poisoned map[uint64]time.Time
 }
 
-// record has the last crashes of one request, at most Limit of them.
-type record struct {
-	crashes []Crash
-	last    time.Time
+// crash is one crash with the requests that took part in it.
+type crash struct {
+	upstream string
+	at       time.Time
+	requests []uint64
 }
 
+func (c *crash) has(fingerprint uint64) bool { return slices.Contains(c.requests, fingerprint) }
+
 // NewTracker returns a tracker that knows of no crash.
-func NewTracker() *Tracker { return &Tracker{requests: map[uint64]*record{}} }
+func NewTracker() *Tracker {
+	return &Tracker{counts: map[uint64]int{}, poisoned: map[uint64]time.Time{}}
+}
 
-// Add counts a crash and reports whether it was new.
-func (t *Tracker) Add(now time.Time, c Crash) bool {
-	if now.Sub(c.At) >= memory {
+// Add notes that a request took part in a crash and reports whether that was
+// new.
+func (t *Tracker) Add(now time.Time, report Crash) bool {
+	t.expire(now)
+	if now.Sub(report.At) >= memory || t.Poisoned(now, report.Fingerprint) {
 		return false
 	}
-	r := t.get(now, c.Fingerprint)
-	if r == nil {
-		t.makeRoom(now)
-		r = &record{}
-		t.requests[c.Fingerprint] = r
-	}
-	if len(r.crashes) >= Limit || r.has(c) {
+	c := t.find(report)
+	if c.has(report.Fingerprint) || len(c.requests) >= maxShared {
 		return false
 	}
-	r.crashes = append(r.crashes, c)
-	if c.At.After(r.last) {
-		r.last = c.At
+	c.requests = append(c.requests, report.Fingerprint)
+	t.counts[report.Fingerprint]++
+	if t.judge(report.Fingerprint) {
+		t.condemn(now, report.Fingerprint)
 	}
 	return true
 }
 
-func (r *record) has(c Crash) bool {
-	for _, old := range r.crashes {
-		if old.Upstream == c.Upstream && old.At.Sub(c.At).Abs() < sameCrash {
-			return true
+// find returns the crash that a report is about, which may be a new one.
+func (t *Tracker) find(report Crash) *crash {
+	for _, c := range t.crashes {
+		if c.upstream == report.Upstream && c.at.Sub(report.At).Abs() < sameCrash {
+			return c
 		}
 	}
-	return false
-}
-
-// get returns the record of a fingerprint; nil if it is none or too old.
-func (t *Tracker) get(now time.Time, fingerprint uint64) *record {
-	r := t.requests[fingerprint]
-	if r == nil || now.Sub(r.last) < memory {
-		return r
+	if len(t.crashes) >= maxCrashes {
+		t.forget(t.crashes[0])
+		t.crashes = t.crashes[1:]
 	}
-	delete(t.requests, fingerprint)
-	return nil
+	c := &crash{upstream: report.Upstream, at: report.At}
+	t.crashes = append(t.crashes, c)
+	return c
 }
 
-// makeRoom drops what has expired and, if that is not enough, the oldest.
-func (t *Tracker) makeRoom(now time.Time) {
-	if len(t.requests) < maxTracked {
-		return
+// judge reports whether a request is poison. The reports of one crash come in
+// any order, so a request beside it may lack the last one still.
+func (t *Tracker) judge(fingerprint uint64) bool {
+	n := t.counts[fingerprint]
+	if n < Limit || n >= HardLimit {
+		return n >= HardLimit
 	}
-	var oldest uint64
-	var at time.Time
-	for f, r := range t.requests {
-		if now.Sub(r.last) >= memory {
-			delete(t.requests, f)
+	shared := map[uint64]int{}
+	for _, c := range t.crashes {
+		if !c.has(fingerprint) {
 			continue
 		}
-		if at.IsZero() || r.last.Before(at) || r.last.Equal(at) && f < oldest {
-			oldest, at = f, r.last
+		for _, other := range c.requests {
+			shared[other]++
+			if other != fingerprint && shared[other] >= n-1 {
+				return false
+			}
 		}
 	}
-	if len(t.requests) >= maxTracked {
-		delete(t.requests, oldest)
-	}
+	return true
 }
 
-// Crashes returns the number of crashes counted for a fingerprint.
-func (t *Tracker) Crashes(now time.Time, fingerprint uint64) int {
-	if r := t.get(now, fingerprint); r != nil {
-		return len(r.crashes)
-	}
-	return 0
+// condemn notes a request as poison. What it crashed is no longer held against
+// the requests beside it.
+func (t *Tracker) condemn(now time.Time, fingerprint uint64) {
+	t.poisoned[fingerprint] = now
+	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool {
+		if c.has(fingerprint) {
+			t.forget(c)
+			return true
+		}
+		return false
+	})
 }
 
-// Poisoned reports whether a request must not be given to any upstream.
-func (t *Tracker) Poisoned(now time.Time, fingerprint uint64) bool {
-	return t.Crashes(now, fingerprint) >= Limit
+// forget takes a crash out of the counts.
+func (t *Tracker) forget(c *crash) {
+	for _, f := range c.requests {
+		t.counts[f]--
+		if t.counts[f] <= 0 {
+			delete(t.counts, f)
+		}
+	}
 }
 
-// Recent returns the crashes that are remembered, in no order.
-func (t *Tracker) Recent(now time.Time) []Crash {
-	var out []Crash
-	for _, r := range t.requests {
-		if now.Sub(r.last) < memory {
-			out = append(out, r.crashes...)
+func (t *Tracker) expire(now time.Time) {
+	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool {
+		if now.Sub(c.at) < memory {
+			return false
+		}
+		t.forget(c)
+		return true
+	})
+	for f, at := range t.poisoned {
+		if now.Sub(at) >= memory {
+			delete(t.poisoned, f)
 		}
 	}
-	return out
+}
+
+// Crashes returns the number of crashes that a request may have caused.
+func (t *Tracker) Crashes(fingerprint uint64) int { return t.counts[fingerprint] }
+
+// Poisoned reports whether a request must not be given to any upstream.
+func (t *Tracker) Poisoned(now time.Time, fingerprint uint64) bool {
+	at, ok := t.poisoned[fingerprint]
+	return ok && now.Sub(at) < memory
 }
--- a/decision/suspects.go
+++ b/decision/suspects.go
@@ -18,7 +18,7 @@
 	poisoned := c.poison.Poisoned(now, crash.Fingerprint)
 	var out []Action
 	for _, r := range c.waiting(crash.Fingerprint) {
-		c.suspect(now, r)
+		c.suspect(r)
 		if poisoned {
 			out = append(out, c.refuse(now, r, reason.Poison)...)
 		}
@@ -52,8 +52,8 @@
 
 // suspect marks a request that took part in a crash, so that it is not run
 // beside another such request: the next crash then has one cause.
-func (c *Core) suspect(now time.Time, r *request) {
-	r.route.Suspect = c.poison.Crashes(now, r.fingerprint) > 0
+func (c *Core) suspect(r *request) {
+	r.route.Suspect = c.poison.Crashes(r.fingerprint) > 0
 }
 
 // setSuspect notes that an upstream runs a suspect request, or no longer does.
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -108,6 +109,7 @@
 	r = r.WithContext(e.background)
 	rec := newRecord(id, call, time.Now())
 	rec.Fingerprint = fingerprint(call)
+	rec.Labels = labels
 	e.records.add(rec)
 	e.driver.step(decision.RequestEvent{
 		ID:           id,
@@ -117,9 +119,26 @@
 		Prefix:       promptPrefix(call.Completion),
 		Fingerprint:  rec.Fingerprint,
 	})
+	giveEarlyID(w, r, rec)
 	e.answer(w, r, rec, 0)
 }
 
+// HeaderEarlyID, set to "true" by a caller, asks for the request's ID before
+// there is an answer.
+const HeaderEarlyID = "Jaylink-Early-Id"
+
+// giveEarlyID tells the caller of an accepted request its ID in an informational
+// response (status 103) if it asks for that, so that it can read on at another
+// entry if this one is lost.
+func giveEarlyID(w http.ResponseWriter, r *http.Request, rec *Record) {
+	if r.Header.Get(HeaderEarlyID) != "true" {
+		return
+	}
+	if v, _ := rec.read(0); v.accepted && !v.done {
+		w.WriteHeader(http.StatusEarlyHints)
+	}
+}
+
 // refuseEarly answers a request that never reached the decision core.
 func (e *Entry) refuseEarly(w http.ResponseWriter, id string, p *Problem) {
 	e.metrics.refusal(p.Reason)
@@ -180,6 +199,8 @@
 	switch {
 	case err != nil:
 		return
+	case v.moved():
+		writeMoved(w, rec, v)
 	case v.problem != nil && v.answer != nil && v.problem.Reason == reason.NotRepeatable:
 		writeAnswer(w, v.answer)
 	case v.problem != nil:
@@ -197,21 +218,32 @@
 			w.Header()[name] = values
 		}
 	}
-	w.WriteHeader(a.Status)
-	_, _ = w.Write(a.Body)
+	writeBody(w, a.Status, a.Body)
+}
+
+// writeBody writes a body with its length, so that every caller can tell a whole
+// one from one that was cut off. The status line is out with the first byte; a
+// failed write shows on the caller's side.
+func writeBody(w http.ResponseWriter, status int, body []byte) {
+	limitWrite(w)
+	if len(body) > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
 }
 
 func writeCompletion(w http.ResponseWriter, rec *Record, v view) {
 	w.Header().Set("Content-Type", "application/json")
-	// The status line is out with the first byte; a failed write shows on
-	// the caller's side.
-	_ = json.NewEncoder(w).Encode(upstream.Chunk{
+	// Marshaling strings and numbers can't fail.
+	body, _ := json.Marshal(upstream.Chunk{
 		ID:      rec.ID,
 		Object:  "text_completion",
 		Model:   rec.Call.Completion.Model,
-		Choices: []upstream.Choice{{Text: string(v.text), FinishReason: "length"}},
+		Choices: []upstream.Choice{{Text: string(v.text), FinishReason: v.finish}},
 		Usage:   &upstream.Usage{CompletionTokens: v.tokens},
 	})
+	writeBody(w, http.StatusOK, body)
 }
 
 // live says that the process works; it does so until the process ends.
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -17,28 +18,45 @@
 // dispatch starts one attempt in the background.
 func (e *Entry) dispatch(rec *Record, a decision.DispatchAction) {
 	ctx, cancel := context.WithCancel(e.background)
+	ended := make(chan struct{})
+	var id attemptID
 	rec.update(func() {
-		rec.attempt = a.Attempt
-		rec.cancel = cancel
+		id = attemptID{epoch: rec.ownership.epoch, number: a.Attempt}
+		rec.attempt = attempt{id: id, cancel: cancel, ended: ended, began: time.Now()}
 	})
 	e.work.Go(func() {
 		defer cancel()
 		began := time.Now()
-		res := e.attempt(ctx, rec, a)
+		res := e.attempt(ctx, rec, a, id)
 		crashed := e.crashed(ctx, a.Spec.Address, began, res)
 		if res.Err != nil {
-			e.log.Warn("attempt failed", "request_id", rec.ID, "upstream", a.Upstream,
-				"attempt", a.Attempt, "reason", res.Outcome, "ran", res.Ran, "err", res.Err)
+			e.log.Log(ctx, attemptLevel(res), "attempt failed", "request_id", rec.ID, "upstream", a.Upstream,
+				"attempt", id.tag(rec.ID), "reason", res.Outcome, "ran", res.Ran, "err", res.Err)
 		}
+		close(ended)
 		e.driver.attemptEnded(rec, a, res, crashed)
 	})
 }
 
+// attemptLevel is the level at which a failed attempt is logged. One that this
+// entry ended itself is no warning.
+func attemptLevel(res upstream.Result) slog.Level {
+	if res.Outcome == decision.OutcomeCanceled {
+		return slog.LevelInfo
+	}
+	return slog.LevelWarn
+}
+
+// tag is what an upstream sees of an attempt: REQUEST-ID/EPOCH.ATTEMPT.
+func (id attemptID) tag(request string) string {
+	return fmt.Sprintf("%s/%d.%d", request, id.epoch, id.number)
+}
+
 // attempt runs one attempt to its end.
-func (e *Entry) attempt(ctx context.Context, rec *Record, a decision.DispatchAction) upstream.Result {
-	tag := fmt.Sprintf("%s/%d", rec.ID, a.Attempt)
+func (e *Entry) attempt(ctx context.Context, rec *Record, a decision.DispatchAction, id attemptID) upstream.Result {
+	tag := id.tag(rec.ID)
 	if a.Spec.Protocol == api.ProtocolCompletions {
-		return e.complete(ctx, rec, a, tag)
+		return e.complete(ctx, rec, a, id)
 	}
 	answer, res := e.upstreams.Forward(ctx, upstream.ServiceCall{
 		Address:    a.Spec.Address,
@@ -51,44 +69,74 @@
 		MaxAnswer:  int64(e.settings.Limits.Answer),
 	})
 	if answer != nil {
-		rec.update(func() { rec.answer = answer })
+		rec.setAnswer(id, answer)
 	}
 	return res
 }
 
+// setAnswer stores the answer of a plain service. That of an attempt which is
+// no longer the request's current one is dropped.
+func (r *Record) setAnswer(id attemptID, answer *upstream.Answer) {
+	r.update(func() {
+		if r.attempt.id == id && !r.done {
+			r.answer = answer
+		}
+	})
+}
+
 // complete continues the answer of a completion from what is there.
-func (e *Entry) complete(ctx context.Context, rec *Record, a decision.DispatchAction, tag string) upstream.Result {
+func (e *Entry) complete(ctx context.Context, rec *Record, a decision.DispatchAction, id attemptID) upstream.Result {
 	if rec.Call.Completion == nil {
 		err := oops.In("entry").With("step", "dispatch").Errorf("the service takes completions only")
 		return upstream.Result{Outcome: decision.OutcomeServerError, Ran: reason.RanNo, Err: err}
 	}
 	v, _ := rec.read(0)
 	if v.tokens >= rec.Call.Completion.MaxTokens {
-		// Only the end of the stream was lost.
+		// An earlier attempt gave the last token; only its end was lost.
 		return upstream.Result{Outcome: decision.OutcomeDone, Ran: reason.RanYes}
 	}
-	return e.upstreams.Complete(ctx, upstream.CompletionCall{
+	call := upstream.CompletionCall{
 		Address:    a.Spec.Address,
-		RequestID:  tag,
+		RequestID:  id.tag(rec.ID),
 		Completion: rec.Call.Completion.Resume(string(v.text), v.tokens),
 		Idempotent: rec.idempotent,
-		Emit:       func(text string, tokens int) error { return e.emit(rec, a.Attempt, text, tokens) },
+		Emit:       func(text string, tokens int) error { return e.emit(rec, id, text, tokens) },
+	}
+	if rec.idempotent {
+		// Other work can't go on elsewhere, so it gets all of its time.
+		call.FirstToken = e.settings.Recovery.FirstToken.Std()
+		call.Stall = e.settings.Recovery.Stall.Std()
+	}
+	res := e.upstreams.Complete(ctx, call)
+	if res.FinishReason != "" {
+		rec.setFinish(id, res.FinishReason)
+	}
+	return res
+}
+
+// setFinish stores the engine's reason for the end of the answer.
+func (r *Record) setFinish(id attemptID, finish string) {
+	r.update(func() {
+		if r.attempt.id == id && !r.done {
+			r.finishReason = finish
+		}
 	})
 }
 
 // emit adds text to the answer. Text of an attempt that is no longer the
 // request's current one is dropped.
-func (e *Entry) emit(rec *Record, attempt int, text string, tokens int) error {
+func (e *Entry) emit(rec *Record, id attemptID, text string, tokens int) error {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
-	if rec.attempt != attempt || rec.done {
-		return oops.In("entry").With("step", "emit").Errorf("attempt %d is no longer current", attempt)
+	if rec.attempt.id != id || rec.done {
+		return oops.In("entry").With("step", "emit").Errorf("attempt %d.%d is no longer current", id.epoch, id.number)
 	}
 	if len(rec.text)+len(text) > int(e.settings.Limits.Answer) {
 		return oops.In("entry").With("step", "emit").Errorf("answer is larger than %s", e.settings.Limits.Answer)
 	}
 	rec.text = append(rec.text, text...)
 	rec.tokens += tokens
+	rec.attempt.tokens += tokens
 	rec.notify()
 	return nil
 }
--- a/entry/driver.go
+++ b/entry/driver.go
@@ -25,12 +25,14 @@
 	metrics *counters
 	// decisions keeps what was decided, for explanations.
 	decisions *decisionRecord
+	usage     *usageCounts
 	log       *slog.Logger
 	// dispatch and claim start the work of an action and return at once.
 	dispatch func(rec *Record, a decision.DispatchAction)
 	claim    func(rec *Record)
 	endClaim func(rec *Record, p *Problem)
 	crash    func(poison.Crash)
+	move     func(rec *Record, a decision.MoveAction)
 }
 
 // step passes one event to the core. Actions are carried out under the lock,
@@ -97,6 +99,8 @@
 		d.canceled(a.ID)
 	case decision.CrashAction:
 		d.crash(a.Crash)
+	case decision.MoveAction:
+		d.move(d.records.get(a.ID), a)
 	case decision.FinishAction:
 		d.finish(now, a.ID, nil)
 	case decision.ReplayAction:
@@ -115,10 +119,12 @@
 			rec.Call.Completion = nil
 		}
 		rec.idempotent = a.Resolution.Idempotent
+		rec.deadline = a.Deadline
 		rec.service = a.Resolution.Service.Name
 		rec.customer = a.Resolution.Customer.Name
 	})
 	d.metrics.accepted.Inc(1)
+	d.usage.accepted(rec.customer, rec.service)
 	d.log.Info("request accepted", "request_id", a.ID, "service", rec.service,
 		"customer", rec.customer, "idempotent", a.Resolution.Idempotent, "class", a.Resolution.Class)
 }
@@ -135,8 +141,8 @@
 	rec := d.records.get(id)
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
-	if rec.cancel != nil {
-		rec.cancel()
+	if rec.attempt.cancel != nil {
+		rec.attempt.cancel()
 	}
 }
 
@@ -147,6 +153,7 @@
 	d.endClaim(rec, p)
 	d.records.ended()
 	v, _ := rec.read(0)
+	d.countUsage(v)
 	if p != nil {
 		d.metrics.refusal(p.Reason)
 		d.decisions.add(operator.Decision{
@@ -166,6 +173,17 @@
 		"took", now.Sub(rec.started), "tokens", v.tokens)
 }
 
+// countUsage counts the end of a request that was accepted.
+func (d *driver) countUsage(v view) {
+	switch {
+	case !v.accepted:
+	case v.problem != nil:
+		d.usage.ended(v.customer, v.service, v.tokens, v.problem.Reason)
+	default:
+		d.usage.ended(v.customer, v.service, v.tokens, "")
+	}
+}
+
 // attemptEnded passes the end of an attempt to the core.
 func (d *driver) attemptEnded(rec *Record, a decision.DispatchAction, res upstream.Result, crashed bool) {
 	o, ran := res.Outcome, res.Ran
--- a/entry/problem.go
+++ b/entry/problem.go
@@ -40,6 +40,7 @@
 	reason.OutcomeNotKept:   http.StatusConflict,
 	reason.Poison:           http.StatusUnprocessableEntity,
 	reason.AnswerTooLarge:   http.StatusBadGateway,
+	reason.OwnerUnreachable: http.StatusServiceUnavailable,
 	reason.DeadlineUnmet:    http.StatusServiceUnavailable,
 }
 
--- a/entry/signs.go
+++ b/entry/signs.go
@@ -24,6 +24,9 @@
 	catalog func() *api.Catalog
 	// step passes an event to the decision core.
 	step func(decision.Event)
+	// reclaimed takes a reclaim notice, seen here or by a peer. It must not
+	// block.
+	reclaimed func(host string, deadline time.Time)
 	// tell spreads signs to peers.
 	tell func([]*peerpb.Sign)
 }
@@ -115,6 +118,7 @@
 		}
 		return nil
 	})
+	s.reclaimed(host, deadline)
 }
 
 // expire drops the signs that have lapsed.
@@ -133,6 +137,13 @@
 	return signsProto(s.set.All(time.Now()))
 }
 
+// Digest implements peer.Signs.
+func (s *signStore) Digest() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.set.Digest(time.Now())
+}
+
 // Merge implements peer.Signs.
 func (s *signStore) Merge(signs []*peerpb.Sign) []*peerpb.Sign {
 	if len(signs) == 0 {
@@ -150,6 +161,11 @@
 	if len(fresh) > 0 {
 		s.refresh(now)
 	}
+	for _, pb := range fresh {
+		if sg := signOf(pb); sg.Source == sign.Notice && sg.Leaving {
+			s.reclaimed(sg.Host, sg.Deadline)
+		}
+	}
 	return fresh
 }
 
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -4,8 +4,8 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 
-	"github.com/gorilla/mux"
 	"github.com/tmaxmax/go-sse"
 
 	"jaylink/decision/reason"
@@ -35,10 +35,18 @@
 				return
 			}
 		}
-		if v.done {
+		switch {
+		case v.done && offset > v.total:
+			v.problem = attachProblem(reason.OutcomeUnknown, "the answer ends before the offset")
+			fallthrough
+		case v.done:
 			begin(w, begun)
 			end(w, rec, v)
 			return
+		case v.moved():
+			begin(w, begun)
+			_ = send(w, movedEvent(rec, v, offset))
+			return
 		}
 		select {
 		case <-changed:
@@ -76,7 +84,18 @@
 	return send(w, m)
 }
 
+// callerTimeout bounds one write to a caller. A caller that reads slower than
+// that is cut off; it can read on with its request's ID.
+const callerTimeout = 30 * time.Second
+
+// limitWrite gives the next write to a caller its deadline. A connection without
+// deadlines, as in tests, is left without one.
+func limitWrite(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(callerTimeout))
+}
+
 func send(w http.ResponseWriter, m *sse.Message) error {
+	limitWrite(w)
 	if _, err := m.WriteTo(w); err != nil {
 		return err
 	}
@@ -97,7 +116,7 @@
 		ID:      rec.ID,
 		Object:  "text_completion",
 		Model:   rec.Call.Completion.Model,
-		Choices: []upstream.Choice{{FinishReason: "length"}},
+		Choices: []upstream.Choice{{FinishReason: v.finish}},
 		Usage:   &upstream.Usage{CompletionTokens: v.tokens},
 	}, strconv.Itoa(v.total))
 	m := &sse.Message{}
@@ -105,32 +124,6 @@
 	_ = send(w, m)
 }
 
-// reattach gives a caller the answer of a request that was accepted before.
-func (e *Entry) reattach(w http.ResponseWriter, r *http.Request) {
-	id := mux.Vars(r)["id"]
-	w.Header().Set(HeaderRequestID, id)
-	if _, ok := acceptingEntry(id); !ok {
-		e.refuseEarly(w, id, problemOf(reason.BadRequest, "not a request ID"))
-		return
-	}
-	rec := e.records.get(id)
-	if rec == nil {
-		e.refuseEarly(w, id, problemOf(reason.UnknownRequest, "no such request on this entry"))
-		return
-	}
-	v, _ := rec.read(0)
-	if customer, ok := e.customerOf(r); !ok || customer != v.customer {
-		e.refuseEarly(w, id, problemOf(reason.WrongCustomer, ""))
-		return
-	}
-	offset, err := lastEventOffset(r)
-	if err != nil || offset > v.total {
-		e.refuseEarly(w, id, problemOf(reason.BadRequest, "Last-Event-ID is not an offset in this answer"))
-		return
-	}
-	e.answer(w, r, rec, offset)
-}
-
 // lastEventOffset returns the offset after which a caller goes on; 0 without
 // the header.
 func lastEventOffset(r *http.Request) (int, error) {
