--- a/decision/adopt.go
+++ b/decision/adopt.go
@@ -21,6 +21,8 @@
 	Failed int
 	// Prefix is a hash of the start of the prompt, or 0.
 	Prefix uint64
+	// Fingerprint is a hash of the request's content.
+	Fingerprint uint64
 	// Dispatched says that an upstream was given the request before.
 	Dispatched bool
 }
@@ -43,7 +45,7 @@
 		}
 		return []Action{RefuseAction{ID: ev.ID, Reason: why, Ran: ranBefore(ev.Dispatched)}}
 	}
-	r := c.accept(now, RequestEvent{ID: ev.ID, Labels: ev.Labels, Prefix: ev.Prefix}, res)
+	r := c.accept(now, RequestEvent{ID: ev.ID, Labels: ev.Labels, Prefix: ev.Prefix, Fingerprint: ev.Fingerprint}, res)
 	r.deadline = ev.Deadline
 	r.route.Deadline = ev.Deadline
 	c.wakes.set(r, r.deadline)
@@ -69,6 +71,7 @@
 	}
 	if r.phase == phaseRunning {
 		c.table.Ended(now, r.upstream, false)
+		c.setSuspect(r, r.upstream, -1)
 	}
 	c.remove(r)
 }
