--- a/cmd/jaylink/run.go
+++ b/cmd/jaylink/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -25,16 +24,3 @@
 	stop()
 	return app.Stop(context.Background())
 }
-
-var logLevels = map[string]slog.Level{
-	"debug": slog.LevelDebug, "info": slog.LevelInfo, "warn": slog.LevelWarn, "error": slog.LevelError,
-}
-
-// newLogger returns a logger that writes to standard error.
-func newLogger(level, format string) *slog.Logger {
-	opts := &slog.HandlerOptions{Level: logLevels[level]}
-	if format == "text" {
-		return slog.New(slog.NewTextHandler(os.Stderr, opts))
-	}
-	return slog.New(slog.NewJSONHandler(os.Stderr, opts))
-}
--- a/entry/decisions_test.go
+++ b/entry/decisions_test.go
@@ -85,6 +85,7 @@
 		sendTo(t, "POST", url+"/bookings", marker, appDesk, accountC, "Idempotency-Key: k1")
 		sendTo(t, "POST", url+"/bookings", marker+"2", appDesk, accountC, "Idempotency-Key: k1")
 		sendTo(t, "POST", url+"/v1/completions", completion, "Jaylink-Label-App: none", accountC)
+		sendTo(t, "POST", url+"/bookings?text="+marker, "x", appDesk, accountC)
 	}
 	calls()
 	sendTo(t, http.MethodPut, f.engine.URL+"/faults", `{"crash_on":"`+marker+`"}`)
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"time"
 
 	"github.com/samber/oops"
@@ -100,6 +101,12 @@
 	case step == "read":
 		res.Outcome = decision.OutcomeBroken
 	}
+	// The transport's error has the URL, whose query belongs to the caller and
+	// must not show in a log.
+	var withURL *url.Error
+	if errors.As(err, &withURL) {
+		err = withURL.Err
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		res.Outcome = decision.OutcomeCanceled
 	}
