cmd: run the two writes of the outage test side by side

Each write is tried for 5 s before its outcome counts as not known; one after the other the test took 10 s, side by side 5 s (go test ./cmd/jaylink -v).

--- a/cmd/jaylink/main_test.go
+++ b/cmd/jaylink/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -59,18 +60,30 @@
 
 // run runs a command line and checks its exit code.
 func (s *shell) run(code int, args ...string) string {
+	s.t.Helper()
+	return s.start(args...)(code)
+}
+
+// start starts a command line; what it returns waits for the end and checks
+// the exit code.
+func (s *shell) start(args ...string) func(code int) string {
 	s.t.Helper()
 	binary, err := testfleet.Binary()
 	require.NoError(s.t, err)
+	var out bytes.Buffer
 	cmd := exec.Command(binary, args...)
 	cmd.Env = append(os.Environ(), "JAYLINK_ENTRY="+s.entry.Operator, "JAYLINK_OPERATOR=asha")
-	out, err := cmd.CombinedOutput()
-	var exit *exec.ExitError
-	if err != nil && !errors.As(err, &exit) {
-		require.NoError(s.t, err)
+	cmd.Stdout, cmd.Stderr = &out, &out
+	require.NoError(s.t, cmd.Start())
+	return func(code int) string {
+		s.t.Helper()
+		var exit *exec.ExitError
+		if err := cmd.Wait(); err != nil && !errors.As(err, &exit) {
+			require.NoError(s.t, err)
+		}
+		require.Equal(s.t, code, cmd.ProcessState.ExitCode(), "jaylink %s\n%s", strings.Join(args, " "), out.String())
+		return out.String()
 	}
-	require.Equal(s.t, code, cmd.ProcessState.ExitCode(), "jaylink %s\n%s", strings.Join(args, " "), out)
-	return string(out)
 }
 
 func TestCommandsAndTheirExitCodes(t *testing.T) {
@@ -173,8 +186,10 @@
 	file := s.write("objects.yaml", objects)
 	s.run(0, "apply", "-f", file)
 	s.fleet.Put("http://"+s.fleet.Platform+"/v1/faults", map[string]bool{"outage": true})
-	s.run(4, "label", "customer", "c", "tier=gold")
-	s.run(4, "apply", "-f", s.write("new.yaml", "kind: Customer\nname: n\nspec: {selector: account=n}\n"))
+	label := s.start("label", "customer", "c", "tier=gold")
+	apply := s.start("apply", "-f", s.write("new.yaml", "kind: Customer\nname: n\nspec: {selector: account=n}\n"))
+	label(4)
+	apply(4)
 	s.run(0, "get", "customer", "c")
 }
 
