entry: say by which signs an upstream counts as leaving

Cause: status and explain said that an upstream was leaving, but not whether a notice, the host list or its own report said so, nor which entry saw it; an operator could not tell a reclaim from a lagging list. The change was logged twice.

--- a/cmd/jaylink/status.go
+++ b/cmd/jaylink/status.go
@@ -60,9 +60,9 @@
 }
 
 func printUpstreams(t *tabwriter.Writer, upstreams []operator.UpstreamStatus) {
-	fmt.Fprintln(t, "\nUPSTREAM\tZONE\tBUSY\tSLOTS\tLEAVING\tSUSPECT")
+	fmt.Fprintln(t, "\nUPSTREAM\tZONE\tBUSY\tSLOTS\tLEAVING\tSUSPECT\tSIGNS")
 	for _, u := range upstreams {
-		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%v\t%v\n", u.Name, u.AvailabilityZone, u.Busy, u.Slots, u.Leaving, u.Suspect)
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%v\t%v\t%s\n", u.Name, u.AvailabilityZone, u.Busy, u.Slots, u.Leaving, u.Suspect, strings.Join(u.Signs, "; "))
 	}
 }
 
--- a/entry/decisions_test.go
+++ b/entry/decisions_test.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -130,3 +131,24 @@
 		}
 	}
 }
+
+// An upstream that leaves is recorded with who saw it and where.
+func TestDecisionsSayWhyAnUpstreamIsLeaving(t *testing.T) {
+	f := newFixture(t)
+	deadline := time.Now().Add(time.Hour)
+	f.signs.notice("desk-1", deadline)
+	list, err := f.client().Decisions(t.Context(), operator.DecisionQuery{Upstream: "desk-1"})
+	require.NoError(t, err)
+	require.Equal(t, []operator.DecisionKind{operator.DecisionLeaving}, kinds(list))
+	want := "notice seen by one, host ends at " + deadline.UTC().Format(time.RFC3339)
+	require.Equal(t, want, list.Items[0].Detail)
+	s, err := f.client().Status(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, list.Items, s.Recent)
+	for _, u := range s.Upstreams {
+		require.Equal(t, u.Name == "desk-1", u.Leaving)
+		if u.Leaving {
+			require.Equal(t, []string{want}, u.Signs)
+		}
+	}
+}
--- a/entry/driver.go
+++ b/entry/driver.go
@@ -38,29 +38,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	if ev, ok := ev.(decision.LeavingEvent); ok {
-		d.noteLeaving(now, ev)
-	}
 	for _, a := range d.core.Step(now, ev) {
 		d.carryOut(now, a)
 	}
 	d.schedule(now)
 }
 
-// noteLeaving records that an upstream began to leave or came back.
-func (d *driver) noteLeaving(now time.Time, ev decision.LeavingEvent) {
-	u := d.core.Table().Get(ev.Upstream)
-	if u == nil || u.Leaving == ev.Leaving {
-		return
-	}
-	kind := operator.DecisionBack
-	if ev.Leaving {
-		kind = operator.DecisionLeaving
-	}
-	d.decisions.add(operator.Decision{At: now, Kind: kind, Upstream: ev.Upstream})
-	d.log.Info("upstream changed", "upstream", ev.Upstream, "leaving", ev.Leaving)
-}
-
 // schedule arranges for the tick that the core asks for.
 func (d *driver) schedule(now time.Time) {
 	next, ok := d.core.NextWake()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -82,10 +82,10 @@
 		platform:  platform.New(s.Platform).InZone(s.AvailabilityZone),
 		upstreams: upstream.New(),
 		leave:     make(chan struct{}),
-		signs:     newSignStore(s.Name, log),
 		loads:     newLoadStore(),
 		decisions: newDecisionRecord(s.Name, s.Record.Decisions),
 	}
+	e.signs = newSignStore(s.Name, log, e.decisions)
 	cfg.Observer = &observer{decisions: e.decisions, table: func() *route.Table { return e.driver.core.Table() }}
 	e.background, e.cancel = context.WithCancel(context.Background())
 	e.started = time.Now()
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -195,6 +195,10 @@
 		})
 	}
 	s.Zones = operator.SummarizeZones(s)
+	signs := e.signs.explain()
+	for i := range s.Upstreams {
+		s.Upstreams[i].Signs = signs[s.Upstreams[i].Name]
+	}
 	writeJSON(w, http.StatusOK, s)
 }
 
--- a/entry/signs.go
+++ b/entry/signs.go
@@ -2,12 +2,14 @@
 
 import (
 	"log/slog"
+	"strings"
 	"sync"
 	"time"
 
 	"jaylink/api"
 	"jaylink/decision"
 	"jaylink/decision/sign"
+	"jaylink/operator"
 	"jaylink/peer/peerpb"
 	"jaylink/platform"
 )
@@ -20,18 +22,20 @@
 	// leaving has the upstreams that are leaving now.
 	leaving map[string]bool
 
-	log     *slog.Logger
-	catalog func() *api.Catalog
+	log *slog.Logger
+	// decisions keeps what was decided, for explanations.
+	decisions *decisionRecord
+	catalog   func() *api.Catalog
 	// step passes an event to the decision core.
 	step func(decision.Event)
 	// tell spreads signs to peers.
 	tell func([]*peerpb.Sign)
 }
 
-func newSignStore(observer string, log *slog.Logger) *signStore {
+func newSignStore(observer string, log *slog.Logger, decisions *decisionRecord) *signStore {
 	// A later process of the same name numbers its signs higher.
 	sequence := uint64(time.Now().UnixNano())
-	return &signStore{set: sign.NewSet(observer, sequence), leaving: map[string]bool{}, log: log}
+	return &signStore{set: sign.NewSet(observer, sequence), leaving: map[string]bool{}, log: log, decisions: decisions}
 }
 
 // configChanged puts another configuration in force, with the signs that are
@@ -60,11 +64,49 @@
 			continue
 		}
 		s.leaving[o.Name] = leaving
-		s.log.Info("upstream leaving", "upstream", o.Name, "leaving", leaving)
+		s.note(now, o, leaving)
 		s.step(decision.LeavingEvent{Upstream: o.Name, Leaving: leaving})
 	}
 }
 
+// note records that an upstream began or ceased to be leaving, and why.
+func (s *signStore) note(now time.Time, o *api.Object, leaving bool) {
+	kind := operator.DecisionBack
+	if leaving {
+		kind = operator.DecisionLeaving
+	}
+	because := strings.Join(signTexts(s.set.Holding(now, hostOf(o))), "; ")
+	s.decisions.add(operator.Decision{At: now, Kind: kind, Upstream: o.Name, Detail: because})
+	s.log.Info("upstream leaving", "upstream", o.Name, "leaving", leaving, "signs", because)
+}
+
+// signTexts says who saw what.
+func signTexts(signs []sign.Sign) []string {
+	var out []string
+	for _, sg := range signs {
+		text := string(sg.Source) + " seen by " + sg.Observer
+		if !sg.Deadline.IsZero() {
+			text += ", host ends at " + sg.Deadline.UTC().Format(time.RFC3339)
+		}
+		out = append(out, text)
+	}
+	return out
+}
+
+// explain returns the signs that count now, by upstream.
+func (s *signStore) explain() map[string][]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	out := map[string][]string{}
+	for _, o := range s.catalog().Upstreams() {
+		if texts := signTexts(s.set.Holding(now, hostOf(o))); texts != nil {
+			out[o.Name] = texts
+		}
+	}
+	return out
+}
+
 // observe changes the set and spreads the signs that peers must be told.
 func (s *signStore) observe(f func(now time.Time) []sign.Sign) {
 	s.mu.Lock()
--- a/operator/types.go
+++ b/operator/types.go
@@ -92,9 +92,11 @@
 	AvailabilityZone string `json:"availability_zone"`
 	Leaving          bool   `json:"leaving"`
 	Suspect          bool   `json:"suspect"`
-	InFlight         int    `json:"in_flight"`
-	Busy             int    `json:"busy"`
-	Slots            int    `json:"slots"`
+	// Signs say who saw that the upstream is leaving, and where.
+	Signs    []string `json:"signs,omitempty"`
+	InFlight int      `json:"in_flight"`
+	Busy     int      `json:"busy"`
+	Slots    int      `json:"slots"`
 }
 
 // ZoneStatus says which configuration is in force in one availability zone.
