entry: bound how long a slow caller can hold a connection

Cause: a body could take forever to arrive, and a caller that did not read its answer kept its handler waiting, so that a planned stop lasted until the drain timeout and then cut off callers.

Change: settings timeouts.body and timeouts.write (30s each); a body that is late is refused with 408 body_too_slow on the caller port and 408 on the operator port; each write has its own deadline, so long streams are not ended.

TestCallerThatDoesNotReadHoldsUpNoStop with the write deadline taken out of the handler: "callers were cut off" after the drain timeout; with it: passes. TestBodyThatNeverEndsIsRefused passes. go test ./entry ./docs ./cmd/jaylink passes.

--- a/decision/reason/describe.go
+++ b/decision/reason/describe.go
@@ -19,6 +19,7 @@
 var descriptions = map[Reason]Description{
 	BadRequest:       {"The request is malformed; `detail` says where.", againNever},
 	BodyTooLarge:     {"The body is over the setting limits.body.", againNever},
+	BodyTooSlow:      {"The body did not arrive within the setting timeouts.body.", "yes, at once"},
 	HeaderTooLarge:   {"Target and headers are over the setting limits.header.", againNever},
 	WrongMethod:      {"The path is jaylink's own and has another method.", againNever},
 	UnknownService:   {"No service's selector matches the request.", againNever},
--- a/decision/reason/reason.go
+++ b/decision/reason/reason.go
@@ -10,6 +10,7 @@
 const (
 	BadRequest       Reason = "bad_request"
 	BodyTooLarge     Reason = "body_too_large"
+	BodyTooSlow      Reason = "body_too_slow"
 	HeaderTooLarge   Reason = "header_too_large"
 	WrongMethod      Reason = "wrong_method"
 	UnknownService   Reason = "unknown_service"
@@ -38,7 +39,7 @@
 
 // Refusals lists every refusal reason.
 var Refusals = []Reason{
-	BadRequest, BodyTooLarge, HeaderTooLarge, WrongMethod, UnknownService, UnknownCustomer, UnknownRequest,
+	BadRequest, BodyTooLarge, BodyTooSlow, HeaderTooLarge, WrongMethod, UnknownService, UnknownCustomer, UnknownRequest,
 	WrongCustomer, Draining, CustomerLimit, QueueFull, NoUpstream, TimedOut,
 	AttemptsUsedUp, NotRepeatable, RetryBudget, KeyReused, KeyInProgress,
 	ClaimUnavailable, OutcomeUnknown, OutcomeNotKept, Poison, AnswerTooLarge,
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -36,7 +37,7 @@
 	r.PathPrefix("/v1/requests/").HandlerFunc(e.refuseReserved)
 	r.PathPrefix("/").HandlerFunc(e.call)
 	r.NotFoundHandler = http.HandlerFunc(e.refuseTarget)
-	return e.boundHeader(r)
+	return e.boundWrites(e.boundHeader(r))
 }
 
 // headerOverhead is the size of the separators of one header line in bytes.
@@ -134,11 +135,14 @@
 		return Call{}, problemOf(reason.BadRequest, err.Error())
 	}
 	call := Call{Method: r.Method, URI: r.URL.RequestURI(), Header: r.Header, Key: r.Header.Get(upstream.HeaderKey)}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(e.settings.Limits.Body)))
+	body, err := e.readBounded(w, r, e.settings.Limits.Body)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return call, problemOf(reason.BodyTooLarge, "at most "+e.settings.Limits.Body.String()+" are allowed")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		w.Header().Set("Connection", "close")
+		return call, problemOf(reason.BodyTooSlow, "at most "+e.settings.Timeouts.Body.String()+" are allowed")
 	case err != nil:
 		return call, problemOf(reason.BadRequest, "the body could not be read")
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -147,7 +147,7 @@
 		e.listeners[i] = ln
 	}
 	e.caller = e.newServer(e.callerHandler())
-	e.operator = e.newServer(e.operatorHandler())
+	e.operator = e.newServer(e.boundWrites(e.operatorHandler()))
 	e.peers.Serve(e.listeners[2])
 	e.work.Go(func() { e.serve(e.caller, e.listeners[0]) })
 	e.work.Go(func() { e.serve(e.operator, e.listeners[1]) })
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -88,7 +88,7 @@
 spec: {address: "%s", protocol: completions, availability_zone: a, region: r}
 `
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t *testing.T, changes ...func(*Settings)) *fixture {
 	t.Helper()
 	f := &fixture{
 		log:      &logBuffer{},
@@ -102,6 +102,9 @@
 	s.Platform = f.platform.Listener.Addr().String()
 	s.Limits.Header, s.Limits.Body, s.Limits.OperatorBody = 4<<10, 8<<10, 64<<10
 	s.Drain.LeaveDelay = 0
+	for _, change := range changes {
+		change(&s)
+	}
 	s.PeerTLS.Plaintext = true
 	e, err := New(s, slog.New(slog.NewJSONHandler(f.log, &slog.HandlerOptions{Level: slog.LevelDebug})))
 	require.NoError(t, err)
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -4,8 +4,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"time"
@@ -56,7 +56,7 @@
 // readBody decodes a bounded JSON body, without unknown fields, and answers
 // 400 or 413 if that fails.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, out any) bool {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(e.settings.Limits.OperatorBody)))
+	data, err := e.readBounded(w, r, e.settings.Limits.OperatorBody)
 	if err == nil {
 		err = api.DecodeStrict(data, out)
 	}
@@ -68,6 +68,10 @@
 	if errors.As(err, &tooLarge) {
 		status = http.StatusRequestEntityTooLarge
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		w.Header().Set("Connection", "close")
+		status = http.StatusRequestTimeout
+	}
 	writeFailure(w, status, err)
 	return false
 }
--- a/entry/problem.go
+++ b/entry/problem.go
@@ -19,6 +19,7 @@
 var statusOf = map[reason.Reason]int{
 	reason.BadRequest:       http.StatusBadRequest,
 	reason.BodyTooLarge:     http.StatusRequestEntityTooLarge,
+	reason.BodyTooSlow:      http.StatusRequestTimeout,
 	reason.HeaderTooLarge:   http.StatusRequestHeaderFieldsTooLarge,
 	reason.WrongMethod:      http.StatusMethodNotAllowed,
 	reason.UnknownService:   http.StatusNotFound,
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -30,6 +30,8 @@
 	PeerTLS PeerTLSSettings `yaml:"peer_tls"`
 	// Limits bound what callers may send and upstreams may answer.
 	Limits LimitSettings `yaml:"limits"`
+	// Timeouts bound how long a slow caller can hold a connection.
+	Timeouts TimeoutSettings `yaml:"timeouts"`
 	// Drain says how the entry stops.
 	Drain DrainSettings `yaml:"drain"`
 	// Claims says how long idempotency keys are kept.
@@ -90,6 +92,15 @@
 	Answer api.ByteSize `yaml:"answer"`
 }
 
+// TimeoutSettings bound how long a slow caller can hold a connection.
+type TimeoutSettings struct {
+	// Body bounds the time in which a request's body must arrive. Default 30s.
+	Body api.Duration `yaml:"body"`
+	// Write bounds the time in which a caller must take one piece of its
+	// answer; the request itself goes on and can be read again. Default 30s.
+	Write api.Duration `yaml:"write"`
+}
+
 // DrainSettings say how the entry stops.
 type DrainSettings struct {
 	// LeaveDelay is how long the entry goes on accepting requests after it
@@ -146,7 +157,8 @@
 // DefaultSettings returns the settings that a file starts from.
 func DefaultSettings() Settings {
 	return Settings{
-		Limits: LimitSettings{Header: 64 << 10, Body: 4 << 20, OperatorBody: 16 << 20, Answer: 16 << 20},
+		Limits:   LimitSettings{Header: 64 << 10, Body: 4 << 20, OperatorBody: 16 << 20, Answer: 16 << 20},
+		Timeouts: TimeoutSettings{Body: api.Duration(30 * time.Second), Write: api.Duration(30 * time.Second)},
 		Drain: DrainSettings{
 			LeaveDelay: api.Duration(3 * time.Second),
 			Timeout:    api.Duration(2 * time.Minute),
--- a/entry/settings_check.go
+++ b/entry/settings_check.go
@@ -138,6 +138,8 @@
 	c.interval("intervals.watch", s.Intervals.Watch)
 	c.interval("intervals.retain", s.Intervals.Retain)
 	between(c, "drain.leave_delay", s.Drain.LeaveDelay, 0, api.Duration(maxInterval))
+	c.interval("timeouts.body", s.Timeouts.Body)
+	c.interval("timeouts.write", s.Timeouts.Write)
 	c.interval("drain.timeout", s.Drain.Timeout)
 	between(c, "claims.retention", s.Claims.Retention, api.Duration(minRetention), api.Duration(maxRetention))
 }
