--- a/decision/reason/describe.go
+++ b/decision/reason/describe.go
@@ -24,7 +24,7 @@
 	WrongMethod:      {"The path is jaylink's own and has another method.", againNever},
 	UnknownService:   {"No service's selector matches the request.", againNever},
 	UnknownCustomer:  {"No customer's selector matches the request.", againNever},
-	UnknownRequest:   {"No request of this ID is known here.", againNever},
+	UnknownRequest:   {"No entry knows a request of this ID.", againNever},
 	WrongCustomer:    {"The request belongs to another customer.", againNever},
 	Draining:         {"The entry is leaving and accepts nothing new.", againLater},
 	CustomerLimit:    {"The customer has as many requests in flight as max_in_flight allows.", againLater},
@@ -40,6 +40,7 @@
 	OutcomeUnknown:   {"The work may have run under this key, but its outcome was lost.", againLookup},
 	OutcomeNotKept:   {"The work ran under this key before; its answer was too large to keep.", againLookup},
 	Poison:           {"The request has crashed too many upstreams.", againNever},
+	OwnerUnreachable: {"An entry that may have the request can't be reached now.", againLater},
 	DeadlineUnmet:    {"The request would wait longer than it has time; it was not run.", againLater},
 	AnswerTooLarge:   {"The upstream's answer is over the setting limits.answer.", againLookup},
 
--- a/entry/driver.go
+++ b/entry/driver.go
@@ -30,6 +30,7 @@
 	dispatch func(rec *Record, a decision.DispatchAction)
 	claim    func(rec *Record)
 	endClaim func(rec *Record, p *Problem)
+	move     func(rec *Record, a decision.MoveAction)
 }
 
 // step passes one event to the core. Actions are carried out under the lock,
@@ -77,6 +78,8 @@
 		d.dispatched(a)
 	case decision.CancelAction:
 		d.canceled(a.ID)
+	case decision.MoveAction:
+		d.move(d.records.get(a.ID), a)
 	case decision.FinishAction:
 		d.finish(now, a.ID, nil)
 	case decision.ReplayAction:
@@ -95,6 +98,7 @@
 			rec.Call.Completion = nil
 		}
 		rec.idempotent = a.Resolution.Idempotent
+		rec.deadline = a.Deadline
 		rec.service = a.Resolution.Service.Name
 		rec.customer = a.Resolution.Customer.Name
 	})
@@ -116,8 +120,8 @@
 	rec := d.records.get(id)
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
-	if rec.cancel != nil {
-		rec.cancel()
+	if rec.attempt.cancel != nil {
+		rec.attempt.cancel()
 	}
 }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -15,6 +15,9 @@
 type Settings struct {
 	// Name identifies the entry in the fleet; a-z, 0-9 and '-'.
 	Name string `yaml:"name"`
+	// Host is the name of the entry's host in the host list and in reclaim
+	// notices. Default: the entry's name.
+	Host string `yaml:"host"`
 	// AvailabilityZone and Region say where the entry runs.
 	AvailabilityZone string `yaml:"availability_zone"`
 	Region           string `yaml:"region"`
@@ -38,6 +41,9 @@
 	Claims ClaimSettings `yaml:"claims"`
 	// Intervals say how often things are asked for.
 	Intervals IntervalSettings `yaml:"intervals"`
+	// Recovery describes the machines and the link for moves of streams off
+	// reclaimed upstreams.
+	Recovery RecoverySettings `yaml:"recovery"`
 	// Record bounds what the entry remembers of its decisions.
 	Record RecordSettings `yaml:"record"`
 	// Log says what is logged.
@@ -171,8 +177,9 @@
 			Watch:     api.Duration(30 * time.Second),
 			Retain:    api.Duration(2 * time.Minute),
 		},
-		Record: RecordSettings{Decisions: 4096},
-		Log:    LogSettings{Level: "info", Format: "json"},
+		Recovery: defaultRecovery(),
+		Record:   RecordSettings{Decisions: 4096},
+		Log:      LogSettings{Level: "info", Format: "json"},
 	}
 }
 
--- a/entry/settings_check.go
+++ b/entry/settings_check.go
@@ -49,6 +49,7 @@
 	c.times(s)
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.oneOf("log.format", s.Log.Format, "text", "json")
+	c.recovery(s.Recovery)
 	c.plugins(s.Plugins)
 	return c.errs
 }
--- a/entry/signs.go
+++ b/entry/signs.go
@@ -28,6 +28,9 @@
 	catalog   func() *api.Catalog
 	// step passes an event to the decision core.
 	step func(decision.Event)
+	// reclaimed takes a reclaim notice, seen here or by a peer. It must not
+	// block.
+	reclaimed func(host string, deadline time.Time)
 	// tell spreads signs to peers.
 	tell func([]*peerpb.Sign)
 }
@@ -157,6 +160,7 @@
 		}
 		return nil
 	})
+	s.reclaimed(host, deadline)
 }
 
 // expire drops the signs that have lapsed.
@@ -199,6 +203,11 @@
 	if len(fresh) > 0 {
 		s.refresh(now)
 	}
+	for _, pb := range fresh {
+		if sg := signOf(pb); sg.Source == sign.Notice && sg.Leaving {
+			s.reclaimed(sg.Host, sg.Deadline)
+		}
+	}
 	return fresh
 }
 
