entry: let only known operators use an operator port that others can reach

Cause: whoever reached the operator port could write the configuration and stop entries, and the operator's name in an object was whatever the writer said.

Weighed: certificates as on the peer port (each operator needs one, and the tools to make it), or tokens whose hashes stand in a file of the entry, the way customers' tokens do already (chosen).

--- a/cmd/jaylink/apply.go
+++ b/cmd/jaylink/apply.go
@@ -21,7 +21,9 @@
 	conn, output := connectionFlags(cmd), outputFlag(cmd)
 	files := cmd.Flag("file", "YAML file, or folder with *.yaml files. May be repeated.").Short('f').Required().Strings()
 	dryRun := cmd.Flag("dry-run", "Write nothing; print what would change.").Bool()
-	cmd.Action(func(*kingpin.ParseContext) error { return runApply(conn.client(), *output, *files, *dryRun) })
+	cmd.Action(func(*kingpin.ParseContext) error {
+		return conn.do(func(c *operator.Client) error { return runApply(c, *output, *files, *dryRun) })
+	})
 }
 
 func runApply(c *operator.Client, output string, paths []string, dryRun bool) error {
--- a/cmd/jaylink/common.go
+++ b/cmd/jaylink/common.go
@@ -18,19 +18,40 @@
 	"jaylink/operator"
 )
 
-// connection says which entry a command talks to and for whom.
-type connection struct{ address, operator string }
+// connection says which entries a command talks to and for whom.
+type connection struct {
+	addresses []string
+	operator  string
+	tokenFile string
+}
 
 // connectionFlags adds the flags of every command that talks to an entry.
 func connectionFlags(cmd *kingpin.CmdClause) *connection {
-	c := &connection{}
+	c := &connection{addresses: []string{""}}
 	cmd.Flag("entry", "Operator port of any entry, ip:port.").
-		Envar("JAYLINK_ENTRY").Default("127.0.0.1:8081").StringVar(&c.address)
-	cmd.Flag("operator", "Name that is kept with what is written. Default: the user's name.").
-		Envar("JAYLINK_OPERATOR").Default(userName()).StringVar(&c.operator)
+		Envar("JAYLINK_ENTRY").Default(defaultEntry).StringVar(&c.addresses[0])
+	c.identityFlags(cmd)
+	return c
+}
+
+// defaultEntry is the entry that commands talk to.
+const defaultEntry = "127.0.0.1:8081"
+
+// entriesFlags is connectionFlags for commands that ask several entries.
+func entriesFlags(cmd *kingpin.CmdClause) *connection {
+	c := &connection{}
+	cmd.Flag("entry", "Operator ports of the entries to ask, ip:port. May be repeated.").
+		Envar("JAYLINK_ENTRY").Default(defaultEntry).StringsVar(&c.addresses)
+	c.identityFlags(cmd)
 	return c
 }
 
+func (c *connection) identityFlags(cmd *kingpin.CmdClause) {
+	cmd.Flag("operator", "Name that is kept with what is written, where entries take it unproved. Default: the user's name.").
+		Envar("JAYLINK_OPERATOR").Default(userName()).StringVar(&c.operator)
+	cmd.Flag("token-file", "File with the operator's token.").Envar("JAYLINK_TOKEN_FILE").StringVar(&c.tokenFile)
+}
+
 func userName() string {
 	u, err := user.Current()
 	if err != nil {
@@ -39,10 +60,32 @@
 	return u.Username
 }
 
-func (c *connection) client() *operator.Client {
-	client := operator.NewClient(c.address)
-	client.Operator = c.operator
-	return client
+// clients returns a client for each entry.
+func (c *connection) clients() ([]*operator.Client, error) {
+	var token string
+	if c.tokenFile != "" {
+		data, err := os.ReadFile(c.tokenFile)
+		if err != nil {
+			return nil, &exitError{exitBadInput, err}
+		}
+		token = strings.TrimSpace(string(data))
+	}
+	var out []*operator.Client
+	for _, address := range c.addresses {
+		client := operator.NewClient(address)
+		client.Operator, client.Token = c.operator, token
+		out = append(out, client)
+	}
+	return out, nil
+}
+
+// do runs a command with the client of its entry.
+func (c *connection) do(f func(*operator.Client) error) error {
+	clients, err := c.clients()
+	if err != nil {
+		return err
+	}
+	return f(clients[0])
 }
 
 // outputFlag adds the flag that chooses the output form.
@@ -80,7 +123,7 @@
 	switch failed.Status {
 	case http.StatusConflict:
 		return &exitError{exitConflict, errors.Join(err, stale(nil, failed.Failure.Current))}
-	case http.StatusUnprocessableEntity, http.StatusBadRequest, http.StatusNotFound:
+	case http.StatusUnprocessableEntity, http.StatusBadRequest, http.StatusNotFound, http.StatusUnauthorized:
 		return &exitError{exitBadInput, err}
 	case http.StatusServiceUnavailable:
 		return &exitError{exitUnknown, err}
--- a/cmd/jaylink/explain.go
+++ b/cmd/jaylink/explain.go
@@ -21,23 +21,25 @@
 	id := cmd.Arg("request-id", "Request ID, from the response header Jaylink-Request-Id.").String()
 	upstream := cmd.Flag("upstream", "Name of an upstream.").String()
 	limit := cmd.Flag("limit", "Print the newest decisions only; 0 means all.").Default("50").Int()
-	entries := cmd.Flag("entry", "Operator ports of the entries to ask, ip:port. May be repeated; a request that moved was seen by several.").
-		Envar("JAYLINK_ENTRY").Default("127.0.0.1:8081").Strings()
-	output := outputFlag(cmd)
+	conn, output := entriesFlags(cmd), outputFlag(cmd)
 	cmd.Action(func(*kingpin.ParseContext) error {
 		if (*id == "") == (*upstream == "") {
 			return &exitError{exitBadInput, errors.New("explain needs either a request ID or --upstream")}
 		}
 		q := operator.DecisionQuery{RequestID: *id, Upstream: *upstream, Limit: *limit}
-		return runExplain(*entries, *output, q)
+		clients, err := conn.clients()
+		if err != nil {
+			return err
+		}
+		return runExplain(clients, *output, q)
 	})
 }
 
-func runExplain(entries []string, output string, q operator.DecisionQuery) error {
+func runExplain(clients []*operator.Client, output string, q operator.DecisionQuery) error {
 	var all []operator.Decision
 	var since time.Time
-	for _, address := range entries {
-		list, err := operator.NewClient(address).Decisions(context.Background(), q)
+	for _, c := range clients {
+		list, err := c.Decisions(context.Background(), q)
 		if err != nil {
 			return statusExit(err)
 		}
--- a/cmd/jaylink/main_test.go
+++ b/cmd/jaylink/main_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 	"gopkg.in/yaml.v3"
 
+	"jaylink/entry"
 	"jaylink/internal/procs"
 	"jaylink/internal/testfleet"
 )
@@ -233,3 +234,16 @@
 		return strings.Contains(out, "\na ") && strings.Contains(out, "\nb ")
 	}))
 }
+
+// With a credentials file, commands need the operator's token.
+func TestCommandsSendTheOperatorsToken(t *testing.T) {
+	s := newShell(t)
+	token := s.write("token", "asha-token\n")
+	who := s.write("operators", "asha credential="+entry.Credential("asha-token")+"\n")
+	s.entry = s.fleet.StartEntry("two", "a", "r", "drain: {leave_delay: 0s}\noperators: {credentials_file: "+who+"}\n")
+	s.fleet.Ready()
+	require.Contains(t, s.run(2, "status"), "give it by --token-file")
+	require.Contains(t, s.run(0, "status", "--token-file", token), "two (asked)")
+	require.Contains(t, s.run(2, "explain", "--upstream", "desk-1", "--token-file", "/none"), "no such file")
+	require.Contains(t, s.run(0, "report", "--token-file", token), "CUSTOMER")
+}
--- a/cmd/jaylink/operator.go
+++ b/cmd/jaylink/operator.go
@@ -19,7 +19,9 @@
 	conn, output := connectionFlags(cmd), outputFlag(cmd)
 	kind := cmd.Arg("kind", "services, customers, policies or upstreams; all kinds if left out.").String()
 	name := cmd.Arg("name", "Name of one object.").String()
-	cmd.Action(func(*kingpin.ParseContext) error { return runGet(conn.client(), *output, *kind, *name) })
+	cmd.Action(func(*kingpin.ParseContext) error {
+		return conn.do(func(c *operator.Client) error { return runGet(c, *output, *kind, *name) })
+	})
 }
 
 func runGet(c *operator.Client, output, kindName, name string) error {
@@ -72,24 +74,30 @@
 			return err
 		}
 		key := api.Key{Kind: k, Name: *name}
-		if err := conn.client().Delete(context.Background(), key, *version); err != nil {
-			return statusExit(err)
-		}
-		if *output != "table" {
-			return printAs(*output, key)
-		}
-		fmt.Println(key, "deleted")
-		return nil
+		return conn.do(func(c *operator.Client) error { return runDelete(c, *output, key, *version) })
 	})
 }
 
+func runDelete(c *operator.Client, output string, key api.Key, version uint64) error {
+	if err := c.Delete(context.Background(), key, version); err != nil {
+		return statusExit(err)
+	}
+	if output != "table" {
+		return printAs(output, key)
+	}
+	fmt.Println(key, "deleted")
+	return nil
+}
+
 func addLabel(app *kingpin.Application) {
 	cmd := app.Command("label", "Change labels of one object: KEY=VALUE sets, KEY- removes.")
 	conn, output := connectionFlags(cmd), outputFlag(cmd)
 	kind := cmd.Arg("kind", "service, customer, policy or upstream.").Required().String()
 	name := cmd.Arg("name", "Name of the object.").Required().String()
 	changes := cmd.Arg("change", "KEY=VALUE or KEY-.").Required().Strings()
-	cmd.Action(func(*kingpin.ParseContext) error { return runLabel(conn.client(), *output, *kind, *name, *changes) })
+	cmd.Action(func(*kingpin.ParseContext) error {
+		return conn.do(func(c *operator.Client) error { return runLabel(c, *output, *kind, *name, *changes) })
+	})
 }
 
 func runLabel(c *operator.Client, output, kindName, name string, changes []string) error {
--- a/cmd/jaylink/report.go
+++ b/cmd/jaylink/report.go
@@ -20,16 +20,20 @@
 
 func addReport(app *kingpin.Application) {
 	cmd := app.Command("report", "Print usage by customer and service, added up over entries. Each entry counts since its start.")
-	entries := cmd.Flag("entry", "Operator ports of the entries to ask, ip:port. May be repeated.").
-		Envar("JAYLINK_ENTRY").Default("127.0.0.1:8081").Strings()
-	output := outputFlag(cmd)
-	cmd.Action(func(*kingpin.ParseContext) error { return runReport(*entries, *output) })
+	conn, output := entriesFlags(cmd), outputFlag(cmd)
+	cmd.Action(func(*kingpin.ParseContext) error {
+		clients, err := conn.clients()
+		if err != nil {
+			return err
+		}
+		return runReport(clients, *output)
+	})
 }
 
-func runReport(entries []string, output string) error {
+func runReport(clients []*operator.Client, output string) error {
 	var lists []operator.UsageList
-	for _, address := range entries {
-		list, err := operator.NewClient(address).Usage(context.Background())
+	for _, c := range clients {
+		list, err := c.Usage(context.Background())
 		if err != nil {
 			return statusExit(err)
 		}
--- a/cmd/jaylink/snapshot.go
+++ b/cmd/jaylink/snapshot.go
@@ -24,7 +24,9 @@
 func addSnapshot(app *kingpin.Application) {
 	cmd := app.Command("snapshot", "Print every object in force as YAML that apply and restore read.")
 	conn := connectionFlags(cmd)
-	cmd.Action(func(*kingpin.ParseContext) error { return runSnapshot(conn.client(), os.Stdout) })
+	cmd.Action(func(*kingpin.ParseContext) error {
+		return conn.do(func(c *operator.Client) error { return runSnapshot(c, os.Stdout) })
+	})
 }
 
 func runSnapshot(c *operator.Client, w io.Writer) error {
@@ -83,8 +85,10 @@
 	prune := cmd.Flag("prune", "Delete the objects that the snapshot lacks.").Bool()
 	dryRun := cmd.Flag("dry-run", "Write nothing; print what would change.").Bool()
 	cmd.Action(func(*kingpin.ParseContext) error {
-		r := restore{client: conn.client(), output: *output, prune: *prune, dryRun: *dryRun}
-		return r.run(*file)
+		return conn.do(func(c *operator.Client) error {
+			r := restore{client: c, output: *output, prune: *prune, dryRun: *dryRun}
+			return r.run(*file)
+		})
 	})
 }
 
--- a/cmd/jaylink/status.go
+++ b/cmd/jaylink/status.go
@@ -15,7 +15,9 @@
 func addStatus(app *kingpin.Application) {
 	cmd := app.Command("status", "Print what an entry knows about the fleet.")
 	conn, output := connectionFlags(cmd), outputFlag(cmd)
-	cmd.Action(func(*kingpin.ParseContext) error { return runStatus(conn.client(), *output) })
+	cmd.Action(func(*kingpin.ParseContext) error {
+		return conn.do(func(c *operator.Client) error { return runStatus(c, *output) })
+	})
 }
 
 func runStatus(c *operator.Client, output string) error {
@@ -70,13 +72,23 @@
 	cmd := app.Command("drain", "Tell an entry to leave: it stops gracefully, as at SIGTERM, and cuts off no request.")
 	conn, output := connectionFlags(cmd), outputFlag(cmd)
 	cmd.Action(func(*kingpin.ParseContext) error {
-		if err := conn.client().Drain(context.Background()); err != nil {
-			return statusExit(err)
-		}
-		if *output != "table" {
-			return printAs(*output, map[string]string{"entry": conn.address, "state": "leaving"})
-		}
-		fmt.Println(conn.address, "is leaving")
-		return nil
+		return conn.do(func(c *operator.Client) error { return runDrain(c, *output, conn.addresses[0]) })
 	})
 }
+
+// drained is what drain prints for programs.
+type drained struct {
+	Entry string `json:"entry"`
+	State string `json:"state"`
+}
+
+func runDrain(c *operator.Client, output, address string) error {
+	if err := c.Drain(context.Background()); err != nil {
+		return statusExit(err)
+	}
+	if output != "table" {
+		return printAs(output, drained{Entry: address, State: "leaving"})
+	}
+	fmt.Println(address, "is leaving")
+	return nil
+}
--- a/cmd/jaylink/watch.go
+++ b/cmd/jaylink/watch.go
@@ -18,7 +18,9 @@
 	interval := cmd.Flag("interval", "Time between two looks.").Default("500ms").Duration()
 	count := cmd.Flag("count", "End after so many changes; 0 means never.").Int()
 	all := cmd.Flag("all", "Begin with every object that is in force.").Bool()
-	cmd.Action(func(*kingpin.ParseContext) error { return runWatch(conn.client(), *output, *interval, *count, *all) })
+	cmd.Action(func(*kingpin.ParseContext) error {
+		return conn.do(func(c *operator.Client) error { return runWatch(c, *output, *interval, *count, *all) })
+	})
 }
 
 func runWatch(c *operator.Client, output string, interval time.Duration, count int, all bool) error {
--- a/entry/apply.go
+++ b/entry/apply.go
@@ -143,6 +143,9 @@
 		return
 	}
 	o, err := e.changeLabels(r.Context(), key, req, operatorName(r))
+	if err == nil {
+		e.logWrite(r, "object written", key, o.Version)
+	}
 	writeResult(w, o, err)
 }
 
@@ -242,5 +245,6 @@
 		writeResult(w, stored, err)
 		return
 	}
+	e.logWrite(r, "object deleted", key, version)
 	writeJSON(w, http.StatusOK, struct{}{})
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -44,6 +44,8 @@
 	upstreams *upstream.Client
 	peers     *peer.Node
 	claims    *claimBook
+	// operators has names by credential; nil lets everyone in.
+	operators map[string]string
 	// incarnation and started identify this process and say since when it runs.
 	incarnation uint64
 	started     time.Time
@@ -105,6 +107,11 @@
 	if err != nil {
 		return nil, oops.In("entry").With("step", "peer_tls").Wrap(err)
 	}
+	if file := s.Operators.CredentialsFile; file != "" {
+		if e.operators, err = readOperators(file); err != nil {
+			return nil, oops.In("entry").With("step", "operators").Wrap(err)
+		}
+	}
 	source, _, _ := net.SplitHostPort(s.Listen.Peer)
 	e.peers = peer.New(peer.Options{
 		Self: &peerpb.Member{
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -131,7 +131,9 @@
 	for _, s := range sources {
 		req.Objects = append(req.Objects, s.Object)
 	}
-	reply, err := f.client().Apply(t.Context(), req)
+	client := f.client()
+	client.Token = ashaToken
+	reply, err := client.Apply(t.Context(), req)
 	require.NoError(t, err)
 	for _, res := range reply.Results {
 		require.Equal(t, operator.StatusAccepted, res.Status, "%+v", res)
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -17,6 +17,9 @@
 	"jaylink/operator"
 )
 
+// metricsPath is where scrapers read the metrics.
+const metricsPath = "/metrics"
+
 // operatorHandler serves the operator commands.
 func (e *Entry) operatorHandler() http.Handler {
 	r := mux.NewRouter()
@@ -32,14 +35,14 @@
 	r.HandleFunc("/v1/changes", e.handleChanges).Methods(http.MethodGet)
 	r.HandleFunc("/v1/drain", e.handleDrain).Methods(http.MethodPost)
 	r.HandleFunc("/v1/metrics", e.handleMetrics).Methods(http.MethodGet)
-	r.HandleFunc("/metrics", e.handleMetricsText).Methods(http.MethodGet)
+	r.HandleFunc(metricsPath, e.handleMetricsText).Methods(http.MethodGet)
 	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		writeFailure(w, http.StatusNotFound, fmt.Errorf("no such path: %.200q", r.URL.Path))
 	})
 	r.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		writeFailure(w, http.StatusMethodNotAllowed, fmt.Errorf("%.20s is not allowed on %.200q", r.Method, r.URL.Path))
 	})
-	return r
+	return e.authenticate(r)
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
@@ -110,6 +113,9 @@
 	status := http.StatusOK
 	for _, res := range reply.Results {
 		status = max(status, applyStatus[res.Status])
+		if res.Status == operator.StatusAccepted {
+			e.logWrite(r, "object written", res.Key, res.Version)
+		}
 	}
 	if status == http.StatusServiceUnavailable {
 		w.Header().Set("Retry-After", strconv.Itoa(int(outageRetryAfter.Seconds())))
@@ -117,15 +123,11 @@
 	writeJSON(w, status, reply)
 }
 
-// operatorName returns who is writing, for the operators who come after.
-func operatorName(r *http.Request) string {
-	name := r.Header.Get(operator.HeaderOperator)
-	return name[:min(len(name), maxOperatorName)]
+// logWrite says in the log who changed what.
+func (e *Entry) logWrite(r *http.Request, message string, key api.Key, version uint64) {
+	e.log.Info(message, "object", key.String(), "version", version, "operator", operatorName(r))
 }
 
-// maxOperatorName bounds the name of an operator in bytes.
-const maxOperatorName = 64
-
 // applyStatus ranks the outcomes; the highest is the status of the whole.
 var applyStatus = map[operator.Status]int{
 	operator.StatusInvalid:  http.StatusUnprocessableEntity,
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -33,6 +33,8 @@
 	PeerTLS PeerTLSSettings `yaml:"peer_tls"`
 	// Limits bound what callers may send and upstreams may answer.
 	Limits LimitSettings `yaml:"limits"`
+	// Operators say who may use the operator port.
+	Operators OperatorSettings `yaml:"operators"`
 	// Timeouts bound how long a slow caller can hold a connection.
 	Timeouts TimeoutSettings `yaml:"timeouts"`
 	// Drain says how the entry stops.
@@ -98,6 +100,15 @@
 	Answer api.ByteSize `yaml:"answer"`
 }
 
+// OperatorSettings say who may use the operator port.
+type OperatorSettings struct {
+	// CredentialsFile is a file with a line "NAME credential=HASH" for each
+	// operator, the hash as "jaylink credential" prints it for a token. Without
+	// it everyone who reaches the port may write, which is allowed only if
+	// listen.operator is a loopback address.
+	CredentialsFile string `yaml:"credentials_file"`
+}
+
 // TimeoutSettings bound how long a slow caller can hold a connection.
 type TimeoutSettings struct {
 	// Body bounds the time in which a request's body must arrive. Default 30s.
--- a/entry/settings_check.go
+++ b/entry/settings_check.go
@@ -45,6 +45,7 @@
 	c.identity(s)
 	c.addresses(s)
 	c.peerTLS(s)
+	c.operators(s)
 	c.limits(s)
 	c.times(s)
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
--- a/operator/client.go
+++ b/operator/client.go
@@ -38,6 +38,8 @@
 	http *http.Client
 	// Operator names who makes the calls; it is kept with what is written.
 	Operator string
+	// Token is sent as the bearer token; "" sends none.
+	Token string
 }
 
 // NewClient returns a client for the operator port at "ip:port".
@@ -137,6 +139,9 @@
 	if err != nil {
 		return errb.Wrap(err)
 	}
+	if c.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.Token)
+	}
 	if c.Operator != "" {
 		req.Header.Set(HeaderOperator, c.Operator)
 	}
