--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -33,6 +33,8 @@
 	PrefillPerToken time.Duration
 	// LoadLag is how old the reported load is.
 	LoadLag time.Duration
+	// ChecksFencing refuses orders with an old fencing number.
+	ChecksFencing bool
 	// PrefixTokens is the size of the prefix cache.
 	PrefixTokens int
 	// KVPerToken is the time to import the KV cache of one token.
@@ -84,6 +86,7 @@
 	queued  int
 	history []sample
 	runs    []*Run
+	orders  orders
 	cache   prefixCache
 	// live has the text so far of each request that runs, by its tag.
 	live map[string]string
@@ -105,6 +108,9 @@
 	}
 	s.router.HandleFunc("/v1/completions", s.complete).Methods(http.MethodPost)
 	s.router.HandleFunc("/load", s.load).Methods(http.MethodGet)
+	s.router.HandleFunc("/state", s.getState).Methods(http.MethodGet)
+	s.router.HandleFunc("/state", s.takeOrder).Methods(http.MethodPost)
+	s.router.HandleFunc("/orders", s.listOrders).Methods(http.MethodGet)
 	s.router.HandleFunc("/runs", s.listRuns).Methods(http.MethodGet)
 	s.router.HandleFunc("/kv", s.exportKV).Methods(http.MethodGet)
 	s.router.HandleFunc("/kv", s.importKV).Methods(http.MethodPost)
