entry: record moves, takeovers, reclaims, the lease and orders

Cause: explain and status knew of upstreams that leave, but not of what the entries did about it.

Change: the decision record has a line for a request that moved to another entry or upstream and how, one that was taken over and why, a reclaim of the entry's own host, a new holder of the lease and each order with its outcome. Host orders are not recorded: no entry gives any yet.

--- a/entry/decisions.go
+++ b/entry/decisions.go
@@ -87,8 +87,8 @@
 	var out []operator.Decision
 	for _, d := range r.list(operator.DecisionQuery{}).Items {
 		switch d.Kind {
-		case operator.DecisionLeaving, operator.DecisionBack, operator.DecisionMoved,
-			operator.DecisionOrdered, operator.DecisionHostRefused:
+		case operator.DecisionLeaving, operator.DecisionBack, operator.DecisionMoved, operator.DecisionTaken,
+			operator.DecisionReclaimed, operator.DecisionLease, operator.DecisionOrdered:
 			out = append(out, d)
 		}
 	}
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
 	"jaylink/api"
 	"jaylink/decision/lease"
 	"jaylink/decision/rendezvous"
+	"jaylink/operator"
 	"jaylink/platform"
 	"jaylink/upstream"
 )
@@ -81,6 +83,9 @@
 		o.write(ctx, rec, version)
 	}
 	if holder, generation := o.lease.Holder(); holder != before {
+		e.decisions.add(operator.Decision{
+			Kind: operator.DecisionLease, Peer: holder, Detail: fmt.Sprintf("generation=%d", generation),
+		})
 		e.log.Info("lease for orders", "holder", holder, "generation", generation)
 	}
 }
@@ -146,6 +151,19 @@
 	ctx, cancelOrder := context.WithTimeout(ctx, grant.Timeout)
 	defer cancelOrder()
 	err = o.entry.upstreams.Order(ctx, spec.Address, upstream.Order{Generation: grant.Generation, EngineState: want})
+	o.entry.noteOrder(object.Name, want, grant.Generation, err)
 	o.entry.log.Info("engine ordered", "upstream", object.Name, "model", want.Model, "role", want.Role,
 		"generation", grant.Generation, "err", err)
 }
+
+// noteOrder records an order and whether the engine took it.
+func (e *Entry) noteOrder(name string, want upstream.EngineState, generation uint64, err error) {
+	outcome := "taken"
+	if err != nil {
+		outcome = "failed"
+	}
+	e.decisions.add(operator.Decision{
+		Kind: operator.DecisionOrdered, Upstream: name,
+		Detail: fmt.Sprintf("model=%s role=%s generation=%d outcome=%s", want.Model, want.Role, generation, outcome),
+	})
+}
--- a/entry/ownership.go
+++ b/entry/ownership.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 
 	"jaylink/decision"
+	"jaylink/operator"
 	"jaylink/peer/peerpb"
 )
 
@@ -30,6 +32,13 @@
 	rec.notify()
 	rec.mu.Unlock()
 	e.records.adopted(rec)
+	cause := "owner is lost"
+	if full != nil {
+		cause = "handed over"
+	}
+	e.decisions.add(operator.Decision{
+		Kind: operator.DecisionTaken, RequestID: rec.ID, Detail: fmt.Sprintf("epoch=%d cause=%q", epoch, cause),
+	})
 	e.drive(rec, full)
 	return true
 }
@@ -84,6 +93,9 @@
 		e.records.ended()
 	}
 	e.metrics.moved.Inc(1)
+	e.decisions.add(operator.Decision{
+		Kind: operator.DecisionMoved, RequestID: rec.ID, Peer: owner.GetName(), Detail: fmt.Sprintf("epoch=%d", epoch),
+	})
 	e.log.Info("request moved", "request_id", rec.ID, "peer", owner.GetName(), "epoch", epoch)
 }
 
--- a/entry/recover.go
+++ b/entry/recover.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"jaylink/decision"
+	"jaylink/decision/reason"
 	"jaylink/decision/recovery"
+	"jaylink/operator"
 	"jaylink/upstream"
 )
 
@@ -72,6 +75,7 @@
 	rec.mu.Lock()
 	tag := rec.attempt.id.tag(rec.ID)
 	rec.mu.Unlock()
+	e.noteMove(rec, a)
 	e.work.Go(func() {
 		sleep(e.background, a.After)
 		if a.Cache {
@@ -81,6 +85,22 @@
 	})
 }
 
+// noteMove records where a stream goes on and how.
+func (e *Entry) noteMove(rec *Record, a decision.MoveAction) {
+	how := "resume from prompt and answer so far"
+	if a.Cache {
+		how = "with its KV cache"
+	}
+	d := operator.Decision{
+		Kind: operator.DecisionMoved, RequestID: rec.ID, Attempt: a.Attempt, Reason: reason.UpstreamLeaving,
+		Detail: fmt.Sprintf("from=%s after=%s %s", a.From.Name, a.After, how),
+	}
+	if a.To != nil {
+		d.Upstream = a.To.Name
+	}
+	e.decisions.add(d)
+}
+
 func (e *Entry) copyCache(tag string, a decision.MoveAction) {
 	ctx, cancel := context.WithDeadline(e.background, a.Deadline)
 	defer cancel()
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -9,6 +9,7 @@
 	"github.com/samber/oops"
 
 	"jaylink/decision"
+	"jaylink/operator"
 )
 
 const (
@@ -69,6 +70,7 @@
 	if host != e.host() || !fresh || time.Until(deadline) <= 0 {
 		return
 	}
+	e.decisions.add(operator.Decision{Kind: operator.DecisionReclaimed, Detail: "deadline=" + deadline.UTC().Format(time.RFC3339)})
 	e.log.Info("this host is being reclaimed", "step", "reclaim", "deadline", deadline)
 	e.work.Go(func() { e.evacuate(e.background, deadline) })
 }
--- a/operator/decision.go
+++ b/operator/decision.go
@@ -23,12 +23,18 @@
 	DecisionAnswered DecisionKind = "answered"
 	// DecisionMoved is a request that went to another entry or upstream.
 	DecisionMoved DecisionKind = "moved"
+	// DecisionTaken is a request that this entry drives from now on, because
+	// its owner handed it over or is lost.
+	DecisionTaken DecisionKind = "taken_over"
+	// DecisionReclaimed is a reclaim notice for this entry's own host.
+	DecisionReclaimed DecisionKind = "reclaimed"
+	// DecisionLease is a change of the holder of the lease for orders.
+	DecisionLease DecisionKind = "lease"
 	// DecisionLeaving and DecisionBack are changes of an upstream.
 	DecisionLeaving DecisionKind = "leaving"
 	DecisionBack    DecisionKind = "back"
-	// DecisionOrdered and DecisionHostRefused are answers to host orders.
-	DecisionOrdered     DecisionKind = "ordered"
-	DecisionHostRefused DecisionKind = "host_refused"
+	// DecisionOrdered is an order to an engine.
+	DecisionOrdered DecisionKind = "ordered"
 )
 
 // Decision is one line of an entry's decision record. It has nothing of a
