load: send the load of a profile to real entries; keep urgent work out of the fleet limit

Cause: nothing measured entries as processes.

Change: jaylink load (open loop, seeded, loopback only, bounded, waves on stand-in engines), process-level figures under make bench, a batch slowdown and busy time in the stand-in engine; urgent requests are counted apart by limit.customer.

The processes have no cache events and no usage of other entries yet, which the model has.

--- a/cmd/jaylink/main.go
+++ b/cmd/jaylink/main.go
@@ -47,6 +47,7 @@
 	addStatus(app)
 	addCheck(app)
 	addVersion(app)
+	addLoad(app)
 	addStandin(app)
 	_, err := app.Parse(os.Args[1:])
 	if err == nil {
--- a/cmd/jaylink/standin.go
+++ b/cmd/jaylink/standin.go
@@ -40,6 +40,7 @@
 	cmd.Flag("slots", "Requests that run at once.").Default("8").IntVar(&opts.Slots)
 	cmd.Flag("queue", "Requests that wait; more are refused.").Default("64").IntVar(&opts.QueueLength)
 	cmd.Flag("token-interval", "Time between tokens.").Default("5ms").DurationVar(&opts.TokenInterval)
+	cmd.Flag("batch-interval", "Time that each other running request adds between tokens.").Default("0s").DurationVar(&opts.BatchInterval)
 	cmd.Flag("prefill", "Time to read one prompt token.").Default("100us").DurationVar(&opts.PrefillPerToken)
 	cmd.Flag("load-lag", "Age of the reported load.").Default("500ms").DurationVar(&opts.LoadLag)
 	cmd.Flag("prefix-tokens", "Size of the prefix cache in tokens.").Default("4096").IntVar(&opts.PrefixTokens)
--- a/decision/admission/admission.go
+++ b/decision/admission/admission.go
@@ -18,8 +18,9 @@
 	Timeout time.Duration
 	// MaxInFlight is the customer's bound for the fleet; 0 means none.
 	MaxInFlight int
-	// CustomerInFlight is the customer's number of accepted requests here,
-	// and CustomerElsewhere that on the other entries as they last reported.
+	// CustomerInFlight is the customer's number of accepted requests here, and
+	// CustomerElsewhere that on the other entries as they last reported.
+	// Urgent requests and others are counted apart, and urgent ones only here.
 	CustomerInFlight  int
 	CustomerElsewhere int
 	// Peers is the number of entries that CustomerElsewhere comes from.
--- a/decision/queue_test.go
+++ b/decision/queue_test.go
@@ -26,6 +26,10 @@
 name: patient
 spec: {selector: work=patient, class: patient}
 ---
+kind: Policy
+name: urgent
+spec: {selector: work=urgent, class: urgent}
+---
 kind: Customer
 name: large
 spec: {selector: account=large, weight: 3}
@@ -162,6 +166,15 @@
 	require.Equal(t, 4, accepted(), "nothing more with 9 in the fleet")
 }
 
+func TestUrgentRequestsAreNotRefusedForOtherWork(t *testing.T) {
+	c := newFairCore(t)
+	for i := range 10 {
+		c.Step(start, from("small", fmt.Sprint(i), "patient"))
+	}
+	require.Equal(t, 8, c.Usage()["small"])
+	last[AcceptAction](t, c.Step(start, from("small", "lookup", "urgent"))[:1])
+}
+
 // One step with many waiting requests.
 func BenchmarkStepQueued(b *testing.B) {
 	for _, n := range []int{100, 10000} {
--- a/decision/usage.go
+++ b/decision/usage.go
@@ -9,7 +9,9 @@
 
 // usage counts what is accepted, by customer, and how long services take.
 type usage struct {
+	// customers counts all but urgent requests, which urgent counts.
 	customers map[string]int
+	urgent    map[string]int
 	// peers has the counts of the other entries, and elsewhere their sums.
 	peers     map[string]map[string]int
 	elsewhere map[string]int
@@ -22,15 +24,23 @@
 func newUsage() usage {
 	return usage{
 		customers: map[string]int{},
+		urgent:    map[string]int{},
 		peers:     map[string]map[string]int{},
 		elsewhere: map[string]int{},
 		services:  map[string]*timing{},
 	}
 }
 
-func (u usage) add(r *request) { u.customers[r.res.Customer.Name]++ }
+func (u usage) counts(c api.Class) map[string]int {
+	if c == api.ClassUrgent {
+		return u.urgent
+	}
+	return u.customers
+}
+
+func (u usage) add(r *request) { u.counts(r.res.Class)[r.res.Customer.Name]++ }
 
-func (u usage) drop(r *request) { subtract(u.customers, r.res.Customer.Name, 1) }
+func (u usage) drop(r *request) { subtract(u.counts(r.res.Class), r.res.Customer.Name, 1) }
 
 func subtract(counts map[string]int, name string, n int) {
 	counts[name] -= n
@@ -80,8 +90,8 @@
 	return timing{mean: defaultServiceTime}
 }
 
-// Usage returns the accepted requests of this entry by customer, which other
-// entries take as a UsageEvent.
+// Usage returns the accepted requests of this entry by customer, urgent ones left
+// out, which other entries take as a UsageEvent.
 func (c *Core) Usage() map[string]int {
 	out := make(map[string]int, len(c.usage.customers))
 	for name, n := range c.usage.customers {
@@ -100,7 +110,7 @@
 		Class:             res.Class,
 		Timeout:           res.Timeout,
 		MaxInFlight:       res.CustomerSpec().MaxInFlight,
-		CustomerInFlight:  c.usage.customers[name],
+		CustomerInFlight:  c.usage.counts(res.Class)[name],
 		CustomerElsewhere: c.usage.elsewhere[name],
 		Peers:             len(c.usage.peers),
 		Entries:           c.entries,
--- a/internal/testfleet/fleet.go
+++ b/internal/testfleet/fleet.go
@@ -170,6 +170,12 @@
 	for _, s := range sources {
 		objects = append(objects, s.Object)
 	}
+	f.ApplyObjects(through, objects)
+}
+
+// ApplyObjects is Apply for objects that have been read already.
+func (f *Fleet) ApplyObjects(through *Entry, objects []*api.Object) {
+	f.t.Helper()
 	for _, n := range f.Nodes {
 		objects = append(objects, n.Object)
 	}
--- a/plugin/limit/customer/customer.go
+++ b/plugin/limit/customer/customer.go
@@ -1,6 +1,7 @@
 package customer
 
 import (
+	"jaylink/api"
 	"jaylink/decision/admission"
 	"jaylink/decision/reason"
 )
@@ -16,7 +17,11 @@
 // refused while the fleet has room. Between two heartbeats the fleet can pass
 // the bound by what the entries accept in that time, and never to more than
 // twice the bound and one request an entry. An entry that hears of no other
-// keeps to its even share. It has no options.
+// keeps to its even share.
+//
+// Urgent requests are short and someone stands and waits for them, so they are
+// not refused because other work has filled the bound: they are counted apart,
+// and each entry accepts up to max_in_flight of them. It has no options.
 type Limit struct{}
 
 // Admit implements admission.Limit.
@@ -24,6 +29,9 @@
 	if r.MaxInFlight == 0 {
 		return admission.Verdict{}
 	}
+	if r.Class == api.ClassUrgent {
+		return verdict(r, r.CustomerInFlight < r.MaxInFlight)
+	}
 	entries := max(r.Entries, 1)
 	share := (r.MaxInFlight + entries - 1) / entries
 	allowed := r.CustomerInFlight < share
@@ -32,6 +40,10 @@
 		total := r.CustomerInFlight + r.CustomerElsewhere
 		allowed = total < r.MaxInFlight && r.CustomerInFlight < burst
 	}
+	return verdict(r, allowed)
+}
+
+func verdict(r *admission.Request, allowed bool) admission.Verdict {
 	if allowed {
 		return admission.Verdict{}
 	}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -29,6 +29,9 @@
 	QueueLength int
 	// TokenInterval is the time between tokens.
 	TokenInterval time.Duration
+	// BatchInterval is what each other running request adds to the time
+	// between tokens.
+	BatchInterval time.Duration
 	// PrefillPerToken is the time to read one prompt token.
 	PrefillPerToken time.Duration
 	// LoadLag is how old the reported load is.
@@ -56,6 +59,8 @@
 	Cached    int    `json:"cached_tokens"`
 	Generated int    `json:"generated_tokens"`
 	Whole     bool   `json:"whole"`
+	// Busy is the time for which the run held a slot.
+	Busy time.Duration `json:"busy_ns"`
 }
 
 // Server is the stand-in's HTTP handler.
@@ -133,7 +138,13 @@
 	if f.CrashOn != "" && strings.Contains(c.Prompt, f.CrashOn) {
 		panic(http.ErrAbortHandler)
 	}
+	began := time.Now()
 	run := s.prefill(r, c)
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		run.Busy = time.Since(began)
+	}()
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set(upstream.HeaderRequestID, run.RequestID)
 	s.generate(w, r, c, run)
@@ -188,7 +199,7 @@
 func (s *Server) generate(w http.ResponseWriter, r *http.Request, c upstream.Completion, run *Run) {
 	text := c.Prompt
 	for i := range c.MaxTokens {
-		if !pause(r, s.opts.TokenInterval) {
+		if !pause(r, s.interval()) {
 			return
 		}
 		token := nextToken(text)
@@ -213,6 +224,13 @@
 	s.cache.add(text)
 }
 
+// interval is the time between tokens with the present batch.
+func (s *Server) interval() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.opts.TokenInterval + time.Duration(s.running-1)*s.opts.BatchInterval
+}
+
 func writeEvent(w http.ResponseWriter, chunk upstream.Chunk) {
 	data, err := json.Marshal(chunk)
 	if err != nil {
