--- a/entry/operator.go
+++ b/entry/operator.go
@@ -168,7 +168,8 @@
 // maxRecent bounds the decisions that status shows.
 const maxRecent = 10
 
-func (e *Entry) handleStatus(w http.ResponseWriter, _ *http.Request) {
+func (e *Entry) handleStatus(w http.ResponseWriter, r *http.Request) {
+	e.peers.Survey(r.Context())
 	inFlight, _ := e.records.inFlight()
 	s := operator.FleetStatus{
 		Entry:            e.settings.Name,
