trace: record what reaches the core and replay it against stated outcomes

Cause: a failure of the decisions could not be handed on as a file, and no recorded load was part of the tests.

--- a/api/catalog.go
+++ b/api/catalog.go
@@ -94,6 +94,11 @@
 // Services returns the service objects. The caller must not change them.
 func (c *Catalog) Services() []*Object { return c.services }
 
+// Objects returns all objects of the catalog, by kind.
+func (c *Catalog) Objects() []*Object {
+	return slices.Concat(c.services, c.customers, c.policies, c.upstreams)
+}
+
 // Resolution is what the selectors decided for one request.
 type Resolution struct {
 	Service  *Object
--- a/cmd/jaylink/entry.go
+++ b/cmd/jaylink/entry.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"os"
+
 	"github.com/alecthomas/kingpin/v2"
 
 	"jaylink/entry"
@@ -10,10 +12,11 @@
 func addEntry(app *kingpin.Application) {
 	cmd := app.Command("entry", "Run the entry process: accept requests and run them on upstreams. SIGTERM stops it gracefully.")
 	file := cmd.Flag("settings", "Settings file (YAML).").Short('s').Required().Envar("JAYLINK_SETTINGS").String()
-	cmd.Action(func(*kingpin.ParseContext) error { return runEntry(*file) })
+	trace := cmd.Flag("trace", "Record the events of the decision core in this file, for jaylink replay. No prompt or answer is recorded.").String()
+	cmd.Action(func(*kingpin.ParseContext) error { return runEntry(*file, *trace) })
 }
 
-func runEntry(file string) error {
+func runEntry(file, trace string) error {
 	settings, err := entry.ReadSettings(file)
 	if err != nil {
 		return &exitError{exitBadInput, err}
@@ -22,6 +25,15 @@
 	if err != nil {
 		return &exitError{exitBadInput, err}
 	}
+	if trace != "" {
+		out, err := os.Create(trace)
+		if err != nil {
+			return &exitError{exitBadInput, err}
+		}
+		if err := e.RecordTrace(out); err != nil {
+			return err
+		}
+	}
 	var app kernel.App
 	app.Add("entry", e)
 	return runApp(&app)
--- a/cmd/jaylink/main.go
+++ b/cmd/jaylink/main.go
@@ -48,6 +48,7 @@
 	addCheck(app)
 	addVersion(app)
 	addLoad(app)
+	addReplay(app)
 	addStandin(app)
 	_, err := app.Parse(os.Args[1:])
 	if err == nil {
--- /dev/null
+++ b/cmd/jaylink/replay.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"jaylink/decision"
+	"jaylink/kernel"
+	"jaylink/plugin/standard"
+	"jaylink/trace"
+)
+
+func addReplay(app *kingpin.Application) {
+	cmd := app.Command("replay", "Drive the decisions with a recorded trace and check stated outcomes. Exit code 1 if one is missed.")
+	file := cmd.Arg("trace", "Trace, recorded by jaylink entry --trace.").Required().ExistingFile()
+	outcomes := cmd.Flag("outcomes", "Stated outcomes (YAML).").ExistingFile()
+	cmd.Action(func(*kingpin.ParseContext) error { return runReplay(*file, *outcomes) })
+}
+
+func runReplay(file, outcomes string) error {
+	in, err := os.Open(file)
+	if err != nil {
+		return &exitError{exitBadInput, err}
+	}
+	defer in.Close()
+	t, err := trace.Read(in)
+	if err != nil {
+		return &exitError{exitBadInput, fmt.Errorf("%s: %w", file, err)}
+	}
+	want := &trace.Outcomes{}
+	if outcomes != "" {
+		if want, err = trace.ReadOutcomes(outcomes); err != nil {
+			return &exitError{exitBadInput, err}
+		}
+	}
+	return replayTrace(t, want)
+}
+
+func replayTrace(t *trace.Trace, want *trace.Outcomes) error {
+	var missed []string
+	if want.SameActions {
+		cfg, err := chainOf(t)
+		if err != nil {
+			return &exitError{exitBadInput, err}
+		}
+		missed = trace.Repeat(t, cfg).Differences
+	}
+	cfg, err := chainOf(t)
+	if err != nil {
+		return &exitError{exitBadInput, err}
+	}
+	r := trace.Resimulate(t, cfg)
+	fmt.Printf("requests=%d answered=%d dispatches=%d refused=%v cost=%.4g urgent_wait=%s\n",
+		r.Requests, r.Answered, r.Dispatches, r.Refused, r.Cost, r.UrgentWait)
+	missed = append(missed, want.Check(r)...)
+	for _, m := range missed {
+		fmt.Println("missed:", m)
+	}
+	if len(missed) > 0 {
+		return errors.New("stated outcomes were missed")
+	}
+	return nil
+}
+
+// chainOf builds the chain that the trace names.
+func chainOf(t *trace.Trace) (decision.Config, error) {
+	var ids []kernel.ModuleID
+	for _, id := range t.Header.Modules {
+		ids = append(ids, kernel.ModuleID(id))
+	}
+	return standard.Chain(t.Header.Zone, t.Header.Region, ids)
+}
--- a/entry/driver.go
+++ b/entry/driver.go
@@ -11,6 +11,7 @@
 	"jaylink/decision"
 	"jaylink/decision/reason"
 	"jaylink/operator"
+	"jaylink/trace"
 )
 
 // driver runs the decision core: it passes events in, one at a time, and
@@ -29,6 +30,8 @@
 	dispatch func(rec *Record, a decision.DispatchAction)
 	claim    func(rec *Record)
 	release  func(rec *Record)
+	// trace records what the core is given; nil without a recording.
+	trace *trace.Recorder
 }
 
 // step passes one event to the core. Actions are carried out under the lock,
@@ -40,7 +43,11 @@
 	if ev, ok := ev.(decision.LeavingEvent); ok {
 		d.noteLeaving(now, ev)
 	}
-	for _, a := range d.core.Step(now, ev) {
+	actions := d.core.Step(now, ev)
+	if d.trace != nil {
+		d.trace.Record(now, ev, actions)
+	}
+	for _, a := range actions {
 		d.carryOut(now, a)
 	}
 	d.schedule(now)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -215,6 +215,7 @@
 	e.peers.Close()
 	e.driver.stop()
 	e.work.Wait()
+	e.closeTrace()
 	e.platform.Close()
 	e.upstreams.Close()
 	e.log.Info("entry stopped")
--- /dev/null
+++ b/entry/trace.go
@@ -0,0 +1,37 @@
+package entry
+
+import (
+	"io"
+	"time"
+
+	"jaylink/plugin/standard"
+	"jaylink/trace"
+)
+
+// RecordTrace records the events that reach the decision core, until Stop. It
+// must be called before Start. The trace names the modules of the chain, but not
+// their options.
+func (e *Entry) RecordTrace(file io.WriteCloser) error {
+	h := trace.Header{Start: time.Now(), Zone: e.settings.AvailabilityZone, Region: e.settings.Region}
+	for _, p := range e.settings.Plugins {
+		h.Modules = append(h.Modules, p.ID)
+	}
+	if len(h.Modules) == 0 {
+		for _, id := range standard.Order {
+			h.Modules = append(h.Modules, string(id))
+		}
+	}
+	recorder, err := trace.NewRecorder(file, h)
+	e.driver.trace = recorder
+	return err
+}
+
+// closeTrace ends a recording.
+func (e *Entry) closeTrace() {
+	if e.driver.trace == nil {
+		return
+	}
+	if err := e.driver.trace.Close(); err != nil {
+		e.log.Warn("the trace is incomplete", "step", "trace", "err", err)
+	}
+}
--- a/internal/bench/process_test.go
+++ b/internal/bench/process_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,7 +35,7 @@
 
 // startDeployment starts the upstreams of a deployment and an entry in each of
 // two zones that run a chain.
-func startDeployment(t *testing.T, d Deployment, c Chain) *testfleet.Fleet {
+func startDeployment(t *testing.T, d Deployment, c Chain, traces ...string) *testfleet.Fleet {
 	f := testfleet.New(t)
 	objects, err := readObjects(examples + "/" + d.Name)
 	require.NoError(t, err)
@@ -59,6 +60,11 @@
 		fmt.Fprintf(&plugins, "  - id: %s\n", id)
 	}
 	for i, site := range d.Entries[:2] {
+		if i < len(traces) {
+			f.EntryArgs = []string{"--trace", traces[i]}
+		} else {
+			f.EntryArgs = nil
+		}
 		f.StartEntry(fmt.Sprintf("entry-%d", i), site.Zone, site.Region, "plugins:\n"+plugins.String())
 	}
 	f.Ready()
@@ -70,6 +76,26 @@
 	return []string{f.Entries["entry-0"].Caller, f.Entries["entry-1"].Caller}
 }
 
+// Records the traces under examples/traces; "make bench" leaves it out. A wave
+// reclaims a zone in the middle.
+func TestRecordTraces(t *testing.T) {
+	const recordTime = 12 * time.Second
+	for _, d := range Deployments {
+		profile, err := workload.Read(examples + "/load/" + d.Name + ".yaml")
+		require.NoError(t, err)
+		profile.Waves[0].At, profile.Waves[0].Notice = api.Duration(4*time.Second), api.Duration(2*time.Second)
+		profile.Waves[0].Back = api.Duration(9 * time.Second)
+		file, err := filepath.Abs(examples + "/traces/" + d.Name + ".jsonl")
+		require.NoError(t, err)
+		f := startDeployment(t, d, Standard, file)
+		_, err = load.Run(t.Context(), load.Options{
+			Profile: profile, Entries: callers(f), Seed: 1, Scale: 1, Duration: recordTime, Engines: enginesOf(f),
+		})
+		require.NoError(t, err)
+		f.Stop()
+	}
+}
+
 // used sums what the engines of a fleet computed.
 type used struct {
 	cost      float64
--- a/internal/testfleet/fleet.go
+++ b/internal/testfleet/fleet.go
@@ -60,6 +60,8 @@
 	Platform string // address
 	Entries  map[string]*Entry
 	Nodes    map[string]*Node // engines and services by upstream name
+	// EntryArgs are added to the command line of each entry that is started.
+	EntryArgs []string
 	// Relayed makes the connections between entries that are started from
 	// now on subject to CutZone.
 	Relayed bool
@@ -170,7 +172,8 @@
 // Restart starts an entry's process again with the same settings.
 func (f *Fleet) Restart(e *Entry) {
 	f.t.Helper()
-	p, err := f.Group.Start(e.Name, "entry", "--settings", e.Settings)
+	args := append([]string{"entry", "--settings", e.Settings}, f.EntryArgs...)
+	p, err := f.Group.Start(e.Name, args...)
 	require.NoError(f.t, err)
 	e.Process = p
 	f.t.Cleanup(func() {
--- /dev/null
+++ b/trace/outcomes.go
@@ -0,0 +1,71 @@
+package trace
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"jaylink/api"
+	"jaylink/decision/reason"
+	"jaylink/internal/strictyaml"
+)
+
+// Outcomes are what a replay is held to. An outcome that is left out is not
+// checked.
+type Outcomes struct {
+	// SameActions says that the recorded events lead to the recorded actions.
+	SameActions bool `yaml:"same_actions"`
+	// Refusals bounds the refusals by reason.
+	Refusals map[reason.Reason]int `yaml:"refusals"`
+	// Answered is the least number of answered requests.
+	Answered int `yaml:"answered"`
+	// MaxDispatches bounds the attempts.
+	MaxDispatches int `yaml:"max_dispatches"`
+	// MaxCost bounds the cost, in the bill's currency.
+	MaxCost float64 `yaml:"max_cost"`
+	// UrgentWait bounds the time from the arrival of an urgent request to its
+	// first dispatch.
+	UrgentWait api.Duration `yaml:"urgent_wait"`
+}
+
+// ReadOutcomes reads and checks a file of outcomes.
+func ReadOutcomes(file string) (*Outcomes, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	docs, err := strictyaml.Split(file, data)
+	if err != nil {
+		return nil, err
+	}
+	if len(docs) != 1 {
+		return nil, strictyaml.FieldError{File: file, Line: 1, Problem: "want exactly one YAML document"}
+	}
+	o := &Outcomes{}
+	return o, errors.Join(docs[0].Decode(o)...)
+}
+
+// Check returns what a resimulation misses of the outcomes.
+func (o *Outcomes) Check(r *Result) []string {
+	var missed []string
+	miss := func(format string, args ...any) { missed = append(missed, fmt.Sprintf(format, args...)) }
+	for why, limit := range o.Refusals {
+		if n := r.Refused[why]; n > limit {
+			miss("refusals.%s: %d, at most %d are allowed", why, n, limit)
+		}
+	}
+	if r.Answered < o.Answered {
+		miss("answered: %d, at least %d are wanted", r.Answered, o.Answered)
+	}
+	if o.MaxDispatches > 0 && r.Dispatches > o.MaxDispatches {
+		miss("max_dispatches: %d, at most %d are allowed", r.Dispatches, o.MaxDispatches)
+	}
+	if o.MaxCost > 0 && r.Cost > o.MaxCost {
+		miss("max_cost: %.4g, at most %.4g is allowed", r.Cost, o.MaxCost)
+	}
+	if limit := time.Duration(o.UrgentWait); limit > 0 && r.UrgentWait > limit {
+		miss("urgent_wait: %s, at most %s is allowed", r.UrgentWait, limit)
+	}
+	return missed
+}
