--- a/cmd/jaylink/entry.go
+++ b/cmd/jaylink/entry.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"errors"
+	"fmt"
 	"os"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -11,13 +13,37 @@
 
 func addEntry(app *kingpin.Application) {
 	cmd := app.Command("entry", "Run the entry process: accept requests and run them on upstreams. SIGTERM stops it gracefully.")
-	file := cmd.Flag("settings", "Settings file (YAML).").Short('s').Required().Envar("JAYLINK_SETTINGS").String()
+	file := cmd.Flag("settings", "Settings file (YAML).").Short('s').Envar("JAYLINK_SETTINGS").String()
+	set := cmd.Flag("set", "FIELD=VALUE replaces a field of the file, for example log.level=debug. May be repeated.").Strings()
+	printDefaults := cmd.Flag("print-defaults", "Print a commented settings file with the defaults and exit.").Bool()
 	trace := cmd.Flag("trace", "Record the events of the decision core in this file, for jaylink replay. No prompt or answer is recorded.").String()
-	cmd.Action(func(*kingpin.ParseContext) error { return runEntry(*file, *trace) })
+	cmd.Action(func(*kingpin.ParseContext) error {
+		if *printDefaults {
+			fmt.Print(entry.DefaultsYAML)
+			return nil
+		}
+		return runEntry(*file, *set, *trace)
+	})
+}
+
+// readSettings reads the file and what the environment and flags replace.
+func readSettings(file string, set []string) (entry.Settings, error) {
+	if file == "" {
+		return entry.Settings{}, errors.New("flag --settings or the environment JAYLINK_SETTINGS must name a settings file")
+	}
+	overrides := entry.EnvironmentOverrides(os.LookupEnv)
+	for _, text := range set {
+		o, err := entry.FlagOverride(text)
+		if err != nil {
+			return entry.Settings{}, err
+		}
+		overrides = append(overrides, o)
+	}
+	return entry.ReadSettings(file, overrides...)
 }
 
-func runEntry(file, trace string) error {
-	settings, err := entry.ReadSettings(file)
+func runEntry(file string, set []string, trace string) error {
+	settings, err := readSettings(file, set)
 	if err != nil {
 		return &exitError{exitBadInput, err}
 	}
@@ -36,5 +62,5 @@
 	}
 	var app kernel.App
 	app.Add("entry", e)
-	return runApp(&app)
+	return runApp(&app, e.LeaveRequested())
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -43,7 +43,13 @@
 	platform  *platform.Client
 	upstreams *upstream.Client
 	peers     *peer.Node
-	leaving   atomic.Bool
+	claims    *claimBook
+	// incarnation and started identify this process and say since when it runs.
+	incarnation uint64
+	started     time.Time
+	leaving     atomic.Bool
+	leave       chan struct{}
+	leaveOnce   sync.Once
 
 	signs *signStore
 	loads *loadStore
@@ -75,15 +81,19 @@
 		records:   newRegistry(),
 		platform:  platform.New(s.Platform).InZone(s.AvailabilityZone),
 		upstreams: upstream.New(),
+		leave:     make(chan struct{}),
 		signs:     newSignStore(s.Name, log),
 		loads:     newLoadStore(),
 		decisions: newDecisionRecord(s.Name, s.Record.Decisions),
 	}
 	cfg.Observer = &observer{decisions: e.decisions, table: func() *route.Table { return e.driver.core.Table() }}
 	e.background, e.cancel = context.WithCancel(context.Background())
+	e.started = time.Now()
+	e.incarnation = uint64(e.started.UnixNano())
+	e.claims = newClaimBook(e.background, &e.work, e.platform, log)
 	e.driver = &driver{
-		core: decision.New(cfg), records: e.records, metrics: e.metrics, log: log, decisions: e.decisions,
-		dispatch: e.dispatch, claim: e.startClaim, release: e.releaseClaim,
+		core: decision.New(cfg), records: e.records, metrics: e.metrics, log: log, decisions: e.decisions, usage: newUsageCounts(),
+		dispatch: e.dispatch, claim: e.startClaim, endClaim: e.endClaim,
 	}
 	e.signs.step, e.loads.step = e.driver.step, e.driver.step
 	e.signs.catalog = e.config.catalog
@@ -96,7 +106,7 @@
 	e.peers = peer.New(peer.Options{
 		Self: &peerpb.Member{
 			Name: s.Name, Address: cmp.Or(s.Advertise.Peer, s.Listen.Peer), AvailabilityZone: s.AvailabilityZone, Region: s.Region,
-			Incarnation: uint64(time.Now().UnixNano()), CallerAddress: s.Listen.Caller,
+			Incarnation: e.incarnation, CallerAddress: s.Listen.Caller,
 		},
 		Seeds:     s.Peers,
 		Heartbeat: s.Intervals.Heartbeat.Std(),
@@ -110,6 +120,7 @@
 		Source:      source,
 	})
 	e.signs.tell = e.peers.PushSigns
+	e.registerGauges()
 	return e, nil
 }
 
@@ -199,12 +210,23 @@
 	n, idle := e.records.inFlight()
 	select {
 	case <-idle:
-		return nil
+		return e.storeOutcomes(ctx)
 	case <-ctx.Done():
 		return oops.In("entry").With("step", "drain").Errorf("%d requests were in flight at the end of the drain timeout", n)
 	}
 }
 
+// storeOutcomes waits until the outcomes of claimed work are stored.
+func (e *Entry) storeOutcomes(ctx context.Context) error {
+	n, stored := e.claims.stored()
+	select {
+	case <-stored:
+		return nil
+	case <-ctx.Done():
+		return oops.In("entry").With("step", "drain").Errorf("%d outcomes were not stored at the end of the drain timeout", n)
+	}
+}
+
 func (e *Entry) shutdown(ctx context.Context) {
 	if err := e.caller.Shutdown(ctx); err != nil {
 		e.log.Warn("callers were cut off", "step", "shutdown", "err", err)
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -61,6 +61,8 @@
 	Whole     bool   `json:"whole"`
 	// Busy is the time for which the run held a slot.
 	Busy time.Duration `json:"busy_ns"`
+	// At is when the request began to run.
+	At time.Time `json:"at"`
 }
 
 // Server is the stand-in's HTTP handler.
@@ -187,7 +189,7 @@
 // prefill reads the part of the prompt that the cache does not have.
 func (s *Server) prefill(r *http.Request, c upstream.Completion) *Run {
 	s.mu.Lock()
-	run := &Run{RequestID: r.Header.Get(upstream.HeaderRequestID), Prompt: CountTokens(c.Prompt)}
+	run := &Run{RequestID: r.Header.Get(upstream.HeaderRequestID), Prompt: CountTokens(c.Prompt), At: time.Now()}
 	run.Cached = s.cache.lookup(c.Prompt)
 	s.cache.add(c.Prompt)
 	s.runs = append(s.runs, run)
