retry: end attempts that make no progress

Cause: a frozen engine keeps its connections open, so an attempt on it held its request to the deadline, 30 minutes for a caption. Ruled out: a timeout for the whole attempt (cuts long answers), TCP keepalive (the kernel still answers).

Change: retry.timeout gives each dispatch of idempotent work bounds on the time without progress, and the entry's watchdog ends the attempt.

--- a/decision/core.go
+++ b/decision/core.go
@@ -300,7 +300,11 @@
 	if r.attempts == 1 {
 		retry.FirstAttempt(c.cfg.Rules)
 	}
-	return DispatchAction{ID: r.id, Attempt: r.attempts, Upstream: u.Name, Spec: u.Spec, Retry: r.retry}
+	a := DispatchAction{ID: r.id, Attempt: r.attempts, Upstream: u.Name, Spec: u.Spec, Retry: r.retry}
+	if r.res.Idempotent {
+		a.Limits = retry.LimitsOf(c.cfg.Rules, r.res.Class)
+	}
+	return a
 }
 
 // attemptEnded finishes a request or decides about its next attempt.
--- a/decision/events.go
+++ b/decision/events.go
@@ -5,6 +5,7 @@
 
 	"jaylink/api"
 	"jaylink/decision/reason"
+	"jaylink/decision/retry"
 	"jaylink/decision/route"
 )
 
@@ -172,6 +173,9 @@
 	Spec     *api.UpstreamSpec
 	// Retry is the reason for the attempt; "" for the first.
 	Retry reason.Reason
+	// Limits bound the time without progress. An attempt that passes them
+	// ends with OutcomeNoAnswer, or with OutcomeBroken after the first piece.
+	Limits retry.Limits
 }
 
 // CancelAction asks the driver to end the running attempt of a request.
--- a/decision/retry/retry.go
+++ b/decision/retry/retry.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"jaylink/api"
 	"jaylink/decision/reason"
 )
 
@@ -73,3 +74,37 @@
 		}
 	}
 }
+
+// Limits bound how long one attempt may make no progress. 0 means no bound.
+type Limits struct {
+	// FirstByte bounds the time to the first piece of a streamed answer, or
+	// to the whole answer of a plain service.
+	FirstByte time.Duration
+	// Idle bounds the time between two pieces of a streamed answer.
+	Idle time.Duration
+}
+
+// Limiter is implemented by rules that bound an attempt's time without progress.
+type Limiter interface {
+	Limits(class api.Class) Limits
+}
+
+// LimitsOf returns the tightest limits of the rules.
+func LimitsOf(rules []Rule, class api.Class) Limits {
+	var out Limits
+	for _, r := range rules {
+		if l, ok := r.(Limiter); ok {
+			limits := l.Limits(class)
+			out.FirstByte = tighter(out.FirstByte, limits.FirstByte)
+			out.Idle = tighter(out.Idle, limits.Idle)
+		}
+	}
+	return out
+}
+
+func tighter(a, b time.Duration) time.Duration {
+	if a == 0 || (b != 0 && b < a) {
+		return b
+	}
+	return a
+}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -22,7 +22,8 @@
 	})
 	e.work.Go(func() {
 		defer cancel()
-		res := e.attempt(ctx, rec, a)
+		dog := watch(cancel, a.Limits)
+		res := dog.stop(e.attempt(ctx, rec, a, dog))
 		if res.Err != nil {
 			e.log.Warn("attempt failed", "request_id", rec.ID, "upstream", a.Upstream,
 				"attempt", a.Attempt, "reason", res.Outcome, "ran", res.Ran, "err", res.Err)
@@ -32,10 +33,10 @@
 }
 
 // attempt runs one attempt to its end.
-func (e *Entry) attempt(ctx context.Context, rec *Record, a decision.DispatchAction) upstream.Result {
+func (e *Entry) attempt(ctx context.Context, rec *Record, a decision.DispatchAction, dog *watchdog) upstream.Result {
 	tag := fmt.Sprintf("%s/%d", rec.ID, a.Attempt)
 	if a.Spec.Protocol == api.ProtocolCompletions {
-		return e.complete(ctx, rec, a, tag)
+		return e.complete(ctx, rec, a, tag, dog)
 	}
 	answer, res := e.upstreams.Forward(ctx, upstream.ServiceCall{
 		Address:    a.Spec.Address,
@@ -54,7 +55,7 @@
 }
 
 // complete continues the answer of a completion from what is there.
-func (e *Entry) complete(ctx context.Context, rec *Record, a decision.DispatchAction, tag string) upstream.Result {
+func (e *Entry) complete(ctx context.Context, rec *Record, a decision.DispatchAction, tag string, dog *watchdog) upstream.Result {
 	if rec.Call.Completion == nil {
 		err := oops.In("entry").With("step", "dispatch").Errorf("the service takes completions only")
 		return upstream.Result{Outcome: decision.OutcomeServerError, Ran: reason.RanNo, Err: err}
@@ -65,7 +66,10 @@
 		RequestID:  tag,
 		Completion: rec.Call.Completion.Resume(string(v.text), v.tokens),
 		Idempotent: rec.idempotent,
-		Emit:       func(text string, tokens int) error { return e.emit(rec, a.Attempt, text, tokens) },
+		Emit: func(text string, tokens int) error {
+			dog.advanced()
+			return e.emit(rec, a.Attempt, text, tokens)
+		},
 	})
 }
 
--- /dev/null
+++ b/plugin/retry/timeout/setup.go
@@ -0,0 +1,21 @@
+// Package timeout is the plug-in retry.timeout.
+package timeout
+
+import (
+	"jaylink/decision/retry"
+	"jaylink/kernel"
+)
+
+func init() { kernel.Register(&Rule{}) }
+
+// ModuleInfo implements kernel.Module.
+func (*Rule) ModuleInfo() kernel.ModuleInfo {
+	return kernel.ModuleInfo{ID: "retry.timeout", New: func() kernel.Module {
+		return &Rule{Urgent: defaultUrgent, Interactive: defaultInteractive, Patient: defaultPatient, Idle: defaultIdle}
+	}}
+}
+
+var (
+	_ retry.Rule    = (*Rule)(nil)
+	_ retry.Limiter = (*Rule)(nil)
+)
--- a/plugin/standard/standard.go
+++ b/plugin/standard/standard.go
@@ -15,6 +15,7 @@
 	_ "jaylink/plugin/limit/queue"
 	_ "jaylink/plugin/retry/budget"
 	_ "jaylink/plugin/retry/repeatable"
+	_ "jaylink/plugin/retry/timeout"
 	_ "jaylink/plugin/scorer/leastloaded"
 	_ "jaylink/plugin/scorer/load"
 	_ "jaylink/plugin/scorer/locality"
@@ -39,4 +40,5 @@
 	"scorer.locality",
 	"retry.repeatable",
 	"retry.budget",
+	"retry.timeout",
 }
