--- a/decision/core.go
+++ b/decision/core.go
@@ -14,7 +14,8 @@
 // times give the same actions, so a recorded run can be replayed.
 //
 // Every request that is passed in gets exactly one final action: a
-// FinishAction, a ReplayAction or a RefuseAction.
+// FinishAction, a ReplayAction or a RefuseAction, but for those that a
+// ReleaseEvent takes out.
 package decision
 
 import (
@@ -27,6 +28,7 @@
 	"jaylink/api"
 	"jaylink/decision/admission"
 	"jaylink/decision/reason"
+	"jaylink/decision/recovery"
 	"jaylink/decision/retry"
 	"jaylink/decision/route"
 )
@@ -39,6 +41,8 @@
 	Scorers      []route.Scorer
 	Limits       []admission.Limit
 	Rules        []retry.Rule
+	// Recovery plans for streams on reclaimed upstreams; nil leaves them.
+	Recovery *recovery.Planner
 	// Observer is optional.
 	Observer Observer
 }
@@ -85,6 +89,7 @@
 	accepted time.Time
 	started  time.Time
 	deadline time.Time
+	move     move
 	// number is the request's place in the order of acceptance.
 	number uint64
 	// due is when the request needs attention; place is its index in wakes.
@@ -143,6 +148,16 @@
 		c.table.SetLeaving(ev.Upstream, ev.Leaving)
 	case DrainEvent:
 		c.draining = true
+	case AdoptEvent:
+		out = c.adopt(now, ev)
+	case ReleaseEvent:
+		c.release(now, ev)
+	case ReclaimEvent:
+		out = c.reclaim(now, ev)
+	case MovedEvent:
+		out = c.moved(ev)
+	case StopEvent:
+		out = c.stop(now)
 	case TickEvent:
 		out = c.expire(now)
 	default:
@@ -279,7 +294,7 @@
 		if !now.Before(r.deadline) {
 			return false // the tick that refuses it is due
 		}
-		u := c.table.Pick(now, &r.route)
+		u := c.pick(now, r)
 		if u == nil {
 			return false
 		}
@@ -320,6 +335,9 @@
 		c.remove(r)
 		return []Action{FinishAction{ID: r.id}}
 	}
+	if c.movesOn(r, ev) {
+		return nil
+	}
 	if ev.Outcome == OutcomeTooLarge {
 		return c.refuse(now, r, reason.AnswerTooLarge)
 	}
@@ -336,7 +354,7 @@
 func (c *Core) again(now time.Time, r *request, ev AttemptEvent) []Action {
 	why := retryReason(ev.Outcome)
 	v := retry.Check(c.cfg.Rules, &retry.Attempt{
-		Number:      r.attempts,
+		Number:      r.attempts - r.move.count,
 		MaxAttempts: r.res.MaxAttempts,
 		Why:         why,
 		Ran:         r.ran,
--- a/decision/events.go
+++ b/decision/events.go
@@ -173,8 +173,7 @@
 	Spec     *api.UpstreamSpec
 	// Retry is the reason for the attempt; "" for the first.
 	Retry reason.Reason
-	// Limits bound the time without progress. An attempt that passes them
-	// ends with OutcomeNoAnswer, or with OutcomeBroken after the first piece.
+	// Limits bound the attempt. One that passes them ends with OutcomeNoAnswer.
 	Limits retry.Limits
 }
 
--- a/decision/reason/reason.go
+++ b/decision/reason/reason.go
@@ -31,6 +31,9 @@
 	OutcomeNotKept   Reason = "outcome_not_kept"
 	Poison           Reason = "poison"
 	AnswerTooLarge   Reason = "answer_too_large"
+	// OwnerUnreachable means that an entry which may have the request could
+	// not be asked.
+	OwnerUnreachable Reason = "owner_unreachable"
 	// DeadlineUnmet means that the request could not be answered before its
 	// deadline any more, however soon an upstream took it.
 	DeadlineUnmet Reason = "deadline_unmet"
@@ -42,6 +45,7 @@
 	WrongCustomer, Draining, CustomerLimit, QueueFull, NoUpstream, TimedOut,
 	AttemptsUsedUp, NotRepeatable, RetryBudget, KeyReused, KeyInProgress,
 	ClaimUnavailable, OutcomeUnknown, OutcomeNotKept, Poison, AnswerTooLarge,
+	OwnerUnreachable,
 	DeadlineUnmet,
 }
 
--- a/decision/retry/retry.go
+++ b/decision/retry/retry.go
@@ -75,16 +75,14 @@
 	}
 }
 
-// Limits bound how long one attempt may make no progress. 0 means no bound.
+// Limits bound one attempt. 0 means no bound.
 type Limits struct {
-	// FirstByte bounds the time to the first piece of a streamed answer, or
-	// to the whole answer of a plain service.
-	FirstByte time.Duration
-	// Idle bounds the time between two pieces of a streamed answer.
-	Idle time.Duration
+	// Answer bounds the time to the whole answer of a plain service. Streamed
+	// answers have bounds of their own in the client of model engines.
+	Answer time.Duration
 }
 
-// Limiter is implemented by rules that bound an attempt's time without progress.
+// Limiter is implemented by rules that bound an attempt's time.
 type Limiter interface {
 	Limits(class api.Class) Limits
 }
@@ -93,18 +91,13 @@
 func LimitsOf(rules []Rule, class api.Class) Limits {
 	var out Limits
 	for _, r := range rules {
-		if l, ok := r.(Limiter); ok {
-			limits := l.Limits(class)
-			out.FirstByte = tighter(out.FirstByte, limits.FirstByte)
-			out.Idle = tighter(out.Idle, limits.Idle)
+		l, ok := r.(Limiter)
+		if !ok {
+			continue
+		}
+		if d := l.Limits(class).Answer; d > 0 && (out.Answer == 0 || d < out.Answer) {
+			out.Answer = d
 		}
 	}
 	return out
 }
-
-func tighter(a, b time.Duration) time.Duration {
-	if a == 0 || (b != 0 && b < a) {
-		return b
-	}
-	return a
-}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -50,6 +50,7 @@
 	leaving     atomic.Bool
 	leave       chan struct{}
 	leaveOnce   sync.Once
+	reclaims    *reclaims
 
 	signs *signStore
 	loads *loadStore
@@ -81,6 +82,7 @@
 		records:   newRegistry(),
 		platform:  platform.New(s.Platform).InZone(s.AvailabilityZone),
 		upstreams: upstream.New(),
+		reclaims:  newReclaims(),
 		leave:     make(chan struct{}),
 		signs:     newSignStore(s.Name, log),
 		loads:     newLoadStore(),
@@ -94,6 +96,7 @@
 	e.driver = &driver{
 		core: decision.New(cfg), records: e.records, metrics: e.metrics, log: log, decisions: e.decisions, usage: newUsageCounts(),
 		dispatch: e.dispatch, claim: e.startClaim, endClaim: e.endClaim,
+		move: e.move,
 	}
 	e.signs.step, e.loads.step = e.driver.step, e.driver.step
 	e.signs.catalog = e.config.catalog
@@ -119,6 +122,8 @@
 		Credentials: credentials,
 		Source:      source,
 	})
+	e.registerHandover(e.peers.Server())
+	e.signs.reclaimed = e.noticed
 	e.signs.tell = e.peers.PushSigns
 	e.registerGauges()
 	return e, nil
@@ -189,60 +194,6 @@
 	e.peersChanged()
 }
 
-// Stop implements kernel.Stopper: a graceful shutdown. The balancer is told
-// first; requests go on being accepted for the leave delay; then the entry
-// accepts nothing new and waits for what is in flight.
-func (e *Entry) Stop(ctx context.Context) error {
-	e.leaving.Store(true)
-	e.peers.SetLeaving()
-	e.log.Info("entry leaving", "leave_delay", e.settings.Drain.LeaveDelay)
-	sleep(ctx, e.settings.Drain.LeaveDelay.Std())
-	e.driver.step(decision.DrainEvent{})
-	ctx, cancel := context.WithTimeout(ctx, e.settings.Drain.Timeout.Std())
-	defer cancel()
-	err := e.drain(ctx)
-	e.shutdown(ctx)
-	return err
-}
-
-// drain waits until no request is in flight.
-func (e *Entry) drain(ctx context.Context) error {
-	n, idle := e.records.inFlight()
-	select {
-	case <-idle:
-		return e.storeOutcomes(ctx)
-	case <-ctx.Done():
-		return oops.In("entry").With("step", "drain").Errorf("%d requests were in flight at the end of the drain timeout", n)
-	}
-}
-
-// storeOutcomes waits until the outcomes of claimed work are stored.
-func (e *Entry) storeOutcomes(ctx context.Context) error {
-	n, stored := e.claims.stored()
-	select {
-	case <-stored:
-		return nil
-	case <-ctx.Done():
-		return oops.In("entry").With("step", "drain").Errorf("%d outcomes were not stored at the end of the drain timeout", n)
-	}
-}
-
-func (e *Entry) shutdown(ctx context.Context) {
-	if err := e.caller.Shutdown(ctx); err != nil {
-		e.log.Warn("callers were cut off", "step", "shutdown", "err", err)
-		_ = e.caller.Close()
-	}
-	_ = e.operator.Close()
-	e.cancel()
-	e.peers.Close()
-	e.driver.stop()
-	e.work.Wait()
-	e.closeTrace()
-	e.platform.Close()
-	e.upstreams.Close()
-	e.log.Info("entry stopped")
-}
-
 var (
 	_ kernel.Starter = (*Entry)(nil)
 	_ kernel.Stopper = (*Entry)(nil)
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -13,9 +13,11 @@
 )
 
 const (
-	// maxReply bounds one reply in bytes; it holds a whole configuration. A
-	// request is bounded by gRPC's default of 4 MiB.
+	// maxReply bounds one reply in bytes; it holds a whole configuration.
 	maxReply = 64 << 20
+	// maxMessage bounds one message to the peer port in bytes. It holds the
+	// largest request that the default limits allow, with some of its answer.
+	maxMessage = 6 << 20
 	// ioBuffer is the read and the write buffer of a connection in bytes;
 	// an entry may have a connection with each of several hundred others.
 	ioBuffer = 4 << 10
@@ -29,6 +31,7 @@
 
 func serverOptions(opts Options) []grpc.ServerOption {
 	out := []grpc.ServerOption{
+		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.ConnectionTimeout(handshakeTimeout),
 		grpc.ReadBufferSize(ioBuffer),
 		grpc.WriteBufferSize(ioBuffer),
--- a/plugin/retry/timeout/setup.go
+++ b/plugin/retry/timeout/setup.go
@@ -11,7 +11,7 @@
 // ModuleInfo implements kernel.Module.
 func (*Rule) ModuleInfo() kernel.ModuleInfo {
 	return kernel.ModuleInfo{ID: "retry.timeout", New: func() kernel.Module {
-		return &Rule{Urgent: defaultUrgent, Interactive: defaultInteractive, Patient: defaultPatient, Idle: defaultIdle}
+		return &Rule{Urgent: defaultUrgent, Interactive: defaultInteractive, Patient: defaultPatient}
 	}}
 }
 
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -38,6 +38,8 @@
 	LoadLag time.Duration
 	// PrefixTokens is the size of the prefix cache.
 	PrefixTokens int
+	// KVPerToken is the time to import the KV cache of one token.
+	KVPerToken time.Duration
 }
 
 // Faults are the switches of the stand-in. They are set by PUT /faults.
@@ -50,6 +52,10 @@
 	Refuse bool `json:"refuse"`
 	// CrashOn cuts the connection of each request whose prompt contains it.
 	CrashOn string `json:"crash_on"`
+	// RefuseKV refuses to export and import KV cache.
+	RefuseKV bool `json:"refuse_kv"`
+	// Corrupt spoils every stream in one way; "" spoils none.
+	Corrupt Corruption `json:"corrupt"`
 }
 
 // Run is one execution, as the stand-in saw it.
@@ -65,6 +71,12 @@
 	At time.Time `json:"at"`
 }
 
+// Request returns the request's ID without the attempt.
+func (r *Run) Request() string {
+	id, _, _ := strings.Cut(r.RequestID, "/")
+	return id
+}
+
 // Server is the stand-in's HTTP handler.
 type Server struct {
 	opts   Options
@@ -78,6 +90,8 @@
 	history []sample
 	runs    []*Run
 	cache   prefixCache
+	// live has the text so far of each request that runs, by its tag.
+	live map[string]string
 }
 
 type sample struct {
@@ -92,10 +106,13 @@
 		router: mux.NewRouter(),
 		slots:  make(chan struct{}, opts.Slots),
 		cache:  prefixCache{limit: opts.PrefixTokens},
+		live:   map[string]string{},
 	}
 	s.router.HandleFunc("/v1/completions", s.complete).Methods(http.MethodPost)
 	s.router.HandleFunc("/load", s.load).Methods(http.MethodGet)
 	s.router.HandleFunc("/runs", s.listRuns).Methods(http.MethodGet)
+	s.router.HandleFunc("/kv", s.exportKV).Methods(http.MethodGet)
+	s.router.HandleFunc("/kv", s.importKV).Methods(http.MethodPost)
 	s.router.HandleFunc("/faults", s.setFaults).Methods(http.MethodPut)
 	return s
 }
@@ -149,7 +166,10 @@
 	}()
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set(upstream.HeaderRequestID, run.RequestID)
-	s.generate(w, r, c, run)
+	if f.Corrupt == CorruptForeignEcho {
+		w.Header().Set(upstream.HeaderRequestID, foreignTag)
+	}
+	s.generate(w, r, c, run, f.Corrupt)
 }
 
 // enter waits for a slot; it returns false if the queue is full.
@@ -198,14 +218,17 @@
 	return run
 }
 
-func (s *Server) generate(w http.ResponseWriter, r *http.Request, c upstream.Completion, run *Run) {
+func (s *Server) generate(w http.ResponseWriter, r *http.Request, c upstream.Completion, run *Run, fault Corruption) {
 	text := c.Prompt
+	s.grow(run, text)
+	defer func() { s.retire(run, text) }()
 	for i := range c.MaxTokens {
 		if !pause(r, s.interval()) {
 			return
 		}
 		token := nextToken(text)
 		text += token
+		s.grow(run, text)
 		chunk := upstream.Chunk{ID: run.RequestID, Object: "text_completion", Model: c.Model, Choices: []upstream.Choice{{Text: token}}}
 		if i == c.MaxTokens-1 {
 			chunk.Choices[0].FinishReason = "length"
@@ -218,12 +241,14 @@
 		if broken {
 			panic(http.ErrAbortHandler)
 		}
+		if corrupt(w, fault, i+1, c.MaxTokens) {
+			return
+		}
 	}
 	_, _ = w.Write([]byte("data: " + upstream.StreamEnd + "\n\n"))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	run.Whole = true
-	s.cache.add(text)
 }
 
 // interval is the time between tokens with the present batch.
