--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	$(GO) build -o $(BIN)/jaylink ./cmd/jaylink
 
 test:
-	$(GO) run ./internal/testrun -- ./...
+	$(GO) run ./internal/testrun -- -count=1 ./...
 
 # The proofs of what must always hold; prints a line a case.
 guarantees:
@@ -32,7 +32,7 @@
 
 generate:
 	$(GO) build -modfile=tools/go.mod -o $(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
-	PATH="$(CURDIR)/$(BIN):$$PATH" protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative peer/peerpb/peer.proto peer/peerpb/handover.proto
+	PATH="$(CURDIR)/$(BIN):$$PATH" protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative peer/peerpb/peer.proto peer/peerpb/handover.proto peer/peerpb/poison.proto
 
 clean:
 	rm -rf $(BIN)
--- a/cmd/jaylink/replay.go
+++ b/cmd/jaylink/replay.go
@@ -8,6 +8,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"jaylink/decision"
+	"jaylink/decision/recovery"
 	"jaylink/kernel"
 	"jaylink/plugin/standard"
 	"jaylink/trace"
@@ -71,5 +72,9 @@
 	for _, id := range t.Header.Modules {
 		ids = append(ids, kernel.ModuleID(id))
 	}
-	return standard.Chain(t.Header.Zone, t.Header.Region, ids)
+	cfg, err := standard.Chain(t.Header.Zone, t.Header.Region, ids)
+	if t.Header.Recovery != (recovery.Rates{}) {
+		cfg.Recovery = recovery.NewPlanner(t.Header.Recovery)
+	}
+	return cfg, err
 }
--- a/entry/driver.go
+++ b/entry/driver.go
@@ -9,9 +9,10 @@
 
 	"jaylink/api"
 	"jaylink/decision"
-	"jaylink/decision/reason"
+	"jaylink/decision/poison"
 	"jaylink/operator"
 	"jaylink/trace"
+	"jaylink/upstream"
 )
 
 // driver runs the decision core: it passes events in, one at a time, and
@@ -31,6 +32,7 @@
 	dispatch func(rec *Record, a decision.DispatchAction)
 	claim    func(rec *Record)
 	endClaim func(rec *Record, p *Problem)
+	crash    func(poison.Crash)
 	move     func(rec *Record, a decision.MoveAction)
 	// trace records what the core is given; nil without a recording.
 	trace *trace.Recorder
@@ -102,6 +104,8 @@
 		d.dispatched(a)
 	case decision.CancelAction:
 		d.canceled(a.ID)
+	case decision.CrashAction:
+		d.crash(a.Crash)
 	case decision.MoveAction:
 		d.move(d.records.get(a.ID), a)
 	case decision.FinishAction:
@@ -188,7 +192,8 @@
 }
 
 // attemptEnded passes the end of an attempt to the core.
-func (d *driver) attemptEnded(rec *Record, a decision.DispatchAction, o decision.Outcome, ran reason.Ran) {
+func (d *driver) attemptEnded(rec *Record, a decision.DispatchAction, res upstream.Result, crashed bool) {
+	o, ran := res.Outcome, res.Ran
 	v, _ := rec.read(0)
 	if o != decision.OutcomeDone {
 		d.decisions.add(operator.Decision{
@@ -202,6 +207,7 @@
 		Upstream:  a.Upstream,
 		Outcome:   o,
 		Ran:       ran,
+		Crashed:   crashed,
 		Relayed:   v.total,
 		Resumable: rec.Call.Completion != nil,
 		Jitter:    rand.Float64(),
--- a/entry/trace.go
+++ b/entry/trace.go
@@ -12,7 +12,7 @@
 // must be called before Start. The trace names the modules of the chain, but not
 // their options.
 func (e *Entry) RecordTrace(file io.WriteCloser) error {
-	h := trace.Header{Start: time.Now(), Zone: e.settings.AvailabilityZone, Region: e.settings.Region}
+	h := trace.Header{Start: time.Now(), Zone: e.settings.AvailabilityZone, Region: e.settings.Region, Recovery: e.settings.Recovery.rates()}
 	for _, p := range e.settings.Plugins {
 		h.Modules = append(h.Modules, p.ID)
 	}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -9,6 +9,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -36,12 +37,19 @@
 	PrefillPerToken time.Duration
 	// LoadLag is how old the reported load is.
 	LoadLag time.Duration
+	// ChecksFencing refuses orders with an old fencing number.
+	ChecksFencing bool
 	// PrefixTokens is the size of the prefix cache.
 	PrefixTokens int
+	// ExitOn ends the process when a prompt contains it; "" means never.
+	ExitOn string
 	// KVPerToken is the time to import the KV cache of one token.
 	KVPerToken time.Duration
 }
 
+// exitCrash is the exit status of an engine that crashed on a prompt.
+const exitCrash = 3
+
 // Faults are the switches of the stand-in. They are set by PUT /faults.
 type Faults struct {
 	// BreakAfter cuts each stream after so many tokens; 0 means never.
@@ -80,6 +88,7 @@
 // Server is the stand-in's HTTP handler.
 type Server struct {
 	opts   Options
+	began  time.Time
 	router *mux.Router
 	slots  chan struct{}
 
@@ -89,6 +98,7 @@
 	queued  int
 	history []sample
 	runs    []*Run
+	orders  orders
 	cache   prefixCache
 	// live has the text so far of each request that runs, by its tag.
 	live map[string]string
@@ -103,6 +113,7 @@
 func New(opts Options) *Server {
 	s := &Server{
 		opts:   opts,
+		began:  time.Now(),
 		router: mux.NewRouter(),
 		slots:  make(chan struct{}, opts.Slots),
 		cache:  prefixCache{limit: opts.PrefixTokens},
@@ -110,6 +121,9 @@
 	}
 	s.router.HandleFunc("/v1/completions", s.complete).Methods(http.MethodPost)
 	s.router.HandleFunc("/load", s.load).Methods(http.MethodGet)
+	s.router.HandleFunc("/state", s.getState).Methods(http.MethodGet)
+	s.router.HandleFunc("/state", s.takeOrder).Methods(http.MethodPost)
+	s.router.HandleFunc("/orders", s.listOrders).Methods(http.MethodGet)
 	s.router.HandleFunc("/runs", s.listRuns).Methods(http.MethodGet)
 	s.router.HandleFunc("/kv", s.exportKV).Methods(http.MethodGet)
 	s.router.HandleFunc("/kv", s.importKV).Methods(http.MethodPost)
@@ -153,6 +167,9 @@
 		return
 	}
 	defer s.leave()
+	if s.opts.ExitOn != "" && strings.Contains(c.Prompt, s.opts.ExitOn) {
+		os.Exit(exitCrash)
+	}
 	f := s.currentFaults()
 	if f.CrashOn != "" && strings.Contains(c.Prompt, f.CrashOn) {
 		panic(http.ErrAbortHandler)
--- a/trace/read.go
+++ b/trace/read.go
@@ -59,6 +59,12 @@
 	"cache":   kindOf[decision.CacheEvent](),
 	"leaving": kindOf[decision.LeavingEvent](),
 	"drain":   kindOf[decision.DrainEvent](),
+	"stop":    kindOf[decision.StopEvent](),
+	"adopt":   kindOf[decision.AdoptEvent](),
+	"release": kindOf[decision.ReleaseEvent](),
+	"crash":   kindOf[decision.CrashEvent](),
+	"reclaim": kindOf[decision.ReclaimEvent](),
+	"moved":   kindOf[decision.MovedEvent](),
 	"tick":    kindOf[decision.TickEvent](),
 }
 
--- a/trace/record.go
+++ b/trace/record.go
@@ -19,6 +19,7 @@
 
 	"jaylink/api"
 	"jaylink/decision"
+	"jaylink/decision/recovery"
 )
 
 // version is that of the file's form.
@@ -32,6 +33,8 @@
 	Region  string    `json:"region"`
 	// Modules are the IDs of the chain, with their default options.
 	Modules []string `json:"modules"`
+	// Recovery has the rates that moves of streams are planned with.
+	Recovery recovery.Rates `json:"recovery"`
 }
 
 // Line is one event.
@@ -138,6 +141,8 @@
 		return fmt.Sprintf("dispatch %s %d %s", a.ID, a.Attempt, a.Upstream)
 	case decision.CancelAction:
 		return "cancel " + a.ID
+	case decision.MoveAction:
+		return fmt.Sprintf("move %s %d", a.ID, a.Attempt)
 	case decision.FinishAction:
 		return "finish " + a.ID
 	case decision.ReplayAction:
--- a/trace/replay.go
+++ b/trace/replay.go
@@ -49,7 +49,7 @@
 	r.learn(t)
 	for _, ev := range t.Events {
 		switch ev.Event.(type) {
-		case decision.AttemptEvent, decision.ClaimEvent, decision.TickEvent:
+		case decision.AttemptEvent, decision.ClaimEvent, decision.MovedEvent, decision.TickEvent:
 			continue
 		}
 		r.runUntil(ev.At)
@@ -102,6 +102,9 @@
 	case decision.RequestEvent:
 		r.result.Requests++
 		r.sent[ev.ID] = &sent{at: at}
+	case decision.AdoptEvent:
+		r.result.Requests++
+		r.sent[ev.ID] = &sent{at: at}
 	case decision.AttemptEvent:
 		r.ended(at, ev)
 	}
@@ -125,7 +128,7 @@
 	switch a := a.(type) {
 	case decision.AcceptAction:
 		r.sent[a.ID].urgent = a.Resolution.Class == "urgent"
-	case decision.FinishAction:
+	case decision.FinishAction, decision.ReplayAction:
 		r.result.Answered++
 	case decision.RefuseAction:
 		r.result.Refused[a.Reason]++
@@ -186,6 +189,8 @@
 		switch a := a.(type) {
 		case decision.ClaimAction:
 			r.push(at, decision.ClaimEvent{ID: a.ID, Result: decision.ClaimWon})
+		case decision.MoveAction:
+			r.push(at+a.After, decision.MovedEvent{ID: a.ID, Attempt: a.Attempt})
 		case decision.CancelAction:
 			s := r.sent[a.ID]
 			r.push(at, decision.AttemptEvent{ID: a.ID, Attempt: s.attempt, Outcome: decision.OutcomeCanceled, Ran: reason.RanUnknown})
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -88,7 +88,13 @@
 	step(4*time.Second, decision.ClaimEvent{ID: "2", Result: decision.ClaimHeld})
 	step(5*time.Second, decision.LeavingEvent{Upstream: "u1", Leaving: true})
 	step(5*time.Second, decision.TickEvent{})
+	step(5*time.Second, decision.CrashEvent{})
+	step(5*time.Second, decision.ReclaimEvent{Upstream: "u1", Deadline: start.Add(time.Minute)})
+	step(5*time.Second, decision.MovedEvent{ID: "9", Attempt: 1})
+	step(5*time.Second, decision.AdoptEvent{ID: "3", Labels: labels, Deadline: start.Add(time.Minute)})
+	step(5*time.Second, decision.ReleaseEvent{ID: "3"})
 	step(5*time.Second, decision.DrainEvent{})
+	step(5*time.Second, decision.StopEvent{})
 	require.NoError(t, recorder.Close())
 	return out.String()
 }
@@ -98,13 +104,14 @@
 	require.NotContains(t, text, "secret-key")
 	tr, err := trace.Read(strings.NewReader(text))
 	require.NoError(t, err)
-	require.Len(t, tr.Events, 14)
+	require.Len(t, tr.Events, 20)
 	r := trace.Repeat(tr, chain(t, standard.Order))
 	require.Empty(t, r.Differences)
 	require.Equal(t, 1, r.Answered)
-	require.Equal(t, 2, r.Dispatches)
+	require.Equal(t, 3, r.Dispatches)
 	require.Equal(t, 1, r.Refused[reason.KeyInProgress])
-	// u2 for one second, u1 for one second, at 36 an hour.
+	// u2 for one second, u1 for one second, at 36 an hour; the released request
+	// has no end here.
 	require.InDelta(t, 2*36/3600.0, r.Cost, 1e-9)
 }
 
