--- a/cmd/jaylink/main.go
+++ b/cmd/jaylink/main.go
@@ -56,6 +56,8 @@
 	addCredential(app)
 	addCheck(app)
 	addVersion(app)
+	addLoad(app)
+	addReplay(app)
 	addStandin(app)
 	parsed := false
 	app.Action(func(*kingpin.ParseContext) error { parsed = true; return nil })
--- a/decision/queue_test.go
+++ b/decision/queue_test.go
@@ -9,6 +9,8 @@
 
 	"jaylink/api"
 	"jaylink/decision/reason"
+	"jaylink/decision/route"
+	"jaylink/internal/bench/synthetic"
 	"jaylink/plugin/limit/customer"
 	"jaylink/plugin/limit/deadline"
 )
@@ -26,6 +28,10 @@
 name: patient
 spec: {selector: work=patient, class: patient}
 ---
+kind: Policy
+name: urgent
+spec: {selector: work=urgent, class: urgent}
+---
 kind: Customer
 name: large
 spec: {selector: account=large, weight: 3}
@@ -162,6 +168,15 @@
 	require.Equal(t, 4, accepted(), "nothing more with 9 in the fleet")
 }
 
+func TestUrgentRequestsAreNotRefusedForOtherWork(t *testing.T) {
+	c := newFairCore(t)
+	for i := range 10 {
+		c.Step(start, from("small", fmt.Sprint(i), "patient"))
+	}
+	require.Equal(t, 8, c.Usage()["small"])
+	last[AcceptAction](t, c.Step(start, from("small", "lookup", "urgent"))[:1])
+}
+
 // One step with many waiting requests.
 func BenchmarkStepQueued(b *testing.B) {
 	for _, n := range []int{100, 10000} {
@@ -183,3 +198,25 @@
 		})
 	}
 }
+
+// One load report while all 710 upstreams are full and a request waits.
+func BenchmarkStepReportSaturated(b *testing.B) {
+	c := newFairCore(b)
+	c.cfg.Limits = nil
+	objects := synthetic.Upstreams(710)
+	catalog := append(c.catalog.Objects(), objects...)
+	for _, o := range objects {
+		o.Labels["pool"] = "desk"
+	}
+	c.Step(start, ConfigEvent{Catalog: api.NewCatalog(catalog)})
+	full := route.Load{Running: api.DefaultSlots, At: start}
+	for _, o := range c.catalog.Upstreams() {
+		c.Step(start, LoadEvent{Upstream: o.Name, Load: full})
+	}
+	c.Step(start, from("large", "waits", ""))
+	require.Equal(b, 1, c.queue.size)
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Step(start, LoadEvent{Upstream: objects[0].Name, Load: full})
+	}
+}
--- a/entry/driver.go
+++ b/entry/driver.go
@@ -11,6 +11,7 @@
 	"jaylink/decision"
 	"jaylink/decision/poison"
 	"jaylink/operator"
+	"jaylink/trace"
 	"jaylink/upstream"
 )
 
@@ -33,6 +34,8 @@
 	endClaim func(rec *Record, p *Problem)
 	crash    func(poison.Crash)
 	move     func(rec *Record, a decision.MoveAction)
+	// trace records what the core is given; nil without a recording.
+	trace *trace.Recorder
 }
 
 // step passes one event to the core. Actions are carried out under the lock,
@@ -41,7 +44,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	for _, a := range d.core.Step(now, ev) {
+	actions := d.core.Step(now, ev)
+	if d.trace != nil {
+		d.trace.Record(now, ev, actions)
+	}
+	for _, a := range actions {
 		d.carryOut(now, a)
 	}
 	d.schedule(now)
--- a/internal/testfleet/fleet.go
+++ b/internal/testfleet/fleet.go
@@ -60,6 +60,8 @@
 	Platform string // address
 	Entries  map[string]*Entry
 	Nodes    map[string]*Node // engines and services by upstream name
+	// EntryArgs are added to the command line of each entry that is started.
+	EntryArgs []string
 	// Apart starts entries that know no other entry, as in zones that are
 	// cut off from each other.
 	Apart bool
@@ -186,7 +188,8 @@
 // Restart starts an entry's process again with the same settings.
 func (f *Fleet) Restart(e *Entry) {
 	f.t.Helper()
-	p, err := f.Group.Start(e.Name, "entry", "--settings", e.Settings)
+	args := append([]string{"entry", "--settings", e.Settings}, f.EntryArgs...)
+	p, err := f.Group.Start(e.Name, args...)
 	require.NoError(f.t, err)
 	e.Process = p
 	f.t.Cleanup(func() {
@@ -214,6 +217,12 @@
 	for _, s := range sources {
 		objects = append(objects, s.Object)
 	}
+	f.ApplyObjects(through, objects)
+}
+
+// ApplyObjects is Apply for objects that have been read already.
+func (f *Fleet) ApplyObjects(through *Entry, objects []*api.Object) {
+	f.t.Helper()
 	for _, n := range f.Nodes {
 		objects = append(objects, n.Object)
 	}
