--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -26,13 +26,15 @@
 	})
 	e.work.Go(func() {
 		defer cancel()
+		began := time.Now()
 		res := e.attempt(ctx, rec, a, id)
+		crashed := e.crashed(ctx, a.Spec.Address, began, res)
 		if res.Err != nil {
 			e.log.Log(ctx, attemptLevel(res), "attempt failed", "request_id", rec.ID, "upstream", a.Upstream,
 				"attempt", id.tag(rec.ID), "reason", res.Outcome, "ran", res.Ran, "err", res.Err)
 		}
 		close(ended)
-		e.driver.attemptEnded(rec, a, res.Outcome, res.Ran)
+		e.driver.attemptEnded(rec, a, res, crashed)
 	})
 }
 
--- a/entry/ownership.go
+++ b/entry/ownership.go
@@ -52,6 +52,8 @@
 		Failed:     int(full.GetFailedAttempts()),
 		Prefix:     promptPrefix(rec.Call.Completion),
 		Dispatched: true,
+
+		Fingerprint: rec.Fingerprint,
 	})
 }
 
