upstream, entry: count the traffic between regions

Cause: the link between regions is narrow and paid by volume, and nothing said how much of it an entry uses.

Weighed: adding up bodies and texts of attempts (misses the events around each token, which are several times its size), or counting on the connections to upstreams of other regions (chosen).

go test -race ./entry ./upstream ./docs passes.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -83,12 +83,12 @@
 		config:    newConfigStore(log),
 		records:   newRegistry(),
 		platform:  platform.New(s.Platform).InZone(s.AvailabilityZone),
-		upstreams: upstream.New(),
 		reclaims:  newReclaims(),
 		leave:     make(chan struct{}),
 		loads:     newLoadStore(),
 		decisions: newDecisionRecord(s.Name, s.Record.Decisions),
 	}
+	e.upstreams = upstream.New(e.linkTraffic)
 	e.signs = newSignStore(s.Name, log, e.decisions)
 	cfg.Observer = &observer{decisions: e.decisions, table: func() *route.Table { return e.driver.core.Table() }}
 	e.background, e.cancel = context.WithCancel(context.Background())
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -5,6 +5,7 @@
 
 	"jaylink/decision"
 	"jaylink/decision/reason"
+	"jaylink/upstream"
 )
 
 // counters are the entry's metrics. Names are "area.thing.reason".
@@ -23,9 +24,11 @@
 	// stream to another upstream, and those that could not.
 	cacheMoved  metrics.Counter
 	cacheFailed metrics.Counter
-	refused     map[reason.Reason]metrics.Counter
-	retried     map[reason.Reason]metrics.Counter
-	claims      map[decision.ClaimResult]metrics.Counter
+	// link counts the bytes between regions.
+	link    upstream.Traffic
+	refused map[reason.Reason]metrics.Counter
+	retried map[reason.Reason]metrics.Counter
+	claims  map[decision.ClaimResult]metrics.Counter
 }
 
 func newCounters() *counters {
@@ -40,9 +43,13 @@
 		takenOver:   metrics.NewRegisteredCounter("handover.taken_over", r),
 		cacheMoved:  metrics.NewRegisteredCounter("recovery.cache_moved", r),
 		cacheFailed: metrics.NewRegisteredCounter("recovery.cache_failed", r),
-		refused:     map[reason.Reason]metrics.Counter{},
-		retried:     map[reason.Reason]metrics.Counter{},
-		claims:      map[decision.ClaimResult]metrics.Counter{},
+		link: upstream.Traffic{
+			Sent:     metrics.NewRegisteredCounter("link.sent_bytes", r),
+			Received: metrics.NewRegisteredCounter("link.received_bytes", r),
+		},
+		refused: map[reason.Reason]metrics.Counter{},
+		retried: map[reason.Reason]metrics.Counter{},
+		claims:  map[decision.ClaimResult]metrics.Counter{},
 	}
 	for _, why := range reason.Refusals {
 		c.refused[why] = metrics.NewRegisteredCounter("request.refused."+string(why), r)
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -61,16 +61,16 @@
 	single *http.Client
 }
 
-// New returns a client.
-func New() *Client {
-	return &Client{shared: newHTTPClient(false), single: newHTTPClient(true)}
+// New returns a client. The meter may be nil.
+func New(meter MeterFunc) *Client {
+	return &Client{shared: newHTTPClient(false, meter), single: newHTTPClient(true, meter)}
 }
 
-func newHTTPClient(single bool) *http.Client {
+func newHTTPClient(single bool, meter MeterFunc) *http.Client {
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialCounted(dialer),
+			DialContext:         dialCounted(metered(dialer.DialContext, meter)),
 			DisableKeepAlives:   single,
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: maxIdlePerHost,
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -55,9 +55,9 @@
 	return c.writing || c.sent != before
 }
 
-func dialCounted(d *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
+func dialCounted(dial dialFunc) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := d.DialContext(ctx, network, address)
+		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
--- a/upstream/contract_test.go
+++ b/upstream/contract_test.go
@@ -104,7 +104,7 @@
 
 func complete(t *testing.T, address, prompt string, tokens int) (string, upstream.Result) {
 	t.Helper()
-	client := upstream.New()
+	client := upstream.New(nil)
 	defer client.Close()
 	var b strings.Builder
 	res := client.Complete(t.Context(), upstream.CompletionCall{
@@ -204,7 +204,7 @@
 
 func forward(t *testing.T, address, method, uri string) (*upstream.Answer, upstream.Result) {
 	t.Helper()
-	client := upstream.New()
+	client := upstream.New(nil)
 	defer client.Close()
 	return client.Forward(t.Context(), upstream.ServiceCall{
 		Address: address, RequestID: requestID, Method: method, URI: uri, Header: http.Header{}, MaxAnswer: maxAnswer,
--- a/upstream/failure_test.go
+++ b/upstream/failure_test.go
@@ -108,7 +108,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			p := newPeer(t, tc.serve)
-			client := New()
+			client := New(nil)
 			defer client.Close()
 			_, res := client.Forward(t.Context(), call(p.Addr().String(), false))
 			require.Equal(t, tc.outcome, res.Outcome, "%v", res.Err)
@@ -120,7 +120,7 @@
 func TestRefusedConnectionProvesThatNothingRan(t *testing.T) {
 	p := newPeer(t, func(*peer, net.Conn, *bufio.Reader) {})
 	require.NoError(t, p.Close())
-	client := New()
+	client := New(nil)
 	defer client.Close()
 	_, res := client.Forward(t.Context(), call(p.Addr().String(), false))
 	require.Equal(t, decision.OutcomeConnectFailed, res.Outcome)
@@ -131,7 +131,7 @@
 	p := newPeer(t, func(*peer, net.Conn, *bufio.Reader) {})
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	client := New()
+	client := New(nil)
 	defer client.Close()
 	_, res := client.Forward(ctx, call(p.Addr().String(), false))
 	require.Equal(t, decision.OutcomeCanceled, res.Outcome)
@@ -153,7 +153,7 @@
 	const calls = 4
 	for _, idempotent := range []bool{false, true} {
 		p := newPeer(t, closeReused)
-		client := New()
+		client := New(nil)
 		for range calls {
 			c := call(p.Addr().String(), idempotent)
 			c.Body = nil
--- /dev/null
+++ b/upstream/traffic.go
@@ -0,0 +1,58 @@
+package upstream
+
+import (
+	"context"
+	"net"
+)
+
+// Counter counts bytes.
+type Counter interface{ Inc(n int64) }
+
+// Traffic counts the bytes of connections, protocol overhead above TCP included.
+type Traffic struct {
+	Sent     Counter
+	Received Counter
+}
+
+// MeterFunc returns where the traffic of connections to an address is counted;
+// nil counts nothing.
+type MeterFunc func(address string) *Traffic
+
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// metered returns a dial function whose connections are counted.
+func metered(dial dialFunc, meter MeterFunc) dialFunc {
+	if meter == nil {
+		return dial
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if traffic := meter(address); traffic != nil {
+			return &meteredConn{Conn: conn, traffic: traffic}, nil
+		}
+		return conn, nil
+	}
+}
+
+// meteredConn counts what goes over a connection.
+type meteredConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+// Read implements net.Conn.
+func (c *meteredConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.Received.Inc(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *meteredConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.Sent.Inc(int64(n))
+	return n, err
+}
