route: give traffic between regions a budget of bytes and weigh prefixes more

Cause: recomputed tokens missed their target because a full first choice spread a prompt beginning over cold upstreams; holding prefixes more strongly sent work to the other region, which would be half a gigabit at the size designed for.

Change: scorer.locality counts what it sends to the other region against the entry's even part of a fleet budget (1 MiB a second); new default weights.

--- a/decision/core.go
+++ b/decision/core.go
@@ -328,6 +328,7 @@
 	r.upstream = u.Name
 	c.wakes.set(r, r.deadline)
 	c.table.Started(u.Name, r.route.Prefix)
+	c.table.Tell(now, &r.route, u)
 	c.setSuspect(r, u.Name, 1)
 	if r.attempts == 1 {
 		retry.FirstAttempt(c.cfg.Rules)
--- a/decision/route/route.go
+++ b/decision/route/route.go
@@ -127,3 +127,9 @@
 type Exhaustive interface {
 	ScoreAll()
 }
+
+// StartObserver is implemented by scorers that count what is
+// started. Entries is the number of live entries.
+type StartObserver interface {
+	Started(now time.Time, r *Request, u *Upstream, entries int)
+}
--- a/decision/route/table.go
+++ b/decision/route/table.go
@@ -257,6 +257,15 @@
 	}
 }
 
+// Tell tells the scorers that count what is started about a dispatch.
+func (t *Table) Tell(now time.Time, r *Request, u *Upstream) {
+	for _, s := range t.scorers {
+		if o, ok := s.(StartObserver); ok {
+			o.Started(now, r, u, t.entries)
+		}
+	}
+}
+
 // Started counts a dispatch of a prompt with a prefix to an upstream.
 func (t *Table) Started(name string, prefix uint64) {
 	if u := t.upstreams[name]; u != nil {
--- a/plugin/scorer/load/load.go
+++ b/plugin/scorer/load/load.go
@@ -21,7 +21,7 @@
 	Unseen float64 `yaml:"unseen"`
 	// Crowded is added for urgent and interactive requests as the upstream
 	// fills from three quarters on: its report is late, and a request that
-	// finds it full waits there. Default 2.
+	// finds it full waits there. Default 4.
 	Crowded float64 `yaml:"crowded"`
 }
 
--- a/plugin/scorer/load/setup.go
+++ b/plugin/scorer/load/setup.go
@@ -10,7 +10,7 @@
 
 // ModuleInfo implements kernel.Module.
 func (*Scorer) ModuleInfo() kernel.ModuleInfo {
-	return kernel.ModuleInfo{ID: "scorer.load", New: func() kernel.Module { return &Scorer{Weight: 0.3, Patient: 0.1, Unseen: 0.5, Crowded: 2} }}
+	return kernel.ModuleInfo{ID: "scorer.load", New: func() kernel.Module { return &Scorer{Weight: 0.3, Patient: 0.1, Unseen: 0.5, Crowded: 4} }}
 }
 
 var _ route.Scorer = (*Scorer)(nil)
--- a/plugin/scorer/locality/setup.go
+++ b/plugin/scorer/locality/setup.go
@@ -11,8 +11,14 @@
 // ModuleInfo implements kernel.Module.
 func (*Scorer) ModuleInfo() kernel.ModuleInfo {
 	return kernel.ModuleInfo{ID: "scorer.locality", New: func() kernel.Module {
-		return &Scorer{OtherZone: defaultOtherZone, OtherRegion: defaultOtherRegion}
+		return &Scorer{
+			OtherZone: defaultOtherZone, OtherRegion: defaultOtherRegion, OverBudget: defaultOverBudget,
+			Link: defaultLink, Answer: defaultAnswer,
+		}
 	}}
 }
 
-var _ route.Scorer = (*Scorer)(nil)
+var (
+	_ route.Scorer        = (*Scorer)(nil)
+	_ route.StartObserver = (*Scorer)(nil)
+)
--- a/plugin/scorer/prefix/prefix.go
+++ b/plugin/scorer/prefix/prefix.go
@@ -10,9 +10,9 @@
 // Defaults of the options.
 const (
 	defaultInteractive = 4.0
-	defaultPatient     = 1.5
-	defaultFirst       = 0.5
-	defaultSecond      = 0.7
+	defaultPatient     = 4.0
+	defaultFirst       = 0.8
+	defaultSecond      = 0.9
 )
 
 // Scorer prefers upstreams that have the start of the prompt in memory, so that
@@ -24,10 +24,10 @@
 	// interactive requests, whose caller waits while the prompt is computed.
 	// Default 4.
 	Interactive float64 `yaml:"interactive"`
-	// Patient is the same for patient requests. Default 1.5.
+	// Patient is the same for patient requests. Default 4.
 	Patient float64 `yaml:"patient"`
 	// First and Second are the shares of that score for the upstream that the
-	// prefix is assigned to and for the next in line. Defaults 0.5 and 0.7.
+	// prefix is assigned to and for the next in line. Defaults 0.8 and 0.9.
 	First  float64 `yaml:"first"`
 	Second float64 `yaml:"second"`
 }
--- a/plugin/scorer/price/price.go
+++ b/plugin/scorer/price/price.go
@@ -10,7 +10,7 @@
 // Defaults of the options.
 const (
 	defaultPatient     = 2.0
-	defaultInteractive = 1.0
+	defaultInteractive = 3.0
 	defaultUrgent      = 0.0
 	defaultSlowdown    = 0.3
 )
@@ -20,7 +20,7 @@
 // those that already run: a full upstream is slower for all of its batch.
 type Scorer struct {
 	// Patient, Interactive and Urgent multiply the score of requests of the
-	// class. Defaults 2, 1 and 0.
+	// class. Defaults 2, 3 and 0.
 	Patient     float64 `yaml:"patient"`
 	Interactive float64 `yaml:"interactive"`
 	Urgent      float64 `yaml:"urgent"`
