peer: carry the use of fleet limits in the heartbeats

Cause: the core could share a fleet limit, but nothing told it what other entries have, so entries kept to their even share.

--- a/decision/events.go
+++ b/decision/events.go
@@ -25,7 +25,7 @@
 type EntriesEvent struct{ Live int }
 
 // UsageEvent carries another entry's accepted requests by customer. It replaces
-// what that entry reported before; an empty one says that the entry is gone.
+// what that entry reported before; nil counts say that nothing is known of it any more.
 type UsageEvent struct {
 	Peer     string
 	InFlight map[string]int
--- a/decision/usage.go
+++ b/decision/usage.go
@@ -55,7 +55,7 @@
 		subtract(u.elsewhere, name, n)
 	}
 	delete(u.peers, peer)
-	if len(customers) == 0 {
+	if customers == nil {
 		return
 	}
 	u.peers[peer] = customers
@@ -100,6 +100,17 @@
 	return out
 }
 
+// elsewhere estimates the customer's requests on all other entries from those
+// that were heard of.
+func (c *Core) elsewhere(customer string) int {
+	peers := len(c.usage.peers)
+	if peers == 0 {
+		return 0
+	}
+	others := max(c.entries-1, peers)
+	return (c.usage.elsewhere[customer]*others + peers - 1) / peers
+}
+
 func (c *Core) admissionRequest(res *api.Resolution) *admission.Request {
 	w := c.queue.waiting(res)
 	t := c.usage.timing(res.Service.Name)
@@ -111,7 +122,7 @@
 		Timeout:           res.Timeout,
 		MaxInFlight:       res.CustomerSpec().MaxInFlight,
 		CustomerInFlight:  c.usage.counts(res.Class)[name],
-		CustomerElsewhere: c.usage.elsewhere[name],
+		CustomerElsewhere: c.elsewhere(name),
 		Peers:             len(c.usage.peers),
 		Entries:           c.entries,
 		QueueLength:       res.QueueLength,
--- a/entry/driver.go
+++ b/entry/driver.go
@@ -54,6 +54,13 @@
 	d.schedule(now)
 }
 
+// inFlightByCustomer returns the accepted requests, urgent ones left out.
+func (d *driver) inFlightByCustomer() map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Usage()
+}
+
 // schedule arranges for the tick that the core asks for.
 func (d *driver) schedule(now time.Time) {
 	next, ok := d.core.NextWake()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -56,6 +56,8 @@
 
 	signs *signStore
 	loads *loadStore
+	// shared exchanges the use of fleet limits with other entries.
+	shared *usageExchange
 	// noticesSeen is the sequence of the last reclaim notice.
 	noticesSeen atomic.Uint64
 
@@ -112,6 +114,7 @@
 			return nil, oops.In("entry").With("step", "operators").Wrap(err)
 		}
 	}
+	e.shared = &usageExchange{own: e.driver.inFlightByCustomer, step: e.driver.step, heard: map[string]time.Time{}}
 	source, _, _ := net.SplitHostPort(s.Listen.Peer)
 	e.peers = peer.New(peer.Options{
 		Self: &peerpb.Member{
@@ -123,6 +126,7 @@
 		Config:    e.config,
 		Signs:     e.signs,
 		Loads:     e.loads,
+		Usages:    e.shared,
 		Log:       log,
 		Changed:   e.peersChanged,
 
@@ -193,7 +197,12 @@
 	e.work.Go(func() { e.read(ctx, "hosts", e.pollHosts) })
 	e.work.Go(func() { newOrderer(e).run(ctx) })
 	e.work.Go(func() { every(ctx, in.Load.Std(), e.pollLoad) })
-	e.work.Go(func() { every(ctx, time.Second, func(context.Context) { e.signs.expire() }) })
+	e.work.Go(func() {
+		every(ctx, time.Second, func(context.Context) {
+			e.signs.expire()
+			e.shared.expire(time.Now())
+		})
+	})
 	e.work.Go(func() { every(ctx, forgetInterval, e.tidy) })
 }
 
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -67,5 +67,8 @@
 	if n.opts.Loads != nil {
 		out.Loads = n.opts.Loads.Newest(maxLoads)
 	}
+	if n.opts.Usages != nil {
+		out.Usages = n.opts.Usages.Own()
+	}
 	return out
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -55,7 +55,15 @@
 	Merge(loads []*peerpb.Load)
 }
 
-// Options describe a node. Signs and Loads may be nil.
+// Usages gives a node access to the requests in flight of its entry.
+type Usages interface {
+	// Own returns what this entry has, by customer.
+	Own() []*peerpb.Usage
+	// Take takes what a peer has.
+	Take(from string, usages []*peerpb.Usage)
+}
+
+// Options describe a node. Signs, Loads and Usages may be nil.
 type Options struct {
 	// Self describes this entry.
 	Self *peerpb.Member
@@ -66,6 +74,7 @@
 	Config    Config
 	Signs     Signs
 	Loads     Loads
+	Usages    Usages
 	Log       *slog.Logger
 	// Changed is called after a member joined, died, left or began to leave.
 	Changed func()
--- a/peer/round.go
+++ b/peer/round.go
@@ -133,6 +133,9 @@
 	if n.opts.Loads != nil && len(m.GetLoads()) > 0 {
 		n.opts.Loads.Merge(m.GetLoads())
 	}
+	if n.opts.Usages != nil {
+		n.opts.Usages.Take(m.GetFrom().GetName(), m.GetUsages())
+	}
 	n.compare(m)
 }
 
