--- a/decision/rendezvous/rendezvous.go
+++ b/decision/rendezvous/rendezvous.go
@@ -4,29 +4,41 @@
 package rendezvous
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
 
+type candidate struct {
+	name   string
+	weight uint64
+}
+
+// before orders candidates, the highest weight first.
+func (c candidate) before(o candidate) bool {
+	if c.weight != o.weight {
+		return c.weight > o.weight
+	}
+	return c.name < o.name
+}
+
 // Pick returns the n members with the highest weight for the key, the highest
 // first; all of them if there are fewer.
 func Pick(key string, members []string, n int) []string {
-	type candidate struct {
-		name   string
-		weight uint64
-	}
-	list := make([]candidate, 0, len(members))
+	best := make([]candidate, 0, n+1)
 	for _, name := range members {
-		list = append(list, candidate{name, xxhash.Sum64String(key + "\x00" + name)})
+		c := candidate{name, xxhash.Sum64String(key + "\x00" + name)}
+		at := len(best)
+		for at > 0 && c.before(best[at-1]) {
+			at--
+		}
+		if at < n {
+			best = slices.Insert(best, at, c)
+			best = best[:min(n, len(best))]
+		}
 	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.name, b.name))
-	})
-	list = list[:min(n, len(list))]
-	out := make([]string, 0, len(list))
-	for _, c := range list {
+	out := make([]string, 0, len(best))
+	for _, c := range best {
 		out = append(out, c.name)
 	}
 	return out
--- a/decision/rendezvous/rendezvous_test.go
+++ b/decision/rendezvous/rendezvous_test.go
@@ -23,4 +23,8 @@
 		}
 	}
 	require.Empty(t, Pick("k", nil, 2))
+	require.Len(t, Pick("k", members, 20), 10)
+	all := Pick("k", members, 10)
+	require.Equal(t, all[:3], Pick("k", members, 3), "a longer choice begins with the shorter one")
+	require.ElementsMatch(t, members, all)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -54,6 +54,7 @@
 
 	signs *signStore
 	loads *loadStore
+	polls *pollPlan // of the loop that polls
 	// noticesSeen is the sequence of the last reclaim notice.
 	noticesSeen atomic.Uint64
 
--- a/entry/load.go
+++ b/entry/load.go
@@ -18,9 +18,8 @@
 const (
 	// pollers is the number of entries that ask an upstream for its load.
 	pollers = 2
-	// loadSends is how often a report is passed on; with two exchanges a
-	// round, it reaches an availability zone of 70 entries.
-	loadSends = 8
+	// loadSends is how often an entry passes a report on.
+	loadSends = 4
 	// loadRenewal is the age at which a report that did not change is passed
 	// on all the same.
 	loadRenewal = 5 * time.Second
@@ -33,7 +32,11 @@
 type loadStore struct {
 	mu      sync.Mutex
 	reports map[string]*loadReport
-	step    func(decision.Event)
+	// shared has the upstreams whose reports are passed on: those of the own
+	// region, and those of a region that has no entries. Other regions hear
+	// of the rest now and then, from there.
+	shared map[string]bool
+	step   func(decision.Event)
 }
 
 type loadReport struct {
@@ -51,7 +54,16 @@
 	return change*loadChangeShare > before || load.At.Sub(r.told.At) >= loadRenewal
 }
 
-func newLoadStore() *loadStore { return &loadStore{reports: map[string]*loadReport{}} }
+func newLoadStore() *loadStore {
+	return &loadStore{reports: map[string]*loadReport{}, shared: map[string]bool{}}
+}
+
+// share replaces the set of upstreams whose reports are passed on.
+func (s *loadStore) share(shared map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shared = shared
+}
 
 // take keeps a report if it is newer than the one that is known.
 func (s *loadStore) take(upstream string, load route.Load) {
@@ -79,7 +91,7 @@
 	for name, r := range s.reports {
 		if now.Sub(r.load.At) > 2*loadRenewal {
 			delete(s.reports, name)
-		} else if r.sent < loadSends {
+		} else if r.sent < loadSends && s.shared[name] {
 			list = append(list, r)
 		}
 	}
@@ -115,9 +127,27 @@
 	}
 }
 
-// polled returns the upstreams that this entry polls: each is polled by a few
-// entries of its zone, or of its region or of all if there are none nearer.
+// pollPlan is what an entry polls, and what that was worked out from.
+type pollPlan struct {
+	catalog   *api.Catalog
+	changes   uint64
+	leaving   bool
+	upstreams []*api.Object
+}
+
+// polled returns the upstreams that this entry polls. They are worked out anew
+// only when the configuration or a member changed.
 func (e *Entry) polled() []*api.Object {
+	catalog, changes, leaving := e.config.catalog(), e.peers.Changes(), e.leaving.Load()
+	if p := e.polls; p == nil || p.catalog != catalog || p.changes != changes || p.leaving != leaving {
+		e.polls = &pollPlan{catalog, changes, leaving, e.choosePolled(catalog)}
+	}
+	return e.polls.upstreams
+}
+
+// choosePolled chooses the upstreams that this entry polls: each is polled by a few
+// entries of its zone, or of its region or of all if there are none nearer.
+func (e *Entry) choosePolled(catalog *api.Catalog) []*api.Object {
 	zones, regions := map[string][]string{}, map[string][]string{}
 	regionOf := map[string]string{e.settings.AvailabilityZone: e.settings.Region}
 	for _, m := range e.peers.Live() {
@@ -130,8 +160,10 @@
 		regions[region] = append(regions[region], names...)
 	}
 	var out []*api.Object
-	for _, o := range e.config.catalog().Upstreams() {
+	shared := map[string]bool{}
+	for _, o := range catalog.Upstreams() {
 		spec := o.Spec.(*api.UpstreamSpec)
+		shared[o.Name] = spec.Region == e.settings.Region || len(regions[spec.Region]) == 0
 		names := zones[spec.AvailabilityZone]
 		if len(names) == 0 {
 			names = regions[spec.Region]
@@ -143,6 +175,7 @@
 			out = append(out, o)
 		}
 	}
+	e.loads.share(shared)
 	return out
 }
 
--- /dev/null
+++ b/entry/load_test.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jaylink/decision"
+	"jaylink/decision/route"
+	"jaylink/peer/peerpb"
+)
+
+func newTestLoads() (*loadStore, *[]decision.LoadEvent) {
+	var events []decision.LoadEvent
+	s := newLoadStore()
+	s.shared["u"] = true
+	for i := range 30 {
+		s.shared[fmt.Sprintf("u%02d", i)] = true
+	}
+	s.step = func(ev decision.Event) { events = append(events, ev.(decision.LoadEvent)) }
+	return s, &events
+}
+
+func TestLoadIsPassedOnUntilPeersHaveIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := newTestLoads()
+		s.take("u", route.Load{Running: 8, At: time.Now()})
+		for range loadSends {
+			require.Len(t, s.Newest(10), 1)
+		}
+		require.Empty(t, s.Newest(10))
+
+		time.Sleep(time.Second)
+		s.take("u", route.Load{Running: 8, At: time.Now()})
+		require.Empty(t, s.Newest(10), "nothing changed")
+		s.take("u", route.Load{Running: 9, Queued: 1, At: time.Now().Add(time.Millisecond)})
+		require.Len(t, s.Newest(10), 1, "it changed by a quarter")
+
+		time.Sleep(loadRenewal + time.Second)
+		s.take("u", route.Load{Running: 9, Queued: 1, At: time.Now()})
+		require.Len(t, s.Newest(10), 1, "renewed in time")
+	})
+}
+
+func TestLoadsOfAnotherRegionAreNotPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, events := newTestLoads()
+		s.take("far", route.Load{Running: 1, At: time.Now()})
+		require.Len(t, *events, 1, "it counts here")
+		require.Empty(t, s.Newest(10))
+	})
+}
+
+func TestLoadsInOneMessageAreBoundedAndTakeTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := newTestLoads()
+		for i := range 30 {
+			s.take(fmt.Sprintf("u%02d", i), route.Load{Running: 1, At: time.Now()})
+		}
+		told := map[string]bool{}
+		for range 3 {
+			list := s.Newest(10)
+			require.Len(t, list, 10)
+			for _, l := range list {
+				told[l.GetUpstream()] = true
+			}
+		}
+		require.Len(t, told, 30)
+	})
+}
+
+func TestOlderLoadOfAPeerIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, events := newTestLoads()
+		s.Merge([]*peerpb.Load{{Upstream: "u", Running: 3, AgeMs: 100}})
+		s.Merge([]*peerpb.Load{{Upstream: "u", Running: 1, AgeMs: 2000}})
+		require.Len(t, *events, 1)
+		require.Equal(t, 3, (*events)[0].Load.Running)
+		require.Equal(t, time.Now().Add(-100*time.Millisecond), (*events)[0].Load.At)
+	})
+}
--- a/entry/reader.go
+++ b/entry/reader.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"jaylink/decision/rendezvous"
+	"jaylink/peer/peerpb"
 )
 
 const (
@@ -28,11 +29,13 @@
 
 // takers returns the names of the entries in zones that may take on work for
 // others, this one included. A leaving entry may not, unless none else is left
-// in its zone.
+// in its zone, nor may a suspect: work done twice for a while costs less than
+// work that nobody does.
 func (e *Entry) takers(inZone func(zone string) bool) []string {
 	var names []string
 	for _, m := range e.peers.Live() {
-		if !m.GetLeaving() && inZone(m.GetAvailabilityZone()) {
+		alive := m.GetState() == peerpb.State_STATE_ALIVE
+		if alive && !m.GetLeaving() && inZone(m.GetAvailabilityZone()) {
 			names = append(names, m.GetName())
 		}
 	}
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -87,7 +87,11 @@
 	if ip := net.ParseIP(n.opts.Source); ip != nil && !ip.IsUnspecified() {
 		d.LocalAddr = &net.TCPAddr{IP: ip}
 	}
-	return d.DialContext(ctx, "tcp", address)
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{conn, &n.traffic}, nil
 }
 
 // sweep closes the connections to addresses that no remembered member has.
--- a/peer/node.go
+++ b/peer/node.go
@@ -14,6 +14,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -87,6 +88,10 @@
 	changed   chan struct{}     // closed at the next change
 	closing   bool
 
+	// changes counts the changes of members, suspicions included.
+	changes atomic.Uint64
+	traffic traffic
+
 	connsMu sync.Mutex
 	conns   map[string]*grpc.ClientConn
 
@@ -122,7 +127,7 @@
 // Serve answers peers on the listener and starts the rounds.
 func (n *Node) Serve(ln net.Listener) {
 	peerpb.RegisterPeerServer(n.server, n)
-	n.done.Go(func() { _ = n.server.Serve(ln) })
+	n.done.Go(func() { _ = n.server.Serve(countedListener{ln, &n.traffic}) })
 	n.done.Go(n.runRounds)
 	n.done.Go(n.runPulls)
 }
@@ -183,6 +188,10 @@
 	return list
 }
 
+// Changes returns a number that rises with each change of a member, suspicions
+// included.
+func (n *Node) Changes() uint64 { return n.changes.Load() }
+
 // Dead reports whether a member is known to have ended or cannot be reached by
 // anyone that this entry can reach.
 func (n *Node) Dead(name string) bool {
@@ -223,6 +232,7 @@
 
 func (n *Node) memberChanged(a membership.ChangedAction) {
 	m := a.Member
+	n.changes.Add(1)
 	if m.State == membership.Suspect {
 		n.opts.Log.Info("peer suspect", "peer", m.Name, "availability_zone", m.AvailabilityZone)
 		return
