--- a/cmd/jaylink/standin.go
+++ b/cmd/jaylink/standin.go
@@ -44,6 +44,7 @@
 	cmd.Flag("load-lag", "Age of the reported load.").Default("500ms").DurationVar(&opts.LoadLag)
 	cmd.Flag("check-fencing", "Refuse orders with an old fencing number.").BoolVar(&opts.ChecksFencing)
 	cmd.Flag("prefix-tokens", "Size of the prefix cache in tokens.").Default("4096").IntVar(&opts.PrefixTokens)
+	cmd.Flag("exit-on", "End the process at a prompt that contains this text.").StringVar(&opts.ExitOn)
 	cmd.Flag("kv", "Time to import the KV cache of one token.").Default("5us").DurationVar(&opts.KVPerToken)
 	cmd.Action(func(*kingpin.ParseContext) error { return runStandin(*listen, engine.New(opts)) })
 }
--- a/decision/core.go
+++ b/decision/core.go
@@ -27,6 +27,7 @@
 
 	"jaylink/api"
 	"jaylink/decision/admission"
+	"jaylink/decision/poison"
 	"jaylink/decision/reason"
 	"jaylink/decision/recovery"
 	"jaylink/decision/retry"
@@ -58,6 +59,7 @@
 	usage    usage
 	entries  int
 	draining bool
+	poison   *poison.Tracker
 	// number counts accepted requests, and stepped is the time of the last
 	// step.
 	number  uint64
@@ -76,20 +78,22 @@
 
 // request is the state of one accepted request.
 type request struct {
-	id       string
-	key      string
-	res      api.Resolution
-	route    route.Request
-	phase    phase
-	claimed  bool
-	attempts int
-	upstream string
-	retry    reason.Reason
-	ran      reason.Ran
-	accepted time.Time
-	started  time.Time
-	deadline time.Time
-	move     move
+	id  string
+	key string
+	// fingerprint is a hash of the request's content.
+	fingerprint uint64
+	res         api.Resolution
+	route       route.Request
+	phase       phase
+	claimed     bool
+	attempts    int
+	upstream    string
+	retry       reason.Reason
+	ran         reason.Ran
+	accepted    time.Time
+	started     time.Time
+	deadline    time.Time
+	move        move
 	// number is the request's place in the order of acceptance.
 	number uint64
 	// due is when the request needs attention; place is its index in wakes.
@@ -112,6 +116,7 @@
 		requests: map[string]*request{},
 		usage:    newUsage(),
 		entries:  1,
+		poison:   poison.NewTracker(),
 	}
 }
 
@@ -140,6 +145,8 @@
 		out = c.claimed(now, ev)
 	case AttemptEvent:
 		out = c.attemptEnded(now, ev)
+	case CrashEvent:
+		out = c.crashed(now, ev.Crash)
 	case LoadEvent:
 		c.table.Report(ev.Upstream, ev.Load)
 	case CacheEvent:
@@ -195,6 +202,9 @@
 	if c.draining {
 		return []Action{RefuseAction{ID: ev.ID, Reason: reason.Draining, Ran: reason.RanNo, RetryAfter: drainRetryAfter}}
 	}
+	if c.poison.Poisoned(now, ev.Fingerprint) {
+		return []Action{RefuseAction{ID: ev.ID, Reason: reason.Poison, Ran: reason.RanNo}}
+	}
 	limits := c.admissionRequest(&res)
 	if v := admission.Check(c.cfg.Limits, limits); v.Refusal != "" {
 		c.observeLimit(now, ev.ID, limits, v.Refusal)
@@ -213,6 +223,7 @@
 // enqueue lets a request wait for an upstream. It needs attention when its
 // deadline can't be met any more, or once that has passed if it already ran.
 func (c *Core) enqueue(r *request) {
+	c.suspect(r)
 	c.queue.push(r)
 	due := r.deadline
 	if r.attempts == 0 {
@@ -230,7 +241,9 @@
 		accepted: now,
 		deadline: now.Add(res.Timeout),
 		number:   c.number,
-		place:    noPlace,
+
+		fingerprint: ev.Fingerprint,
+		place:       noPlace,
 	}
 	c.number++
 	r.route = route.Request{
@@ -265,6 +278,9 @@
 		if r.timedOut || !now.Before(r.deadline) {
 			return c.refuse(now, r, reason.TimedOut)
 		}
+		if c.poison.Poisoned(now, r.fingerprint) {
+			return c.refuse(now, r, reason.Poison)
+		}
 		c.enqueue(r)
 		return nil
 	case ClaimDone:
@@ -312,6 +328,7 @@
 	r.upstream = u.Name
 	c.wakes.set(r, r.deadline)
 	c.table.Started(u.Name, r.route.Prefix)
+	c.setSuspect(r, u.Name, 1)
 	if r.attempts == 1 {
 		retry.FirstAttempt(c.cfg.Rules)
 	}
@@ -325,6 +342,7 @@
 		return nil
 	}
 	c.table.Ended(now, ev.Upstream, blamesUpstream(ev.Outcome))
+	c.setSuspect(r, ev.Upstream, -1)
 	r.ran = r.ran.Join(ev.Ran)
 	if ev.Outcome == OutcomeDone {
 		c.usage.observe(r, now)
@@ -343,7 +361,11 @@
 	if r.timedOut || ev.Outcome == OutcomeCanceled {
 		return c.refuse(now, r, reason.TimedOut)
 	}
-	return c.again(now, r, ev)
+	out := c.blame(now, r, ev)
+	if c.poison.Poisoned(now, r.fingerprint) {
+		return append(out, c.refuse(now, r, reason.Poison)...)
+	}
+	return append(out, c.again(now, r, ev)...)
 }
 
 // again asks the retry rules about a failed attempt.
--- a/entry/driver.go
+++ b/entry/driver.go
@@ -9,8 +9,9 @@
 
 	"jaylink/api"
 	"jaylink/decision"
-	"jaylink/decision/reason"
+	"jaylink/decision/poison"
 	"jaylink/operator"
+	"jaylink/upstream"
 )
 
 // driver runs the decision core: it passes events in, one at a time, and
@@ -30,6 +31,7 @@
 	dispatch func(rec *Record, a decision.DispatchAction)
 	claim    func(rec *Record)
 	endClaim func(rec *Record, p *Problem)
+	crash    func(poison.Crash)
 	move     func(rec *Record, a decision.MoveAction)
 }
 
@@ -39,29 +41,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	if ev, ok := ev.(decision.LeavingEvent); ok {
-		d.noteLeaving(now, ev)
-	}
 	for _, a := range d.core.Step(now, ev) {
 		d.carryOut(now, a)
 	}
 	d.schedule(now)
 }
 
-// noteLeaving records that an upstream began to leave or came back.
-func (d *driver) noteLeaving(now time.Time, ev decision.LeavingEvent) {
-	u := d.core.Table().Get(ev.Upstream)
-	if u == nil || u.Leaving == ev.Leaving {
-		return
-	}
-	kind := operator.DecisionBack
-	if ev.Leaving {
-		kind = operator.DecisionLeaving
-	}
-	d.decisions.add(operator.Decision{At: now, Kind: kind, Upstream: ev.Upstream})
-	d.log.Info("upstream changed", "upstream", ev.Upstream, "leaving", ev.Leaving)
-}
-
 // schedule arranges for the tick that the core asks for.
 func (d *driver) schedule(now time.Time) {
 	next, ok := d.core.NextWake()
@@ -95,6 +80,8 @@
 		d.dispatched(a)
 	case decision.CancelAction:
 		d.canceled(a.ID)
+	case decision.CrashAction:
+		d.crash(a.Crash)
 	case decision.MoveAction:
 		d.move(d.records.get(a.ID), a)
 	case decision.FinishAction:
@@ -181,7 +168,8 @@
 }
 
 // attemptEnded passes the end of an attempt to the core.
-func (d *driver) attemptEnded(rec *Record, a decision.DispatchAction, o decision.Outcome, ran reason.Ran) {
+func (d *driver) attemptEnded(rec *Record, a decision.DispatchAction, res upstream.Result, crashed bool) {
+	o, ran := res.Outcome, res.Ran
 	v, _ := rec.read(0)
 	if o != decision.OutcomeDone {
 		d.decisions.add(operator.Decision{
@@ -195,6 +183,7 @@
 		Upstream:  a.Upstream,
 		Outcome:   o,
 		Ran:       ran,
+		Crashed:   crashed,
 		Relayed:   v.total,
 		Resumable: rec.Call.Completion != nil,
 		Jitter:    rand.Float64(),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -44,6 +44,8 @@
 	upstreams *upstream.Client
 	peers     *peer.Node
 	claims    *claimBook
+	// operators has names by credential; nil lets everyone in.
+	operators map[string]string
 	// incarnation and started identify this process and say since when it runs.
 	incarnation uint64
 	started     time.Time
@@ -85,10 +87,10 @@
 		upstreams: upstream.New(),
 		reclaims:  newReclaims(),
 		leave:     make(chan struct{}),
-		signs:     newSignStore(s.Name, log),
 		loads:     newLoadStore(),
 		decisions: newDecisionRecord(s.Name, s.Record.Decisions),
 	}
+	e.signs = newSignStore(s.Name, log, e.decisions)
 	cfg.Observer = &observer{decisions: e.decisions, table: func() *route.Table { return e.driver.core.Table() }}
 	e.background, e.cancel = context.WithCancel(context.Background())
 	e.started = time.Now()
@@ -96,7 +98,7 @@
 	e.claims = newClaimBook(e.background, &e.work, e.platform, log)
 	e.driver = &driver{
 		core: decision.New(cfg), records: e.records, metrics: e.metrics, log: log, decisions: e.decisions, usage: newUsageCounts(),
-		dispatch: e.dispatch, claim: e.startClaim, endClaim: e.endClaim,
+		dispatch: e.dispatch, claim: e.startClaim, endClaim: e.endClaim, crash: e.spreadCrash,
 		move: e.move,
 	}
 	e.signs.step, e.loads.step = e.driver.step, e.driver.step
@@ -106,6 +108,11 @@
 	if err != nil {
 		return nil, oops.In("entry").With("step", "peer_tls").Wrap(err)
 	}
+	if file := s.Operators.CredentialsFile; file != "" {
+		if e.operators, err = readOperators(file); err != nil {
+			return nil, oops.In("entry").With("step", "operators").Wrap(err)
+		}
+	}
 	source, _, _ := net.SplitHostPort(s.Listen.Peer)
 	e.peers = peer.New(peer.Options{
 		Self: &peerpb.Member{
@@ -153,7 +160,8 @@
 		e.listeners[i] = ln
 	}
 	e.caller = e.newServer(e.callerHandler())
-	e.operator = e.newServer(e.operatorHandler())
+	e.operator = e.newServer(e.boundWrites(e.operatorHandler()))
+	registerCrashServer(e.peers.Server(), e.driver.step)
 	e.peers.Serve(e.listeners[2])
 	e.work.Go(func() { e.serve(e.caller, e.listeners[0]) })
 	e.work.Go(func() { e.serve(e.operator, e.listeners[1]) })
--- a/entry/settings_check.go
+++ b/entry/settings_check.go
@@ -45,6 +45,7 @@
 	c.identity(s)
 	c.addresses(s)
 	c.peerTLS(s)
+	c.operators(s)
 	c.limits(s)
 	c.times(s)
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
@@ -140,6 +141,8 @@
 	c.interval("intervals.lease", s.Intervals.Lease)
 	c.interval("intervals.retain", s.Intervals.Retain)
 	between(c, "drain.leave_delay", s.Drain.LeaveDelay, 0, api.Duration(maxInterval))
+	c.interval("timeouts.body", s.Timeouts.Body)
+	c.interval("timeouts.write", s.Timeouts.Write)
 	c.interval("drain.timeout", s.Drain.Timeout)
 	between(c, "claims.retention", s.Claims.Retention, api.Duration(minRetention), api.Duration(maxRetention))
 }
