--- a/decision/membership/membership_test.go
+++ b/decision/membership/membership_test.go
@@ -294,3 +294,27 @@
 		n.await(t, 120)
 	})
 }
+
+// An entry that missed every push exchanges digests with a live member in each
+// round, whatever the layout of zones, so it is behind for one round at most.
+func TestEveryRoundProbesALiveMember(t *testing.T) {
+	for _, layout := range [][2]int{{1, 2}, {2, 1}, {3, 2}, {5, 8}, {5, 1}} {
+		n := newNetwork(11, layout[0], layout[1])
+		n.await(t, 60)
+		for range 50 {
+			n.now = n.now.Add(defaultInterval)
+			for _, name := range n.order {
+				c := n.cores[name]
+				actions := c.Step(n.now, RoundEvent{Random: n.random.Uint64()})
+				reached := 0
+				for _, a := range actions {
+					if p, ok := a.(ProbeAction); ok && n.reach(c, p.Address) != nil {
+						reached++
+					}
+				}
+				require.Positive(t, reached, "%s of %v", name, layout)
+				n.run(c, actions)
+			}
+		}
+	}
+}
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"jaylink/decision/membership"
 	"jaylink/internal/procs"
 	"jaylink/peer/peerpb"
 )
@@ -150,6 +151,19 @@
 	require.False(t, a.Dead("never heard of"))
 }
 
+// The only entry of its zone tells those of other zones.
+func TestLastNodeOfAZoneSaysThatItStops(t *testing.T) {
+	a := startNode(t, "a", "z1")
+	defer a.Close()
+	b := startNode(t, "b", "z2", a.address())
+	awaitLive(t, a, 1)
+	awaitLive(t, b, 1)
+	b.Close()
+	m, known := a.core.Get("b")
+	require.True(t, known)
+	require.Equal(t, membership.Left, m.State, "heard before Close returned")
+}
+
 // What no push brought, the digests in probes find.
 func TestMissedNewsArePulled(t *testing.T) {
 	a := startNode(t, "a", "z1")
--- a/peer/round.go
+++ b/peer/round.go
@@ -169,12 +169,21 @@
 	ctx, cancel := context.WithTimeout(n.ctx, farewellTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
-	for _, address := range n.pickPeers(farewells, n.opts.Self.GetAvailabilityZone()) {
+	for _, address := range n.farewellPeers() {
 		wg.Go(func() { n.greet(ctx, address) })
 	}
 	wg.Wait()
 }
 
+// farewellPeers returns a few peers of the own zone, or of others if there are
+// too few.
+func (n *Node) farewellPeers() []string {
+	own := n.opts.Self.GetAvailabilityZone()
+	out := n.pickPeers(farewells, func(zone string) bool { return zone == own })
+	others := n.pickPeers(farewells-len(out), func(zone string) bool { return zone != own })
+	return append(out, others...)
+}
+
 // farewell tells a few peers that this entry stopped.
 func (n *Node) farewell() {
 	n.step(membership.LeaveEvent{Stopped: true})
--- a/peer/spread.go
+++ b/peer/spread.go
@@ -75,7 +75,7 @@
 // news began, one of each other zone.
 func (n *Node) pushTargets(origin bool) []string {
 	own := n.opts.Self.GetAvailabilityZone()
-	out := n.pickPeers(fanout, own)
+	out := n.pickPeers(fanout, func(zone string) bool { return zone == own })
 	if !origin {
 		return out
 	}
@@ -83,17 +83,17 @@
 	for _, m := range n.Live() {
 		if z := m.GetAvailabilityZone(); !zones[z] {
 			zones[z] = true
-			out = append(out, n.pickPeers(1, z)...)
+			out = append(out, n.pickPeers(1, func(zone string) bool { return zone == z })...)
 		}
 	}
 	return out
 }
 
-// pickPeers returns the addresses of random live members of a zone.
-func (n *Node) pickPeers(count int, zone string) []string {
+// pickPeers returns the addresses of random live members in zones.
+func (n *Node) pickPeers(count int, inZone func(zone string) bool) []string {
 	var out []string
 	for _, m := range n.Live() {
-		if m.GetAvailabilityZone() == zone {
+		if inZone(m.GetAvailabilityZone()) {
 			out = append(out, m.GetAddress())
 		}
 	}
