--- a/cmd/jaylink/entry.go
+++ b/cmd/jaylink/entry.go
@@ -16,12 +16,13 @@
 	file := cmd.Flag("settings", "Settings file (YAML).").Short('s').Envar("JAYLINK_SETTINGS").String()
 	set := cmd.Flag("set", "FIELD=VALUE replaces a field of the file, for example log.level=debug. May be repeated.").Strings()
 	printDefaults := cmd.Flag("print-defaults", "Print a commented settings file with the defaults and exit.").Bool()
+	trace := cmd.Flag("trace", "Record the events of the decision core in this file, for jaylink replay. No prompt or answer is recorded.").String()
 	cmd.Action(func(*kingpin.ParseContext) error {
 		if *printDefaults {
 			fmt.Print(entry.DefaultsYAML)
 			return nil
 		}
-		return runEntry(*file, *set)
+		return runEntry(*file, *set, *trace)
 	})
 }
 
@@ -41,7 +42,7 @@
 	return entry.ReadSettings(file, overrides...)
 }
 
-func runEntry(file string, set []string) error {
+func runEntry(file string, set []string, trace string) error {
 	settings, err := readSettings(file, set)
 	if err != nil {
 		return &exitError{exitBadInput, err}
@@ -50,6 +51,15 @@
 	if err != nil {
 		return &exitError{exitBadInput, err}
 	}
+	if trace != "" {
+		out, err := os.Create(trace)
+		if err != nil {
+			return &exitError{exitBadInput, err}
+		}
+		if err := e.RecordTrace(out); err != nil {
+			return err
+		}
+	}
 	var app kernel.App
 	app.Add("entry", e)
 	return runApp(&app, e.LeaveRequested())
