peer: give up connections whose data nobody acknowledges

Cause: found by reading: after a cut that loses packets for minutes, a connection that is still open repeats its data after pauses of up to two minutes, so probes on it fail long after the link is back, and zones join late. Ruled out: gRPC keepalive, which pings each of up to 339 idle connections; closing on the first slow probe, which would cut off handovers on a slow peer. Change: TCP_USER_TIMEOUT of 5s on connections to peers. Not shown: a link that loses packets; the relays of the test fleet can't lose what the system acknowledges.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -25,6 +25,9 @@
 	handshakeTimeout = 5 * time.Second
 	// idleTimeout closes connections that are not used.
 	idleTimeout = 10 * time.Minute
+	// unackedTimeout is how long sent data may stay without acknowledgement
+	// before the connection is given up.
+	unackedTimeout = 5 * time.Second
 	// reconnectDelay bounds the pause before a lost peer is dialled again.
 	reconnectDelay = time.Second
 )
@@ -83,7 +86,7 @@
 
 // dial opens a connection from the address that this entry is known by.
 func (n *Node) dial(ctx context.Context, address string) (net.Conn, error) {
-	var d net.Dialer
+	d := net.Dialer{Control: setUserTimeout}
 	if ip := net.ParseIP(n.opts.Source); ip != nil && !ip.IsUnspecified() {
 		d.LocalAddr = &net.TCPAddr{IP: ip}
 	}
