--- a/entry/entry.go
+++ b/entry/entry.go
@@ -58,6 +58,7 @@
 	loads *loadStore
 	// shared exchanges the use of fleet limits with other entries.
 	shared *usageExchange
+	polls  *pollPlan // of the loop that polls
 	// noticesSeen is the sequence of the last reclaim notice.
 	noticesSeen atomic.Uint64
 
