--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,13 @@
 TOOL = $(GO) tool -modfile=tools/go.mod
 BIN = bin
 
-.PHONY: build test guarantees bench demo check docs generate clean
+# The number of random schedules of each property test of the guarantees.
+SCHEDULES ?= 20000
+SEED ?= 1
+# The packages whose tests are proofs of what must always hold.
+PROOFS = ./guarantees/... ./decision/...
+
+.PHONY: build test units guarantees bench demo check docs generate clean
 
 build:
 	$(GO) build -o $(BIN)/jaylink ./cmd/jaylink
@@ -12,7 +18,11 @@
 
 # The proofs of what must always hold; prints a line a case.
 guarantees:
-	$(GO) run ./internal/testrun -- -count=1 ./guarantees/... ./decision/...
+	JAYLINK_SCHEDULES=$(SCHEDULES) JAYLINK_SEED=$(SEED) $(GO) run ./internal/testrun -- -count=1 $(PROOFS)
+
+# The tests that are no proofs; with "make guarantees" each test runs once.
+units:
+	$(GO) run ./internal/testrun -- $$($(GO) list ./... | grep -vxF "$$($(GO) list $(PROOFS))")
 
 # The measurements, each figure beside its target.
 bench:
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -19,6 +19,8 @@
 	EnvSeed          = "JAYLINK_SEED"
 	defaultSchedules = 500
 	defaultSeed      = 1
+	// steps is the mean number of actions of a schedule.
+	steps = 80
 )
 
 // Check runs a property over random schedules and prints its outcome as a line
@@ -28,6 +30,7 @@
 	n, seed := number(t, EnvSchedules, defaultSchedules), number(t, EnvSeed, defaultSeed)
 	set(t, "rapid.checks", n)
 	set(t, "rapid.seed", seed)
+	set(t, "rapid.steps", strconv.Itoa(steps))
 	set(t, "rapid.nofailfile", "true")
 	defer func() {
 		violations := 0
