--- a/decision/events.go
+++ b/decision/events.go
@@ -6,6 +6,7 @@
 	"jaylink/api"
 	"jaylink/decision/poison"
 	"jaylink/decision/reason"
+	"jaylink/decision/retry"
 	"jaylink/decision/route"
 )
 
@@ -179,6 +180,8 @@
 	Spec     *api.UpstreamSpec
 	// Retry is the reason for the attempt; "" for the first.
 	Retry reason.Reason
+	// Limits bound the attempt. One that passes them ends with OutcomeNoAnswer.
+	Limits retry.Limits
 }
 
 // CancelAction asks the driver to end the running attempt of a request.
--- a/decision/retry/retry.go
+++ b/decision/retry/retry.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"jaylink/api"
 	"jaylink/decision/reason"
 )
 
@@ -73,3 +74,30 @@
 		}
 	}
 }
+
+// Limits bound one attempt. 0 means no bound.
+type Limits struct {
+	// Answer bounds the time to the whole answer of a plain service. Streamed
+	// answers have bounds of their own in the client of model engines.
+	Answer time.Duration
+}
+
+// Limiter is implemented by rules that bound an attempt's time.
+type Limiter interface {
+	Limits(class api.Class) Limits
+}
+
+// LimitsOf returns the tightest limits of the rules.
+func LimitsOf(rules []Rule, class api.Class) Limits {
+	var out Limits
+	for _, r := range rules {
+		l, ok := r.(Limiter)
+		if !ok {
+			continue
+		}
+		if d := l.Limits(class).Answer; d > 0 && (out.Answer == 0 || d < out.Answer) {
+			out.Answer = d
+		}
+	}
+	return out
+}
--- a/entry/driver.go
+++ b/entry/driver.go
@@ -11,6 +11,7 @@
 	"jaylink/decision"
 	"jaylink/decision/poison"
 	"jaylink/operator"
+	"jaylink/trace"
 	"jaylink/upstream"
 )
 
@@ -33,6 +34,8 @@
 	endClaim func(rec *Record, p *Problem)
 	crash    func(poison.Crash)
 	move     func(rec *Record, a decision.MoveAction)
+	// trace records what the core is given; nil without a recording.
+	trace *trace.Recorder
 }
 
 // step passes one event to the core. Actions are carried out under the lock,
@@ -41,29 +44,16 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	if ev, ok := ev.(decision.LeavingEvent); ok {
-		d.noteLeaving(now, ev)
+	actions := d.core.Step(now, ev)
+	if d.trace != nil {
+		d.trace.Record(now, ev, actions)
 	}
-	for _, a := range d.core.Step(now, ev) {
+	for _, a := range actions {
 		d.carryOut(now, a)
 	}
 	d.schedule(now)
 }
 
-// noteLeaving records that an upstream began to leave or came back.
-func (d *driver) noteLeaving(now time.Time, ev decision.LeavingEvent) {
-	u := d.core.Table().Get(ev.Upstream)
-	if u == nil || u.Leaving == ev.Leaving {
-		return
-	}
-	kind := operator.DecisionBack
-	if ev.Leaving {
-		kind = operator.DecisionLeaving
-	}
-	d.decisions.add(operator.Decision{At: now, Kind: kind, Upstream: ev.Upstream})
-	d.log.Info("upstream changed", "upstream", ev.Upstream, "leaving", ev.Leaving)
-}
-
 // schedule arranges for the tick that the core asks for.
 func (d *driver) schedule(now time.Time) {
 	next, ok := d.core.NextWake()
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -30,10 +30,15 @@
 	QueueLength int
 	// TokenInterval is the time between tokens.
 	TokenInterval time.Duration
+	// BatchInterval is what each other running request adds to the time
+	// between tokens.
+	BatchInterval time.Duration
 	// PrefillPerToken is the time to read one prompt token.
 	PrefillPerToken time.Duration
 	// LoadLag is how old the reported load is.
 	LoadLag time.Duration
+	// ChecksFencing refuses orders with an old fencing number.
+	ChecksFencing bool
 	// PrefixTokens is the size of the prefix cache.
 	PrefixTokens int
 	// ExitOn ends the process when a prompt contains it; "" means never.
@@ -68,6 +73,8 @@
 	Cached    int    `json:"cached_tokens"`
 	Generated int    `json:"generated_tokens"`
 	Whole     bool   `json:"whole"`
+	// Busy is the time for which the run held a slot.
+	Busy time.Duration `json:"busy_ns"`
 	// At is when the request began to run.
 	At time.Time `json:"at"`
 }
@@ -91,6 +98,7 @@
 	queued  int
 	history []sample
 	runs    []*Run
+	orders  orders
 	cache   prefixCache
 	// live has the text so far of each request that runs, by its tag.
 	live map[string]string
@@ -113,6 +121,9 @@
 	}
 	s.router.HandleFunc("/v1/completions", s.complete).Methods(http.MethodPost)
 	s.router.HandleFunc("/load", s.load).Methods(http.MethodGet)
+	s.router.HandleFunc("/state", s.getState).Methods(http.MethodGet)
+	s.router.HandleFunc("/state", s.takeOrder).Methods(http.MethodPost)
+	s.router.HandleFunc("/orders", s.listOrders).Methods(http.MethodGet)
 	s.router.HandleFunc("/runs", s.listRuns).Methods(http.MethodGet)
 	s.router.HandleFunc("/kv", s.exportKV).Methods(http.MethodGet)
 	s.router.HandleFunc("/kv", s.importKV).Methods(http.MethodPost)
@@ -163,7 +174,13 @@
 	if f.CrashOn != "" && strings.Contains(c.Prompt, f.CrashOn) {
 		panic(http.ErrAbortHandler)
 	}
+	began := time.Now()
 	run := s.prefill(r, c)
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		run.Busy = time.Since(began)
+	}()
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set(upstream.HeaderRequestID, run.RequestID)
 	if f.Corrupt == CorruptForeignEcho {
@@ -223,7 +240,7 @@
 	s.grow(run, text)
 	defer func() { s.retire(run, text) }()
 	for i := range c.MaxTokens {
-		if !pause(r, s.opts.TokenInterval) {
+		if !pause(r, s.interval()) {
 			return
 		}
 		token := nextToken(text)
@@ -251,6 +268,13 @@
 	run.Whole = true
 }
 
+// interval is the time between tokens with the present batch.
+func (s *Server) interval() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.opts.TokenInterval + time.Duration(s.running-1)*s.opts.BatchInterval
+}
+
 func writeEvent(w http.ResponseWriter, chunk upstream.Chunk) {
 	data, err := json.Marshal(chunk)
 	if err != nil {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"regexp"
 	"time"
 
@@ -60,16 +61,16 @@
 	single *http.Client
 }
 
-// New returns a client.
-func New() *Client {
-	return &Client{shared: newHTTPClient(false), single: newHTTPClient(true)}
+// New returns a client. The meter may be nil.
+func New(meter MeterFunc) *Client {
+	return &Client{shared: newHTTPClient(false, meter), single: newHTTPClient(true, meter)}
 }
 
-func newHTTPClient(single bool) *http.Client {
+func newHTTPClient(single bool, meter MeterFunc) *http.Client {
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialCounted(dialer),
+			DialContext:         dialCounted(metered(dialer.DialContext, meter)),
 			DisableKeepAlives:   single,
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: maxIdlePerHost,
@@ -112,6 +113,12 @@
 	case step == "read":
 		res.Outcome = decision.OutcomeBroken
 	}
+	// The transport's error has the URL, whose query belongs to the caller and
+	// must not show in a log.
+	var withURL *url.Error
+	if errors.As(err, &withURL) {
+		err = withURL.Err
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		res.Outcome = decision.OutcomeCanceled
 	}
