--- a/decision/schedules/model_test.go
+++ b/decision/schedules/model_test.go
@@ -181,7 +181,7 @@
 				other.crashes[fmt.Sprint(a.Crash.Upstream, a.Crash.At)] = true
 			}
 			if other != e {
-				f.step(other, decision.CrashEvent{Crash: a.Crash})
+				f.step(other, decision.CrashEvent(a))
 			}
 		}
 	case decision.FinishAction:
