peer, entry: survive any message of a peer

Cause: gRPC lets a handler's panic end the process.

Change: Take and copies are checked; an offset beyond any answer is refused; a message with a nameless object is not taken; a panic ends its own call, with an error in the log. Problems that net/http reports are logged as warnings and no longer only at debug level. PEERS.md has the calls of all services.

--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -85,19 +85,23 @@
 	}
 }
 
-var rpcRE = regexp.MustCompile(`((?:  // .*\n)+)  rpc (\w+)\((\w+)\) returns \((\w+)\);`)
+var rpcRE = regexp.MustCompile(`((?:  // .*\n)+)  rpc (\w+)\((\w+)\) returns \(((?:stream )?\w+)\);`)
 
 // docs/PEERS.md has a row for each call of the peer protocol, with the comment
 // that it has there.
 func TestPeersPageHasEveryCall(t *testing.T) {
-	proto, err := os.ReadFile("../peer/peerpb/peer.proto")
+	files, err := filepath.Glob("../peer/peerpb/*.proto")
 	require.NoError(t, err)
 	rows := "| Call | Message | Answer | Meaning |\n|---|---|---|---|\n"
-	calls := rpcRE.FindAllStringSubmatch(string(proto), -1)
-	require.Len(t, calls, strings.Count(string(proto), "  rpc "), "a call has no comment")
-	for _, m := range calls {
-		meaning := strings.Join(strings.Fields(strings.ReplaceAll(m[1], "//", "")), " ")
-		rows += "| `" + m[2] + "` | `" + m[3] + "` | `" + m[4] + "` | " + meaning + " |\n"
+	for _, file := range files {
+		proto, err := os.ReadFile(file)
+		require.NoError(t, err)
+		calls := rpcRE.FindAllStringSubmatch(string(proto), -1)
+		require.Len(t, calls, strings.Count(string(proto), "  rpc "), "a call in %s has no comment", file)
+		for _, m := range calls {
+			meaning := strings.Join(strings.Fields(strings.ReplaceAll(m[1], "//", "")), " ")
+			rows += "| `" + m[2] + "` | `" + m[3] + "` | `" + m[4] + "` | " + meaning + " |\n"
+		}
 	}
 	requireSection(t, "PEERS.md", "calls", rows)
 }
--- a/entry/config.go
+++ b/entry/config.go
@@ -85,6 +85,9 @@
 		if err != nil {
 			s.log.Error("object of a peer can't be decoded", "peer", from, "step", "merge", "err", err)
 		}
+		if errors.Is(err, errNameless) {
+			return false
+		}
 		if o != nil {
 			delta.Objects = append(delta.Objects, o)
 		}
@@ -97,6 +100,11 @@
 	return changed || s.Revision() > before
 }
 
+// errNameless means that it can't be told which object it would be. What came
+// with it is not taken, because the gap that it leaves would pass for known, and
+// in a snapshot for a deletion.
+var errNameless = errors.New("object without a name")
+
 // decodePeerObject decodes one object. One that this version can't read must
 // neither stop the others nor pass for deleted: what is in force stays.
 func (s *configStore) decodePeerObject(data []byte) (*api.Object, error) {
@@ -109,8 +117,8 @@
 		Kind api.Kind `json:"kind"`
 		Name string   `json:"name"`
 	}
-	if json.Unmarshal(data, &named) != nil {
-		return nil, err
+	if json.Unmarshal(data, &named) != nil || named.Name == "" {
+		return nil, errors.Join(errNameless, err)
 	}
 	return s.get(api.Key{Kind: named.Kind, Name: named.Name}), err
 }
--- a/entry/copy.go
+++ b/entry/copy.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"time"
 
@@ -38,6 +39,9 @@
 
 // fromCopy returns a record that holds a copy.
 func fromCopy(c *peerpb.RequestCopy, now time.Time) (*Record, error) {
+	if _, ok := acceptingEntry(c.GetId()); !ok || c.GetOwner().GetName() == "" {
+		return nil, errors.New("a copy needs a request ID and an owner")
+	}
 	call := Call{Method: c.Method, URI: c.Uri, Header: fromHeaderFields(c.Header), Body: c.Body}
 	if c.Completion {
 		call.Completion = &upstream.Completion{}
@@ -70,7 +74,7 @@
 func fromHeaderFields(fields []*peerpb.HeaderField) http.Header {
 	h := http.Header{}
 	for _, f := range fields {
-		h[f.Name] = f.Values
+		h[f.GetName()] = f.GetValues()
 	}
 	return h
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -176,7 +176,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    int(e.settings.Limits.Header) + headerSlack,
-		ErrorLog:          slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
+		ErrorLog:          slog.NewLogLogger(e.log.Handler(), slog.LevelWarn),
 	}
 }
 
--- a/entry/handoverserver.go
+++ b/entry/handoverserver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"google.golang.org/grpc"
@@ -66,7 +67,7 @@
 
 // Take implements peerpb.HandoverServer.
 func (s *handoverServer) Take(_ context.Context, req *peerpb.TakeRequest) (*peerpb.TakeReply, error) {
-	rec := s.records.get(req.Copy.Id)
+	rec := s.records.get(req.GetCopy().GetId())
 	if rec == nil && !s.leaving.Load() {
 		fresh, err := fromCopy(req.Copy, time.Now())
 		if err != nil {
@@ -125,6 +126,9 @@
 	if rec == nil {
 		return status.Error(codes.NotFound, "no such request")
 	}
+	if req.Offset > math.MaxInt32 {
+		return status.Error(codes.InvalidArgument, "the offset is beyond any answer")
+	}
 	offset := int(req.Offset)
 	for {
 		v, changed := rec.read(offset)
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -36,6 +36,8 @@
 		grpc.ReadBufferSize(ioBuffer),
 		grpc.WriteBufferSize(ioBuffer),
 		grpc.WaitForHandlers(true),
+		grpc.UnaryInterceptor(recoverUnary(opts.Log)),
+		grpc.StreamInterceptor(recoverStream(opts.Log)),
 	}
 	if opts.Credentials != nil {
 		out = append(out, grpc.Creds(opts.Credentials.Server))
