--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -30,6 +30,9 @@
 	QueueLength int
 	// TokenInterval is the time between tokens.
 	TokenInterval time.Duration
+	// BatchInterval is what each other running request adds to the time
+	// between tokens.
+	BatchInterval time.Duration
 	// PrefillPerToken is the time to read one prompt token.
 	PrefillPerToken time.Duration
 	// LoadLag is how old the reported load is.
@@ -70,6 +73,8 @@
 	Cached    int    `json:"cached_tokens"`
 	Generated int    `json:"generated_tokens"`
 	Whole     bool   `json:"whole"`
+	// Busy is the time for which the run held a slot.
+	Busy time.Duration `json:"busy_ns"`
 	// At is when the request began to run.
 	At time.Time `json:"at"`
 }
@@ -169,7 +174,13 @@
 	if f.CrashOn != "" && strings.Contains(c.Prompt, f.CrashOn) {
 		panic(http.ErrAbortHandler)
 	}
+	began := time.Now()
 	run := s.prefill(r, c)
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		run.Busy = time.Since(began)
+	}()
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set(upstream.HeaderRequestID, run.RequestID)
 	if f.Corrupt == CorruptForeignEcho {
@@ -229,7 +240,7 @@
 	s.grow(run, text)
 	defer func() { s.retire(run, text) }()
 	for i := range c.MaxTokens {
-		if !pause(r, s.opts.TokenInterval) {
+		if !pause(r, s.interval()) {
 			return
 		}
 		token := nextToken(text)
@@ -257,6 +268,13 @@
 	run.Whole = true
 }
 
+// interval is the time between tokens with the present batch.
+func (s *Server) interval() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.opts.TokenInterval + time.Duration(s.running-1)*s.opts.BatchInterval
+}
+
 func writeEvent(w http.ResponseWriter, chunk upstream.Chunk) {
 	data, err := json.Marshal(chunk)
 	if err != nil {
