guarantees: prove the bound for leaving upstreams at the default intervals

Cause: the proof ran with a heartbeat of 100ms, five times as fast as the default, which hid how long a cut-off zone needs to poll for itself.

--- a/guarantees/g5_leaving_test.go
+++ b/guarantees/g5_leaving_test.go
@@ -35,7 +35,7 @@
 	f.list("leaver", "stayer")
 	for _, zone := range []string{"a", "b"} {
 		for _, n := range []string{"1", "2"} {
-			f.StartEntry(zone+n, zone, "r", "intervals: {heartbeat: 100ms, watch: 5s}\ndrain: {leave_delay: 50ms}\n")
+			f.StartEntry(zone+n, zone, "r", "intervals: {watch: 5s}\ndrain: {leave_delay: 50ms}\n")
 		}
 	}
 	f.Ready()
