--- a/guarantees/fleet_limit_test.go
+++ b/guarantees/fleet_limit_test.go
@@ -8,6 +8,7 @@
 
 	"jaylink/internal/procs"
 	"jaylink/internal/testfleet"
+	"jaylink/standin/engine"
 )
 
 const limitedObjects = `
@@ -24,17 +25,15 @@
 // customer with a limit of two run on one of two entries, and a third is refused.
 func TestEntryUsesWhatOthersLeaveOfAFleetLimit(t *testing.T) {
 	f := testfleet.New(t)
-	f.Upstream("engine", "caption-lm", "e1", "a", "r", "--token-interval=1s")
+	n := f.Upstream("engine", "caption-lm", "e1", "a", "r", "--token-interval=1s")
 	e := f.StartEntry("one", "a", "r", "")
 	f.StartEntry("two", "a", "r", "")
 	f.Ready()
 	f.Apply(e, limitedObjects)
-	inFlight := func() int {
-		s, err := e.Client().Status(t.Context())
-		if err != nil {
-			return 0
-		}
-		return s.InFlight
+	running := func() int {
+		var runs []engine.Run
+		f.Read("http://"+n.Address+"/runs", &runs)
+		return len(runs)
 	}
 	refused := make(chan int, 1)
 	send := func() {
@@ -46,7 +45,7 @@
 		}()
 	}
 	send()
-	require.NoError(t, procs.Await("the first request", func() bool { return inFlight() == 1 }))
+	require.NoError(t, procs.Await("the first request", func() bool { return running() == 1 }))
 	send()
 	require.NoError(t, procs.Await("the second request", func() bool {
 		select {
@@ -55,9 +54,9 @@
 			send()
 		default:
 		}
-		return inFlight() == 2
+		return running() == 2
 	}))
 	send()
 	require.Equal(t, http.StatusTooManyRequests, <-refused)
-	require.Equal(t, 2, inFlight())
+	require.Equal(t, 2, running())
 }
