--- a/Makefile
+++ b/Makefile
@@ -2,17 +2,23 @@
 TOOL = $(GO) tool -modfile=tools/go.mod
 BIN = bin
 
+# The number of random schedules of each property test of the guarantees.
+SCHEDULES ?= 20000
+SEED ?= 1
+# The packages whose tests are proofs of what must always hold.
+PROOFS = ./guarantees/... ./decision/...
+
 .PHONY: build test guarantees bench demo check docs generate clean
 
 build:
 	$(GO) build -o $(BIN)/jaylink ./cmd/jaylink
 
 test:
-	$(GO) run ./internal/testrun -- -count=1 ./...
+	JAYLINK_SCHEDULES=$(SCHEDULES) JAYLINK_SEED=$(SEED) $(GO) run ./internal/testrun -- -count=1 ./...
 
 # The proofs of what must always hold; prints a line a case.
 guarantees:
-	$(GO) run ./internal/testrun -- -count=1 ./guarantees/... ./decision/...
+	JAYLINK_SCHEDULES=$(SCHEDULES) JAYLINK_SEED=$(SEED) $(GO) run ./internal/testrun -- -count=1 $(PROOFS)
 
 # The measurements, each figure beside its target.
 bench:
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -58,6 +58,7 @@
 	loads *loadStore
 	// shared exchanges the use of fleet limits with other entries.
 	shared *usageExchange
+	polls  *pollPlan // of the loop that polls
 	// noticesSeen is the sequence of the last reclaim notice.
 	noticesSeen atomic.Uint64
 
@@ -180,7 +181,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    int(e.settings.Limits.Header) + headerSlack,
-		ErrorLog:          slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
+		ErrorLog:          slog.NewLogLogger(e.log.Handler(), slog.LevelWarn),
 	}
 }
 
