--- a/entry/entry.go
+++ b/entry/entry.go
@@ -151,7 +151,7 @@
 		}
 		e.listeners[i] = ln
 	}
-	e.caller = e.newServer(e.callerHandler())
+	e.caller = e.newServer(e.closeWhenLeaving(e.callerHandler()))
 	e.operator = e.newServer(e.operatorHandler())
 	e.peers.Serve(e.listeners[2])
 	e.work.Go(func() { e.serve(e.caller, e.listeners[0]) })
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync"
 	"time"
 
@@ -130,6 +131,18 @@
 	}
 }
 
+// closeWhenLeaving has callers open a new connection for their next call once
+// the entry is leaving, so that none sends a call into a connection that is
+// about to be closed.
+func (e *Entry) closeWhenLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (e *Entry) shutdown(ctx context.Context) {
 	if err := e.caller.Shutdown(ctx); err != nil {
 		e.log.Warn("callers were cut off", "step", "shutdown", "err", err)
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -78,6 +78,9 @@
 	// Sent counts how often the request itself was sent; more than 1 means
 	// that an entry refused it or that its ID never came back.
 	Sent int
+	// Abandoned counts how often the request was given up by jaylink after it
+	// had been accepted.
+	Abandoned int
 }
 
 // call is one request under way.
@@ -193,6 +196,7 @@
 	if k.ID != "" && p.Reason != "owner_unreachable" {
 		// The request itself ended; completions may be sent again.
 		k.ID = ""
+		k.Abandoned++
 		k.text.Reset()
 	}
 	wait(ctx, time.Duration(seconds)*time.Second)
