entry: bound what a handover sends between regions

Cause: docs/capacity/continuity.md worked out that a whole zone of a two-zone region would send 100 MB of second copies over the link between regions.

Change: second copies cross it within a share of the link that all entries divide; beyond that the second holder is in the first one's zone. The planner of recovery divides its share the same way. Holders are kept while they stay.

Ruled out: no second copy at all (a killed primary would lose the request).

--- a/decision/core.go
+++ b/decision/core.go
@@ -132,6 +132,7 @@
 	case EntriesEvent:
 		c.entries = max(ev.Live, 1)
 		c.table.SetEntries(c.entries)
+		c.setRecoveryEntries()
 	case UsageEvent:
 		c.usage.report(ev.Peer, ev.InFlight)
 	case RequestEvent:
--- a/decision/handover/handover.go
+++ b/decision/handover/handover.go
@@ -59,6 +59,34 @@
 	return []Peer{order[0], backup}
 }
 
+// Spans reports whether a holder is in another region than the owner, so that
+// its copy has to cross the link between regions.
+func Spans(from Place, holders []Peer) bool {
+	return slices.ContainsFunc(holders, func(p Peer) bool { return p.Region != from.Region })
+}
+
+// Near returns the peers of the owner's region. Where the link has no room, the
+// backup is rather in the availability zone of the primary than in another
+// region.
+func Near(from Place, peers []Peer) []Peer {
+	return slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return p.Region != from.Region })
+}
+
+// Valid reports whether the holders of a request, by name, can be left as they
+// are: all of them stay, and there are two or no more peers.
+func Valid(holders []string, peers []Peer) bool {
+	staying := 0
+	for _, p := range peers {
+		if p.Leaving && slices.Contains(holders, p.Name) {
+			return false
+		}
+		if !p.Leaving {
+			staying++
+		}
+	}
+	return len(holders) > 0 && len(holders) >= min(staying, 2)
+}
+
 // perZone is the number of peers of each availability zone that are asked for a
 // request. More than one, because the peer with the highest weight may have
 // been leaving when the request was handed over.
--- a/decision/handover/handover_test.go
+++ b/decision/handover/handover_test.go
@@ -91,3 +91,30 @@
 	require.Equal(t, uint64(2), Epoch(1, 0))
 	require.Equal(t, uint64(3), Epoch(1, 1))
 }
+
+func TestNearAndSpans(t *testing.T) {
+	peers := fleet("a")
+	require.True(t, Spans(from, Holders("id", from, peers)), "the backup is in the other region")
+	near := Holders("id", from, Near(from, peers))
+	require.False(t, Spans(from, near))
+	require.Equal(t, []string{"b", "b"}, []string{near[0].Zone, near[1].Zone})
+}
+
+func TestValid(t *testing.T) {
+	peers := fleet("a")
+	cases := []struct {
+		name    string
+		holders []string
+		peers   []Peer
+		want    bool
+	}{
+		{"none", nil, peers, false},
+		{"both stay", []string{"b0", "c0"}, peers, true},
+		{"one is leaving", []string{"a0", "c0"}, peers, false},
+		{"one of many", []string{"b0"}, peers, false},
+		{"the only one", []string{"b0"}, []Peer{{Name: "b0"}}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.want, Valid(c.holders, c.peers)) })
+	}
+}
--- a/decision/move.go
+++ b/decision/move.go
@@ -52,6 +52,12 @@
 	count int
 }
 
+func (c *Core) setRecoveryEntries() {
+	if c.cfg.Recovery != nil {
+		c.cfg.Recovery.SetEntries(c.entries)
+	}
+}
+
 // reclaim plans what becomes of the streams on an upstream.
 func (c *Core) reclaim(now time.Time, ev ReclaimEvent) []Action {
 	from := c.table.Get(ev.Upstream)
--- a/decision/recovery/recovery.go
+++ b/decision/recovery/recovery.go
@@ -51,8 +51,8 @@
 	CacheBytes int64
 	// Export is the rate at which an upstream sends cache, in bytes a second.
 	Export int64
-	// Link is the share of the link between regions that recovery may use,
-	// in bytes a second. Text goes over it, cache never does.
+	// Link is the share of the link between regions that recovery on all
+	// entries may use, in bytes a second. Text goes over it, cache never does.
 	Link int64
 	// Prefill is the number of tokens an upstream reads in a second.
 	Prefill int64
@@ -78,7 +78,8 @@
 // targets and of the link, so that the upstreams of a whole availability zone
 // can be planned one after the other. It is not safe for concurrent use.
 type Planner struct {
-	rates Rates
+	rates   Rates
+	entries int64
 	// link and targets are the times until which they are taken.
 	link    time.Time
 	targets map[string]time.Time
@@ -86,9 +87,12 @@
 
 // NewPlanner returns a planner for rates; each rate must be positive.
 func NewPlanner(rates Rates) *Planner {
-	return &Planner{rates: rates, targets: map[string]time.Time{}}
+	return &Planner{rates: rates, entries: 1, targets: map[string]time.Time{}}
 }
 
+// SetEntries says how many entries share the link, this one included.
+func (p *Planner) SetEntries(n int) { p.entries = int64(max(n, 1)) }
+
 // Plan decides about all streams of an upstream that has left to live. The
 // steps come in the order in which they are to be started: urgent streams
 // first, then by falling recompute cost per byte moved.
@@ -199,7 +203,7 @@
 	after := wait(now, p.targets[t.Name])
 	if !t.SameRegion {
 		after = max(after, wait(now, p.link))
-		p.link = now.Add(after + seconds(s.tokens()*p.rates.TextBytes, p.rates.Link))
+		p.link = now.Add(after + seconds(s.tokens()*p.rates.TextBytes*p.entries, p.rates.Link))
 	}
 	p.targets[t.Name] = now.Add(after + p.recompute(s))
 	return min(after, max(left, 0))
--- a/decision/recovery/recovery_test.go
+++ b/decision/recovery/recovery_test.go
@@ -116,3 +116,15 @@
 	}
 	require.Equal(t, map[string]int{"1": 3, "2": 3}, used)
 }
+
+// The more entries share the link, the longer each waits between two streams
+// that go to another region.
+func TestPlanSharesTheLink(t *testing.T) {
+	second := func(entries int) time.Duration {
+		p := NewPlanner(Rates{CacheBytes: 1, Export: 1, Link: 1 << 20, Prefill: 1 << 30, TextBytes: 4})
+		p.SetEntries(entries)
+		streams := []Stream{stream("1", 1000, 100, 1000), stream("2", 1000, 100, 1000)}
+		return p.Plan(start, 10*time.Second, streams, []Target{{Name: "far", Free: 8}})[1].After
+	}
+	require.InDelta(t, float64(100*second(1)), float64(second(100)), float64(time.Millisecond))
+}
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -35,6 +35,8 @@
 	*Entry
 	deadline time.Time
 	slots    chan struct{}
+	// link is what may still be sent to other regions, in bytes.
+	link int
 
 	mu sync.Mutex
 	// unreachable has the peers that failed a call or refused a copy.
@@ -45,6 +47,7 @@
 	return &evacuation{
 		Entry: e, deadline: deadline,
 		slots: make(chan struct{}, maxHandovers), unreachable: map[string]bool{},
+		link: int(float64(e.settings.Recovery.Link) * linkTime.Seconds() / float64(1+len(e.peers.Live()))),
 	}
 }
 
@@ -101,7 +104,10 @@
 	members, peers := ev.reachable()
 	batches := map[string][]*Record{}
 	for _, rec := range list {
-		holders := pick(members, handover.Holders(rec.ID, ev.place(), peers))
+		if handover.Valid(rec.holderNames(), peers) {
+			continue
+		}
+		holders := pick(members, ev.holders(rec, peers))
 		if !rec.setHolders(holders) {
 			continue
 		}
@@ -116,6 +122,41 @@
 	calls.Wait()
 }
 
+// linkTime is how long the copies of an evacuation may take up the share of the
+// link between regions that is set aside for moves.
+const linkTime = 2 * time.Second
+
+// holders chooses the holders of a request. A copy goes to another region only
+// while the link has room for it.
+func (ev *evacuation) holders(rec *Record, peers []handover.Peer) []handover.Peer {
+	all := handover.Holders(rec.ID, ev.place(), peers)
+	if !handover.Spans(ev.place(), all) {
+		return all
+	}
+	near := handover.Near(ev.place(), peers)
+	nearHolders := handover.Holders(rec.ID, ev.place(), near)
+	if len(nearHolders) == 0 || ev.spendLink(rec.size()) {
+		return all
+	}
+	return nearHolders
+}
+
+// spendLink takes bytes from what the evacuation may send to other regions.
+func (ev *evacuation) spendLink(bytes int) bool {
+	if bytes > ev.link {
+		return false
+	}
+	ev.link -= bytes
+	return true
+}
+
+// size returns the size of prompt and answer so far in bytes.
+func (r *Record) size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.Call.Body) + len(r.text)
+}
+
 // copyTo sends copies to one peer, in messages of bounded size.
 func (ev *evacuation) copyTo(ctx context.Context, to *peerpb.Member, records []*Record) {
 	self := ev.peers.Self()
@@ -305,6 +346,17 @@
 	return true
 }
 
+// holderNames returns who holds copies.
+func (r *Record) holderNames() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for _, h := range r.ownership.holders {
+		out = append(out, h.Name)
+	}
+	return out
+}
+
 // setHolders notes who holds copies; it returns false if nothing changed.
 func (r *Record) setHolders(holders []*peerpb.Member) bool {
 	r.mu.Lock()
--- a/entry/recoversettings.go
+++ b/entry/recoversettings.go
@@ -11,9 +11,9 @@
 // RecoverySettings describe the machines and the link between regions, for the
 // choice of what becomes of the streams on a reclaimed upstream.
 type RecoverySettings struct {
-	// Link is what moves may use of the link between regions, in bytes a
-	// second. The rest is left to answers. Default 1MiB, a quarter of
-	// 30 Mb/s.
+	// Link is what moves and copies of all entries together may use of the
+	// link between regions, in bytes a second. The rest is left to answers.
+	// Default 1MiB, a quarter of 30 Mb/s.
 	Link api.ByteSize `yaml:"link"`
 	// CacheToken is the size of the KV cache of one token. Default 128KiB.
 	CacheToken api.ByteSize `yaml:"cache_token"`
--- /dev/null
+++ b/guarantees/g1_cost_test.go
@@ -0,0 +1,84 @@
+package guarantees
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jaylink/api"
+	"jaylink/internal/caller"
+	"jaylink/internal/procs"
+	"jaylink/internal/testfleet"
+	"jaylink/standin/engine"
+	"jaylink/upstream"
+)
+
+// clockTick is the unit of processor time in /proc.
+const clockTick = 10 * time.Millisecond
+
+// processorTime returns the processor time that a process has used.
+func processorTime(t *testing.T, pid int) time.Duration {
+	t.Helper()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	require.NoError(t, err)
+	_, rest, _ := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	var ticks int
+	for _, i := range []int{11, 12} { // utime and stime
+		n, err := strconv.Atoi(fields[i])
+		require.NoError(t, err)
+		ticks += n
+	}
+	return time.Duration(ticks) * clockTick
+}
+
+// What a handover costs its owner for each stream, and how long all of it takes.
+func TestHandoverOfManyStreams(t *testing.T) {
+	const streams, tokens = 200, 60
+	f := &reclaimFleet{Fleet: testfleet.New(t), t: t}
+	for _, z := range reclaimZones {
+		f.Upstream("engine", "caption-lm", "engine-"+z.zone, z.zone, z.region, "--slots", "400", "--token-interval", "45ms")
+		f.StartEntry(z.zone+"1", z.zone, z.region, longDrain)
+	}
+	for _, n := range f.Nodes {
+		setSlots(n, 400)
+	}
+	f.Ready()
+	f.Apply(f.Entries["a1"], captionObjects)
+	header := http.Header{"Jaylink-Label-App": {"captions"}, "Jaylink-Label-Account": {"desai"}}
+	var callers sync.WaitGroup
+	for i := range streams {
+		callers.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), answerTimeout)
+			defer cancel()
+			prompt := fmt.Sprintf("%d દીપ", i)
+			answer, err := caller.New(f.addresses("a1"), header).Complete(ctx, upstream.Completion{Prompt: prompt, MaxTokens: tokens, Stream: true})
+			if err != nil || answer.Text != engine.Text(prompt, tokens) {
+				t.Errorf("%s: %v, %d bytes", prompt, err, len(answer.Text))
+			}
+		})
+	}
+	entry := f.Entries["a1"]
+	require.NoError(t, procs.Await("the streams", func() bool {
+		s, err := entry.Client().Status(t.Context())
+		return err == nil && s.InFlight == streams
+	}))
+	used, begun := processorTime(t, entry.PID()), time.Now()
+	f.notice("a1", 2*time.Second)
+	f.awaitCount("a1", "handover.moved", streams)
+	took := time.Since(begun)
+	used = processorTime(t, entry.PID()) - used
+	testfleet.Figure("handover_ms_for_200_streams", float64(took.Milliseconds()), "ms")
+	testfleet.Figure("handover_owner_cpu_us_per_stream", float64(used.Microseconds())/streams, "us")
+	callers.Wait()
+}
+
+func setSlots(n *testfleet.Node, slots int) { n.Object.Spec.(*api.UpstreamSpec).Slots = slots }
