entry: bound what is kept of ended requests

Cause: records of ended and of refused requests stayed for two minutes whatever their size; refused ones of 4 MiB each could fill an entry.

Change: ended requests are kept up to limits.kept (64 MiB), oldest forgotten first; refused ones are not kept.

--- a/entry/driver.go
+++ b/entry/driver.go
@@ -147,7 +147,7 @@
 	rec := d.records.get(id)
 	rec.finish(now, p)
 	d.endClaim(rec, p)
-	d.records.ended()
+	d.records.ended(rec)
 	v, _ := rec.read(0)
 	d.countUsage(v)
 	if p != nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -79,7 +79,7 @@
 		log:       log,
 		metrics:   newCounters(),
 		config:    newConfigStore(log),
-		records:   newRegistry(),
+		records:   newRegistry(int(s.Limits.Kept)),
 		platform:  platform.New(s.Platform).InZone(s.AvailabilityZone),
 		upstreams: upstream.New(),
 		reclaims:  newReclaims(),
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -150,13 +150,6 @@
 	return true
 }
 
-// size returns the size of prompt and answer so far in bytes.
-func (r *Record) size() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.Call.Body) + len(r.text)
-}
-
 // copyTo sends copies to one peer, in messages of bounded size.
 func (ev *evacuation) copyTo(ctx context.Context, to *peerpb.Member, records []*Record) {
 	self := ev.peers.Self()
--- a/entry/handover_cost_test.go
+++ b/entry/handover_cost_test.go
@@ -65,7 +65,7 @@
 		return m.HeapAlloc
 	}
 	before := heap()
-	r := newRegistry()
+	r := newRegistry(0)
 	for i := range records {
 		r.add(costRecord(i, prompt, text))
 	}
--- a/entry/ownership.go
+++ b/entry/ownership.go
@@ -81,7 +81,7 @@
 	rec.notify()
 	rec.mu.Unlock()
 	if before.role == peerpb.Role_ROLE_OWNER {
-		e.records.ended()
+		e.records.ended(rec)
 	}
 	e.metrics.moved.Inc(1)
 	e.log.Info("request moved", "request_id", rec.ID, "peer", owner.GetName(), "epoch", epoch)
--- a/entry/record.go
+++ b/entry/record.go
@@ -194,3 +194,14 @@
 func (r *Record) left(before time.Time) bool {
 	return r.ownership.role != peerpb.Role_ROLE_OWNER && r.deadline.Before(before)
 }
+
+// size returns the size of prompt and answer so far in bytes.
+func (r *Record) size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	size := len(r.Call.Body) + len(r.text)
+	if r.answer != nil {
+		size += len(r.answer.Body)
+	}
+	return size
+}
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -17,10 +18,22 @@
 	active  int
 	held    int           // bytes of prompt of copies
 	idle    chan struct{} // closed while no request is in flight
+
+	// kept has the ended records, the oldest first.
+	kept     []keptRecord
+	keptSize int // bytes
+	maxKept  int
+}
+
+// keptRecord is an ended record that callers may still ask for.
+type keptRecord struct {
+	id   string
+	size int // bytes of prompt and answer
 }
 
-func newRegistry() *registry {
-	r := &registry{records: map[string]*Record{}, idle: make(chan struct{})}
+// newRegistry returns a registry that keeps so many bytes of ended requests.
+func newRegistry(maxKept int) *registry {
+	r := &registry{records: map[string]*Record{}, idle: make(chan struct{}), maxKept: maxKept}
 	close(r.idle)
 	return r
 }
@@ -111,14 +124,29 @@
 	return r.records[id]
 }
 
-// ended counts a record as no longer in flight.
-func (r *registry) ended() {
+// ended counts a record as no longer in flight. One that was never accepted is
+// dropped; the others are kept for callers that come back, the newest ones as
+// far as their size is within the limit.
+func (r *registry) ended(rec *Record) {
+	size := rec.size()
+	v, _ := rec.read(0)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.active--
 	if r.active == 0 {
 		close(r.idle)
 	}
+	if !v.accepted {
+		delete(r.records, rec.ID)
+		return
+	}
+	r.kept = append(r.kept, keptRecord{rec.ID, size})
+	r.keptSize += size
+	for r.keptSize > r.maxKept && len(r.kept) > 1 {
+		delete(r.records, r.kept[0].id)
+		r.keptSize -= r.kept[0].size
+		r.kept = r.kept[1:]
+	}
 }
 
 // inFlight returns the number of requests in flight and a channel that is
@@ -129,7 +157,8 @@
 	return r.active, r.idle
 }
 
-// forget drops records that ended before a time.
+// forget drops records that ended before a time, and those of other entries
+// whose deadline was before it.
 func (r *registry) forget(before time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -145,4 +174,11 @@
 		}
 		delete(r.records, id)
 	}
+	r.kept = slices.DeleteFunc(r.kept, func(k keptRecord) bool {
+		if r.records[k.id] != nil {
+			return false
+		}
+		r.keptSize -= k.size
+		return true
+	})
 }
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -94,6 +94,9 @@
 	OperatorBody api.ByteSize `yaml:"operator_body"`
 	// Answer bounds an upstream's answer. Default 16MiB.
 	Answer api.ByteSize `yaml:"answer"`
+	// Kept bounds prompts and answers of ended requests that are kept for
+	// callers that come back; the oldest are forgotten first. Default 64MiB.
+	Kept api.ByteSize `yaml:"kept"`
 }
 
 // DrainSettings say how the entry stops.
@@ -152,7 +155,7 @@
 // DefaultSettings returns the settings that a file starts from.
 func DefaultSettings() Settings {
 	return Settings{
-		Limits: LimitSettings{Header: 64 << 10, Body: 4 << 20, OperatorBody: 16 << 20, Answer: 16 << 20},
+		Limits: LimitSettings{Header: 64 << 10, Body: 4 << 20, OperatorBody: 16 << 20, Answer: 16 << 20, Kept: 64 << 20},
 		Drain: DrainSettings{
 			LeaveDelay: api.Duration(3 * time.Second),
 			Timeout:    api.Duration(2 * time.Minute),
--- a/entry/settings_check.go
+++ b/entry/settings_check.go
@@ -128,6 +128,7 @@
 	between(c, "limits.header", s.Limits.Header, minHeaderLimit, maxHeaderLimit)
 	between(c, "limits.body", s.Limits.Body, minBodyLimit, maxBodyLimit)
 	between(c, "limits.operator_body", s.Limits.OperatorBody, minBodyLimit, maxBodyLimit)
+	between(c, "limits.kept", s.Limits.Kept, minBodyLimit, maxBodyLimit)
 	between(c, "limits.answer", s.Limits.Answer, minBodyLimit, maxBodyLimit)
 	between(c, "record.decisions", s.Record.Decisions, 1, maxDecisions)
 }
--- a/guarantees/g1_entry_test.go
+++ b/guarantees/g1_entry_test.go
@@ -199,6 +199,14 @@
 			f.kill("a1", "a2")
 			f.Nodes["engine-a"].Kill()
 		}},
+		{"zone_killed_in_the_middle_of_its_reclaim", func(f *reclaimFleet) {
+			for _, host := range []string{"a1", "a2", "engine-a"} {
+				f.notice(host, time.Hour)
+			}
+			f.awaitCount("a1", "handover.copied", 2*reclaimCallers)
+			f.kill("a1", "a2")
+			f.Nodes["engine-a"].Kill()
+		}},
 		{"killed_once_copies_are_stored", func(f *reclaimFleet) {
 			f.notice("a1", time.Hour)
 			f.awaitCount("a1", "handover.copied", 2*reclaimCallers)
