entry: follow an announced owner before taking over

Cause: a holder whose owner was replaced by an announcement asked the lost owner and the holders before it only, and could take over from the new one.

Change: it follows the announced owner first. Announcements back off to 8 s. A queued retry counts as not dispatched.

--- a/entry/handover.go
+++ b/entry/handover.go
@@ -88,7 +88,7 @@
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
 	a := rec.attempt
-	p := handover.Progress{Dispatched: a.cancel != nil, Generated: a.tokens}
+	p := handover.Progress{Dispatched: a.running(), Generated: a.tokens}
 	if p.Dispatched {
 		p.Running = time.Since(a.began)
 	}
@@ -293,22 +293,24 @@
 
 const (
 	announceTimeout = time.Second
-	announcePause   = 250 * time.Millisecond
+	// announcePause is the first pause before an announcement is repeated; it
+	// doubles up to the maximum.
+	announcePause    = 250 * time.Millisecond
+	maxAnnouncePause = 8 * time.Second
 )
 
 // announce tells entries that may believe that they own a request who owns it,
-// in the background, until each has answered.
+// in the background, until each has answered or the request is forgotten.
 func (e *Entry) announce(id string, owner *peerpb.Member, epoch uint64, to []*peerpb.Member) {
 	for _, m := range to {
 		if m.GetName() == e.settings.Name || m.GetName() == owner.GetName() {
 			continue
 		}
 		e.work.Go(func() {
-			for e.background.Err() == nil && e.announceOnce(id, owner, epoch, m) != nil {
-				sleep(e.background, announcePause)
-				if rec := e.records.get(id); rec == nil {
-					return
-				}
+			pause := announcePause
+			for e.announceOnce(id, owner, epoch, m) != nil && e.records.get(id) != nil && e.background.Err() == nil {
+				sleep(e.background, pause)
+				pause = min(2*pause, maxAnnouncePause)
 			}
 		})
 	}
--- a/entry/holder.go
+++ b/entry/holder.go
@@ -40,7 +40,7 @@
 		}
 		err := e.follow(ctx, rec, owner, holderInterval)
 		cancel()
-		if err != nil && !errors.Is(err, errMoved) {
+		if err != nil && !errors.Is(err, errMoved) && rec.ownedBy(owner) {
 			e.log.Debug("owner is lost", "request_id", rec.ID, "peer", owner.GetName(), "err", err)
 			e.replaceOwner(rec, owner)
 		}
@@ -59,6 +59,13 @@
 	return r.ownership.owner, true
 }
 
+// ownedBy reports whether a copy still counts an entry as its owner.
+func (r *Record) ownedBy(owner *peerpb.Member) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ownership.role == peerpb.Role_ROLE_HOLDER && r.ownership.owner.GetName() == owner.GetName()
+}
+
 // replaceOwner looks for the owner of a request whose owner was lost: the
 // holders that come before this one may have taken over, or will. Only when
 // none of them answers does this entry take over itself.
--- a/entry/record.go
+++ b/entry/record.go
@@ -86,6 +86,19 @@
 	tokens int // that it generated
 }
 
+// running reports whether the attempt was started and has not ended.
+func (a *attempt) running() bool {
+	if a.ended == nil {
+		return false
+	}
+	select {
+	case <-a.ended:
+		return false
+	default:
+		return true
+	}
+}
+
 // ownership says which entry drives a request.
 type ownership struct {
 	role  peerpb.Role
--- a/entry/recover.go
+++ b/entry/recover.go
@@ -54,7 +54,7 @@
 	c := r.Call.Completion
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if c == nil || r.attempt.cancel == nil {
+	if c == nil || !r.attempt.running() {
 		return recovery.Stream{}, false
 	}
 	s := recovery.Stream{
--- a/guarantees/g1_entry_test.go
+++ b/guarantees/g1_entry_test.go
@@ -40,7 +40,13 @@
 var reclaimZones = []struct{ zone, region string }{{"a", "r"}, {"b", "r"}, {"c", "s"}}
 
 func newReclaimFleet(t *testing.T, settings string) *reclaimFleet {
+	return newRelayedFleet(t, settings, false)
+}
+
+// newRelayedFleet is newReclaimFleet; with relayed set, zones can be cut off.
+func newRelayedFleet(t *testing.T, settings string, relayed bool) *reclaimFleet {
 	f := &reclaimFleet{Fleet: testfleet.New(t), t: t}
+	f.Relayed = relayed
 	for _, z := range reclaimZones {
 		f.Upstream("engine", "caption-lm", "engine-"+z.zone, z.zone, z.region, "--slots", "64")
 		for i := 1; i <= 2; i++ {
@@ -273,3 +279,36 @@
 	f.awaitIdle("a1")
 	testfleet.Report(t, testfleet.Guarantee{Number: 1, Fault: "owner_frozen_and_woken", Cases: reclaimCallers, Violations: violations})
 }
+
+// A zone that is cut off from the others in the middle of its reclaim: holders
+// in other zones take over what they can no longer hear of. Owner and holder may
+// both drive a request for that time; each caller gets one whole answer.
+func TestZoneCutOffDuringReclaim(t *testing.T) {
+	cases := []struct {
+		fault string
+		after func(f *reclaimFleet)
+	}{
+		{"zone_cut_off_then_killed", func(f *reclaimFleet) { f.kill("a1", "a2") }},
+		{"zone_cut_off_then_healed", func(f *reclaimFleet) {
+			f.HealZones()
+			f.awaitIdle("a1")
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.fault, func(t *testing.T) {
+			t.Parallel()
+			f := newRelayedFleet(t, longDrain, true)
+			results := f.start("a1")
+			f.notice("a1", time.Hour)
+			f.awaitCount("a1", "handover.copied", 2*reclaimCallers)
+			f.CutZone("a")
+			require.NoError(t, procs.Await("a takeover", func() bool {
+				return f.counter("b1", "handover.taken_over")+f.counter("b2", "handover.taken_over") > 0
+			}))
+			c.after(f)
+			testfleet.Report(t, testfleet.Guarantee{
+				Number: 1, Fault: c.fault, Cases: reclaimCallers, Violations: f.violations(results),
+			})
+		})
+	}
+}
