decision/handover: settle two owners of the same epoch

Cause: when answers to Take are lost along two chains of owners, two entries can own a request under one epoch, and neither yields.

Change: claims are ordered by epoch, then by name; an entry that hears of two tells the owner of the lesser one; a new owner announces itself to the holders.

--- a/entry/handoverserver.go
+++ b/entry/handoverserver.go
@@ -78,6 +78,9 @@
 		return &peerpb.TakeReply{Owner: s.peers.Self()}, nil
 	}
 	accepted := !s.leaving.Load() && s.become(rec, req.Epoch, req.Copy)
+	if accepted {
+		s.announce(rec.ID, s.peers.Self(), req.Epoch, req.Copy.Holders)
+	}
 	v, _ := rec.read(0)
 	reply := &peerpb.TakeReply{Accepted: accepted, Owner: v.owner, Epoch: v.epoch}
 	if v.role == peerpb.Role_ROLE_OWNER {
@@ -92,7 +95,7 @@
 	if rec == nil {
 		return &peerpb.AnnounceReply{Epoch: req.Epoch}, nil
 	}
-	s.yield(rec, req.Owner, req.Epoch)
+	s.announced(rec, req.Owner, req.Epoch)
 	v, _ := rec.read(0)
 	return &peerpb.AnnounceReply{Epoch: max(v.epoch, req.Epoch)}, nil
 }
--- a/entry/ownership.go
+++ b/entry/ownership.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"jaylink/decision"
+	"jaylink/decision/handover"
 	"jaylink/peer/peerpb"
 )
 
@@ -13,7 +14,8 @@
 func (e *Entry) become(rec *Record, epoch uint64, full *peerpb.RequestCopy) bool {
 	rec.mu.Lock()
 	o := &rec.ownership
-	if o.role == peerpb.Role_ROLE_OWNER || o.epoch >= epoch {
+	mine := handover.Claim{Epoch: epoch, Owner: e.settings.Name}
+	if o.role == peerpb.Role_ROLE_OWNER || !o.claim(e.settings.Name).Before(mine) {
 		held := o.role == peerpb.Role_ROLE_OWNER && o.epoch >= epoch
 		rec.mu.Unlock()
 		return held
@@ -72,7 +74,8 @@
 func (e *Entry) moveTo(rec *Record, owner *peerpb.Member, epoch uint64) {
 	rec.mu.Lock()
 	before := rec.ownership
-	if rec.done || before.epoch >= epoch {
+	next := handover.Claim{Epoch: epoch, Owner: owner.GetName()}
+	if rec.done || !before.claim(e.settings.Name).Before(next) {
 		rec.mu.Unlock()
 		return
 	}
@@ -87,13 +90,33 @@
 	e.log.Info("request moved", "request_id", rec.ID, "peer", owner.GetName(), "epoch", epoch)
 }
 
-// yield gives up a request because another entry owns it under a higher epoch.
-func (e *Entry) yield(rec *Record, owner *peerpb.Member, epoch uint64) {
-	v, _ := rec.read(0)
-	switch {
-	case v.epoch >= epoch || v.done:
+// announced takes the news that another entry owns a request. If that is a
+// better claim than the one known here, this entry stops driving the request and
+// tells the owner that it knew; otherwise it tells the other entry of the better
+// claim.
+func (e *Entry) announced(rec *Record, owner *peerpb.Member, epoch uint64) {
+	rec.mu.Lock()
+	o, done := rec.ownership, rec.done
+	rec.mu.Unlock()
+	if done {
 		return
-	case v.role == peerpb.Role_ROLE_HOLDER:
+	}
+	known := o.owner
+	if known == nil {
+		known = e.peers.Self()
+	}
+	switch handover.Judge(o.claim(e.settings.Name), handover.Claim{Epoch: epoch, Owner: owner.GetName()}) {
+	case handover.Accept:
+		e.yield(rec, owner, epoch)
+		e.announce(rec.ID, owner, epoch, []*peerpb.Member{known})
+	case handover.Correct:
+		e.announce(rec.ID, known, o.epoch, []*peerpb.Member{owner})
+	}
+}
+
+// yield gives up a request to its owner.
+func (e *Entry) yield(rec *Record, owner *peerpb.Member, epoch uint64) {
+	if v, _ := rec.read(0); v.role == peerpb.Role_ROLE_HOLDER {
 		rec.redirect(owner, epoch)
 		return
 	}
@@ -111,7 +134,8 @@
 func (r *Record) redirect(owner *peerpb.Member, epoch uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ownership.epoch > epoch || r.ownership.role != peerpb.Role_ROLE_HOLDER {
+	next := handover.Claim{Epoch: epoch, Owner: owner.GetName()}
+	if r.ownership.role != peerpb.Role_ROLE_HOLDER || next.Before(r.ownership.claim("")) {
 		return
 	}
 	r.ownership.owner = owner
--- a/entry/record.go
+++ b/entry/record.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"jaylink/api"
+	"jaylink/decision/handover"
 	"jaylink/decision/reason"
 	"jaylink/peer/peerpb"
 	"jaylink/upstream"
@@ -113,6 +114,14 @@
 	unfollow context.CancelFunc
 }
 
+// claim returns who owns the request; self is the name of this entry.
+func (o *ownership) claim(self string) handover.Claim {
+	if o.owner != nil {
+		self = o.owner.Name
+	}
+	return handover.Claim{Epoch: o.epoch, Owner: self}
+}
+
 // firstEpoch is the epoch of the entry that accepted a request.
 const firstEpoch = 1
 
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -85,11 +85,18 @@
 	return rec, true
 }
 
-// adopted counts a record that was a copy as in flight.
-func (r *registry) adopted(*Record) {
+// adopted counts a record that another entry drove as in flight.
+func (r *registry) adopted(rec *Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.begin()
+	r.kept = slices.DeleteFunc(r.kept, func(k keptRecord) bool {
+		if k.id != rec.ID {
+			return false
+		}
+		r.keptSize -= k.size
+		return true
+	})
 }
 
 // begin counts one more request in flight; the caller holds the lock.
