--- a/decision/move.go
+++ b/decision/move.go
@@ -125,12 +125,12 @@
 
 // movesOn puts a request whose attempt ended because its upstream leaves back
 // into the queue. It returns false if the attempt ended for another reason.
-func (c *Core) movesOn(r *request, ev AttemptEvent) bool {
+func (c *Core) movesOn(now time.Time, r *request, ev AttemptEvent) bool {
 	ending := r.move.ending
 	r.move.planned, r.move.ending = false, false
 	u := c.table.Get(ev.Upstream)
 	broken := u != nil && u.Leaving && blamesUpstream(ev.Outcome) && ev.Resumable
-	if r.timedOut || !r.res.Idempotent || !ending && !broken {
+	if r.timedOut || !r.res.Idempotent || !ending && !broken || c.poison.Poisoned(now, r.fingerprint) {
 		return false
 	}
 	r.move.count++
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -11,6 +11,7 @@
 type counters struct {
 	registry metrics.Registry
 	accepted metrics.Counter
+	crashes  metrics.Counter
 	answered metrics.Counter
 	// copied, moved and takenOver count requests at a handover: copies stored
 	// by peers, requests given to a peer, and those taken over from an owner
@@ -33,6 +34,7 @@
 		registry:    r,
 		accepted:    metrics.NewRegisteredCounter("request.accepted", r),
 		answered:    metrics.NewRegisteredCounter("request.answered", r),
+		crashes:     metrics.NewRegisteredCounter("upstream.crashes", r),
 		copied:      metrics.NewRegisteredCounter("handover.copied", r),
 		moved:       metrics.NewRegisteredCounter("handover.moved", r),
 		takenOver:   metrics.NewRegisteredCounter("handover.taken_over", r),
