--- a/decision/handover/claim_test.go
+++ b/decision/handover/claim_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"jaylink/internal/schedule"
 )
 
 // network is a model of entries that hand one request around. Messages may be
@@ -119,7 +121,7 @@
 // Whatever gets lost, late or repeated: once all announcements have arrived, one
 // entry drives the request, and all know which.
 func TestOneOwnerIsLeft(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+	schedule.Check(t, 1, "owners_random_schedules", func(t *rapid.T) {
 		n := newNetwork()
 		for range rapid.IntRange(0, 30).Draw(t, "steps") {
 			entry := rapid.SampledFrom(entries).Draw(t, "entry")
--- a/decision/handover/handover_test.go
+++ b/decision/handover/handover_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"jaylink/internal/schedule"
 )
 
 var from = Place{Zone: "a", Region: "r"}
@@ -52,7 +54,7 @@
 
 // Whoever is leaving, the holders are among the peers that are asked later.
 func TestLookupFindsHolders(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+	schedule.Check(t, 1, "lookup_random_holders", func(t *rapid.T) {
 		id := rapid.String().Draw(t, "id")
 		peers := fleet()
 		gone := rapid.IntRange(0, len(peers)-1).Draw(t, "leaving")
--- a/decision/recovery/recovery_test.go
+++ b/decision/recovery/recovery_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"jaylink/internal/schedule"
 )
 
 var (
@@ -74,7 +76,7 @@
 // Whatever is reclaimed: one step a stream, none waits past the deadline, and no
 // target gets more than its free slots.
 func TestPlanProperties(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+	schedule.Check(t, 1, "plans_random_streams", func(t *rapid.T) {
 		left := time.Duration(rapid.Int64Range(-1000, 60_000).Draw(t, "left_ms")) * time.Millisecond
 		var streams []Stream
 		for i := range rapid.IntRange(0, 40).Draw(t, "streams") {
