--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -58,6 +58,11 @@
 	if a.Spec.Protocol == api.ProtocolCompletions {
 		return e.complete(ctx, rec, a, id)
 	}
+	if a.Limits.Answer > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, a.Limits.Answer)
+		defer cancel()
+	}
 	answer, res := e.upstreams.Forward(ctx, upstream.ServiceCall{
 		Address:    a.Spec.Address,
 		RequestID:  tag,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -44,6 +44,8 @@
 	upstreams *upstream.Client
 	peers     *peer.Node
 	claims    *claimBook
+	// operators has names by credential; nil lets everyone in.
+	operators map[string]string
 	// incarnation and started identify this process and say since when it runs.
 	incarnation uint64
 	started     time.Time
@@ -81,13 +83,13 @@
 		config:    newConfigStore(log),
 		records:   newRegistry(int(s.Limits.Kept)),
 		platform:  platform.New(s.Platform).InZone(s.AvailabilityZone),
-		upstreams: upstream.New(),
 		reclaims:  newReclaims(),
 		leave:     make(chan struct{}),
-		signs:     newSignStore(s.Name, log),
 		loads:     newLoadStore(),
 		decisions: newDecisionRecord(s.Name, s.Record.Decisions),
 	}
+	e.upstreams = upstream.New(e.linkTraffic)
+	e.signs = newSignStore(s.Name, log, e.decisions)
 	cfg.Observer = &observer{decisions: e.decisions, table: func() *route.Table { return e.driver.core.Table() }}
 	e.background, e.cancel = context.WithCancel(context.Background())
 	e.started = time.Now()
@@ -105,6 +107,11 @@
 	if err != nil {
 		return nil, oops.In("entry").With("step", "peer_tls").Wrap(err)
 	}
+	if file := s.Operators.CredentialsFile; file != "" {
+		if e.operators, err = readOperators(file); err != nil {
+			return nil, oops.In("entry").With("step", "operators").Wrap(err)
+		}
+	}
 	source, _, _ := net.SplitHostPort(s.Listen.Peer)
 	e.peers = peer.New(peer.Options{
 		Self: &peerpb.Member{
@@ -152,7 +159,7 @@
 		e.listeners[i] = ln
 	}
 	e.caller = e.newServer(e.closeWhenLeaving(e.callerHandler()))
-	e.operator = e.newServer(e.operatorHandler())
+	e.operator = e.newServer(e.boundWrites(e.operatorHandler()))
 	registerCrashServer(e.peers.Server(), e.driver.step)
 	e.peers.Serve(e.listeners[2])
 	e.work.Go(func() { e.serve(e.caller, e.listeners[0]) })
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -10,6 +10,7 @@
 	"github.com/samber/oops"
 
 	"jaylink/decision"
+	"jaylink/operator"
 )
 
 const (
@@ -70,6 +71,7 @@
 	if host != e.host() || !fresh || time.Until(deadline) <= 0 {
 		return
 	}
+	e.decisions.add(operator.Decision{Kind: operator.DecisionReclaimed, Detail: "deadline=" + deadline.UTC().Format(time.RFC3339)})
 	e.log.Info("this host is being reclaimed", "step", "reclaim", "deadline", deadline)
 	e.work.Go(func() { e.evacuate(e.background, deadline) })
 }
@@ -153,6 +155,7 @@
 	e.peers.Close()
 	e.driver.stop()
 	e.work.Wait()
+	e.closeTrace()
 	e.platform.Close()
 	e.upstreams.Close()
 	e.log.Info("entry stopped")
