--- a/decision/adopt.go
+++ b/decision/adopt.go
@@ -51,8 +51,12 @@
 	c.wakes.set(r, r.deadline)
 	r.attempts = ev.Failed
 	r.ran = ranBefore(ev.Dispatched)
+	accepted := AcceptAction{ID: r.id, Resolution: res, Deadline: r.deadline}
+	if c.poison.Poisoned(now, r.fingerprint) {
+		return append([]Action{accepted}, c.refuse(now, r, reason.Poison)...)
+	}
 	c.enqueue(r)
-	return []Action{AcceptAction{ID: r.id, Resolution: res, Deadline: r.deadline}}
+	return []Action{accepted}
 }
 
 // ranBefore is what is known about the attempts of an earlier owner.
--- a/decision/adopt_test.go
+++ b/decision/adopt_test.go
@@ -50,3 +50,28 @@
 	_, waits := c.NextWake()
 	require.False(t, waits)
 }
+
+// A request that is known to crash upstreams is not taken from one entry to the
+// next, nor from a leaving upstream to another.
+func TestPoisonIsNotHandedOn(t *testing.T) {
+	c := newCore(t)
+	for _, upstream := range []string{"u7", "u8", "u9"} {
+		c.Step(start, elsewhere(7, upstream, start))
+	}
+	ev := adoption("adopted")
+	ev.Fingerprint = 7
+	a := last[RefuseAction](t, c.Step(start, ev))
+	require.Equal(t, reason.Poison, a.Reason)
+	require.Equal(t, reason.RanUnknown, a.Ran)
+
+	c = newMovingCore(t)
+	d := last[DispatchAction](t, c.Step(start, crashArrival("1", 7)))
+	c.Step(start, LeavingEvent{Upstream: d.Upstream, Leaving: true})
+	for _, upstream := range []string{"u7", "u8", "u9"} {
+		c.Step(start, elsewhere(7, upstream, start))
+	}
+	end := crashEnd(d)
+	end.Resumable = true
+	a = last[RefuseAction](t, c.Step(start, end))
+	require.Equal(t, reason.Poison, a.Reason)
+}
--- a/decision/core.go
+++ b/decision/core.go
@@ -137,6 +137,7 @@
 	case EntriesEvent:
 		c.entries = max(ev.Live, 1)
 		c.table.SetEntries(c.entries)
+		c.setRecoveryEntries()
 	case UsageEvent:
 		c.usage.report(ev.Peer, ev.InFlight)
 	case RequestEvent:
@@ -354,7 +355,7 @@
 		c.remove(r)
 		return []Action{FinishAction{ID: r.id}}
 	}
-	if c.movesOn(r, ev) {
+	if c.movesOn(now, r, ev) {
 		return nil
 	}
 	if ev.Outcome == OutcomeTooLarge {
--- a/decision/recovery/recovery_test.go
+++ b/decision/recovery/recovery_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"jaylink/internal/schedule"
 )
 
 var (
@@ -74,7 +76,7 @@
 // Whatever is reclaimed: one step a stream, none waits past the deadline, and no
 // target gets more than its free slots.
 func TestPlanProperties(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+	schedule.Check(t, 1, "plans_random_streams", func(t *rapid.T) {
 		left := time.Duration(rapid.Int64Range(-1000, 60_000).Draw(t, "left_ms")) * time.Millisecond
 		var streams []Stream
 		for i := range rapid.IntRange(0, 40).Draw(t, "streams") {
@@ -116,3 +118,15 @@
 	}
 	require.Equal(t, map[string]int{"1": 3, "2": 3}, used)
 }
+
+// The more entries share the link, the longer each waits between two streams
+// that go to another region.
+func TestPlanSharesTheLink(t *testing.T) {
+	second := func(entries int) time.Duration {
+		p := NewPlanner(Rates{CacheBytes: 1, Export: 1, Link: 1 << 20, Prefill: 1 << 30, TextBytes: 4})
+		p.SetEntries(entries)
+		streams := []Stream{stream("1", 1000, 100, 1000), stream("2", 1000, 100, 1000)}
+		return p.Plan(start, 10*time.Second, streams, []Target{{Name: "far", Free: 8}})[1].After
+	}
+	require.InDelta(t, float64(100*second(1)), float64(second(100)), float64(time.Millisecond))
+}
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -229,7 +229,6 @@
 // one from one that was cut off. The status line is out with the first byte; a
 // failed write shows on the caller's side.
 func writeBody(w http.ResponseWriter, status int, body []byte) {
-	limitWrite(w)
 	if len(body) > 0 {
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
--- a/entry/driver.go
+++ b/entry/driver.go
@@ -156,7 +156,7 @@
 	}
 	rec.finish(now, p)
 	d.endClaim(rec, p)
-	d.records.ended()
+	d.records.ended(rec)
 }
 
 func (d *driver) noteRefused(now time.Time, rec *Record, v view, p *Problem) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -84,7 +84,7 @@
 		log:       log,
 		metrics:   newCounters(),
 		config:    newConfigStore(log),
-		records:   newRegistry(),
+		records:   newRegistry(int(s.Limits.Kept)),
 		platform:  platform.New(s.Platform).InZone(s.AvailabilityZone),
 		reclaims:  newReclaims(),
 		leave:     make(chan struct{}),
@@ -163,7 +163,7 @@
 		}
 		e.listeners[i] = ln
 	}
-	e.caller = e.newServer(e.callerHandler())
+	e.caller = e.newServer(e.closeWhenLeaving(e.callerHandler()))
 	e.operator = e.newServer(e.boundWrites(e.operatorHandler()))
 	registerCrashServer(e.peers.Server(), e.driver.step)
 	e.peers.Serve(e.listeners[2])
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -35,6 +35,8 @@
 	*Entry
 	deadline time.Time
 	slots    chan struct{}
+	// link is what may still be sent to other regions, in bytes.
+	link int
 
 	mu sync.Mutex
 	// unreachable has the peers that failed a call or refused a copy.
@@ -45,6 +47,7 @@
 	return &evacuation{
 		Entry: e, deadline: deadline,
 		slots: make(chan struct{}, maxHandovers), unreachable: map[string]bool{},
+		link: int(float64(e.settings.Recovery.Link) * linkTime.Seconds() / float64(1+len(e.peers.Live()))),
 	}
 }
 
@@ -85,7 +88,7 @@
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
 	a := rec.attempt
-	p := handover.Progress{Dispatched: a.cancel != nil, Generated: a.tokens}
+	p := handover.Progress{Dispatched: a.running(), Generated: a.tokens}
 	if p.Dispatched {
 		p.Running = time.Since(a.began)
 	}
@@ -101,7 +104,10 @@
 	members, peers := ev.reachable()
 	batches := map[string][]*Record{}
 	for _, rec := range list {
-		holders := pick(members, handover.Holders(rec.ID, ev.place(), peers))
+		if handover.Valid(rec.holderNames(), peers) {
+			continue
+		}
+		holders := pick(members, ev.holders(rec, peers))
 		if !rec.setHolders(holders) {
 			continue
 		}
@@ -116,6 +122,34 @@
 	calls.Wait()
 }
 
+// linkTime is how long the copies of an evacuation may take up the share of the
+// link between regions that is set aside for moves.
+const linkTime = 2 * time.Second
+
+// holders chooses the holders of a request. A copy goes to another region only
+// while the link has room for it.
+func (ev *evacuation) holders(rec *Record, peers []handover.Peer) []handover.Peer {
+	all := handover.Holders(rec.ID, ev.place(), peers)
+	if !handover.Spans(ev.place(), all) {
+		return all
+	}
+	near := handover.Near(ev.place(), peers)
+	nearHolders := handover.Holders(rec.ID, ev.place(), near)
+	if len(nearHolders) == 0 || ev.spendLink(rec.size()) {
+		return all
+	}
+	return nearHolders
+}
+
+// spendLink takes bytes from what the evacuation may send to other regions.
+func (ev *evacuation) spendLink(bytes int) bool {
+	if bytes > ev.link {
+		return false
+	}
+	ev.link -= bytes
+	return true
+}
+
 // copyTo sends copies to one peer, in messages of bounded size.
 func (ev *evacuation) copyTo(ctx context.Context, to *peerpb.Member, records []*Record) {
 	self := ev.peers.Self()
@@ -259,22 +293,24 @@
 
 const (
 	announceTimeout = time.Second
-	announcePause   = 250 * time.Millisecond
+	// announcePause is the first pause before an announcement is repeated; it
+	// doubles up to the maximum.
+	announcePause    = 250 * time.Millisecond
+	maxAnnouncePause = 8 * time.Second
 )
 
 // announce tells entries that may believe that they own a request who owns it,
-// in the background, until each has answered.
+// in the background, until each has answered or the request is forgotten.
 func (e *Entry) announce(id string, owner *peerpb.Member, epoch uint64, to []*peerpb.Member) {
 	for _, m := range to {
 		if m.GetName() == e.settings.Name || m.GetName() == owner.GetName() {
 			continue
 		}
 		e.work.Go(func() {
-			for e.background.Err() == nil && e.announceOnce(id, owner, epoch, m) != nil {
-				sleep(e.background, announcePause)
-				if rec := e.records.get(id); rec == nil {
-					return
-				}
+			pause := announcePause
+			for e.announceOnce(id, owner, epoch, m) != nil && e.records.get(id) != nil && e.background.Err() == nil {
+				sleep(e.background, pause)
+				pause = min(2*pause, maxAnnouncePause)
 			}
 		})
 	}
@@ -305,6 +341,17 @@
 	return true
 }
 
+// holderNames returns who holds copies.
+func (r *Record) holderNames() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for _, h := range r.ownership.holders {
+		out = append(out, h.Name)
+	}
+	return out
+}
+
 // setHolders notes who holds copies; it returns false if nothing changed.
 func (r *Record) setHolders(holders []*peerpb.Member) bool {
 	r.mu.Lock()
--- a/entry/record.go
+++ b/entry/record.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"jaylink/api"
+	"jaylink/decision/handover"
 	"jaylink/decision/reason"
 	"jaylink/peer/peerpb"
 	"jaylink/upstream"
@@ -86,6 +87,19 @@
 	tokens int // that it generated
 }
 
+// running reports whether the attempt was started and has not ended.
+func (a *attempt) running() bool {
+	if a.ended == nil {
+		return false
+	}
+	select {
+	case <-a.ended:
+		return false
+	default:
+		return true
+	}
+}
+
 // ownership says which entry drives a request.
 type ownership struct {
 	role  peerpb.Role
@@ -100,6 +114,14 @@
 	unfollow context.CancelFunc
 }
 
+// claim returns who owns the request; self is the name of this entry.
+func (o *ownership) claim(self string) handover.Claim {
+	if o.owner != nil {
+		self = o.owner.Name
+	}
+	return handover.Claim{Epoch: o.epoch, Owner: self}
+}
+
 // firstEpoch is the epoch of the entry that accepted a request.
 const firstEpoch = 1
 
@@ -194,3 +216,14 @@
 func (r *Record) left(before time.Time) bool {
 	return r.ownership.role != peerpb.Role_ROLE_OWNER && r.deadline.Before(before)
 }
+
+// size returns the size of prompt and answer so far in bytes.
+func (r *Record) size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	size := len(r.Call.Body) + len(r.text)
+	if r.answer != nil {
+		size += len(r.answer.Body)
+	}
+	return size
+}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -98,6 +98,9 @@
 	OperatorBody api.ByteSize `yaml:"operator_body"`
 	// Answer bounds an upstream's answer. Default 16MiB.
 	Answer api.ByteSize `yaml:"answer"`
+	// Kept bounds prompts and answers of ended requests that are kept for
+	// callers that come back; the oldest are forgotten first. Default 64MiB.
+	Kept api.ByteSize `yaml:"kept"`
 }
 
 // OperatorSettings say who may use the operator port.
@@ -177,7 +180,7 @@
 // DefaultSettings returns the settings that a file starts from.
 func DefaultSettings() Settings {
 	return Settings{
-		Limits:   LimitSettings{Header: 64 << 10, Body: 4 << 20, OperatorBody: 16 << 20, Answer: 16 << 20},
+		Limits:   LimitSettings{Header: 64 << 10, Body: 4 << 20, OperatorBody: 16 << 20, Answer: 16 << 20, Kept: 64 << 20},
 		Timeouts: TimeoutSettings{Body: api.Duration(30 * time.Second), Write: api.Duration(30 * time.Second)},
 		Drain: DrainSettings{
 			LeaveDelay: api.Duration(3 * time.Second),
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/tmaxmax/go-sse"
 
@@ -84,18 +83,7 @@
 	return send(w, m)
 }
 
-// callerTimeout bounds one write to a caller. A caller that reads slower than
-// that is cut off; it can read on with its request's ID.
-const callerTimeout = 30 * time.Second
-
-// limitWrite gives the next write to a caller its deadline. A connection without
-// deadlines, as in tests, is left without one.
-func limitWrite(w http.ResponseWriter) {
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(callerTimeout))
-}
-
 func send(w http.ResponseWriter, m *sse.Message) error {
-	limitWrite(w)
 	if _, err := m.WriteTo(w); err != nil {
 		return err
 	}
