poison: hold no late report of an explained crash against anyone

Cause: once a request was poison its crashes were dropped. The test then waited for ever: an engine was started again while the fleet stopped.

Change: a crash that poison took part in stays, explained, and counts for nobody; the test starts and stops engines under one lock.

--- a/decision/poison/poison.go
+++ b/decision/poison/poison.go
@@ -47,6 +47,9 @@
 	upstream string
 	at       time.Time
 	requests []uint64
+	// explained says that a request that is poison took part in it. It is
+	// held against no other, also if their reports come later.
+	explained bool
 }
 
 func (c *crash) has(fingerprint uint64) bool { return slices.Contains(c.requests, fingerprint) }
@@ -60,11 +63,15 @@
 // new.
 func (t *Tracker) Add(now time.Time, report Crash) bool {
 	t.expire(now)
-	if now.Sub(report.At) >= memory || t.Poisoned(now, report.Fingerprint) {
+	if now.Sub(report.At) >= memory {
 		return false
 	}
 	c := t.find(report)
-	if c.has(report.Fingerprint) || len(c.requests) >= maxShared {
+	if t.Poisoned(now, report.Fingerprint) {
+		t.explain(c)
+		return false
+	}
+	if c.explained || c.has(report.Fingerprint) || len(c.requests) >= maxShared {
 		return false
 	}
 	c.requests = append(c.requests, report.Fingerprint)
@@ -100,7 +107,7 @@
 	}
 	shared := map[uint64]int{}
 	for _, c := range t.crashes {
-		if !c.has(fingerprint) {
+		if c.explained || !c.has(fingerprint) {
 			continue
 		}
 		for _, other := range c.requests {
@@ -117,17 +124,23 @@
 // the requests beside it.
 func (t *Tracker) condemn(now time.Time, fingerprint uint64) {
 	t.poisoned[fingerprint] = now
-	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool {
+	for _, c := range t.crashes {
 		if c.has(fingerprint) {
-			t.forget(c)
-			return true
+			t.explain(c)
 		}
-		return false
-	})
+	}
+}
+
+func (t *Tracker) explain(c *crash) {
+	t.forget(c)
+	c.explained = true
 }
 
 // forget takes a crash out of the counts.
 func (t *Tracker) forget(c *crash) {
+	if c.explained {
+		return
+	}
 	for _, f := range c.requests {
 		t.counts[f]--
 		if t.counts[f] <= 0 {
--- a/decision/poison/poison_test.go
+++ b/decision/poison/poison_test.go
@@ -70,6 +70,10 @@
 	}
 	require.True(t, tr.Poisoned(start, 1))
 	require.Zero(t, tr.Crashes(2))
+	require.False(t, tr.Add(start, report(3, "1", 0)), "a late report of an explained crash")
+	tr.Add(start, report(4, "another", 0))
+	tr.Add(start, report(1, "another", 0))
+	require.Zero(t, tr.Crashes(4), "a later crash of what is poison is explained too")
 }
 
 func TestCrashesExpire(t *testing.T) {
--- a/guarantees/poison_test.go
+++ b/guarantees/poison_test.go
@@ -70,30 +70,38 @@
 func (f *poisonFleet) revive() {
 	for _, n := range f.engines {
 		f.work.Go(func() {
-			for {
-				<-n.Done()
-				f.mu.Lock()
-				stopped := f.stopped
-				f.crashes++
-				f.mu.Unlock()
-				if stopped {
-					return
-				}
-				f.RestartNode(n)
+			for f.reviveOnce(n) {
 			}
 		})
 	}
 }
 
+// reviveOnce waits for the end of an engine and starts it again. It returns
+// false once the fleet stops.
+func (f *poisonFleet) reviveOnce(n *testfleet.Node) bool {
+	f.mu.Lock()
+	done := n.Done()
+	f.mu.Unlock()
+	<-done
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stopped {
+		return false
+	}
+	f.crashes++
+	f.RestartNode(n)
+	return true
+}
+
 // stop ends the engines and returns how many crashes there were.
 func (f *poisonFleet) stop() int {
 	f.mu.Lock()
 	f.stopped = true
 	crashes := f.crashes
-	f.mu.Unlock()
 	for _, n := range f.engines {
 		n.Kill()
 	}
+	f.mu.Unlock()
 	f.work.Wait()
 	return crashes
 }
