--- a/Makefile
+++ b/Makefile
@@ -8,22 +8,18 @@
 # The packages whose tests are proofs of what must always hold.
 PROOFS = ./guarantees/... ./decision/...
 
-.PHONY: build test units guarantees bench demo check docs generate clean
+.PHONY: build test guarantees bench demo check docs generate clean
 
 build:
 	$(GO) build -o $(BIN)/jaylink ./cmd/jaylink
 
 test:
-	$(GO) run ./internal/testrun -- -count=1 ./...
+	JAYLINK_SCHEDULES=$(SCHEDULES) JAYLINK_SEED=$(SEED) $(GO) run ./internal/testrun -- -count=1 ./...
 
 # The proofs of what must always hold; prints a line a case.
 guarantees:
 	JAYLINK_SCHEDULES=$(SCHEDULES) JAYLINK_SEED=$(SEED) $(GO) run ./internal/testrun -- -count=1 $(PROOFS)
 
-# The tests that are no proofs; with "make guarantees" each test runs once.
-units:
-	$(GO) run ./internal/testrun -- $$($(GO) list ./... | grep -vxF "$$($(GO) list $(PROOFS))")
-
 # The measurements, each figure beside its target.
 bench:
 	$(GO) run ./internal/testrun -- -tags bench -p 1 -count=1 -run '^TestFigure' ./internal/bench/...
