--- a/entry/crash.go
+++ b/entry/crash.go
@@ -18,7 +18,8 @@
 	// crashProbeTimeout bounds the look at an upstream whose connection broke.
 	crashProbeTimeout = 250 * time.Millisecond
 	crashProbePause   = 10 * time.Millisecond
-	crashSpreadTime   = time.Second
+	// crashSpreadTime bounds the wait for a peer that can't be reached.
+	crashSpreadTime = 10 * time.Second
 )
 
 // crashed reports whether an attempt ended because its upstream crashed. One
@@ -69,7 +70,7 @@
 	}
 	ctx, cancel := context.WithTimeout(e.background, crashSpreadTime)
 	defer cancel()
-	_, err = peerpb.NewPoisonClient(conn).Report(ctx, report)
+	_, err = peerpb.NewPoisonClient(conn).Report(ctx, report, grpc.WaitForReady(true))
 	return err
 }
 
--- a/guarantees/poison_test.go
+++ b/guarantees/poison_test.go
@@ -63,9 +63,22 @@
 	require.NoError(t, procs.AwaitHTTP(f.entries[0].URL("/healthz/ready")))
 	f.Apply(f.entries[0], poisonObjects)
 	f.Ready()
+	for _, e := range f.entries {
+		require.NoError(t, procs.Await("the peers of "+e.Name, func() bool { return livePeers(f.Fleet, e) == entries-1 }))
+	}
 	return f
 }
 
+// livePeers returns the number of entries that an entry knows to be live. One
+// that has just started knows none, and nobody tells it of crashes.
+func livePeers(f *testfleet.Fleet, e *testfleet.Entry) int {
+	var metrics map[string]struct {
+		Value int `json:"value"`
+	}
+	f.Read("http://"+e.Operator+"/v1/metrics", &metrics)
+	return metrics["peer.live"].Value
+}
+
 // revive starts each engine that crashes again, until stop is called.
 func (f *poisonFleet) revive() {
 	for _, n := range f.engines {
