--- a/guarantees/poison_test.go
+++ b/guarantees/poison_test.go
@@ -63,37 +63,58 @@
 	require.NoError(t, procs.AwaitHTTP(f.entries[0].URL("/healthz/ready")))
 	f.Apply(f.entries[0], poisonObjects)
 	f.Ready()
+	for _, e := range f.entries {
+		require.NoError(t, procs.Await("the peers of "+e.Name, func() bool { return livePeers(f.Fleet, e) == entries-1 }))
+	}
 	return f
 }
 
+// livePeers returns the number of entries that an entry knows to be live. One
+// that has just started knows none, and nobody tells it of crashes.
+func livePeers(f *testfleet.Fleet, e *testfleet.Entry) int {
+	var metrics map[string]struct {
+		Value int `json:"value"`
+	}
+	f.Read("http://"+e.Operator+"/v1/metrics", &metrics)
+	return metrics["peer.live"].Value
+}
+
 // revive starts each engine that crashes again, until stop is called.
 func (f *poisonFleet) revive() {
 	for _, n := range f.engines {
 		f.work.Go(func() {
-			for {
-				<-n.Done()
-				f.mu.Lock()
-				stopped := f.stopped
-				f.crashes++
-				f.mu.Unlock()
-				if stopped {
-					return
-				}
-				f.RestartNode(n)
+			for f.reviveOnce(n) {
 			}
 		})
 	}
 }
 
+// reviveOnce waits for the end of an engine and starts it again. It returns
+// false once the fleet stops.
+func (f *poisonFleet) reviveOnce(n *testfleet.Node) bool {
+	f.mu.Lock()
+	done := n.Done()
+	f.mu.Unlock()
+	<-done
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stopped {
+		return false
+	}
+	f.crashes++
+	f.RestartNode(n)
+	return true
+}
+
 // stop ends the engines and returns how many crashes there were.
 func (f *poisonFleet) stop() int {
 	f.mu.Lock()
 	f.stopped = true
 	crashes := f.crashes
-	f.mu.Unlock()
 	for _, n := range f.engines {
 		n.Kill()
 	}
+	f.mu.Unlock()
 	f.work.Wait()
 	return crashes
 }
