entry: hold traces to the rule on prompts and answers, too

The test that looks for a marker in logs, decisions, status and metrics reads the trace of the same requests as well.

--- a/entry/decisions_test.go
+++ b/entry/decisions_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"strings"
@@ -100,7 +101,10 @@
 		"status":    sendTo(t, "GET", operatorURL+"status", "").body,
 		"metrics":   sendTo(t, "GET", operatorURL+"metrics", "").body,
 	}
+	require.NoError(t, f.Stop(context.Background()))
+	texts["trace"] = f.trace.String()
 	require.Contains(t, texts["log"], "request refused")
+	require.Contains(t, texts["trace"], answer.Header.Get(HeaderRequestID))
 	for name, text := range texts {
 		require.NotContains(t, text, marker, name)
 		for _, word := range strings.Fields(answer.body) {
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -26,6 +26,7 @@
 type fixture struct {
 	*Entry
 	log      *logBuffer
+	trace    *logBuffer
 	service  *httptest.Server
 	engine   *httptest.Server
 	platform *httptest.Server
@@ -42,6 +43,9 @@
 	return l.b.Write(p)
 }
 
+// Close lets a buffer stand for a file.
+func (l *logBuffer) Close() error { return nil }
+
 func (l *logBuffer) String() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -92,6 +96,7 @@
 	t.Helper()
 	f := &fixture{
 		log:      &logBuffer{},
+		trace:    &logBuffer{},
 		service:  httptest.NewServer(service.New()),
 		engine:   httptest.NewServer(engine.New(engine.Options{Slots: 8, QueueLength: 8, PrefixTokens: 64})),
 		platform: httptest.NewServer(platform.New()),
@@ -109,6 +114,7 @@
 	e, err := New(s, slog.New(slog.NewJSONHandler(f.log, &slog.HandlerOptions{Level: slog.LevelDebug})))
 	require.NoError(t, err)
 	f.Entry = e
+	require.NoError(t, e.RecordTrace(f.trace))
 	require.NoError(t, e.Start(t.Context()))
 	t.Cleanup(func() {
 		require.NoError(t, e.Stop(context.Background()))
