--- a/entry/entry.go
+++ b/entry/entry.go
@@ -78,7 +78,24 @@
 	if err != nil {
 		return nil, oops.In("entry").With("step", "plugins").Wrap(err)
 	}
-	log = log.With("entry", s.Name, "availability_zone", s.AvailabilityZone)
+	e := newEntry(s, log.With("entry", s.Name, "availability_zone", s.AvailabilityZone))
+	e.addDriver(cfg)
+	if file := s.Operators.CredentialsFile; file != "" {
+		if e.operators, err = readOperators(file); err != nil {
+			return nil, oops.In("entry").With("step", "operators").Wrap(err)
+		}
+	}
+	credentials, err := peerCredentials(s.PeerTLS)
+	if err != nil {
+		return nil, oops.In("entry").With("step", "peer_tls").Wrap(err)
+	}
+	e.addPeers(credentials)
+	e.registerGauges()
+	return e, nil
+}
+
+// newEntry returns an entry with the parts that need no other one.
+func newEntry(s Settings, log *slog.Logger) *Entry {
 	e := &Entry{
 		settings:  s,
 		log:       log,
@@ -90,32 +107,35 @@
 		leave:     make(chan struct{}),
 		loads:     newLoadStore(),
 		decisions: newDecisionRecord(s.Name, s.Record.Decisions),
+		started:   time.Now(),
 	}
+	e.incarnation = uint64(e.started.UnixNano())
 	e.upstreams = upstream.New(e.linkTraffic)
 	e.signs = newSignStore(s.Name, log, e.decisions)
-	cfg.Observer = &observer{decisions: e.decisions, table: func() *route.Table { return e.driver.core.Table() }}
 	e.background, e.cancel = context.WithCancel(context.Background())
-	e.started = time.Now()
-	e.incarnation = uint64(e.started.UnixNano())
 	e.claims = newClaimBook(e.background, &e.work, e.platform, log)
+	return e
+}
+
+// addDriver adds the decision core and what passes events to it.
+func (e *Entry) addDriver(cfg decision.Config) {
+	cfg.Observer = &observer{decisions: e.decisions, table: func() *route.Table { return e.driver.core.Table() }}
 	e.driver = &driver{
-		core: decision.New(cfg), records: e.records, metrics: e.metrics, log: log, decisions: e.decisions, usage: newUsageCounts(),
+		core: decision.New(cfg), records: e.records, metrics: e.metrics, log: e.log,
+		decisions: e.decisions, usage: newUsageCounts(),
 		dispatch: e.dispatch, claim: e.startClaim, endClaim: e.endClaim, crash: e.spreadCrash,
 		move: e.move,
 	}
 	e.signs.step, e.loads.step = e.driver.step, e.driver.step
 	e.signs.catalog = e.config.catalog
+	e.signs.reclaimed = e.noticed
 	e.config.changed = e.signs.configChanged
-	credentials, err := peerCredentials(s.PeerTLS)
-	if err != nil {
-		return nil, oops.In("entry").With("step", "peer_tls").Wrap(err)
-	}
-	if file := s.Operators.CredentialsFile; file != "" {
-		if e.operators, err = readOperators(file); err != nil {
-			return nil, oops.In("entry").With("step", "operators").Wrap(err)
-		}
-	}
 	e.shared = &usageExchange{own: e.driver.inFlightByCustomer, step: e.driver.step, heard: map[string]time.Time{}}
+}
+
+// addPeers adds the node that talks to other entries.
+func (e *Entry) addPeers(credentials *peer.Credentials) {
+	s := e.settings
 	source, _, _ := net.SplitHostPort(s.Listen.Peer)
 	e.peers = peer.New(peer.Options{
 		Self: &peerpb.Member{
@@ -128,17 +148,14 @@
 		Signs:     e.signs,
 		Loads:     e.loads,
 		Usages:    e.shared,
-		Log:       log,
+		Log:       e.log,
 		Changed:   e.peersChanged,
 
 		Credentials: credentials,
 		Source:      source,
 	})
 	e.registerHandover(e.peers.Server())
-	e.signs.reclaimed = e.noticed
 	e.signs.tell = e.peers.PushSigns
-	e.registerGauges()
-	return e, nil
 }
 
 // peerCredentials returns nil where the settings allow plaintext.
