poison: put reports of one crash together by when connections broke

Cause: a report carried the time at which the look at the upstream had ended, up to 250 ms and, on a busy machine, more after the crash. Reports of one crash by two entries then counted as two crashes, the requests did not seem to share them, and innocent ones were refused. Absolute times also compare the clocks of two hosts.

Ruled out: a higher limit (more crashes for every poison request); a wider window alone (the look has no upper bound on a busy machine).

Change: the moment at which the connection broke goes into the AttemptEvent; a report to a peer carries its age; reports within 500 ms, the first pause of a failing upstream, are one crash.

Conclusion: the cause that was found is gone; watch it under load.

--- a/decision/events.go
+++ b/decision/events.go
@@ -110,6 +110,10 @@
 	Ran reason.Ran
 	// Crashed says that the upstream crashed while it ran the attempt.
 	Crashed bool
+	// BrokeAt is when the attempt's connection broke. All attempts on an
+	// upstream that crashes break at the same moment, however long it takes
+	// to find out why.
+	BrokeAt time.Time
 	// Relayed is the size of the answer so far in bytes.
 	Relayed int
 	// Resumable says that the answer can be continued on another upstream.
--- a/decision/poison/poison.go
+++ b/decision/poison/poison.go
@@ -20,8 +20,9 @@
 	// memory is how long a crash, and that a request is poison, is remembered.
 	memory = 15 * time.Minute
 	// sameCrash is the time within which crashes of one upstream are one:
-	// several entries, or several repeats, see the same one.
-	sameCrash = 300 * time.Millisecond
+	// several entries, or several repeats, see the same one. An upstream that
+	// crashed takes longer than that to run the next request.
+	sameCrash = 500 * time.Millisecond
 	// maxCrashes and maxShared bound what is remembered: the oldest crash is
 	// dropped, and further requests of one crash are not noted.
 	maxCrashes = 1024
--- a/decision/suspects.go
+++ b/decision/suspects.go
@@ -46,7 +46,11 @@
 	if !ev.Crashed || u == nil || u.Leaving {
 		return nil
 	}
-	crash := poison.Crash{Fingerprint: r.fingerprint, Upstream: ev.Upstream, At: now}
+	at := now
+	if !ev.BrokeAt.IsZero() {
+		at = ev.BrokeAt
+	}
+	crash := poison.Crash{Fingerprint: r.fingerprint, Upstream: ev.Upstream, At: at}
 	return append([]Action{CrashAction{Crash: crash}}, c.crashed(now, crash)...)
 }
 
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -52,7 +52,7 @@
 	e.metrics.crashes.Inc(1)
 	e.log.Warn("upstream crashed", "upstream", c.Upstream, "fingerprint", c.Fingerprint)
 	report := &peerpb.CrashReport{Crashes: []*peerpb.Crash{{
-		Fingerprint: c.Fingerprint, Upstream: c.Upstream, AtUnixNano: c.At.UnixNano(),
+		Fingerprint: c.Fingerprint, Upstream: c.Upstream, AgeNanos: time.Since(c.At).Nanoseconds(),
 	}}}
 	for _, m := range e.peers.Live() {
 		e.work.Go(func() {
@@ -86,9 +86,10 @@
 
 // Report implements peerpb.PoisonServer.
 func (s *crashServer) Report(_ context.Context, r *peerpb.CrashReport) (*peerpb.CrashReply, error) {
+	now := time.Now()
 	for _, c := range r.GetCrashes() {
 		s.step(decision.CrashEvent{Crash: poison.Crash{
-			Fingerprint: c.GetFingerprint(), Upstream: c.GetUpstream(), At: time.Unix(0, c.GetAtUnixNano()),
+			Fingerprint: c.GetFingerprint(), Upstream: c.GetUpstream(), At: now.Add(-time.Duration(c.GetAgeNanos())),
 		}})
 	}
 	return &peerpb.CrashReply{}, nil
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -28,16 +28,24 @@
 		defer cancel()
 		began := time.Now()
 		res := e.attempt(ctx, rec, a, id)
-		crashed := e.crashed(ctx, a.Spec.Address, began, res)
+		end := attemptEnd{at: time.Now()}
+		end.crashed = e.crashed(ctx, a.Spec.Address, began, res)
 		if res.Err != nil {
 			e.log.Log(ctx, attemptLevel(res), "attempt failed", "request_id", rec.ID, "upstream", a.Upstream,
 				"attempt", id.tag(rec.ID), "reason", res.Outcome, "ran", res.Ran, "err", res.Err)
 		}
 		close(ended)
-		e.driver.attemptEnded(rec, a, res, crashed)
+		e.driver.attemptEnded(rec, a, res, end)
 	})
 }
 
+// attemptEnd is when an attempt's connection ended and whether its upstream
+// crashed.
+type attemptEnd struct {
+	at      time.Time
+	crashed bool
+}
+
 // attemptLevel is the level at which a failed attempt is logged. One that this
 // entry ended itself is no warning.
 func attemptLevel(res upstream.Result) slog.Level {
--- a/entry/driver.go
+++ b/entry/driver.go
@@ -191,7 +191,7 @@
 }
 
 // attemptEnded passes the end of an attempt to the core.
-func (d *driver) attemptEnded(rec *Record, a decision.DispatchAction, res upstream.Result, crashed bool) {
+func (d *driver) attemptEnded(rec *Record, a decision.DispatchAction, res upstream.Result, end attemptEnd) {
 	o, ran := res.Outcome, res.Ran
 	v, _ := rec.read(0)
 	if o != decision.OutcomeDone {
@@ -206,7 +206,8 @@
 		Upstream:  a.Upstream,
 		Outcome:   o,
 		Ran:       ran,
-		Crashed:   crashed,
+		Crashed:   end.crashed,
+		BrokeAt:   end.at,
 		Relayed:   v.total,
 		Resumable: rec.Call.Completion != nil,
 		Jitter:    rand.Float64(),
