retry: go on past upstreams that are not there

Cause: an attempt that found no upstream at the address counted against max_attempts and the retry budget. With the example of the README, one of 18 upstreams running, 2 of 5 captions were refused with retry_budget. A request that every upstream had failed waited for its deadline, because the filter keeps it off all of them for good. Retries that are free by the rule's page were taken from the budget all the same.

Ruled out: a larger budget (it would allow load on upstreams that fail); forgetting dead upstreams from the configuration (they may come back).

The retry decision moves to decision/again.go.

Conclusion: accepted work is not given up while an upstream is there.

--- a/decision/core.go
+++ b/decision/core.go
@@ -87,13 +87,15 @@
 	phase       phase
 	claimed     bool
 	attempts    int
-	upstream    string
-	retry       reason.Reason
-	ran         reason.Ran
-	accepted    time.Time
-	started     time.Time
-	deadline    time.Time
-	move        move
+	// unreached counts attempts that found no upstream at the address.
+	unreached int
+	upstream  string
+	retry     reason.Reason
+	ran       reason.Ran
+	accepted  time.Time
+	started   time.Time
+	deadline  time.Time
+	move      move
 	// number is the request's place in the order of acceptance.
 	number uint64
 	// due is when the request needs attention; place is its index in wakes.
@@ -374,37 +376,6 @@
 	return append(out, c.again(now, r, ev)...)
 }
 
-// again asks the retry rules about a failed attempt.
-func (c *Core) again(now time.Time, r *request, ev AttemptEvent) []Action {
-	why := retryReason(ev.Outcome)
-	v := retry.Check(c.cfg.Rules, &retry.Attempt{
-		Number:      r.attempts - r.move.count,
-		MaxAttempts: r.res.MaxAttempts,
-		Why:         why,
-		Ran:         r.ran,
-		Idempotent:  r.res.Idempotent,
-		Resumable:   ev.Resumable,
-		Relayed:     ev.Relayed,
-		Jitter:      ev.Jitter,
-	})
-	if v.Refusal != "" {
-		return c.refuse(now, r, v.Refusal)
-	}
-	r.retry = why
-	r.route.Tried = append(r.route.Tried, ev.Upstream)
-	if v.After > 0 {
-		r.phase = phaseBackoff
-		wake := now.Add(v.After)
-		if wake.After(r.deadline) {
-			wake = r.deadline
-		}
-		c.wakes.set(r, wake)
-		return nil
-	}
-	c.enqueue(r)
-	return nil
-}
-
 // expire ends requests whose deadline has passed, or can't be met any more, and
 // wakes those that backed off.
 func (c *Core) expire(now time.Time) []Action {
--- a/decision/retry/retry.go
+++ b/decision/retry/retry.go
@@ -11,7 +11,8 @@
 
 // Attempt describes a failed attempt.
 type Attempt struct {
-	// Number is 1 for the first attempt.
+	// Number is 1 for the first attempt. Attempts that found no upstream at
+	// the address do not count, so it may be 0.
 	Number      int
 	MaxAttempts int
 	// Why is the retry reason that the failure maps to.
@@ -44,7 +45,7 @@
 	// FirstAttempt is called for each dispatch that is a request's first.
 	FirstAttempt()
 	// Retried is called once all rules have allowed a retry.
-	Retried()
+	Retried(a *Attempt)
 }
 
 // Check asks the rules in order. It returns the first refusal, or the longest
@@ -60,7 +61,7 @@
 	}
 	for _, r := range rules {
 		if o, ok := r.(Observer); ok {
-			o.Retried()
+			o.Retried(a)
 		}
 	}
 	return out
--- a/plugin/retry/budget/budget.go
+++ b/plugin/retry/budget/budget.go
@@ -11,8 +11,9 @@
 )
 
 // Rule bounds retries to a share of first attempts, so that a failing service
-// is not given a multiple of its load. Retries whose cause is the upstream's
-// planned leaving are free.
+// is not given a multiple of its load. Retries are free if the cause is the
+// upstream's planned leaving, or if no upstream was found at the address, since
+// that attempt put no load on any.
 type Rule struct {
 	// Share is the number of retries earned by one first attempt. Default 0.2.
 	Share float64 `yaml:"share"`
@@ -24,7 +25,7 @@
 
 // Decide implements retry.Rule.
 func (r *Rule) Decide(a *retry.Attempt) retry.Verdict {
-	if a.Why == reason.UpstreamLeaving || r.tokens >= 1 {
+	if free(a) || r.tokens >= 1 {
 		return retry.Verdict{}
 	}
 	return retry.Verdict{Refusal: reason.RetryBudget}
@@ -34,4 +35,12 @@
 func (r *Rule) FirstAttempt() { r.tokens = min(r.tokens+r.Share, r.Burst) }
 
 // Retried implements retry.Observer.
-func (r *Rule) Retried() { r.tokens = max(r.tokens-1, 0) }
+func (r *Rule) Retried(a *retry.Attempt) {
+	if !free(a) {
+		r.tokens = max(r.tokens-1, 0)
+	}
+}
+
+func free(a *retry.Attempt) bool {
+	return a.Why == reason.UpstreamLeaving || a.Why == reason.ConnectFailed
+}
--- a/plugin/retry/repeatable/repeatable.go
+++ b/plugin/retry/repeatable/repeatable.go
@@ -35,7 +35,7 @@
 	if a.Number >= a.MaxAttempts {
 		return retry.Verdict{Refusal: reason.AttemptsUsedUp}
 	}
-	if a.Number == 1 {
+	if a.Number <= 1 {
 		return retry.Verdict{}
 	}
 	ceiling := min(r.BaseDelay.Std()<<min(a.Number-2, 16), r.MaxDelay.Std())
