guarantees: begin each claim case with no write of an earlier one under way

Cause: frozen_between_claim_and_dispatch waits until the platform holds one write back and takes that for the claim of its own case. A write of the case before could be the one; then entry two was stopped before it had claimed anything, entry one booked and was right to, and the case reported 3 violations (1 of 3 runs of the whole package side by side, load average 7). The booking ran once; the precondition of the case was not there.

Ruled out: a fault of claims (the log shows that two's claim came after one's outcome, and its caller got the recorded answer); waiting for a time.

Change: the entry has a gauge claim.pending; each case waits until it is 0 on both entries. The checks of the cases are as they were.

Before: 1 failure in 3 side-by-side runs. After: go test ./guarantees -count=5 -run Claimed: ok.

--- a/guarantees/g4_claims_test.go
+++ b/guarantees/g4_claims_test.go
@@ -159,6 +159,7 @@
 // check runs one case and reports its violations.
 func (f *claimFleet) check(t *testing.T, fault string, run func(f *claimFleet, key string)) {
 	f.t, f.problems = t, nil
+	f.awaitStored()
 	run(f, "key-"+fault)
 	for _, p := range f.problems {
 		t.Log(p)
@@ -166,6 +167,18 @@
 	testfleet.Report(t, testfleet.Guarantee{Number: 4, Fault: fault, Cases: 1, Violations: len(f.problems)})
 }
 
+// awaitStored waits until the entries have no write of an earlier case under
+// way: a case that holds writes back would hold that one in place of its own.
+func (f *claimFleet) awaitStored() {
+	f.t.Helper()
+	for _, e := range []*testfleet.Entry{f.one, f.two} {
+		require.NoError(f.t, procs.Await("the claims of "+e.Name, func() bool {
+			all, err := testfleet.Metrics(e)
+			return err == nil && all["claim.pending"] == 0
+		}))
+	}
+}
+
 func repeatsAtOnce(f *claimFleet, key string) {
 	const keys, repeats = 8, 6
 	var work sync.WaitGroup
--- a/internal/testfleet/metrics.go
+++ b/internal/testfleet/metrics.go
@@ -5,7 +5,7 @@
 	"net/http"
 )
 
-// Metrics reads the counters of an entry.
+// Metrics reads the counters and gauges of an entry.
 func Metrics(e *Entry) (map[string]int, error) {
 	resp, err := http.Get("http://" + e.Operator + "/v1/metrics")
 	if err != nil {
@@ -14,13 +14,14 @@
 	defer resp.Body.Close()
 	var all map[string]struct {
 		Count int `json:"count"`
+		Value int `json:"value"`
 	}
 	if err := json.NewDecoder(resp.Body).Decode(&all); err != nil {
 		return nil, err
 	}
 	out := map[string]int{}
 	for name, m := range all {
-		out[name] = m.Count
+		out[name] = m.Count + m.Value // a counter has one, a gauge the other
 	}
 	return out, nil
 }
