peer, poison: name the leave message and the mark by the field's terms

Cause: farewell and condemn are figures of speech. Change: sayLeave, leaveFanout, leaveTimeout, markPoisoned. Behaviour is the same: go test ./peer ./decision/poison: ok.

--- a/decision/poison/poison.go
+++ b/decision/poison/poison.go
@@ -78,7 +78,7 @@
 	c.requests = append(c.requests, report.Fingerprint)
 	t.counts[report.Fingerprint]++
 	if t.judge(report.Fingerprint) {
-		t.condemn(now, report.Fingerprint)
+		t.markPoisoned(now, report.Fingerprint)
 	}
 	return true
 }
@@ -121,9 +121,9 @@
 	return true
 }
 
-// condemn notes a request as poison. What it crashed is no longer held against
+// markPoisoned notes a request as poison. What it crashed is no longer held against
 // the requests beside it.
-func (t *Tracker) condemn(now time.Time, fingerprint uint64) {
+func (t *Tracker) markPoisoned(now time.Time, fingerprint uint64) {
 	t.poisoned[fingerprint] = now
 	for _, c := range t.crashes {
 		if c.has(fingerprint) {
--- a/decision/poison/poison_test.go
+++ b/decision/poison/poison_test.go
@@ -62,7 +62,7 @@
 	}
 }
 
-func TestCondemnedCrashesAreNotHeldAgainstOthers(t *testing.T) {
+func TestCrashesOfAPoisonedRequestAreNotHeldAgainstOthers(t *testing.T) {
 	tr := NewTracker()
 	tr.Add(start, report(2, "0", 0))
 	for i := range Limit {
--- a/peer/node.go
+++ b/peer/node.go
@@ -144,7 +144,7 @@
 // Close tells a few peers that this entry stopped, and ends the rounds and the
 // server.
 func (n *Node) Close() {
-	n.farewell()
+	n.sayLeave()
 	n.mu.Lock()
 	n.closing = true
 	n.mu.Unlock()
--- a/peer/round.go
+++ b/peer/round.go
@@ -19,10 +19,10 @@
 	syncTimeout = 5 * time.Second
 	// maxLoads bounds the load reports in one probe.
 	maxLoads = 48
-	// farewellTimeout bounds the last messages of an entry that stops.
-	farewellTimeout = 300 * time.Millisecond
-	// farewells is the number of peers that are told of it.
-	farewells = 3
+	// leaveTimeout bounds the last messages of an entry that stops.
+	leaveTimeout = 300 * time.Millisecond
+	// leaveFanout is the number of peers that are told of it.
+	leaveFanout = 3
 	// sweepRounds is how many rounds there are between two looks for
 	// connections that nobody needs.
 	sweepRounds = 1000
@@ -169,26 +169,26 @@
 
 // spreadMembership tells a few peers at once about a change of this entry.
 func (n *Node) spreadMembership() {
-	ctx, cancel := context.WithTimeout(n.ctx, farewellTimeout)
+	ctx, cancel := context.WithTimeout(n.ctx, leaveTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
-	for _, address := range n.farewellPeers() {
+	for _, address := range n.leavePeers() {
 		wg.Go(func() { n.greet(ctx, address) })
 	}
 	wg.Wait()
 }
 
-// farewellPeers returns a few peers of the own zone, or of others if there are
+// leavePeers returns a few peers of the own zone, or of others if there are
 // too few.
-func (n *Node) farewellPeers() []string {
+func (n *Node) leavePeers() []string {
 	own := n.opts.Self.GetAvailabilityZone()
-	out := n.pickPeers(farewells, func(zone string) bool { return zone == own })
-	others := n.pickPeers(farewells-len(out), func(zone string) bool { return zone != own })
+	out := n.pickPeers(leaveFanout, func(zone string) bool { return zone == own })
+	others := n.pickPeers(leaveFanout-len(out), func(zone string) bool { return zone != own })
 	return append(out, others...)
 }
 
-// farewell tells a few peers that this entry stopped.
-func (n *Node) farewell() {
+// sayLeave tells a few peers that this entry stopped.
+func (n *Node) sayLeave() {
 	n.step(membership.LeaveEvent{Stopped: true})
 	n.spreadMembership()
 }
