--- a/standin/platform/cloud.go
+++ b/standin/platform/cloud.go
@@ -87,11 +87,20 @@
 	standin.WriteJSON(w, http.StatusOK, host)
 }
 
+// weightSize is the size of every set of weights in bytes.
+const weightSize = 1 << 30
+
 func (s *Server) loadWeights(w http.ResponseWriter, r *http.Request) {
+	name := mux.Vars(r)["name"]
 	s.mu.Lock()
-	s.weights[mux.Vars(r)["name"]]++
+	s.weights[name]++
+	refused := s.faults.RefuseWeights
 	s.mu.Unlock()
-	standin.WriteJSON(w, http.StatusOK, struct{}{})
+	if refused {
+		standin.WriteError(w, http.StatusTooManyRequests, "the rate of the weight store is used up")
+		return
+	}
+	standin.WriteJSON(w, http.StatusOK, platform.WeightSet{Name: name, Size: weightSize})
 }
 
 func (s *Server) listCalls(w http.ResponseWriter, _ *http.Request) {
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -42,6 +42,8 @@
 	StaleBy uint64 `json:"stale_by"`
 	// CompactedAt answers 410 to watches after a revision before it.
 	CompactedAt uint64 `json:"compacted_at"`
+	// RefuseWeights refuses calls of the weight store, whose rate is used up.
+	RefuseWeights bool `json:"refuse_weights"`
 	// RefuseHosts refuses host orders.
 	RefuseHosts bool `json:"refuse_hosts"`
 	// BlockZones cuts off callers that name one of these availability zones
