all: one piece of code for what stood in several places

Ruled out: sharing the test objects of decision and trace; they differ in what they are for. Change: strictyaml.One, api.Objects, standin.Set. Behaviour is the same.

--- a/api/decode.go
+++ b/api/decode.go
@@ -19,6 +19,15 @@
 	return s.doc.Errorf(field, format, args...)
 }
 
+// Objects returns the objects of sources, in order.
+func Objects(sources []Source) []*Object {
+	var objects []*Object
+	for _, s := range sources {
+		objects = append(objects, s.Object)
+	}
+	return objects
+}
+
 // envelope is the YAML form of an object.
 type envelope[S any] struct {
 	Kind   Kind   `yaml:"kind"`
--- a/api/decode_test.go
+++ b/api/decode_test.go
@@ -50,10 +50,7 @@
 	t.Helper()
 	sources, err := DecodeYAML("f.yaml", []byte(text))
 	require.NoError(t, err)
-	var objects []*Object
-	for _, s := range sources {
-		objects = append(objects, s.Object)
-	}
+	objects := Objects(sources)
 	return NewCatalog(objects)
 }
 
--- a/decision/again_test.go
+++ b/decision/again_test.go
@@ -40,10 +40,7 @@
 	}
 	sources, err := api.DecodeYAML("objects.yaml", []byte(text.String()))
 	require.NoError(t, err)
-	var list []*api.Object
-	for _, s := range sources {
-		list = append(list, s.Object)
-	}
+	list := api.Objects(sources)
 	limit := &budget.Rule{Share: 0.2, Burst: 2}
 	require.NoError(t, limit.Provision())
 	c := New(Config{
--- a/decision/core_test.go
+++ b/decision/core_test.go
@@ -59,10 +59,7 @@
 	t.Helper()
 	sources, err := api.DecodeYAML("objects.yaml", []byte(objects))
 	require.NoError(t, err)
-	var list []*api.Object
-	for _, s := range sources {
-		list = append(list, s.Object)
-	}
+	list := api.Objects(sources)
 	c := New(testConfig())
 	c.Step(start, ConfigEvent{Catalog: api.NewCatalog(list)})
 	return c
--- a/decision/queue_test.go
+++ b/decision/queue_test.go
@@ -50,10 +50,7 @@
 	t.Helper()
 	sources, err := api.DecodeYAML("objects.yaml", []byte(fairObjects))
 	require.NoError(t, err)
-	var list []*api.Object
-	for _, s := range sources {
-		list = append(list, s.Object)
-	}
+	list := api.Objects(sources)
 	cfg := testConfig()
 	cfg.Limits = append(cfg.Limits, &customer.Limit{}, &deadline.Limit{})
 	c := New(cfg)
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -134,10 +134,7 @@
 	t.Helper()
 	sources, err := api.DecodeYAML("test.yaml", []byte(text))
 	require.NoError(t, err)
-	var req operator.ApplyRequest
-	for _, s := range sources {
-		req.Objects = append(req.Objects, s.Object)
-	}
+	req := operator.ApplyRequest{Objects: api.Objects(sources)}
 	client := f.client()
 	client.Token = ashaToken
 	reply, err := client.Apply(t.Context(), req)
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -215,15 +215,12 @@
 // ParseSettings is ReadSettings for text that has been read already.
 func ParseSettings(file string, data []byte, overrides ...Override) (Settings, error) {
 	s := DefaultSettings()
-	docs, err := strictyaml.Split(file, data)
+	doc, err := strictyaml.One(file, data)
 	if err != nil {
 		return s, err
 	}
-	if len(docs) != 1 {
-		return s, strictyaml.FieldError{File: file, Line: 1, Problem: "want exactly one YAML document"}
-	}
-	errs := override(docs[0], overrides)
-	errs = append(errs, docs[0].Decode(&s)...)
-	errs = append(errs, s.check(docs[0])...)
+	errs := override(doc, overrides)
+	errs = append(errs, doc.Decode(&s)...)
+	errs = append(errs, s.check(doc)...)
 	return s, errors.Join(errs...)
 }
--- a/internal/strictyaml/strictyaml.go
+++ b/internal/strictyaml/strictyaml.go
@@ -78,6 +78,18 @@
 	}
 }
 
+// One parses a file that has exactly one document.
+func One(file string, data []byte) (*Document, error) {
+	docs, err := Split(file, data)
+	if err != nil {
+		return nil, err
+	}
+	if len(docs) != 1 {
+		return nil, FieldError{File: file, Line: 1, Problem: "want exactly one YAML document"}
+	}
+	return docs[0], nil
+}
+
 var lineRE = regexp.MustCompile(`^(?:yaml: )?line (\d+): (?s:(.*))$`)
 
 func syntaxError(file string, err error) error {
--- a/internal/testfleet/fleet.go
+++ b/internal/testfleet/fleet.go
@@ -213,10 +213,7 @@
 	f.t.Helper()
 	sources, err := api.DecodeYAML("test.yaml", []byte(text))
 	require.NoError(f.t, err)
-	var objects []*api.Object
-	for _, s := range sources {
-		objects = append(objects, s.Object)
-	}
+	objects := api.Objects(sources)
 	f.ApplyObjects(through, objects)
 }
 
--- a/internal/workload/profile.go
+++ b/internal/workload/profile.go
@@ -81,16 +81,13 @@
 	if err != nil {
 		return nil, err
 	}
-	docs, err := strictyaml.Split(file, data)
+	doc, err := strictyaml.One(file, data)
 	if err != nil {
 		return nil, err
 	}
-	if len(docs) != 1 {
-		return nil, strictyaml.FieldError{File: file, Line: 1, Problem: "want exactly one YAML document"}
-	}
 	p := &Profile{}
-	errs := docs[0].Decode(p)
-	return p, errors.Join(append(errs, p.check(docs[0])...)...)
+	errs := doc.Decode(p)
+	return p, errors.Join(append(errs, p.check(doc)...)...)
 }
 
 func (p *Profile) check(doc *strictyaml.Document) []error {
--- a/standin/engine/admin.go
+++ b/standin/engine/admin.go
@@ -50,14 +50,11 @@
 }
 
 func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if !standin.ReadJSON(w, r, &f) {
-		return
-	}
-	s.mu.Lock()
-	s.faults = f
-	s.mu.Unlock()
-	standin.WriteJSON(w, http.StatusOK, f)
+	standin.Set(w, r, func(f Faults) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.faults = f
+	})
 }
 
 // prefixCache remembers prompts in the order of their last use.
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -202,14 +202,11 @@
 }
 
 func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if !standin.ReadJSON(w, r, &f) {
-		return
-	}
-	s.mu.Lock()
-	s.faults = f
-	close(s.switched)
-	s.switched = make(chan struct{})
-	s.mu.Unlock()
-	standin.WriteJSON(w, http.StatusOK, f)
+	standin.Set(w, r, func(f Faults) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.faults = f
+		close(s.switched)
+		s.switched = make(chan struct{})
+	})
 }
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -39,6 +39,16 @@
 	return true
 }
 
+// Set decodes a request body, passes it to store and answers with it.
+func Set[T any](w http.ResponseWriter, r *http.Request, store func(T)) {
+	var v T
+	if !ReadJSON(w, r, &v) {
+		return
+	}
+	store(v)
+	WriteJSON(w, http.StatusOK, v)
+}
+
 // Wait reads the "wait" query parameter; it returns 0 for a missing or bad one.
 func Wait(r *http.Request) time.Duration {
 	d, err := time.ParseDuration(r.URL.Query().Get("wait"))
--- a/trace/outcomes.go
+++ b/trace/outcomes.go
@@ -35,15 +35,12 @@
 	if err != nil {
 		return nil, err
 	}
-	docs, err := strictyaml.Split(file, data)
+	doc, err := strictyaml.One(file, data)
 	if err != nil {
 		return nil, err
 	}
-	if len(docs) != 1 {
-		return nil, strictyaml.FieldError{File: file, Line: 1, Problem: "want exactly one YAML document"}
-	}
 	o := &Outcomes{}
-	return o, errors.Join(docs[0].Decode(o)...)
+	return o, errors.Join(doc.Decode(o)...)
 }
 
 // Check returns what a resimulation misses of the outcomes.
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -61,10 +61,7 @@
 	t.Helper()
 	sources, err := api.DecodeYAML("objects.yaml", []byte(objects))
 	require.NoError(t, err)
-	var list []*api.Object
-	for _, s := range sources {
-		list = append(list, s.Object)
-	}
+	list := api.Objects(sources)
 	out := &file{}
 	recorder, err := trace.NewRecorder(out, trace.Header{Start: start, Zone: "a", Region: "r", Modules: []string{"filter.capacity"}})
 	require.NoError(t, err)
