route: compare a late report with the least work since the one before (try)

Cause: a report that is 500 ms old is compared with the entry's own work at its arrival, so what the entry started in between is taken off the work of others. Change: compare it with the least that the entry had there since the report before.

--- a/decision/route/table.go
+++ b/decision/route/table.go
@@ -234,7 +234,8 @@
 	}
 	before := u.Busy()
 	u.Load = load
-	u.LoadInFlight = u.InFlight
+	u.LoadInFlight = min(u.lowest, u.InFlight)
+	u.lowest = u.InFlight
 	if u.Busy() < before {
 		t.version++
 	}
@@ -285,6 +286,7 @@
 		return
 	}
 	u.InFlight = max(u.InFlight-1, 0)
+	u.lowest = min(u.lowest, u.InFlight)
 	t.version++
 	if !failed {
 		u.Failures = 0
