--- a/decision/route/route.go
+++ b/decision/route/route.go
@@ -36,8 +36,6 @@
 	// requests on the upstream when that report came.
 	Load         Load
 	LoadInFlight int
-	// lowest is the smallest InFlight since the newest report came.
-	lowest int
 	// InFlight is this entry's own number of requests on the upstream.
 	InFlight int
 	// LastStart is the number of this entry's newest dispatch to the
--- a/decision/route/table.go
+++ b/decision/route/table.go
@@ -234,8 +234,7 @@
 	}
 	before := u.Busy()
 	u.Load = load
-	u.LoadInFlight = min(u.lowest, u.InFlight)
-	u.lowest = u.InFlight
+	u.LoadInFlight = u.InFlight
 	if u.Busy() < before {
 		t.version++
 	}
@@ -286,7 +285,6 @@
 		return
 	}
 	u.InFlight = max(u.InFlight-1, 0)
-	u.lowest = min(u.lowest, u.InFlight)
 	t.version++
 	if !failed {
 		u.Failures = 0
