entry: say in one place which attempt may add to an answer

Cause: the check that an attempt is the request's current one stood three times, the deadline of a record was set twice at acceptance, and the tag of an attempt was formatted once more than it was used for each completion. Ruled out: dropping setAnswer; a test names it. Change: Record.updateFrom and takesFrom carry the check. Behaviour is the same. Conclusion: the guard against answers of old attempts can't drift.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -62,7 +62,6 @@
 
 // attempt runs one attempt to its end.
 func (e *Entry) attempt(ctx context.Context, rec *Record, a decision.DispatchAction, id attemptID) upstream.Result {
-	tag := id.tag(rec.ID)
 	if a.Spec.Protocol == api.ProtocolCompletions {
 		return e.complete(ctx, rec, a, id)
 	}
@@ -73,7 +72,7 @@
 	}
 	answer, res := e.upstreams.Forward(ctx, upstream.ServiceCall{
 		Address:    a.Spec.Address,
-		RequestID:  tag,
+		RequestID:  id.tag(rec.ID),
 		Method:     rec.Call.Method,
 		URI:        rec.Call.URI,
 		Header:     forwardHeader(rec.Call.Header),
@@ -87,16 +86,25 @@
 	return res
 }
 
-// setAnswer stores the answer of a plain service. That of an attempt which is
-// no longer the request's current one is dropped.
+// setAnswer stores the answer of a plain service.
 func (r *Record) setAnswer(id attemptID, answer *upstream.Answer) {
+	r.updateFrom(id, func() { r.answer = answer })
+}
+
+// updateFrom changes the record for an attempt. What comes from an attempt that
+// is no longer the request's current one is dropped.
+func (r *Record) updateFrom(id attemptID, change func()) {
 	r.update(func() {
-		if r.attempt.id == id && !r.done {
-			r.answer = answer
+		if r.takesFrom(id) {
+			change()
 		}
 	})
 }
 
+// takesFrom reports whether an attempt is the request's current one and may
+// still add to the answer; the caller holds the lock.
+func (r *Record) takesFrom(id attemptID) bool { return r.attempt.id == id && !r.done }
+
 // complete continues the answer of a completion from what is there.
 func (e *Entry) complete(ctx context.Context, rec *Record, a decision.DispatchAction, id attemptID) upstream.Result {
 	if rec.Call.Completion == nil {
@@ -122,26 +130,17 @@
 	}
 	res := e.upstreams.Complete(ctx, call)
 	if res.FinishReason != "" {
-		rec.setFinish(id, res.FinishReason)
+		rec.updateFrom(id, func() { rec.finishReason = res.FinishReason })
 	}
 	return res
 }
 
-// setFinish stores the engine's reason for the end of the answer.
-func (r *Record) setFinish(id attemptID, finish string) {
-	r.update(func() {
-		if r.attempt.id == id && !r.done {
-			r.finishReason = finish
-		}
-	})
-}
-
 // emit adds text to the answer. Text of an attempt that is no longer the
 // request's current one is dropped.
 func (e *Entry) emit(rec *Record, id attemptID, text string, tokens int) error {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
-	if rec.attempt.id != id || rec.done {
+	if !rec.takesFrom(id) {
 		return oops.In("entry").With("step", "emit").Errorf("attempt %d.%d is no longer current", id.epoch, id.number)
 	}
 	if len(rec.text)+len(text) > int(e.settings.Limits.Answer) {
--- a/entry/driver.go
+++ b/entry/driver.go
@@ -111,7 +111,6 @@
 	rec := d.records.get(a.ID)
 	rec.update(func() {
 		rec.accepted = true
-		rec.deadline = a.Deadline
 		if a.Resolution.Protocol != api.ProtocolCompletions {
 			rec.Call.Completion = nil
 		}
