gateway: shorter watches, a real end of a stop, large prompts are served

Ruled out: gossip, which had spread the versions that any entry knew. Change: watches wait for half the apply bound; after the notice time listeners close; the refusal looks at the wait beyond the request's own work; the quota takes the rates of peers in place of one's own.

--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -156,6 +156,9 @@
 	// Predicted is the time until the first event or, on plain services, until
 	// a slot is free.
 	Predicted time.Duration
+	// Own is the part of Predicted that the request would take on an idle
+	// upstream.
+	Own time.Duration
 	// Load is the work that the request adds there.
 	Load Load
 	// Running is the number of requests there already.
@@ -180,12 +183,17 @@
 		}
 		if cost < bestCost {
 			bestCost = cost
-			best = Choice{Upstream: p.Upstream, Predicted: time.Duration(wait * float64(time.Millisecond)), Load: load, Running: p.own.Running + p.peers.Running}
+			best = Choice{
+				Upstream: p.Upstream, Load: load, Running: p.own.Running + p.peers.Running,
+				Predicted: millis(wait), Own: millis(float64(load.Unread) / speed.tokensPerMs),
+			}
 		}
 	}
 	return best, !math.IsInf(bestCost, 1)
 }
 
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
 // home returns the upstream of the entry's region that keeps the request's
 // shared prefix.
 func (t *Table) home(list []*place, r *Request) *place {
--- a/decision/quota/quota.go
+++ b/decision/quota/quota.go
@@ -2,8 +2,8 @@
 // is pure: times are the caller's.
 //
 // Each entry estimates the level of one token bucket for the whole fleet from
-// its own work and from the running totals that the others tell. Until the next
-// word of the others it takes them to admit as much as it does itself; an entry
+// its own work and from the running totals that the others tell. Until its next
+// word each of the others is taken to go on at the rate that it had; an entry
 // that has fallen silent is taken to use an equal share of the rate until it
 // speaks again or is forgotten, so entries that are cut off from each other stay
 // inside the allowance together. Load pattern answered: one customer sends many
@@ -19,6 +19,8 @@
 	// silentAfter is when an entry's share of the rate is charged in place of
 	// what it tells.
 	silentAfter = time.Second
+	// wordAge is how old a word is when it arrives, at most, as a rule.
+	wordAge = 50 * time.Millisecond
 	// forgetAfter is when a silent entry is taken to be gone.
 	forgetAfter = 20 * time.Second
 )
@@ -35,6 +37,8 @@
 	incarnation int64
 	heard       time.Time
 	totals      map[string]float64
+	// rates are work per second between the last two words.
+	rates map[string]float64
 	// charged is what was charged for each customer while the peer was silent.
 	charged map[string]float64
 }
@@ -44,8 +48,6 @@
 	level float64
 	at    time.Time
 	total float64
-	// unseen is the own work that others may have matched since their words.
-	unseen float64
 }
 
 // Quota is one entry's view of all customers. It is not safe for concurrent use.
@@ -95,13 +97,13 @@
 		return true, 0
 	}
 	q.refill(now, b, customer)
-	expected := b.unseen * float64(q.speaking(now))
-	if short := work + expected - b.level; short > 0 && b.level < b.Burst-expected {
+	// Work beyond the whole burst is admitted by a full bucket, as debt.
+	short := math.Min(work, b.Burst) + q.unseen(now, customer) - b.level
+	if short > 0 {
 		return false, time.Duration(short / b.Rate * float64(time.Second))
 	}
 	b.level -= work
 	b.total += work
-	b.unseen += work
 	return true, 0
 }
 
@@ -110,18 +112,18 @@
 	if b := q.buckets[customer]; b != nil && b.Rate > 0 {
 		b.level = math.Min(b.level+work, b.Burst)
 		b.total -= work
-		b.unseen = math.Max(b.unseen-work, 0)
 	}
 }
 
-func (q *Quota) speaking(now time.Time) int {
-	n := 0
+// unseen estimates what the others have admitted since their last words.
+func (q *Quota) unseen(now time.Time, customer string) float64 {
+	sum := 0.0
 	for _, p := range q.peers {
-		if now.Sub(p.heard) <= silentAfter {
-			n++
+		if age := now.Sub(p.heard); age <= silentAfter {
+			sum += p.rates[customer] * (age + wordAge).Seconds()
 		}
 	}
-	return n
+	return sum
 }
 
 // Totals returns the work that this entry has admitted since its start.
@@ -135,24 +137,22 @@
 	return out
 }
 
-// Spoken says that own totals were told to the others.
-func (q *Quota) Spoken() {
-	for _, b := range q.buckets {
-		b.unseen /= 2
-	}
-}
-
 // Hear takes the totals of another entry.
 func (q *Quota) Hear(now time.Time, entry string, incarnation int64, totals map[string]float64) {
 	p := q.peers[entry]
 	if p == nil || p.incarnation != incarnation {
 		// What a new process has admitted already is not in the level here.
-		q.peers[entry] = &peer{incarnation: incarnation, heard: now, totals: totals, charged: map[string]float64{}}
+		q.peers[entry] = &peer{
+			incarnation: incarnation, heard: now, totals: totals,
+			rates: map[string]float64{}, charged: map[string]float64{},
+		}
 		return
 	}
 	for name, b := range q.buckets {
 		q.refill(now, b, name)
-		b.level -= totals[name] - p.totals[name] - p.charged[name]
+		used := totals[name] - p.totals[name]
+		p.rates[name] = math.Max(used, 0) / math.Max(now.Sub(p.heard).Seconds(), wordAge.Seconds())
+		b.level -= used - p.charged[name]
 		b.level = math.Min(b.level, b.Burst)
 	}
 	clear(p.charged)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -112,24 +112,26 @@
 	}
 	p.predicted = choice.Predicted
 	if p.attempts == 0 && p.declined == 0 {
-		if no := late(now, r, choice.Predicted); no != nil {
+		if no := late(now, r, choice); no != nil {
 			return choice, no
 		}
 	}
 	return choice, nil
 }
 
-// late refuses a request whose answer would come too late to be of use.
-func late(now time.Time, r *request, predicted time.Duration) *refusal {
+// late refuses a request whose answer would come too late to be of use. A prompt
+// that takes longer than the objective even on an idle upstream is not refused
+// for its size.
+func late(now time.Time, r *request, c placement.Choice) *refusal {
 	remaining := r.deadline.Sub(now)
 	bound := remaining
-	if o := time.Duration(lateFactor * float64(r.route.Objective)); o > 0 && o < bound {
-		bound = o
+	if o := time.Duration(lateFactor * float64(r.route.Objective)); o > 0 {
+		bound = min(bound, max(o, c.Own+o/2))
 	}
-	if predicted <= bound && remaining >= minRemaining {
+	if c.Predicted <= bound && remaining >= minRemaining {
 		return nil
 	}
-	wait := max(predicted-r.route.Objective, minRetryAfter)
+	wait := max(c.Predicted-bound, minRetryAfter)
 	return &refusal{http.StatusServiceUnavailable, reason.DeadlineUnmet, wait}
 }
 
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -189,7 +189,6 @@
 		w.Loads[id] = [3]int{l.Running, l.Unread, l.Memory}
 	}
 	w.Totals = g.quota.Totals()
-	g.quota.Spoken()
 	w.Usage = g.book.Own()
 	_, w.Holder = g.lease.MayOrder(steadyTime(), true)
 	var targets []*net.UDPAddr
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// watchWait is how long one watch of the store waits for a change.
-	watchWait = 4 * time.Second
+	// watchShare is the part of the time in which a configuration has to be in
+	// force for which one watch waits: a watch may go silent, and what it
+	// missed is then read by the next.
+	watchShare = 0.5
 	// storeBackoff is the pause after a failed call.
 	storeBackoff = 250 * time.Millisecond
 	// upstreamGap gathers changes of upstreams into one answer.
@@ -57,7 +59,7 @@
 			c.whole = true
 			c.RecordList, err = g.objects.List(ctx, kind)
 		} else {
-			c.RecordList, err = g.objects.Watch(ctx, kind, at, watchWait)
+			c.RecordList, err = g.objects.Watch(ctx, kind, at, g.watchWait())
 		}
 		if errors.Is(err, platform.ErrCompacted) {
 			g.log.Info("store history is gone; listing again", "kind", kind, "after", at)
@@ -80,6 +82,10 @@
 	}
 }
 
+func (g *Gateway) watchWait() time.Duration {
+	return time.Duration(watchShare * float64(g.settings.Bounds.ConfigurationApply))
+}
+
 func (g *Gateway) watchConfiguration(ctx context.Context) {
 	g.follow(ctx, platform.KindConfiguration, 0, func(c change) {
 		for _, rec := range c.Items {
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -12,8 +12,6 @@
 	noticeTime = 2600 * time.Millisecond
 	// killSlack is left of the grace time for the end of the process.
 	killSlack = 400 * time.Millisecond
-	// drainPoll is how often the requests in flight are counted.
-	drainPoll = 50 * time.Millisecond
 )
 
 // Stop ends the process without cutting off a request: it says that the entry is
@@ -30,12 +28,16 @@
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	sleep(ctx, noticeTime)
-	for g.inFlight.Load() > 0 && sleep(ctx, drainPoll) {
+	var errs []error
+	for _, server := range g.servers {
+		// What is cut off when the time is over is counted below.
+		if err := server.Shutdown(ctx); !errors.Is(err, context.DeadlineExceeded) {
+			errs = append(errs, err)
+		}
 	}
 	cut := g.inFlight.Load()
-	var errs []error
-	for _, s := range g.servers {
-		errs = append(errs, s.Close())
+	for _, server := range g.servers {
+		errs = append(errs, server.Close())
 	}
 	g.cancel()
 	g.tasks.Wait()
