--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -113,12 +113,14 @@
 	places   map[string]*place
 	services map[string][]*place
 	speeds   map[string]*speed
+	// work is the engine time in milliseconds that attempts have needed.
+	work map[string]float64
 }
 
 // NewTable returns an empty table; regions maps availability zones to regions.
 func NewTable(regions map[string]string) *Table {
 	return &Table{
-		regions: regions, places: map[string]*place{}, services: map[string][]*place{}, speeds: map[string]*speed{},
+		regions: regions, places: map[string]*place{}, services: map[string][]*place{}, speeds: map[string]*speed{}, work: map[string]float64{},
 	}
 }
 
@@ -185,7 +187,7 @@
 			bestCost = cost
 			best = Choice{
 				Upstream: p.Upstream, Load: load, Running: p.own.Running + p.peers.Running,
-				Predicted: millis(wait), Own: millis(float64(load.Unread) / speed.tokensPerMs),
+				Predicted: millis(wait), Own: millis(speed.firstMs + float64(load.Unread)/speed.tokensPerMs),
 			}
 		}
 	}
@@ -259,7 +261,7 @@
 	if r.Prompt == nil {
 		return wait + float64(running)/float64(slots)*runningCost
 	}
-	wait += float64(p.own.Unread+p.peers.Unread+load.Unread)/s.tokensPerMs + float64(running)*runningCost
+	wait += s.firstMs + float64(p.own.Unread+p.peers.Unread+load.Unread)/s.tokensPerMs + float64(running)*runningCost
 	if e := r.Service.Engine; e != nil && e.Memory > 0 {
 		over := float64(p.own.Memory+p.peers.Memory+load.Memory) - fullMemory*float64(e.Memory)
 		if over > 0 {
--- a/decision/placement/progress.go
+++ b/decision/placement/progress.go
@@ -1,11 +1,16 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"jaylink/serving"
 )
 
+// aloneRunning is how many other requests an upstream may run for its answer to
+// teach how fast prompts are read; with more, it would teach how busy it is.
+const aloneRunning = 1
+
 // Ticket stands for one attempt on an upstream, from Start to End.
 type Ticket struct {
 	id      string
@@ -20,8 +25,9 @@
 // Start counts an attempt that is being sent.
 func (t *Table) Start(now time.Time, c Choice, prompt *serving.Prompt) *Ticket {
 	ticket := &Ticket{id: c.Upstream.ID, service: c.Upstream.Service, load: c.Load, started: now}
+	t.work[ticket.service] += float64(c.Load.Unread) / t.speed(ticket.service).tokensPerMs
 	if p := t.places[ticket.id]; p != nil {
-		ticket.alone = p.own.Unread+p.peers.Unread == 0
+		ticket.alone = p.own.Running+p.peers.Running <= aloneRunning
 		p.own.add(c.Load)
 		if prompt != nil {
 			p.cache.use(prompt.Parts)
@@ -124,6 +130,20 @@
 	}
 }
 
+// Work returns the engine time in milliseconds that this entry's attempts have
+// needed, by service.
+func (t *Table) Work() map[string]float64 {
+	out := make(map[string]float64, len(t.work))
+	for service, ms := range t.work {
+		out[service] = math.Round(ms)
+	}
+	return out
+}
+
+// TokensPerMs returns the rate at which the upstreams of a service read prompts,
+// as learned so far.
+func (t *Table) TokensPerMs(service string) float64 { return t.speed(service).tokensPerMs }
+
 // Total returns the work of all entries on the upstreams of a service.
 func (t *Table) Total(service string) Load {
 	var sum Load
@@ -133,39 +153,3 @@
 	}
 	return sum
 }
-
-// speed is what was learned about the upstreams of a service.
-type speed struct {
-	// tokensPerMs is the rate at which prompts are read.
-	tokensPerMs float64
-	// heldMs is how long a request holds its slot.
-	heldMs float64
-}
-
-// First guesses, corrected with each answer.
-const (
-	assumedTokensPerMs = 100
-	assumedHeldMs      = 100
-	// learnStep is the weight of one observation.
-	learnStep = 0.05
-	// minTokensPerMs keeps a run of slow answers from blocking a service.
-	minTokensPerMs = 10
-)
-
-func (t *Table) speed(service string) *speed {
-	s := t.speeds[service]
-	if s == nil {
-		s = &speed{tokensPerMs: assumedTokensPerMs, heldMs: assumedHeldMs}
-		t.speeds[service] = s
-	}
-	return s
-}
-
-func (s *speed) read(tokens int, took time.Duration) {
-	ms := max(float64(took)/float64(time.Millisecond), 1)
-	s.tokensPerMs += learnStep * (max(float64(tokens)/ms, minTokensPerMs) - s.tokensPerMs)
-}
-
-func (s *speed) held(took time.Duration) {
-	s.heldMs += learnStep * (float64(took)/float64(time.Millisecond) - s.heldMs)
-}
--- a/decision/quota/quota.go
+++ b/decision/quota/quota.go
@@ -15,6 +15,8 @@
 import (
 	"math"
 	"time"
+
+	"jaylink/decision/meter"
 )
 
 const (
@@ -27,13 +29,9 @@
 	lowLevel = 0.6
 	// partBurst is the time for which an entry may save up its part.
 	partBurst = 400 * time.Millisecond
-	// demandStep is the weight of the newest word in an entry's demand.
-	demandStep = 0.3
 	// idleDemand is the part of the rate that entries without demand are taken
 	// to ask for, so that the first request there is not refused.
 	idleDemand = 0.01
-	// minInterval bounds the interval that a demand is worked out over.
-	minInterval = 50 * time.Millisecond
 )
 
 // Allowance bounds a customer's work.
@@ -51,31 +49,11 @@
 	Asked    float64 `json:"q"`
 }
 
-// demand is how much callers ask of one entry, in work per second.
-type demand struct {
-	rate float64
-	seen float64
-	at   time.Time
-}
-
-func (d *demand) see(now time.Time, asked float64) {
-	passed := now.Sub(d.at)
-	if d.at.IsZero() || passed > silentAfter*2 {
-		d.seen, d.at = asked, now
-		return
-	}
-	if passed < minInterval {
-		return
-	}
-	d.rate += demandStep * (math.Max(asked-d.seen, 0)/passed.Seconds() - d.rate)
-	d.seen, d.at = asked, now
-}
-
 type peer struct {
 	incarnation int64
 	heard       time.Time
 	totals      map[string]Total
-	demands     map[string]*demand
+	demands     map[string]*meter.Meter
 	// charged is what was charged for each customer while the peer was silent.
 	charged map[string]float64
 }
@@ -86,7 +64,7 @@
 	level, part float64
 	at          time.Time
 	total       Total
-	demand      demand
+	demand      meter.Meter
 }
 
 // Quota is one entry's view of all customers. It is not safe for concurrent use.
@@ -136,7 +114,7 @@
 // share returns this entry's part of what all speaking entries are asked for.
 func (q *Quota) share(now time.Time, b *bucket, customer string) float64 {
 	idle := idleDemand * b.Rate
-	own := b.demand.rate + idle
+	own := b.demand.Rate + idle
 	sum := own
 	for _, p := range q.peers {
 		if now.Sub(p.heard) > silentAfter {
@@ -144,7 +122,7 @@
 		}
 		sum += idle
 		if d := p.demands[customer]; d != nil {
-			sum += d.rate
+			sum += d.Rate
 		}
 	}
 	if sum <= 0 {
@@ -191,7 +169,7 @@
 func (q *Quota) Totals(now time.Time) map[string]Total {
 	out := make(map[string]Total, len(q.buckets))
 	for name, b := range q.buckets {
-		b.demand.see(now, b.total.Asked)
+		b.demand.See(now, b.total.Asked)
 		if b.total.Asked > 0 {
 			out[name] = b.total
 		}
@@ -204,7 +182,7 @@
 	p := q.peers[entry]
 	if p == nil || p.incarnation != incarnation {
 		// What a new process has admitted already is not in the level here.
-		p = &peer{incarnation: incarnation, totals: totals, demands: map[string]*demand{}, charged: map[string]float64{}}
+		p = &peer{incarnation: incarnation, totals: totals, demands: map[string]*meter.Meter{}, charged: map[string]float64{}}
 		q.peers[entry] = p
 	}
 	for name, b := range q.buckets {
@@ -213,10 +191,10 @@
 		b.level = math.Min(b.level, b.Burst)
 		d := p.demands[name]
 		if d == nil {
-			d = &demand{}
+			d = &meter.Meter{}
 			p.demands[name] = d
 		}
-		d.see(now, totals[name].Asked)
+		d.See(now, totals[name].Asked)
 	}
 	clear(p.charged)
 	p.totals, p.heard = totals, now
--- a/decision/scaling/scaling.go
+++ b/decision/scaling/scaling.go
@@ -1,12 +1,259 @@
-// Package scaling decides how many upstreams to order. It is pure: times are the
-// caller's.
+// Package scaling decides how many upstreams to order for a service in each
+// availability zone. It is pure: times are the caller's.
+//
+// The demand is the engine time that all entries' requests need per second, so
+// the unit is one upstream that is always busy. On-demand upstreams carry the
+// demand alone; reclaimable ones, which cost a fraction, give the headroom that
+// keeps waiting short, spread over the availability zones so that a reclaim
+// takes one part of it. Load patterns answered: slow waves, bursts that double
+// the traffic for seconds, a zone whose reclaimable upstreams are all taken away,
+// and a start of the whole fleet with nothing measured yet.
 package scaling
 
-// Scaler remembers what was ordered. It is not safe for concurrent use.
-type Scaler struct{}
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
 
-// New returns a scaler that has ordered nothing.
-func New() *Scaler { return &Scaler{} }
+	"jaylink/decision/meter"
+	"jaylink/serving"
+)
 
-// Reset forgets what was ordered; a new holder orders again.
-func (s *Scaler) Reset() {}
+const (
+	// baseUse is how busy on-demand upstreams may be once the reclaimable ones
+	// are taken away.
+	baseUse = 0.8
+	// soloUse is how busy on-demand upstreams are to be if there are no
+	// reclaimable ones, and fullUse how busy all are to be together.
+	soloUse = 0.6
+	fullUse = 0.45
+	// slotUse is how many of the slots are to be in use.
+	slotUse = 0.6
+	// smoothing is the weight of the newest second in the demand.
+	smoothing = 0.4
+	// memory is for how many seconds a demand counts as possible again.
+	memory = 10
+	// measureTime is how long demand is measured before anything is given back.
+	measureTime = 5 * time.Second
+	// repeatTime is when an order is sent again, in case it was lost.
+	repeatTime = 5 * time.Second
+	// dryTime is how long a zone is not asked again for reclaimable upstreams
+	// after it had none.
+	dryTime = 4 * time.Second
+	// idleDemand is the demand below which there is nothing to measure.
+	idleDemand = 0.05
+)
+
+// Zone is an availability zone as the scaler sees it.
+type Zone struct {
+	Name string
+	// Price is that of an on-demand upstream per second.
+	Price float64
+	// OnDemand and Spot are the upstreams there now that take requests.
+	OnDemand, Spot int
+	// Share is the part of the service's callers that enter here.
+	Share float64
+}
+
+// Input is what is known about a service.
+type Input struct {
+	Scaling *serving.Scaling
+	Zones   []Zone
+	// Running is the number of requests on all upstreams, Slots that of one.
+	Running, Slots int
+}
+
+// Order asks for a number of upstreams.
+type Order struct {
+	Zone  string
+	Spot  bool
+	Count int
+}
+
+type key struct {
+	zone string
+	spot bool
+}
+
+type ordered struct {
+	count int
+	at    time.Time
+}
+
+// Service decides for one service. It is not safe for concurrent use.
+type Service struct {
+	work map[string]*meter.Meter
+	// since is when demand was seen first.
+	since time.Time
+	// smooth is the demand as it is followed, recent its last values.
+	smooth float64
+	recent [memory]float64
+	steps  int
+	orders map[key]ordered
+	dry    map[string]time.Time
+}
+
+// NewService returns a service that has measured and ordered nothing.
+func NewService() *Service {
+	return &Service{work: map[string]*meter.Meter{}, orders: map[key]ordered{}, dry: map[string]time.Time{}}
+}
+
+// See takes the engine time in milliseconds that an entry's requests have needed
+// since its process's start.
+func (s *Service) See(now time.Time, entry string, totalMs float64) {
+	m := s.work[entry]
+	if m == nil {
+		m = &meter.Meter{}
+		s.work[entry] = m
+	}
+	m.See(now, totalMs)
+}
+
+// Forget drops an entry that has gone.
+func (s *Service) Forget(entry string) { delete(s.work, entry) }
+
+// Demand returns the number of upstreams that would be always busy.
+func (s *Service) Demand() float64 {
+	sum := 0.0
+	for _, m := range s.work {
+		sum += m.Rate
+	}
+	return sum / 1000
+}
+
+// Reset forgets orders and measurements, for a new holder of the duty.
+func (s *Service) Reset() {
+	clear(s.orders)
+	clear(s.dry)
+	s.since, s.smooth, s.steps = time.Time{}, 0, 0
+	s.recent = [memory]float64{}
+}
+
+// Dry notes that a zone has no reclaimable upstreams to give.
+func (s *Service) Dry(now time.Time, zone string) {
+	s.dry[zone] = now
+	delete(s.orders, key{zone, true})
+}
+
+// Step returns the orders to send now. It is called once a second.
+func (s *Service) Step(now time.Time, in Input) []Order {
+	demand := s.follow(in)
+	if demand < idleDemand {
+		s.since = time.Time{}
+		return nil
+	}
+	if s.since.IsZero() {
+		s.since = now
+	}
+	plan := s.plan(now, in, demand)
+	if now.Sub(s.since) < measureTime {
+		plan = keep(plan, in)
+	}
+	return s.changed(now, plan)
+}
+
+// follow returns the highest demand of late.
+func (s *Service) follow(in Input) float64 {
+	bySlots := float64(in.Running) * soloUse / (slotUse * float64(max(in.Slots, 1)))
+	s.smooth += smoothing * (math.Max(s.Demand(), bySlots) - s.smooth)
+	s.recent[s.steps%memory] = s.smooth
+	s.steps++
+	return slices.Max(s.recent[:])
+}
+
+// keep raises a plan to the on-demand upstreams that are there.
+func keep(plan []Order, in Input) []Order {
+	for i := range plan {
+		for _, z := range in.Zones {
+			if z.Name == plan[i].Zone && !plan[i].Spot {
+				plan[i].Count = max(plan[i].Count, z.OnDemand)
+			}
+		}
+	}
+	return plan
+}
+
+// plan returns the wanted number for each zone and kind.
+func (s *Service) plan(now time.Time, in Input, demand float64) []Order {
+	spot, open := 0, 0
+	for _, z := range in.Zones {
+		spot += z.Spot
+		if in.Scaling.SpotPrice > 0 && now.Sub(s.dry[z.Name]) >= dryTime {
+			open++
+		}
+	}
+	total := max(upstreams(demand, baseUse), upstreams(demand, soloUse)-spot)
+	onDemand := spread(in, total)
+	missing := upstreams(demand, fullUse)
+	var plan []Order
+	for _, z := range in.Zones {
+		plan = append(plan, Order{Zone: z.Name, Count: onDemand[z.Name]})
+		missing -= onDemand[z.Name]
+	}
+	if open == 0 {
+		return plan
+	}
+	each := (max(missing, 0) + open - 1) / open
+	for _, z := range in.Zones {
+		if now.Sub(s.dry[z.Name]) >= dryTime {
+			room := max(in.Scaling.Max-onDemand[z.Name], 0)
+			plan = append(plan, Order{Zone: z.Name, Spot: true, Count: min(each, room)})
+		}
+	}
+	return plan
+}
+
+// upstreams returns how many upstreams carry a demand if each is that busy.
+func upstreams(demand, use float64) int { return int(math.Ceil(demand / use)) }
+
+// spread divides a number of upstreams over the zones: the least that each must
+// have, and the rest in proportion to where callers enter, cheap zones first.
+func spread(in Input, total int) map[string]int {
+	out := make(map[string]int, len(in.Zones))
+	zones := slices.Clone(in.Zones)
+	slices.SortFunc(zones, func(a, b Zone) int {
+		return cmp.Or(cmp.Compare(a.Price, b.Price), cmp.Compare(a.Name, b.Name))
+	})
+	left := total
+	for _, z := range zones {
+		out[z.Name] = in.Scaling.Min
+		left -= in.Scaling.Min
+	}
+	for ; left > 0; left-- {
+		best, most := "", 0.0
+		for _, z := range zones {
+			if out[z.Name] >= in.Scaling.Max {
+				continue
+			}
+			short := z.Share*float64(total) - float64(out[z.Name])
+			if best == "" || short > most+1e-9 {
+				best, most = z.Name, short
+			}
+		}
+		if best == "" {
+			break
+		}
+		out[best]++
+	}
+	return out
+}
+
+// changed returns the orders that differ from the last ones, or that are old.
+func (s *Service) changed(now time.Time, plan []Order) []Order {
+	var out []Order
+	for _, o := range plan {
+		k := key{o.Zone, o.Spot}
+		last, ok := s.orders[k]
+		if ok && last.count == o.Count && now.Sub(last.at) < repeatTime {
+			continue
+		}
+		out = append(out, o)
+	}
+	return out
+}
+
+// Sent notes that an order was accepted.
+func (s *Service) Sent(now time.Time, o Order) {
+	s.orders[key{o.Zone, o.Spot}] = ordered{o.Count, now}
+}
--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -50,6 +50,8 @@
 	reported map[int64]bool
 	// token is that of the last look.
 	token uint64
+	// scaled is when the number of upstreams was looked at last.
+	scaled time.Time
 }
 
 func newDutyState() *dutyState { return &dutyState{reported: map[int64]bool{}} }
@@ -64,12 +66,22 @@
 	}
 	if grant.Generation != d.token {
 		d.token = grant.Generation
-		g.scaler.Reset()
+		for _, s := range g.scalers {
+			s.Reset()
+		}
 		g.log.Info("holds the duties", "token", grant.Generation)
 	}
 	return grant.Generation, true
 }
 
+// stillHolds is asked just before each call that is a duty.
+func (g *Gateway) stillHolds() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, holds := g.lease.MayOrder(steadyTime(), true)
+	return holds
+}
+
 // isCandidate reports whether this entry looks at the lease: always as its
 // holder, and otherwise while no live entry says that it holds it.
 func (g *Gateway) isCandidate() bool {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,7 +60,7 @@
 	book    *usage.Book
 	clock   *truetime.Clock
 	lease   *lease.Lease
-	scaler  *scaling.Scaler
+	scalers map[string]*scaling.Service
 	peers   map[string]*peer
 
 	// sources counts what the entry can't reach, by name.
@@ -88,7 +88,7 @@
 		book:        usage.NewBook(b.UsageWindow),
 		clock:       truetime.New(time.Now(), steady()),
 		lease:       lease.New(settings.Name, lease.Options{Duration: b.Lease, OrderTimeout: dutyTimeout}),
-		scaler:      scaling.New(),
+		scalers:     map[string]*scaling.Service{},
 		peers:       map[string]*peer{},
 		lost:        map[string]time.Time{},
 		wakeSync:    make(chan struct{}, 1),
--- a/gateway/scale.go
+++ b/gateway/scale.go
@@ -1,5 +1,113 @@
 package gateway
 
-import "context"
+import (
+	"context"
+	"errors"
+	"time"
 
-func (g *Gateway) orderUpstreams(context.Context, *dutyState, uint64) {}
+	"jaylink/decision/scaling"
+	"jaylink/platform"
+	"jaylink/serving"
+)
+
+// scaleInterval is how often the number of upstreams is looked at.
+const scaleInterval = time.Second
+
+// seeWork tells the scaler what an entry's requests have needed. The caller holds
+// mu.
+func (g *Gateway) seeWork(now time.Time, entry string, work map[string]float64) {
+	for service, total := range work {
+		g.scaler(service).See(now, entry, total)
+	}
+}
+
+// scaler returns what decides for a service. The caller holds mu.
+func (g *Gateway) scaler(service string) *scaling.Service {
+	s := g.scalers[service]
+	if s == nil {
+		s = scaling.NewService()
+		g.scalers[service] = s
+	}
+	return s
+}
+
+// orderUpstreams sends the orders that the load asks for.
+func (g *Gateway) orderUpstreams(ctx context.Context, d *dutyState, token uint64) {
+	c := g.config.Load()
+	now := time.Now()
+	if !g.settings.OrdersUpstreams || c == nil || g.upstreams.Load() == nil || now.Sub(d.scaled) < scaleInterval {
+		return
+	}
+	d.scaled = now
+	for i := range c.Services {
+		s := &c.Services[i]
+		if s.Scaling == nil {
+			continue
+		}
+		g.mu.Lock()
+		orders := g.scaler(s.Name).Step(now, g.scaleInput(s))
+		demand, speed := g.scaler(s.Name).Demand(), g.table.TokensPerMs(s.Name)
+		g.mu.Unlock()
+		for _, o := range orders {
+			if !g.sendOrder(ctx, d, token, s, o, demand, speed) {
+				return
+			}
+		}
+	}
+}
+
+// scaleInput gathers what the scaler wants to know. The caller holds mu.
+func (g *Gateway) scaleInput(s *serving.Service) scaling.Input {
+	in := scaling.Input{Scaling: s.Scaling, Running: g.table.Total(s.Name).Running}
+	if s.Engine != nil {
+		in.Slots = s.Engine.Slots
+	}
+	zones := map[string]*scaling.Zone{}
+	for _, name := range sortedKeys(s.Scaling.ZonePrices) {
+		in.Zones = append(in.Zones, scaling.Zone{
+			Name: name, Price: s.Scaling.ZonePrices[name], Share: 1 / float64(len(s.Scaling.ZonePrices)),
+		})
+	}
+	for i := range in.Zones {
+		zones[in.Zones[i].Name] = &in.Zones[i]
+	}
+	for _, u := range g.upstreams.Load().list {
+		z := zones[u.Zone]
+		if u.Service != s.Name || u.Draining || z == nil {
+			continue
+		}
+		if u.Spot {
+			z.Spot++
+		} else {
+			z.OnDemand++
+		}
+	}
+	return in
+}
+
+// sendOrder sends one order. It reports whether the duty goes on.
+func (g *Gateway) sendOrder(ctx context.Context, d *dutyState, token uint64, s *serving.Service, o scaling.Order, demand, speed float64) bool {
+	if !g.stillHolds() {
+		return false
+	}
+	err := g.duties.Scale(ctx, token, platform.ScaleOrder{Service: s.Name, Zone: o.Zone, Count: o.Count, Spot: o.Spot})
+	now := time.Now()
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil:
+		g.mu.Lock()
+		g.scaler(s.Name).Sent(now, o)
+		g.mu.Unlock()
+		g.log.Info("upstreams ordered", "service", s.Name, "zone", o.Zone, "spot", o.Spot, "count", o.Count, "demand", demand, "tokens_per_ms", speed, "token", token)
+	case o.Spot && errors.As(err, &conflict):
+		g.mu.Lock()
+		g.scaler(s.Name).Dry(now, o.Zone)
+		g.mu.Unlock()
+		g.log.Info("no spot upstreams to be had", "service", s.Name, "zone", o.Zone, "count", o.Count, "err", err)
+	case g.fence(d, token, "scale", err):
+		return false
+	default:
+		g.log.Warn("order not accepted yet", "service", s.Name, "zone", o.Zone, "err", err)
+	}
+	return true
+}
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -46,10 +46,7 @@
 		g.log.Warn("usage not fixed yet", "window", window, "err", err)
 		return false
 	}
-	g.mu.Lock()
-	_, holds := g.lease.MayOrder(steadyTime(), true)
-	g.mu.Unlock()
-	if !holds {
+	if !g.stillHolds() {
 		return false
 	}
 	err = g.duties.ReportUsage(ctx, token, report)
