scaling: order upstreams by the requests in flight

Cause: the learned speed of reading is too uncertain to size a fleet by. Change: demand is the requests in flight over the slots; the use aimed at is 0.3 for on-demand upstreams alone, 0.42 when reclaimable ones are taken away, 0.22 for all. The request line has the longest pause, the unread tokens and the load met.

--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -113,14 +113,12 @@
 	places   map[string]*place
 	services map[string][]*place
 	speeds   map[string]*speed
-	// work is the engine time in milliseconds that attempts have needed.
-	work map[string]float64
 }
 
 // NewTable returns an empty table; regions maps availability zones to regions.
 func NewTable(regions map[string]string) *Table {
 	return &Table{
-		regions: regions, places: map[string]*place{}, services: map[string][]*place{}, speeds: map[string]*speed{}, work: map[string]float64{},
+		regions: regions, places: map[string]*place{}, services: map[string][]*place{}, speeds: map[string]*speed{},
 	}
 }
 
@@ -165,6 +163,8 @@
 	Load Load
 	// Running is the number of requests there already.
 	Running int
+	// kept is the tokens that are believed to be in memory there.
+	kept int
 }
 
 // Pick returns the upstream with the lowest cost, or false if there is none.
@@ -186,7 +186,7 @@
 		if cost < bestCost {
 			bestCost = cost
 			best = Choice{
-				Upstream: p.Upstream, Load: load, Running: p.own.Running + p.peers.Running,
+				Upstream: p.Upstream, Load: load, kept: keptTokens(r, load), Running: p.own.Running + p.peers.Running,
 				Predicted: millis(wait), Own: millis(speed.firstMs + float64(load.Unread)/speed.tokensPerMs),
 			}
 		}
@@ -194,6 +194,13 @@
 	return best, !math.IsInf(bestCost, 1)
 }
 
+func keptTokens(r *Request, load Load) int {
+	if r.Prompt == nil {
+		return 0
+	}
+	return r.Prompt.Input - load.Unread
+}
+
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
 // home returns the upstream of the entry's region that keeps the request's
--- a/decision/placement/progress.go
+++ b/decision/placement/progress.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"time"
 
 	"jaylink/serving"
@@ -25,9 +24,8 @@
 // Start counts an attempt that is being sent.
 func (t *Table) Start(now time.Time, c Choice, prompt *serving.Prompt) *Ticket {
 	ticket := &Ticket{id: c.Upstream.ID, service: c.Upstream.Service, load: c.Load, started: now}
-	t.work[ticket.service] += float64(c.Load.Unread) / t.speed(ticket.service).tokensPerMs
 	if p := t.places[ticket.id]; p != nil {
-		ticket.alone = p.own.Running+p.peers.Running <= aloneRunning
+		ticket.alone = p.own.Running+p.peers.Running <= aloneRunning && c.kept == 0
 		p.own.add(c.Load)
 		if prompt != nil {
 			p.cache.use(prompt.Parts)
@@ -42,7 +40,7 @@
 		return
 	}
 	k.first = true
-	if k.alone && k.load.Unread > 0 {
+	if k.alone {
 		t.speed(k.service).read(k.load.Unread, now.Sub(k.started))
 	}
 	if p := t.places[k.id]; p != nil {
@@ -130,16 +128,6 @@
 	}
 }
 
-// Work returns the engine time in milliseconds that this entry's attempts have
-// needed, by service.
-func (t *Table) Work() map[string]float64 {
-	out := make(map[string]float64, len(t.work))
-	for service, ms := range t.work {
-		out[service] = math.Round(ms)
-	}
-	return out
-}
-
 // TokensPerMs returns the rate at which the upstreams of a service read prompts,
 // as learned so far.
 func (t *Table) TokensPerMs(service string) float64 { return t.speed(service).tokensPerMs }
--- a/decision/scaling/scaling.go
+++ b/decision/scaling/scaling.go
@@ -1,9 +1,10 @@
 // Package scaling decides how many upstreams to order for a service in each
 // availability zone. It is pure: times are the caller's.
 //
-// The demand is the engine time that all entries' requests need per second, so
-// the unit is one upstream that is always busy. On-demand upstreams carry the
-// demand alone; reclaimable ones, which cost a fraction, give the headroom that
+// The demand is the number of requests that all entries have on upstreams, in
+// units of one upstream with all slots in use. It grows with the traffic and with
+// how slow upstreams get, so it rises before callers wait. On-demand upstreams
+// carry the demand alone; reclaimable ones, which cost a fraction, give the headroom that
 // keeps waiting short, spread over the availability zones so that a reclaim
 // takes one part of it. Load patterns answered: slow waves, bursts that double
 // the traffic for seconds, a zone whose reclaimable upstreams are all taken away,
@@ -16,20 +17,17 @@
 	"slices"
 	"time"
 
-	"jaylink/decision/meter"
 	"jaylink/serving"
 )
 
 const (
 	// baseUse is how busy on-demand upstreams may be once the reclaimable ones
 	// are taken away.
-	baseUse = 0.8
+	baseUse = 0.42
 	// soloUse is how busy on-demand upstreams are to be if there are no
 	// reclaimable ones, and fullUse how busy all are to be together.
-	soloUse = 0.6
-	fullUse = 0.45
-	// slotUse is how many of the slots are to be in use.
-	slotUse = 0.6
+	soloUse = 0.3
+	fullUse = 0.22
 	// smoothing is the weight of the newest second in the demand.
 	smoothing = 0.4
 	// memory is for how many seconds a demand counts as possible again.
@@ -83,7 +81,6 @@
 
 // Service decides for one service. It is not safe for concurrent use.
 type Service struct {
-	work map[string]*meter.Meter
 	// since is when demand was seen first.
 	since time.Time
 	// smooth is the demand as it is followed, recent its last values.
@@ -96,31 +93,11 @@
 
 // NewService returns a service that has measured and ordered nothing.
 func NewService() *Service {
-	return &Service{work: map[string]*meter.Meter{}, orders: map[key]ordered{}, dry: map[string]time.Time{}}
+	return &Service{orders: map[key]ordered{}, dry: map[string]time.Time{}}
 }
 
-// See takes the engine time in milliseconds that an entry's requests have needed
-// since its process's start.
-func (s *Service) See(now time.Time, entry string, totalMs float64) {
-	m := s.work[entry]
-	if m == nil {
-		m = &meter.Meter{}
-		s.work[entry] = m
-	}
-	m.See(now, totalMs)
-}
-
-// Forget drops an entry that has gone.
-func (s *Service) Forget(entry string) { delete(s.work, entry) }
-
-// Demand returns the number of upstreams that would be always busy.
-func (s *Service) Demand() float64 {
-	sum := 0.0
-	for _, m := range s.work {
-		sum += m.Rate
-	}
-	return sum / 1000
-}
+// Demand returns the demand as it is followed.
+func (s *Service) Demand() float64 { return s.smooth }
 
 // Reset forgets orders and measurements, for a new holder of the duty.
 func (s *Service) Reset() {
@@ -155,8 +132,7 @@
 
 // follow returns the highest demand of late.
 func (s *Service) follow(in Input) float64 {
-	bySlots := float64(in.Running) * soloUse / (slotUse * float64(max(in.Slots, 1)))
-	s.smooth += smoothing * (math.Max(s.Demand(), bySlots) - s.smooth)
+	s.smooth += smoothing * (float64(in.Running)/float64(max(in.Slots, 1)) - s.smooth)
 	s.recent[s.steps%memory] = s.smooth
 	s.steps++
 	return slices.Max(s.recent[:])
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -47,8 +47,14 @@
 	lastEvent int64
 	upstream  string
 	predicted time.Duration
-	first     time.Duration
-	why       reason.Reason
+	// unread and running are the choice's unread tokens and the requests that
+	// were there already.
+	unread, running int
+	first           time.Duration
+	// pause is the longest time between two events, lastAt that of the newest.
+	pause  time.Duration
+	lastAt time.Time
+	why    reason.Reason
 	// counted says that the request stands in the usage of its customer.
 	counted bool
 	detail  string
@@ -110,7 +116,7 @@
 	if !ok {
 		return choice, &refusal{http.StatusServiceUnavailable, reason.NoUpstream, noUpstreamRetry}
 	}
-	p.predicted = choice.Predicted
+	p.predicted, p.unread, p.running = choice.Predicted, choice.Load.Unread, choice.Running
 	if p.attempts == 0 && p.declined == 0 {
 		if no := late(now, r, choice); no != nil {
 			return choice, no
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -52,9 +52,6 @@
 	Loads map[string][3]int `json:"loads,omitempty"`
 	// Totals is work by customer since the process's start.
 	Totals map[string]quota.Total `json:"totals,omitempty"`
-	// Work is the engine time in milliseconds that requests have needed since
-	// the process's start, by service.
-	Work map[string]float64 `json:"work,omitempty"`
 	// Usage is the requests that began to run, by window and customer.
 	Usage usage.Windows `json:"usage,omitempty"`
 }
@@ -148,9 +145,6 @@
 		}
 		if silent > peerLife || p.leaving && silent > loadLife {
 			delete(g.peers, name)
-			for _, s := range g.scalers {
-				s.Forget(name)
-			}
 			g.log.Info("peer gone", "peer", name, "silent", silent, "leaving", p.leaving)
 		}
 	}
@@ -196,8 +190,6 @@
 		w.Loads[id] = [3]int{l.Running, l.Unread, l.Memory}
 	}
 	w.Totals = g.quota.Totals(time.Now())
-	w.Work = g.table.Work()
-	g.seeWork(time.Now(), w.Entry, w.Work)
 	w.Usage = g.book.Own()
 	_, w.Holder = g.lease.MayOrder(steadyTime(), true)
 	var targets []*net.UDPAddr
@@ -276,7 +268,6 @@
 	p.address, p.incarnation, p.heard, p.holder, p.leaving = from, w.Incarnation, now, w.Holder, w.Leaving
 	g.table.Hear(w.Entry, loads)
 	g.quota.Hear(now, w.Entry, w.Incarnation, w.Totals)
-	g.seeWork(now, w.Entry, w.Work)
 	g.book.Hear(processName(w), w.Usage)
 	if shift := g.clock.Hear(steady(), w.Entry, time.UnixMilli(w.Sent)); shift != 0 {
 		g.log.Warn("clock set to that of most entries", "by", shift)
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -17,10 +17,13 @@
 	attrs := []any{
 		"request_id", r.RequestID, "outcome", outcome, "status", status, "reason", string(why),
 		"ms", took.Milliseconds(), "attempts", p.attempts, "declined", p.declined,
-		"upstream", p.upstream, "predicted_ms", p.predicted.Milliseconds(), "first_ms", p.first.Milliseconds(),
+		"upstream", p.upstream, "predicted_ms", p.predicted.Milliseconds(), "first_ms", p.first.Milliseconds(), "pause_ms", p.pause.Milliseconds(),
 	}
 	if r.route != nil {
 		attrs = append(attrs, "route", r.route.Name, "customer", customerName(r), "work", r.work)
+		if r.Prompt != nil {
+			attrs = append(attrs, "prompt_tokens", r.Prompt.Input, "unread_tokens", p.unread, "running", p.running)
+		}
 	}
 	if r.config != nil {
 		attrs = append(attrs, "configuration", r.config.Version)
--- a/gateway/scale.go
+++ b/gateway/scale.go
@@ -13,14 +13,6 @@
 // scaleInterval is how often the number of upstreams is looked at.
 const scaleInterval = time.Second
 
-// seeWork tells the scaler what an entry's requests have needed. The caller holds
-// mu.
-func (g *Gateway) seeWork(now time.Time, entry string, work map[string]float64) {
-	for service, total := range work {
-		g.scaler(service).See(now, entry, total)
-	}
-}
-
 // scaler returns what decides for a service. The caller holds mu.
 func (g *Gateway) scaler(service string) *scaling.Service {
 	s := g.scalers[service]
@@ -46,10 +38,10 @@
 		}
 		g.mu.Lock()
 		orders := g.scaler(s.Name).Step(now, g.scaleInput(s))
-		demand, speed := g.scaler(s.Name).Demand(), g.table.TokensPerMs(s.Name)
+		demand := g.scaler(s.Name).Demand()
 		g.mu.Unlock()
 		for _, o := range orders {
-			if !g.sendOrder(ctx, d, token, s, o, demand, speed) {
+			if !g.sendOrder(ctx, d, token, s, o, demand) {
 				return
 			}
 		}
@@ -86,7 +78,7 @@
 }
 
 // sendOrder sends one order. It reports whether the duty goes on.
-func (g *Gateway) sendOrder(ctx context.Context, d *dutyState, token uint64, s *serving.Service, o scaling.Order, demand, speed float64) bool {
+func (g *Gateway) sendOrder(ctx context.Context, d *dutyState, token uint64, s *serving.Service, o scaling.Order, demand float64) bool {
 	if !g.stillHolds() {
 		return false
 	}
@@ -98,7 +90,7 @@
 		g.mu.Lock()
 		g.scaler(s.Name).Sent(now, o)
 		g.mu.Unlock()
-		g.log.Info("upstreams ordered", "service", s.Name, "zone", o.Zone, "spot", o.Spot, "count", o.Count, "demand", demand, "tokens_per_ms", speed, "token", token)
+		g.log.Info("upstreams ordered", "service", s.Name, "zone", o.Zone, "spot", o.Spot, "count", o.Count, "demand", demand, "token", token)
 	case o.Spot && errors.As(err, &conflict):
 		g.mu.Lock()
 		g.scaler(s.Name).Dry(now, o.Zone)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -119,6 +119,11 @@
 	if ev.id >= 0 {
 		r.progress.lastEvent = ev.id
 	}
+	now := time.Now()
+	if !r.progress.lastAt.IsZero() {
+		r.progress.pause = max(r.progress.pause, now.Sub(r.progress.lastAt))
+	}
+	r.progress.lastAt = now
 	return http.NewResponseController(r.w).Flush()
 }
 
