--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -112,13 +112,15 @@
 	regions  map[string]string
 	places   map[string]*place
 	services map[string][]*place
-	speeds   map[string]*speed
+	// ready is the number of upstreams of a service that take new requests.
+	ready  map[string]int
+	speeds map[string]*speed
 }
 
 // NewTable returns an empty table; regions maps availability zones to regions.
 func NewTable(regions map[string]string) *Table {
 	return &Table{
-		regions: regions, places: map[string]*place{}, services: map[string][]*place{}, speeds: map[string]*speed{},
+		regions: regions, places: map[string]*place{}, services: map[string][]*place{}, ready: map[string]int{}, speeds: map[string]*speed{},
 	}
 }
 
@@ -127,6 +129,7 @@
 func (t *Table) SetUpstreams(list []serving.Upstream) {
 	next := make(map[string]*place, len(list))
 	clear(t.services)
+	clear(t.ready)
 	for _, u := range list {
 		p := t.places[u.ID]
 		if p == nil || p.Born != u.Born || p.Address != u.Address {
@@ -135,20 +138,15 @@
 		p.Upstream, p.region = u, t.regions[u.Zone]
 		next[u.ID] = p
 		t.services[u.Service] = append(t.services[u.Service], p)
+		if !u.Draining {
+			t.ready[u.Service]++
+		}
 	}
 	t.places = next
 }
 
 // Count returns the number of upstreams of a service that take new requests.
-func (t *Table) Count(service string) int {
-	n := 0
-	for _, p := range t.services[service] {
-		if !p.Draining {
-			n++
-		}
-	}
-	return n
-}
+func (t *Table) Count(service string) int { return t.ready[service] }
 
 // Choice is where a request goes.
 type Choice struct {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -229,20 +229,31 @@
 			a := platform.DecodeAnswer(status, h)
 			return a.RequestID == r.RequestID || (a.RequestID == "" && a.NotRun)
 		},
-		HeadTimeout: headLimit(r, choice.Predicted),
+		HeadTimeout: g.headLimit(r, choice.Predicted),
 		KeepAlive:   func(h http.Header) time.Duration { return platform.DecodeAnswer(0, h).KeepAlive },
 	})
 }
 
 // headLimit bounds the wait for an answer's head where another upstream could
 // still be asked; 0 is no bound.
-func headLimit(r *request, predicted time.Duration) time.Duration {
-	if !r.route.Repeatable() || r.progress.attempts+1 >= r.route.MaxAttempts {
+func (g *Gateway) headLimit(r *request, predicted time.Duration) time.Duration {
+	if !g.mayGoOn(r, r.progress.attempts+1) {
 		return 0
 	}
 	return max(r.route.Objective, minHeadLimit) + silenceFactor*predicted
 }
 
+// mayGoOn reports whether a request could go to yet another upstream after a
+// number of attempts.
+func (g *Gateway) mayGoOn(r *request, attempts int) bool {
+	if !r.route.Repeatable() || attempts >= r.route.MaxAttempts {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Count(r.service.Name) > len(r.progress.tried)
+}
+
 // failedSend classifies an attempt without an answer.
 func (g *Gateway) failedSend(ctx context.Context, r *request, t *placement.Ticket, err error) ending {
 	p := &r.progress
--- /dev/null
+++ b/gateway/bounds_test.go
@@ -0,0 +1,39 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jaylink/platform"
+)
+
+// bounds are the tightest that the users' deployments state.
+func bounds() platform.Bounds {
+	return platform.Bounds{
+		ConfigurationApply: 2500 * time.Millisecond, Drain: 2500 * time.Millisecond, Grace: 8 * time.Second,
+	}
+}
+
+// A watch that goes silent, the pause after it and a read fit into the time in
+// which a version has to be in force.
+func TestSilentWatchFitsIntoTheApplyBound(t *testing.T) {
+	g := &Gateway{settings: platform.Settings{Bounds: bounds()}}
+	const read = 100 * time.Millisecond
+	require.LessOrEqual(t, g.watchWait()+platform.WatchSlack+storeBackoff+read, bounds().ConfigurationApply)
+}
+
+// A change that only the watchers see reaches the others in time: by a word, the
+// delay before a fetch, and the fetch.
+func TestSpreadFitsIntoTheDrainBound(t *testing.T) {
+	slowest := upstreamGap + 2*tellInterval + spreadDelay + spreadTimeout
+	require.LessOrEqual(t, slowest, bounds().Drain)
+	// Upstreams that have vanished are dropped before they may get nothing more.
+	require.Less(t, lapseGrace+upstreamGap, bounds().Drain)
+}
+
+// A stop leaves most of the grace time to the requests in flight.
+func TestNoticeTimeLeavesGrace(t *testing.T) {
+	require.Less(t, noticeTime+killSlack, bounds().Grace/2)
+}
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -155,6 +155,13 @@
 	g.metrics.peers.Update(int64(len(g.peers)))
 }
 
+// Peers returns the number of other entries that are known.
+func (g *Gateway) Peers() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.peers)
+}
+
 // tellPeers tells the others this entry's state until ctx ends.
 func (g *Gateway) tellPeers(ctx context.Context) {
 	for turn := 0; sleep(ctx, tellInterval); turn++ {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -78,11 +78,8 @@
 		return g.brokenAnswer(r, t, errors.New("the answer bears no proof")), nil
 	}
 	events := newEventReader(answer)
-	limit := pauseLimit(r)
 	for {
-		if limit > 0 {
-			answer.SetReadDeadline(time.Now().Add(limit))
-		}
+		answer.SetReadDeadline(g.pauseEnd(r))
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
 			return g.endOfStream(r, t, answer), nil
@@ -102,12 +99,13 @@
 	}
 }
 
-// pauseLimit bounds the wait for an event of a stream that may go on elsewhere.
-func pauseLimit(r *request) time.Duration {
-	if !r.route.Repeatable() || r.progress.attempts >= r.route.MaxAttempts {
-		return 0
+// pauseEnd is when an event of a stream that may go on elsewhere is overdue; it
+// is zero if the wait has no bound.
+func (g *Gateway) pauseEnd(r *request) time.Time {
+	if !g.mayGoOn(r, r.progress.attempts) {
+		return time.Time{}
 	}
-	return max(pauseFactor*r.route.PauseObjective, minPauseLimit)
+	return time.Now().Add(max(pauseFactor*r.route.PauseObjective, minPauseLimit))
 }
 
 // relayEvent writes an event, and before the first one the head of its answer.
--- /dev/null
+++ b/standin/metastore/metastore.go
@@ -0,0 +1,344 @@
+// Package metastore is a small stand-in for the hosting platform's metadata
+// store and its cloud API, with fault switches. It keeps objects in memory.
+package metastore
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Faults are how the store misbehaves. The zero value is a sound store.
+type Faults struct {
+	// Down answers every call with 503.
+	Down bool
+	// SilentWatches never answers a watch until the caller gives up.
+	SilentWatches bool
+	// LoseWrites carries writes out and closes the connection without an
+	// answer.
+	LoseWrites bool
+}
+
+// Object is a stored object.
+type Object struct {
+	Metadata Metadata        `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+}
+
+// Metadata names an object and its last change.
+type Metadata struct {
+	Name string `json:"name"`
+	Rev  uint64 `json:"rev"`
+}
+
+type change struct {
+	kind    string
+	object  Object
+	deleted bool
+}
+
+// DutyCall is one accepted call of the cloud API.
+type DutyCall struct {
+	Path   string
+	Holder string
+	Token  uint64
+	Body   string
+}
+
+// Server is the stand-in. It is an http.Handler.
+type Server struct {
+	mu      sync.Mutex
+	rev     uint64
+	objects map[string]map[string]Object
+	history []change
+	// compacted is the revision up to which history is gone.
+	compacted uint64
+	changed   chan struct{}
+	faults    Faults
+	duties    []DutyCall
+	fences    map[string]uint64
+	mux       *http.ServeMux
+}
+
+// New returns an empty store.
+func New() *Server {
+	s := &Server{rev: 1, objects: map[string]map[string]Object{}, changed: make(chan struct{}), fences: map[string]uint64{}}
+	s.mux = http.NewServeMux()
+	s.mux.HandleFunc("GET /v1/objects/{kind}", s.list)
+	s.mux.HandleFunc("POST /v1/objects/{kind}", s.create)
+	s.mux.HandleFunc("GET /v1/objects/{kind}/{name}", s.get)
+	s.mux.HandleFunc("PUT /v1/objects/{kind}/{name}", s.replace)
+	s.mux.HandleFunc("DELETE /v1/objects/{kind}/{name}", s.remove)
+	s.mux.HandleFunc("POST /usage", s.duty)
+	s.mux.HandleFunc("POST /scale", s.duty)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	down := s.faults.Down
+	s.mu.Unlock()
+	if down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.mux.ServeHTTP(w, r)
+}
+
+// SetFaults changes how the store misbehaves.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Put writes an object as the operator or an upstream does.
+func (s *Server) Put(kind, name string, spec any) {
+	data, err := json.Marshal(spec)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(kind, name, data)
+}
+
+// PutRaw writes an object whose content is not checked.
+func (s *Server) PutRaw(kind, name, spec string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(kind, name, json.RawMessage(spec))
+}
+
+// Delete removes an object.
+func (s *Server) Delete(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drop(kind, name)
+}
+
+// Compact drops the history and ends every watch.
+func (s *Server) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compacted, s.history = s.rev, nil
+	s.wake()
+}
+
+// Spec returns an object's content, or nil.
+func (s *Server) Spec(kind, name string) json.RawMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.objects[kind][name].Spec
+}
+
+// Duties returns the accepted calls of the cloud API.
+func (s *Server) Duties() []DutyCall {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.duties)
+}
+
+func (s *Server) put(kind, name string, spec json.RawMessage) Object {
+	s.rev++
+	o := Object{Metadata{Name: name, Rev: s.rev}, spec}
+	if s.objects[kind] == nil {
+		s.objects[kind] = map[string]Object{}
+	}
+	s.objects[kind][name] = o
+	s.record(change{kind, o, false})
+	return o
+}
+
+func (s *Server) drop(kind, name string) bool {
+	o, ok := s.objects[kind][name]
+	if !ok {
+		return false
+	}
+	s.rev++
+	delete(s.objects[kind], name)
+	o.Metadata.Rev = s.rev
+	s.record(change{kind, o, true})
+	return true
+}
+
+func (s *Server) record(c change) {
+	s.history = append(s.history, c)
+	s.wake()
+}
+
+func (s *Server) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The caller may be gone.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	kind := r.PathValue("kind")
+	if r.URL.Query().Has("watch") {
+		s.watch(w, r, kind)
+		return
+	}
+	s.mu.Lock()
+	entries := []Object{}
+	for _, o := range s.objects[kind] {
+		if o.Metadata.Name > r.URL.Query().Get("after") {
+			entries = append(entries, o)
+		}
+	}
+	at := s.rev
+	s.mu.Unlock()
+	slices.SortFunc(entries, func(a, b Object) int {
+		if a.Metadata.Name < b.Metadata.Name {
+			return -1
+		}
+		return 1
+	})
+	more := len(entries) > pageSize
+	if more {
+		entries = entries[:pageSize]
+	}
+	answer(w, http.StatusOK, map[string]any{"entries": entries, "has-more": more, "at": at})
+}
+
+// pageSize is small, so that clients are held to asking for more.
+const pageSize = 3
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request, kind string) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
+	wait, waitErr := strconv.Atoi(r.URL.Query().Get("wait-ms"))
+	if err != nil || waitErr != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		events, at, gone, silent, changed := s.since(kind, after)
+		switch {
+		case silent:
+			<-r.Context().Done()
+			return
+		case gone:
+			w.WriteHeader(http.StatusGone)
+			return
+		case len(events) > 0:
+			answer(w, http.StatusOK, map[string]any{"events": events, "at": at})
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-changed:
+		case <-timer.C:
+			answer(w, http.StatusOK, map[string]any{"events": events, "at": at})
+			return
+		}
+	}
+}
+
+func (s *Server) since(kind string, after uint64) (events []map[string]any, at uint64, gone, silent bool, changed chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	events = []map[string]any{}
+	for _, c := range s.history {
+		if c.kind == kind && c.object.Metadata.Rev > after {
+			events = append(events, map[string]any{"object": c.object, "deleted": c.deleted})
+		}
+	}
+	return events, s.rev, after < s.compacted, s.faults.SilentWatches, s.changed
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	o, ok := s.objects[r.PathValue("kind")][r.PathValue("name")]
+	s.mu.Unlock()
+	if !ok {
+		answer(w, http.StatusNotFound, struct{}{})
+		return
+	}
+	answer(w, http.StatusOK, o)
+}
+
+func (s *Server) create(w http.ResponseWriter, r *http.Request) {
+	s.write(w, r, func(o Object) (Object, int) {
+		kind := r.PathValue("kind")
+		if have, ok := s.objects[kind][o.Metadata.Name]; ok {
+			return have, http.StatusConflict
+		}
+		return s.put(kind, o.Metadata.Name, o.Spec), http.StatusOK
+	})
+}
+
+func (s *Server) replace(w http.ResponseWriter, r *http.Request) {
+	s.write(w, r, func(o Object) (Object, int) {
+		kind, name := r.PathValue("kind"), r.PathValue("name")
+		have, ok := s.objects[kind][name]
+		switch {
+		case !ok:
+			return have, http.StatusNotFound
+		case o.Metadata.Rev != 0 && o.Metadata.Rev != have.Metadata.Rev:
+			return have, http.StatusConflict
+		case string(o.Spec) == string(have.Spec):
+			return have, http.StatusOK
+		}
+		return s.put(kind, name, o.Spec), http.StatusOK
+	})
+}
+
+func (s *Server) write(w http.ResponseWriter, r *http.Request, apply func(Object) (Object, int)) {
+	var o Object
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		answer(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	s.mu.Lock()
+	out, status := apply(o)
+	lose := s.faults.LoseWrites
+	s.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	answer(w, status, out)
+}
+
+func (s *Server) remove(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	found := s.drop(r.PathValue("kind"), r.PathValue("name"))
+	s.mu.Unlock()
+	if !found {
+		answer(w, http.StatusNotFound, struct{}{})
+		return
+	}
+	answer(w, http.StatusOK, struct{}{})
+}
+
+// duty takes a call that one holder makes, and refuses it if a newer holder has
+// called about the same subject.
+func (s *Server) duty(w http.ResponseWriter, r *http.Request) {
+	token, err := strconv.ParseUint(r.Header.Get("Fencing-Token"), 10, 64)
+	var body json.RawMessage
+	if decodeErr := json.NewDecoder(r.Body).Decode(&body); err != nil || decodeErr != nil {
+		answer(w, http.StatusBadRequest, struct{}{})
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if token < s.fences[r.URL.Path] {
+		answer(w, http.StatusConflict, struct{}{})
+		return
+	}
+	s.fences[r.URL.Path] = token
+	s.duties = append(s.duties, DutyCall{r.URL.Path, r.Header.Get("Duty-Holder"), token, string(body)})
+	answer(w, http.StatusOK, struct{}{})
+}
