scaling: give upstreams back in steps and remember the demand across holders

Change: every entry follows the demand, so a new holder knows the last ten seconds; at most a third of a zone's upstreams is given back at once, two seconds apart.

--- a/decision/scaling/scaling.go
+++ b/decision/scaling/scaling.go
@@ -32,8 +32,14 @@
 	smoothing = 0.4
 	// memory is for how many seconds a demand counts as possible again.
 	memory = 10
-	// measureTime is how long demand is measured before anything is given back.
-	measureTime = 5 * time.Second
+	// measureTime is how long demand is measured before anything is given back:
+	// after a start callers come back by and by.
+	measureTime = 6 * time.Second
+	// giveBackPart is the part of a zone's upstreams that is given back at once,
+	// and giveBackTime the time between two such steps: what is given back is
+	// missing for the whole boot time if the demand returns.
+	giveBackPart = 1.0 / 3
+	giveBackTime = 2 * time.Second
 	// repeatTime is when an order is sent again, in case it was lost.
 	repeatTime = 5 * time.Second
 	// dryTime is how long a zone is not asked again for reclaimable upstreams
@@ -58,8 +64,6 @@
 type Input struct {
 	Scaling *serving.Scaling
 	Zones   []Zone
-	// Running is the number of requests on all upstreams, Slots that of one.
-	Running, Slots int
 }
 
 // Order asks for a number of upstreams.
@@ -87,8 +91,10 @@
 	smooth float64
 	recent [memory]float64
 	steps  int
-	orders map[key]ordered
-	dry    map[string]time.Time
+	// gaveBack is when upstreams were given back last.
+	gaveBack time.Time
+	orders   map[key]ordered
+	dry      map[string]time.Time
 }
 
 // NewService returns a service that has measured and ordered nothing.
@@ -99,12 +105,11 @@
 // Demand returns the demand as it is followed.
 func (s *Service) Demand() float64 { return s.smooth }
 
-// Reset forgets orders and measurements, for a new holder of the duty.
+// Reset forgets what was ordered, for a new holder of the duty. What was
+// followed stays.
 func (s *Service) Reset() {
 	clear(s.orders)
 	clear(s.dry)
-	s.since, s.smooth, s.steps = time.Time{}, 0, 0
-	s.recent = [memory]float64{}
 }
 
 // Dry notes that a zone has no reclaimable upstreams to give.
@@ -113,41 +118,55 @@
 	delete(s.orders, key{zone, true})
 }
 
-// Step returns the orders to send now. It is called once a second.
-func (s *Service) Step(now time.Time, in Input) []Order {
-	demand := s.follow(in)
-	if demand < idleDemand {
+// Follow takes the number of requests on all upstreams and the slots of one. Every
+// entry calls it once a second, so that a new holder knows what has been.
+func (s *Service) Follow(now time.Time, running, slots int) {
+	s.smooth += smoothing * (float64(running)/float64(max(slots, 1)) - s.smooth)
+	s.recent[s.steps%memory] = s.smooth
+	s.steps++
+	switch {
+	case s.smooth < idleDemand:
 		s.since = time.Time{}
-		return nil
-	}
-	if s.since.IsZero() {
+	case s.since.IsZero():
 		s.since = now
 	}
-	plan := s.plan(now, in, demand)
-	if now.Sub(s.since) < measureTime {
-		plan = keep(plan, in)
+}
+
+// Step returns the orders to send now.
+func (s *Service) Step(now time.Time, in Input) []Order {
+	if s.since.IsZero() {
+		return nil
 	}
+	plan := s.plan(now, in, slices.Max(s.recent[:]))
+	s.limitGivingBack(now, plan, in)
 	return s.changed(now, plan)
 }
 
-// follow returns the highest demand of late.
-func (s *Service) follow(in Input) float64 {
-	s.smooth += smoothing * (float64(in.Running)/float64(max(in.Slots, 1)) - s.smooth)
-	s.recent[s.steps%memory] = s.smooth
-	s.steps++
-	return slices.Max(s.recent[:])
+// limitGivingBack raises a plan so that upstreams are given back in steps.
+func (s *Service) limitGivingBack(now time.Time, plan []Order, in Input) {
+	may := now.Sub(s.since) >= measureTime && now.Sub(s.gaveBack) >= giveBackTime
+	for i := range plan {
+		o := &plan[i]
+		have := onDemandIn(in, o.Zone)
+		if o.Spot || o.Count >= have {
+			continue
+		}
+		if !may {
+			o.Count = have
+			continue
+		}
+		o.Count = max(o.Count, have-int(math.Ceil(giveBackPart*float64(have))))
+		s.gaveBack = now
+	}
 }
 
-// keep raises a plan to the on-demand upstreams that are there.
-func keep(plan []Order, in Input) []Order {
-	for i := range plan {
-		for _, z := range in.Zones {
-			if z.Name == plan[i].Zone && !plan[i].Spot {
-				plan[i].Count = max(plan[i].Count, z.OnDemand)
-			}
+func onDemandIn(in Input, zone string) int {
+	for _, z := range in.Zones {
+		if z.Name == zone {
+			return z.OnDemand
 		}
 	}
-	return plan
+	return 0
 }
 
 // plan returns the wanted number for each zone and kind.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -125,7 +125,7 @@
 		return errors.Join(err, g.Stop(ctx))
 	}
 	for _, task := range []func(context.Context){
-		g.watchConfiguration, g.watchUpstreams, g.findPeers, g.hearPeers, g.tellPeers, g.runDuties, g.housekeep,
+		g.watchConfiguration, g.watchUpstreams, g.findPeers, g.hearPeers, g.tellPeers, g.runDuties, g.followDemand, g.housekeep,
 	} {
 		g.tasks.Add(1)
 		go func() {
--- a/gateway/scale.go
+++ b/gateway/scale.go
@@ -23,6 +23,33 @@
 	return s
 }
 
+// followDemand tells the scalers what is on the upstreams.
+func (g *Gateway) followDemand(ctx context.Context) {
+	for sleep(ctx, scaleInterval) {
+		c := g.config.Load()
+		if c == nil || !g.settings.OrdersUpstreams {
+			continue
+		}
+		g.mu.Lock()
+		for i := range c.Services {
+			if s := &c.Services[i]; s.Scaling != nil {
+				g.scaler(s.Name).Follow(time.Now(), g.table.Total(s.Name).Running, slotsOf(s))
+			}
+		}
+		g.mu.Unlock()
+	}
+}
+
+// assumedSlots is taken for services that state none.
+const assumedSlots = 8
+
+func slotsOf(s *serving.Service) int {
+	if s.Engine != nil && s.Engine.Slots > 0 {
+		return s.Engine.Slots
+	}
+	return assumedSlots
+}
+
 // orderUpstreams sends the orders that the load asks for.
 func (g *Gateway) orderUpstreams(ctx context.Context, d *dutyState, token uint64) {
 	c := g.config.Load()
@@ -50,10 +77,7 @@
 
 // scaleInput gathers what the scaler wants to know. The caller holds mu.
 func (g *Gateway) scaleInput(s *serving.Service) scaling.Input {
-	in := scaling.Input{Scaling: s.Scaling, Running: g.table.Total(s.Name).Running}
-	if s.Engine != nil {
-		in.Slots = s.Engine.Slots
-	}
+	in := scaling.Input{Scaling: s.Scaling}
 	zones := map[string]*scaling.Zone{}
 	for _, name := range sortedKeys(s.Scaling.ZonePrices) {
 		in.Zones = append(in.Zones, scaling.Zone{
