scaling: one rise arrives before the next

Change: rises follow the demand of now, by 40% of what there is at a time and not before the last rise had its boot time; falls follow the highest of ten seconds. Ruled out: a shorter memory alone, which gives back too soon between waves.

--- a/decision/scaling/scaling.go
+++ b/decision/scaling/scaling.go
@@ -40,6 +40,10 @@
 	// missing for the whole boot time if the demand returns.
 	giveBackPart = 1.0 / 3
 	giveBackTime = 2 * time.Second
+	// riseFactor bounds one rise, as a part of what there is; riseSlack is added
+	// to the boot time before the next.
+	riseFactor = 0.4
+	riseSlack  = time.Second
 	// repeatTime is when an order is sent again, in case it was lost.
 	repeatTime = 5 * time.Second
 	// dryTime is how long a zone is not asked again for reclaimable upstreams
@@ -91,6 +95,9 @@
 	smooth float64
 	recent [memory]float64
 	steps  int
+	// rose is the number that was aimed at by the last rise, at roseAt.
+	rose   int
+	roseAt time.Time
 	// gaveBack is when upstreams were given back last.
 	gaveBack time.Time
 	orders   map[key]ordered
@@ -137,7 +144,7 @@
 	if s.since.IsZero() {
 		return nil
 	}
-	plan := s.plan(now, in, slices.Max(s.recent[:]))
+	plan := s.plan(now, in)
 	s.limitGivingBack(now, plan, in)
 	return s.changed(now, plan)
 }
@@ -170,7 +177,7 @@
 }
 
 // plan returns the wanted number for each zone and kind.
-func (s *Service) plan(now time.Time, in Input, demand float64) []Order {
+func (s *Service) plan(now time.Time, in Input) []Order {
 	spot, open := 0, 0
 	for _, z := range in.Zones {
 		spot += z.Spot
@@ -178,9 +185,8 @@
 			open++
 		}
 	}
-	total := max(upstreams(demand, baseUse), upstreams(demand, soloUse)-spot)
-	onDemand := spread(in, total)
-	missing := upstreams(demand, fullUse)
+	onDemand := spread(in, s.target(now, in, spot))
+	missing := upstreams(slices.Max(s.recent[:]), fullUse)
 	var plan []Order
 	for _, z := range in.Zones {
 		plan = append(plan, Order{Zone: z.Name, Count: onDemand[z.Name]})
@@ -199,6 +205,34 @@
 	return plan
 }
 
+// target returns the number of on-demand upstreams. It rises with the demand of
+// now, and falls only to what all of the last seconds would have needed. Requests
+// pile up while new upstreams boot, so one rise has to arrive before the next.
+func (s *Service) target(now time.Time, in Input, spot int) int {
+	have := 0
+	for _, z := range in.Zones {
+		have += z.OnDemand
+	}
+	least, most := onDemandFor(s.smooth, spot), onDemandFor(slices.Max(s.recent[:]), spot)
+	total := min(max(have, least), max(most, least))
+	if total > have {
+		total = min(total, have+1+int(riseFactor*float64(have)))
+	}
+	if now.Sub(s.roseAt) < in.Scaling.Boot+riseSlack {
+		return max(total, s.rose)
+	}
+	if total > have {
+		s.rose, s.roseAt = total, now
+	}
+	return total
+}
+
+// onDemandFor returns how many on-demand upstreams carry a demand beside
+// reclaimable ones.
+func onDemandFor(demand float64, spot int) int {
+	return max(upstreams(demand, baseUse), upstreams(demand, soloUse)-spot)
+}
+
 // upstreams returns how many upstreams carry a demand if each is that busy.
 func upstreams(demand, use float64) int { return int(math.Ceil(demand / use)) }
 
