--- /dev/null
+++ b/decision/budget/budget_test.go
@@ -0,0 +1,63 @@
+package budget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var opts = Options{Ratio: 0.2, Extra: 56, Window: 10 * time.Second}
+
+// Load pattern: an upstream fails everything, so every request wants a repeat. The
+// entries together stay inside the bound in every window.
+func TestRepeatsStayInsideTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entries := rapid.IntRange(1, 12).Draw(t, "entries")
+		budgets := make([]*Budget, entries)
+		for i := range budgets {
+			budgets[i] = New(opts)
+		}
+		const step = 100 * time.Millisecond
+		const steps = 400
+		firsts, repeats := make([]int, steps), make([]int, steps)
+		now := time.Unix(1000, 0)
+		for i := range steps {
+			now = now.Add(step)
+			for _, b := range budgets {
+				n := rapid.IntRange(0, 4).Draw(t, "firsts")
+				for range n {
+					b.First(now)
+				}
+				firsts[i] += n
+				for range rapid.IntRange(0, 6).Draw(t, "wanted") {
+					if b.Take(now, entries) {
+						repeats[i]++
+					}
+				}
+			}
+		}
+		window := int(opts.Window / step)
+		for end := window; end < steps; end++ {
+			f, r := 0, 0
+			for i := end - window; i < end; i++ {
+				f += firsts[i]
+				r += repeats[i]
+			}
+			require.LessOrEqual(t, float64(r), opts.Ratio*float64(f)+opts.Extra)
+		}
+	})
+}
+
+// A service at rest may repeat from the fixed extra.
+func TestExtraIsShared(t *testing.T) {
+	b := New(opts)
+	now := time.Unix(1000, 0)
+	n := 0
+	for b.Take(now, 8) {
+		n++
+	}
+	require.Equal(t, 5, n)
+	require.True(t, b.Take(now.Add(opts.Window+time.Second), 8))
+}
--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -54,6 +54,10 @@
 	failureFade = 3 * time.Second
 )
 
+// maxLooked is how many upstreams are looked at for one request, so that the time
+// of a decision does not grow with the fleet.
+const maxLooked = 80
+
 // assumedSlots is taken for upstreams that state none.
 const assumedSlots = 8
 
@@ -116,8 +120,11 @@
 	places   map[string]*place
 	services map[string][]*place
 	// ready is the number of upstreams of a service that take new requests.
-	ready  map[string]int
-	speeds map[string]*speed
+	ready map[string]int
+	// turn and scratch are those of sample.
+	turn    int
+	scratch []*place
+	speeds  map[string]*speed
 }
 
 // NewTable returns an empty table; regions maps availability zones to regions.
@@ -172,6 +179,30 @@
 func (t *Table) Pick(now time.Time, r *Request) (Choice, bool) {
 	list := t.services[r.Service.Name]
 	home := t.home(list, r)
+	if len(list) > maxLooked {
+		if best, ok := t.cheapest(now, r, t.sample(list, home), home); ok {
+			return best, true
+		}
+	}
+	return t.cheapest(now, r, list, home)
+}
+
+// sample returns some of the upstreams of a large service: the next ones in turn,
+// and the home of the request's prefix.
+func (t *Table) sample(list []*place, home *place) []*place {
+	t.scratch = t.scratch[:0]
+	if home != nil {
+		t.scratch = append(t.scratch, home)
+	}
+	for range maxLooked {
+		t.turn = (t.turn + 1) % len(list)
+		t.scratch = append(t.scratch, list[t.turn])
+	}
+	return t.scratch
+}
+
+// cheapest returns the upstream of a list with the lowest cost.
+func (t *Table) cheapest(now time.Time, r *Request, list []*place, home *place) (Choice, bool) {
 	speed := t.speed(r.Service.Name)
 	best, bestCost := Choice{}, math.Inf(1)
 	for _, p := range list {
--- a/decision/scaling/scaling.go
+++ b/decision/scaling/scaling.go
@@ -219,7 +219,7 @@
 		total = min(total, have+1+int(riseFactor*float64(have)))
 	}
 	if now.Sub(s.roseAt) < in.Scaling.Boot+riseSlack {
-		return max(total, s.rose)
+		return s.rose
 	}
 	if total > have {
 		s.rose, s.roseAt = total, now
--- /dev/null
+++ b/decision/usage/usage_test.go
@@ -0,0 +1,51 @@
+package usage
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const length = 5 * time.Second
+
+func at(window int64, offset time.Duration) time.Time {
+	return time.Unix(0, window*int64(length)).Add(offset)
+}
+
+func TestWindowsFollowTheTimeOfDay(t *testing.T) {
+	b := NewBook(length)
+	require.EqualValues(t, 100, b.Window(at(100, 0)))
+	require.EqualValues(t, 100, b.Window(at(100, length-1)))
+	require.EqualValues(t, 101, b.Window(at(100, length)))
+	require.Equal(t, at(101, 0), b.End(100))
+}
+
+// Words that come twice, late or after a restart of the other process count once.
+func TestReportSumsUpAllProcesses(t *testing.T) {
+	b := NewBook(length)
+	b.Count(at(100, 0), "c")
+	b.Count(at(100, time.Second), "c")
+	for range 3 {
+		b.Hear("entry-2/first", Windows{100: {"c": 3, "d": 1}})
+	}
+	b.Hear("entry-2/first", Windows{100: {"c": 4, "d": 1}, 101: {"c": 1}})
+	b.Hear("entry-2/second", Windows{100: {"c": 2}})
+	require.Equal(t, Counts{"c": 8, "d": 1}, b.Report(100))
+	require.Equal(t, Counts{"c": 1}, b.Report(101))
+}
+
+func TestOnlyNewestWindowsAreToldAndFewKept(t *testing.T) {
+	b := NewBook(length)
+	for w := int64(100); w < 120; w++ {
+		b.Count(at(w, 0), "c")
+	}
+	told := b.Newest(at(119, time.Second))
+	require.Len(t, told, 2)
+	require.Contains(t, told, int64(119))
+	require.Contains(t, told, int64(118))
+	require.Len(t, b.own, kept)
+	// What is told is a copy.
+	told[119]["c"] = 50
+	require.Equal(t, 1, b.Report(119)["c"])
+}
--- /dev/null
+++ b/upstream/exchange/exchange_test.go
@@ -0,0 +1,279 @@
+package exchange_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"jaylink/upstream/exchange"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// script is what the other side does with one connection; n counts connections.
+type script func(t *testing.T, c net.Conn, r *bufio.Reader, n int)
+
+// serve runs a script for each connection and returns the address.
+func serve(t *testing.T, s script) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for n := 1; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s(t, c, bufio.NewReader(c), n)
+			_ = c.Close()
+		}
+	}()
+	t.Cleanup(func() {
+		require.NoError(t, l.Close())
+		<-done
+	})
+	return l.Addr().String()
+}
+
+// read takes one request; it returns its target, or "" at the end.
+func read(r *bufio.Reader) string {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return ""
+	}
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return ""
+	}
+	return req.RequestURI
+}
+
+func say(t *testing.T, c net.Conn, text string) {
+	_, err := io.WriteString(c, text)
+	if err != nil {
+		t.Logf("the other side left: %v", err)
+	}
+}
+
+func answerTo(target, body string) string {
+	return "HTTP/1.1 200 OK\r\nFor: " + target + "\r\nContent-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func itoa(n int) string { return string(rune('0'+n/10)) + string(rune('0'+n%10)) }
+
+func request(target string) *exchange.Request {
+	return &exchange.Request{
+		Method: "GET", Target: target, Host: "h", Header: http.Header{},
+		Mine: func(_ int, h http.Header) bool { return h.Get("For") == target },
+	}
+}
+
+func get(t *testing.T, p *exchange.Pool, address string, req *exchange.Request) (string, error) {
+	t.Helper()
+	a, err := p.Do(t.Context(), address, req)
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	body, err := io.ReadAll(a)
+	return string(body), err
+}
+
+func newPool(t *testing.T) (*exchange.Pool, *int) {
+	t.Helper()
+	p := exchange.NewPool()
+	opened := 0
+	p.Opened = func() { opened++ }
+	t.Cleanup(p.Close)
+	return p, &opened
+}
+
+func TestCleanConnectionsAreUsedAgain(t *testing.T) {
+	address := serve(t, func(t *testing.T, c net.Conn, r *bufio.Reader, _ int) {
+		for target := read(r); target != ""; target = read(r) {
+			say(t, c, answerTo(target, "one"))
+		}
+	})
+	p, opened := newPool(t)
+	for range 5 {
+		body, err := get(t, p, address, request("/a"))
+		require.NoError(t, err)
+		require.Equal(t, "one", body)
+	}
+	require.Equal(t, 1, *opened)
+	require.Equal(t, 1, p.Open(address))
+	p.Close()
+	require.Zero(t, p.Open(address))
+}
+
+// Each way in which a connection is not clean afterwards ends it.
+func TestUncleanConnectionsAreDropped(t *testing.T) {
+	cases := map[string]string{
+		"says close":        "HTTP/1.1 200 OK\r\nFor: /a\r\nConnection: close\r\nContent-Length: 3\r\n\r\none",
+		"bytes follow":      answerTo("/a", "one") + "more",
+		"an answer follows": answerTo("/a", "one") + answerTo("/a", "two"),
+		"no length":         "HTTP/1.1 200 OK\r\nFor: /a\r\n\r\none",
+		"another's first":   answerTo("/b", "two") + answerTo("/a", "one"),
+	}
+	for name, text := range cases {
+		t.Run(name, func(t *testing.T) {
+			address := serve(t, func(t *testing.T, c net.Conn, r *bufio.Reader, _ int) {
+				if read(r) != "" {
+					say(t, c, text)
+				}
+			})
+			p, opened := newPool(t)
+			for range 3 {
+				body, err := get(t, p, address, request("/a"))
+				require.NoError(t, err)
+				require.Equal(t, "one", body)
+			}
+			require.Equal(t, 3, *opened)
+		})
+	}
+}
+
+// An answer of an earlier request that comes late is skipped, not taken.
+func TestLateAnswerIsSkipped(t *testing.T) {
+	address := serve(t, func(t *testing.T, c net.Conn, r *bufio.Reader, _ int) {
+		for target := read(r); target != ""; target = read(r) {
+			if target == "/b" {
+				say(t, c, answerTo("/a", "old"))
+			}
+			say(t, c, answerTo(target, "new"))
+		}
+	})
+	p, _ := newPool(t)
+	_, err := get(t, p, address, request("/a"))
+	require.NoError(t, err)
+	body, err := get(t, p, address, request("/b"))
+	require.NoError(t, err)
+	require.Equal(t, "new", body)
+}
+
+// What an error says about whether the request may have run.
+func TestErrorsSayWhatWasSent(t *testing.T) {
+	cases := map[string]struct {
+		script script
+		sent   bool
+		step   string
+	}{
+		"closed after the request": {func(_ *testing.T, _ net.Conn, r *bufio.Reader, _ int) { read(r) }, true, "read_head"},
+		"not an answer": {func(t *testing.T, c net.Conn, r *bufio.Reader, _ int) {
+			read(r)
+			say(t, c, "garbage\r\n\r\n")
+		}, true, "read_head"},
+		"only another's answer": {func(t *testing.T, c net.Conn, r *bufio.Reader, _ int) {
+			read(r)
+			say(t, c, answerTo("/z", "one"))
+		}, true, "read_head"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p, _ := newPool(t)
+			_, err := get(t, p, serve(t, c.script), request("/a"))
+			var failed *exchange.Error
+			require.ErrorAs(t, err, &failed)
+			require.Equal(t, c.sent, failed.Sent)
+			require.Equal(t, c.step, failed.Step)
+		})
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	p, _ := newPool(t)
+	_, err = get(t, p, l.Addr().String(), request("/a"))
+	var failed *exchange.Error
+	require.ErrorAs(t, err, &failed)
+	require.False(t, failed.Sent)
+	require.Equal(t, "connect", failed.Step)
+	require.Zero(t, p.Open(l.Addr().String()))
+}
+
+// An answer may come before a long request is written; the connection then carries
+// no other request.
+func TestEarlyAnswerToALongRequest(t *testing.T) {
+	release := make(chan struct{})
+	address := serve(t, func(t *testing.T, c net.Conn, r *bufio.Reader, n int) {
+		if n > 1 {
+			if read(r) != "" {
+				say(t, c, answerTo("/a", "two"))
+			}
+			return
+		}
+		say(t, c, answerTo("/a", "one"))
+		<-release
+	})
+	p, opened := newPool(t)
+	long := request("/a")
+	long.Method, long.Body = "POST", []byte(strings.Repeat("x", 8<<20))
+	body, err := get(t, p, address, long)
+	require.NoError(t, err)
+	require.Equal(t, "one", body)
+	close(release)
+	body, err = get(t, p, address, request("/a"))
+	require.NoError(t, err)
+	require.Equal(t, "two", body)
+	require.Equal(t, 2, *opened)
+}
+
+// A torn answer is an error, however it was framed.
+func TestTornAnswersAreErrors(t *testing.T) {
+	for name, text := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nFor: /a\r\nContent-Length: 30\r\n\r\none",
+		"chunked": "HTTP/1.1 200 OK\r\nFor: /a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, _ := newPool(t)
+			_, err := get(t, p, serve(t, func(t *testing.T, c net.Conn, r *bufio.Reader, _ int) {
+				read(r)
+				say(t, c, text)
+			}), request("/a"))
+			require.Error(t, err)
+		})
+	}
+}
+
+// The end of the context closes the connection, which the other side notices.
+func TestContextEndsTheExchange(t *testing.T) {
+	left := make(chan error, 1)
+	address := serve(t, func(_ *testing.T, _ net.Conn, r *bufio.Reader, _ int) {
+		read(r)
+		_, err := r.ReadByte()
+		left <- err
+	})
+	p, _ := newPool(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(10*time.Millisecond, cancel)
+	_, err := p.Do(ctx, address, request("/a"))
+	require.Error(t, err)
+	require.Error(t, <-left)
+	require.Zero(t, p.Open(address))
+}
+
+func TestSilenceEndsAtTheHeadTimeout(t *testing.T) {
+	release := make(chan struct{})
+	address := serve(t, func(_ *testing.T, _ net.Conn, r *bufio.Reader, _ int) {
+		read(r)
+		<-release
+	})
+	p, _ := newPool(t)
+	req := request("/a")
+	req.HeadTimeout = 20 * time.Millisecond
+	_, err := p.Do(t.Context(), address, req)
+	close(release)
+	var timeout net.Error
+	require.ErrorAs(t, err, &timeout)
+	require.True(t, timeout.Timeout())
+	require.False(t, errors.Is(err, context.Canceled))
+}
