explain: read the log lines of gateways

Cause: on-call engineers have logs only, from several entries. Words carry running totals less often in large fleets, always to the holder; near and far entries are gone through apart. Ruled out: a store of logs; the lines are enough.

--- a/cmd/jaylink/explain.go
+++ b/cmd/jaylink/explain.go
@@ -12,17 +12,24 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"jaylink/decision/route"
+	"jaylink/internal/timeline"
 	"jaylink/operator"
 )
 
 func addExplain(app *kingpin.Application) {
 	cmd := app.Command("explain", "Print why a request was routed, refused, retried or moved, or what happened to an upstream. "+
-		"An entry remembers its last decisions only (setting record.decisions).")
+		"An entry remembers its last decisions only (setting record.decisions). With --logs, the log lines of gateways are searched instead.")
 	id := cmd.Arg("request-id", "Request ID, from the response header Jaylink-Request-Id.").String()
 	upstream := cmd.Flag("upstream", "Name of an upstream.").String()
 	limit := cmd.Flag("limit", "Print the newest decisions only; 0 means all.").Default("50").Int()
+	logs := cmd.Flag("logs", "Log file of a gateway, - for standard input. May be repeated.").Strings()
+	version := cmd.Flag("configuration", "With --logs: when a version of the configuration came into force where.").Uint64()
+	duties := cmd.Flag("duties", "With --logs: who held the duties and what came of them.").Bool()
 	conn, output := entriesFlags(cmd), outputFlag(cmd)
 	cmd.Action(func(*kingpin.ParseContext) error {
+		if len(*logs) > 0 {
+			return explainLogs(*logs, timeline.Query{RequestID: *id, Upstream: *upstream, Version: *version, Duties: *duties})
+		}
 		if (*id == "") == (*upstream == "") {
 			return &exitError{exitBadInput, errors.New("explain needs either a request ID or --upstream")}
 		}
--- a/decision/quota/quota.go
+++ b/decision/quota/quota.go
@@ -120,6 +120,12 @@
 	b.part = math.Min(b.part+free*share, b.Rate*share*partBurst.Seconds())
 }
 
+func (q *Quota) refillAll(now time.Time) {
+	for name, b := range q.buckets {
+		q.refill(now, b, name)
+	}
+}
+
 // share returns this entry's part of what all speaking entries are asked for.
 func (q *Quota) share(now time.Time, b *bucket, customer string) float64 {
 	idle := idleDemand * b.Rate
@@ -192,16 +198,23 @@
 	return out
 }
 
-// Hear takes the totals of another entry.
+// Hear takes the totals of another entry; nil says only that it lives.
 func (q *Quota) Hear(now time.Time, entry string, incarnation int64, totals map[string]Total) {
 	p := q.peers[entry]
+	if totals == nil {
+		if p != nil && p.incarnation == incarnation {
+			q.refillAll(now)
+			p.heard = now
+		}
+		return
+	}
 	if p == nil || p.incarnation != incarnation {
 		// What a new process has admitted already is not in the level here.
 		p = &peer{incarnation: incarnation, totals: totals, demands: map[string]*meter.Meter{}, charged: map[string]float64{}}
 		q.peers[entry] = p
 	}
+	q.refillAll(now)
 	for name, b := range q.buckets {
-		q.refill(now, b, name)
 		b.level -= totals[name].Admitted - p.totals[name].Admitted - p.charged[name]
 		b.level = math.Min(b.level, b.Burst)
 		d := p.demands[name]
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -24,8 +24,14 @@
 	// hear of before the next turn, and soonDelay gathers such attempts.
 	soonTokens = 4000
 	soonDelay  = 20 * time.Millisecond
-	// tellFanout bounds the entries told at a time; the others follow next.
-	tellFanout = 16
+	// tellFanout bounds the entries told at a time, in the region and beyond; the
+	// others follow next. Entries that watch the store tell more, as the others
+	// wait for their word.
+	tellFanout    = 16
+	watcherFanout = 32
+	// wholePeers is the number of other entries up to which each turn's word has
+	// the totals; with more of them it is every second turn, and so on.
+	wholePeers = 24
 	// findInterval is how often entries that never spoke are looked for.
 	findInterval = 30 * time.Second
 	// findSoon repeats the first look, because all entries start together.
@@ -38,8 +44,8 @@
 	maxDatagram = 64 << 10
 )
 
-// word is what an entry tells the others, all of it each time, so that lost and
-// reordered datagrams do no harm.
+// word is what an entry tells the others: its state and not what has changed, so
+// that lost and reordered datagrams do no harm.
 type word struct {
 	Entry string `json:"entry"`
 	// Incarnation is the Unix nanosecond of the process's start.
@@ -60,8 +66,8 @@
 	Holder bool `json:"holder,omitempty"`
 	// Loads is own work by upstream: requests, unread tokens, memory.
 	Loads map[string][3]int `json:"loads,omitempty"`
-	// Totals is work by customer since the process's start.
-	Totals map[string]quota.Total `json:"totals,omitempty"`
+	// Totals is work by customer since the process's start; nil if it is left out.
+	Totals map[string]quota.Total `json:"totals"`
 	// Usage is the requests that began to run, by window and customer, for the
 	// newest windows.
 	Usage usage.Windows `json:"usage,omitempty"`
@@ -175,21 +181,82 @@
 func (g *Gateway) tellPeers(ctx context.Context) {
 	ticker := time.NewTicker(tellInterval)
 	defer ticker.Stop()
+	var near, far rotation
 	for turn := 0; ; {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			g.tell(turn, turn%farEvery == 0)
+			g.tellTurn(turn, &near, &far)
 			turn++
 		case <-g.tellSoon:
 			if sleep(ctx, soonDelay) {
-				g.tell(turn, false)
+				peers := g.listPeers()
+				g.sendWord(g.nextWord(false), near.next(peers.near, tellFanout))
 			}
 		}
 	}
 }
 
+// tellTurn tells the regular word of a turn.
+func (g *Gateway) tellTurn(turn int, near, far *rotation) {
+	peers := g.listPeers()
+	fanout := tellFanout
+	if g.following.Load() {
+		fanout = watcherFanout
+	}
+	targets := near.next(peers.near, fanout)
+	if turn%farEvery == 0 {
+		targets = append(targets, far.next(peers.far, fanout)...)
+	}
+	whole := turn%(1+(len(peers.near)+len(peers.far))/wholePeers) == 0
+	if whole && peers.holder != nil && !slices.Contains(targets, peers.holder) {
+		targets = append(targets, peers.holder)
+	}
+	g.sendWord(g.nextWord(whole), targets)
+}
+
+// peerList is whom an entry may tell.
+type peerList struct {
+	near, far []*net.UDPAddr
+	// holder does the duties; nil if it is unknown or this entry.
+	holder *net.UDPAddr
+}
+
+func (g *Gateway) listPeers() peerList {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var list peerList
+	for _, name := range sortedKeys(g.peers) {
+		p := g.peers[name]
+		switch {
+		case p.address == nil:
+			continue
+		case p.region == g.settings.Region:
+			list.near = append(list.near, p.address)
+		default:
+			list.far = append(list.far, p.address)
+		}
+		if p.holder {
+			list.holder = p.address
+		}
+	}
+	return list
+}
+
+// rotation goes through a list over several turns.
+type rotation struct{ at int }
+
+func (r *rotation) next(list []*net.UDPAddr, n int) []*net.UDPAddr {
+	n = min(n, len(list))
+	out := make([]*net.UDPAddr, 0, n)
+	for range n {
+		r.at = (r.at + 1) % len(list)
+		out = append(out, list[r.at])
+	}
+	return out
+}
+
 // tellLarge has the others told soon of an attempt with much to read.
 func (g *Gateway) tellLarge(unread int) {
 	if unread < soonTokens {
@@ -201,21 +268,21 @@
 	}
 }
 
-// tell sends a word to the others of the region, or to all.
-func (g *Gateway) tell(turn int, all bool) {
-	w, targets := g.nextWord(all)
+// sendWord sends a word.
+func (g *Gateway) sendWord(w word, targets []*net.UDPAddr) {
 	data, err := json.Marshal(w)
 	if err != nil {
 		g.log.Error("word can't be encoded", "err", err)
 		return
 	}
-	for i := range min(len(targets), tellFanout) {
+	for _, to := range targets {
 		// A lost datagram is made good by the next one.
-		_, _ = g.gossip.WriteToUDP(data, targets[(turn*tellFanout+i)%len(targets)])
+		_, _ = g.gossip.WriteToUDP(data, to)
 	}
 }
 
-func (g *Gateway) nextWord(all bool) (word, []*net.UDPAddr) {
+// nextWord puts together what is to be told; a whole word has the running totals.
+func (g *Gateway) nextWord(whole bool) word {
 	w := word{
 		Entry: g.settings.Name, Incarnation: g.incarnation, Address: g.gossip.LocalAddr().String(),
 		Region: g.settings.Region, Leaving: g.stopping.Load(),
@@ -233,18 +300,13 @@
 	for id, l := range g.table.Loads(time.Now()) {
 		w.Loads[id] = [3]int{l.Running, l.Unread, l.Memory}
 	}
-	w.Totals = g.quota.Totals(time.Now())
-	w.Usage = g.book.Newest(g.trueTime())
+	if whole {
+		w.Totals = g.quota.Totals(time.Now())
+		w.Usage = g.book.Newest(g.trueTime())
+	}
 	w.Watches = g.storeHeld() && g.following.Load()
 	_, w.Holder = g.lease.MayOrder(steadyTime(), true)
-	var targets []*net.UDPAddr
-	for _, name := range sortedKeys(g.peers) {
-		p := g.peers[name]
-		if p.address != nil && (all || p.region == g.settings.Region) {
-			targets = append(targets, p.address)
-		}
-	}
-	return w, targets
+	return w
 }
 
 func sortedKeys[V any](m map[string]V) []string {
--- /dev/null
+++ b/internal/timeline/timeline.go
@@ -0,0 +1,164 @@
+// Package timeline finds in the gateway's log lines what explains one request, one
+// upstream, one version of the configuration, or the duties.
+package timeline
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Line is one log line.
+type Line struct {
+	Time    time.Time
+	Level   string
+	Message string
+	Entry   string
+	// Fields are the remaining keys.
+	Fields map[string]any
+}
+
+// maxLine is the longest line that is read, in bytes.
+const maxLine = 1 << 20
+
+// Read reads the log lines of a file. Text before the first brace of a line and
+// lines that are not JSON are passed over and counted.
+func Read(r io.Reader) (lines []Line, skipped int, err error) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 64<<10), maxLine)
+	for scanner.Scan() {
+		text := scanner.Text()
+		at := strings.IndexByte(text, '{')
+		if at < 0 {
+			skipped++
+			continue
+		}
+		line, ok := parse(text[at:])
+		if !ok {
+			skipped++
+			continue
+		}
+		lines = append(lines, line)
+	}
+	return lines, skipped, scanner.Err()
+}
+
+func parse(text string) (Line, bool) {
+	fields := map[string]any{}
+	if err := json.Unmarshal([]byte(text), &fields); err != nil {
+		return Line{}, false
+	}
+	take := func(key string) string {
+		s, ok := fields[key].(string)
+		if ok {
+			delete(fields, key)
+		}
+		return s
+	}
+	at, err := time.Parse(time.RFC3339Nano, take("time"))
+	line := Line{Time: at, Level: take("level"), Message: take("msg"), Entry: take("entry"), Fields: fields}
+	return line, err == nil && line.Message != ""
+}
+
+// Query says what is to be explained. One of its fields is set.
+type Query struct {
+	RequestID string
+	Upstream  string
+	// Version is that of a configuration.
+	Version uint64
+	// Duties asks for the lease, usage reports and orders.
+	Duties bool
+}
+
+// around is how far from a request's lines those about its upstreams and entries
+// are looked for.
+const around = 3 * time.Second
+
+// dutyMessages are the messages about duties.
+var dutyMessages = []string{
+	"holds the duties", "duty refused: a newer holder has acted", "usage reported", "usage not reported yet",
+	"usage not fixed yet", "upstreams ordered", "no spot upstreams to be had", "order not accepted yet",
+}
+
+// beliefs are the messages that say what an entry believes.
+var beliefs = []string{
+	"configuration in force", "dependency lost", "dependency regained", "started", "stopping", "stopped",
+	"clock set to that of most entries",
+}
+
+// Explain returns the lines that answer a query, in order of time.
+func Explain(lines []Line, q Query) []Line {
+	out := slices.Collect(func(yield func(Line) bool) {
+		for _, l := range lines {
+			if q.direct(l) && !yield(l) {
+				return
+			}
+		}
+	})
+	if q.RequestID != "" && len(out) > 0 {
+		out = append(out, context(lines, out, q)...)
+	}
+	slices.SortStableFunc(out, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	return out
+}
+
+func (q Query) direct(l Line) bool {
+	switch {
+	case q.RequestID != "":
+		return l.Fields["request_id"] == q.RequestID
+	case q.Upstream != "":
+		return l.Fields["upstream"] == q.Upstream && l.Fields["outcome"] != "answered"
+	case q.Version != 0:
+		return l.Message == "configuration in force" && l.Fields["version"] == float64(q.Version)
+	}
+	return q.Duties && slices.Contains(dutyMessages, l.Message)
+}
+
+// context returns what the entries of a request believed at the time, and what
+// others saw of its upstreams.
+func context(all, about []Line, q Query) []Line {
+	entries, upstreams := map[string]bool{}, map[any]bool{}
+	from, to := about[0].Time, about[0].Time
+	for _, l := range about {
+		entries[l.Entry] = true
+		if u, ok := l.Fields["upstream"].(string); ok && u != "" {
+			upstreams[u] = true
+		}
+		if l.Time.Before(from) {
+			from = l.Time
+		}
+		if l.Time.After(to) {
+			to = l.Time
+		}
+	}
+	from, to = from.Add(-around), to.Add(around)
+	var out []Line
+	for _, l := range all {
+		if l.Time.Before(from) || l.Time.After(to) || l.Fields["request_id"] == q.RequestID {
+			continue
+		}
+		belief := entries[l.Entry] && slices.Contains(beliefs, l.Message)
+		seen := upstreams[l.Fields["upstream"]] && l.Message != "request"
+		if belief || seen {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// String returns the line as text: time, entry, message and fields.
+func (l Line) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s %s", l.Time.Format("15:04:05.000"), l.Entry, l.Message)
+	for _, key := range slices.Sorted(maps.Keys(l.Fields)) {
+		if v := l.Fields[key]; v != "" {
+			fmt.Fprintf(&b, " %s=%v", key, v)
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/timeline/timeline_test.go
@@ -0,0 +1,54 @@
+package timeline
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const logs = `  8.1 e1 {"time":"2026-01-01T10:00:00Z","level":"INFO","msg":"configuration in force","entry":"e1","version":4}
+{"time":"2026-01-01T10:00:05Z","level":"INFO","msg":"stream broken","entry":"e1","request_id":"r1","upstream":"u1","reason":"stream_broken"}
+{"time":"2026-01-01T10:00:05.1Z","level":"INFO","msg":"request","entry":"e1","request_id":"r1","outcome":"failed","upstream":"u1"}
+{"time":"2026-01-01T10:00:05.2Z","level":"INFO","msg":"stream broken","entry":"e2","request_id":"r2","upstream":"u1"}
+{"time":"2026-01-01T10:00:04.2Z","level":"INFO","msg":"request","entry":"e2","request_id":"r3","outcome":"answered","upstream":"u1"}
+{"time":"2026-01-01T10:00:06Z","level":"INFO","msg":"upstream gone","entry":"e2","upstream":"u1"}
+{"time":"2026-01-01T10:00:04Z","level":"WARN","msg":"dependency lost","entry":"e1","dependency":"store.config"}
+{"time":"2026-01-01T10:00:04Z","level":"WARN","msg":"dependency lost","entry":"e2","dependency":"store.config"}
+{"time":"2026-01-01T10:00:30Z","level":"INFO","msg":"upstreams ordered","entry":"e2","zone":"z","count":3}
+not a log line
+{"time":"soon","msg":"x"}
+`
+
+func messages(lines []Line) []string {
+	var out []string
+	for _, l := range lines {
+		out = append(out, l.Entry+" "+l.Message)
+	}
+	return out
+}
+
+func TestExplain(t *testing.T) {
+	lines, skipped, err := Read(strings.NewReader(logs))
+	require.NoError(t, err)
+	require.Equal(t, 2, skipped)
+	cases := map[string]struct {
+		query Query
+		want  []string
+	}{
+		"a request, what its entry believed and what others saw of its upstream": {
+			Query{RequestID: "r1"},
+			[]string{"e1 dependency lost", "e1 stream broken", "e1 request", "e2 stream broken", "e2 upstream gone"},
+		},
+		"an upstream":     {Query{Upstream: "u1"}, []string{"e1 stream broken", "e1 request", "e2 stream broken", "e2 upstream gone"}},
+		"a version":       {Query{Version: 4}, []string{"e1 configuration in force"}},
+		"duties":          {Query{Duties: true}, []string{"e2 upstreams ordered"}},
+		"unknown request": {Query{RequestID: "r9"}, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, c.want, messages(Explain(lines, c.query)))
+		})
+	}
+	require.Equal(t, `10:00:05.000 e1 stream broken reason=stream_broken request_id=r1 upstream=u1`, Explain(lines, Query{RequestID: "r1"})[1].String())
+}
