soak: random faults from outside on gateways as separate processes

Change: jaylink soak starts gateways, stands in for the store and the upstreams, puts loopback proxies between them, and injects nineteen kinds of fault in series that overlap: stops, kills, pauses, hangups, paths that are slow, silent or cut one way, a store that is down, loses answers or its history, upstreams that crash, drain, refuse, lie. It checks for requests that ran twice, or ran though refused, answers that are not whole or not one's own, reports that differ, and entries that do not recover. Ruled out: faults from inside the processes.

--- a/cmd/jaylink/main.go
+++ b/cmd/jaylink/main.go
@@ -59,6 +59,7 @@
 	addVersion(app)
 	addLoad(app)
 	addReplay(app)
+	addSoak(app)
 	addStandin(app)
 	parsed := false
 	app.Action(func(*kingpin.ParseContext) error { parsed = true; return nil })
--- /dev/null
+++ b/cmd/jaylink/soak.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"jaylink/internal/soak"
+)
+
+func addSoak(app *kingpin.Application) {
+	cmd := app.Command("soak", "Run gateways as processes on loopback, inject random faults from outside and check what callers and upstreams see.")
+	first := cmd.Flag("seed", "First seed.").Default("1").Uint64()
+	count := cmd.Flag("seeds", "Number of seeds to play, one after the other.").Default("1").Int()
+	length := cmd.Flag("for", "How long faults are injected with each seed.").Default("30s").Duration()
+	entries := cmd.Flag("entries", "Number of gateways.").Default("3").Int()
+	upstreams := cmd.Flag("upstreams", "Number of upstreams.").Default("6").Int()
+	callers := cmd.Flag("callers", "Number of callers.").Default("12").Int()
+	cmd.Action(func(*kingpin.ParseContext) error {
+		return runSoak(*first, *count, soak.Options{For: *length, Entries: *entries, Upstreams: *upstreams, Callers: *callers})
+	})
+}
+
+func runSoak(first uint64, count int, o soak.Options) error {
+	binary, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	failed := 0
+	for i := 0; i < count && ctx.Err() == nil; i++ {
+		o.Binary, o.Seed, o.Out = binary, first+uint64(i), os.Stdout
+		begun := time.Now()
+		r, err := soak.Run(ctx, o)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("seed=%d faults=%d requests=%d answered=%d refused=%d violations=%d took=%s logs=%s\n",
+			r.Seed, len(r.Faults), r.Requests, r.Answered, r.Refused, len(r.Violations), time.Since(begun).Round(time.Second), r.Dir)
+		for _, v := range r.Violations {
+			fmt.Println("  ", v)
+		}
+		if len(r.Violations) > 0 {
+			failed++
+		}
+	}
+	if failed > 0 {
+		return &exitError{exitFailed, errors.New("promises were broken; the seeds and logs are above")}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/soak/callers.go
@@ -0,0 +1,129 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"jaylink/standin/upstream"
+)
+
+// callTimeout is how long a caller waits.
+const callTimeout = 4 * time.Second
+
+// verdict is what a caller saw of one request.
+type verdict struct {
+	id, route, entry string
+	status           int
+	// whole says that the answer ended as complete.
+	whole bool
+	// fault says what was wrong with it, if anything.
+	fault string
+	begun time.Time
+	ended time.Time
+}
+
+// promisesUnrun reports whether the status says that the request has not run.
+func (v verdict) promisesUnrun() bool {
+	return v.status == http.StatusTooManyRequests || v.status == http.StatusServiceUnavailable
+}
+
+// caller keeps sending requests over connections that it holds open.
+type caller struct {
+	fleet    *fleet
+	name     string
+	rng      *rand.Rand
+	client   *http.Client
+	mu       *sync.Mutex
+	verdicts *[]verdict
+}
+
+var routes = []string{"stream", "stream", "once", "order", "order", "status"}
+
+func (c *caller) run(ctx context.Context, pause time.Duration) {
+	defer c.client.CloseIdleConnections()
+	for n := 0; ctx.Err() == nil; n++ {
+		e := c.fleet.entries[c.rng.IntN(len(c.fleet.entries))]
+		v := c.call(ctx, e, routes[c.rng.IntN(len(routes))], fmt.Sprintf("%s-%d", c.name, n))
+		c.mu.Lock()
+		*c.verdicts = append(*c.verdicts, v)
+		c.mu.Unlock()
+		time.Sleep(time.Duration(c.rng.Int64N(int64(2*pause) + 1)))
+	}
+}
+
+// call sends one request and checks its answer.
+func (c *caller) call(ctx context.Context, e *entry, route, id string) verdict {
+	v := verdict{id: id, route: route, entry: e.name, begun: time.Now()}
+	defer func() { v.ended = time.Now() }()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	method := http.MethodPost
+	if route == "status" {
+		method = http.MethodGet
+	}
+	path := "/" + route + "/" + id
+	req, err := http.NewRequestWithContext(ctx, method, e.front()+path, strings.NewReader("prompt of "+id))
+	if err != nil {
+		v.fault = err.Error()
+		return v
+	}
+	req.Host = host
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Key", c.fleet.key())
+	req.Header.Set("Deadline-Ms", strconv.FormatInt(callTimeout.Milliseconds(), 10))
+	streams := route == "stream" || route == "once"
+	if streams {
+		req.Header.Set("Token-Count", "500,100")
+		req.Header.Set("Prefix-Hash", fmt.Sprintf("%x:300,%x:200", c.rng.IntN(5)+1, c.rng.Uint64()))
+		req.Header.Set("Model", "m")
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return v
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	v.status, v.whole = resp.StatusCode, err == nil
+	v.fault = checkAnswer(resp, string(body), v, path, streams)
+	return v
+}
+
+// checkAnswer says what is wrong with an answer as the caller has it.
+func checkAnswer(resp *http.Response, body string, v verdict, path string, streams bool) string {
+	if got := resp.Header.Get("Request-Id"); got != v.id {
+		return fmt.Sprintf("answer of request %q", got)
+	}
+	if v.status != http.StatusOK {
+		return ""
+	}
+	if resp.Header.Get("Response-Seal") == "" {
+		return "success without a proof"
+	}
+	want := "answer to " + path
+	if streams {
+		want = wholeStream
+	}
+	switch {
+	case v.whole && body != want:
+		return fmt.Sprintf("complete answer of %d bytes is not whole or not its own", len(body))
+	case !strings.HasPrefix(want, body):
+		return "part of an answer is not its own, or an event is missing or twice"
+	}
+	return ""
+}
+
+// wholeStream is the body of a stream that misses nothing.
+var wholeStream = func() string {
+	var b strings.Builder
+	for n := range upstream.Events {
+		b.WriteString(upstream.Event(n))
+	}
+	return b.String()
+}()
--- /dev/null
+++ b/internal/soak/fleet.go
@@ -0,0 +1,339 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"jaylink/standin/metastore"
+	"jaylink/standin/upstream"
+)
+
+// Names and numbers of the deployment that a soak serves.
+const (
+	host       = "soak.example"
+	engines    = "caption"
+	counter    = "counter"
+	customer   = "customer-a"
+	zones      = 2
+	firstPort  = 17500
+	lastPort   = 17515
+	frontPort  = 18360
+	readyPort  = 18365
+	eventPace  = 15 * time.Millisecond
+	graceTime  = 8 * time.Second
+	memoryMB   = 256
+	maxFiles   = 1000
+	heartbeat  = 1200
+	readyLimit = time.Second
+)
+
+// fleet is the platform, the upstreams and the entries of one run.
+type fleet struct {
+	dir     string
+	binary  string
+	store   *metastore.Server
+	http    *http.Server
+	address string
+	entries []*entry
+
+	mu        sync.Mutex
+	upstreams []*backend
+	// old holds upstreams that have gone, as their runs still count.
+	old     []*backend
+	version int
+	keys    []string
+	born    int
+	started int
+}
+
+// backend is an upstream behind a proxy.
+type backend struct {
+	*upstream.Server
+	proxy   *proxy
+	service string
+	zone    string
+}
+
+// entry is one gateway process and its way to the store.
+type entry struct {
+	name, ip, zone string
+	settings       string
+	store          *proxy
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	exited  chan struct{}
+	log     *os.File
+	paused  bool
+	stopped bool
+}
+
+func newFleet(dir, binary string, block, entries, upstreams int) (*fleet, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{dir: dir, binary: binary, store: metastore.New(), address: l.Addr().String(), version: 1, keys: []string{"key-0"}}
+	f.http = &http.Server{Handler: f.store, ReadHeaderTimeout: time.Minute}
+	// Serve ends with Close, in stop.
+	go func() { _ = f.http.Serve(l) }()
+	f.configure()
+	for i := range upstreams {
+		service := engines
+		if i%2 == 1 {
+			service = counter
+		}
+		if err := f.addUpstream(service, i%zones); err != nil {
+			return nil, err
+		}
+	}
+	for i := range entries {
+		e, err := f.newEntry(block, i)
+		if err != nil {
+			return nil, err
+		}
+		f.entries = append(f.entries, e)
+		if err := f.start(e); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func zoneName(i int) string { return fmt.Sprintf("zone-%d", i) }
+
+// configure writes the next version; the newest two keys are valid.
+func (f *fleet) configure() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version += 3
+	route := func(name, kind, service string, attempts int, resume bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": host, "path-prefix": "/" + name + "/", "kind": kind, "timeout-ms": 4000,
+			"target-latency-ms": 800, "gap-aim-ms": 300, "service": service, "max-attempts": attempts, "stream-resume": resume,
+		}
+	}
+	f.store.Put("config", "main", map[string]any{
+		"version": f.version,
+		"routes": []any{
+			route("stream", "streaming", engines, 2, true), route("once", "streaming", engines, 1, false),
+			route("order", "non_idempotent", counter, 1, false), route("status", "idempotent", counter, 2, false),
+		},
+		"services": []any{
+			map[string]any{"name": engines, "max-connections": 100, "engine": map[string]any{"slots": 16, "kv-capacity": 400000}},
+			map[string]any{"name": counter, "max-connections": 100},
+		},
+		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 100000, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+		"tenants": []any{map[string]any{
+			"name": customer, "api-keys": f.keys, "billing-unit": "tokens", "plain-tokens": 200, "rate-per-s": 400000, "burst": 400000,
+		}},
+	})
+}
+
+// newKey adds a key and takes the oldest but two away.
+func (f *fleet) newKey() {
+	f.mu.Lock()
+	f.keys = append(f.keys, fmt.Sprintf("key-%d", f.version))
+	if len(f.keys) > 3 {
+		f.keys = f.keys[len(f.keys)-3:]
+	}
+	f.mu.Unlock()
+	f.configure()
+}
+
+// key returns a key that has been valid for longest.
+func (f *fleet) key() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.keys[max(len(f.keys)-2, 0)]
+}
+
+func (f *fleet) newestKey() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.keys[len(f.keys)-1]
+}
+
+func (f *fleet) addUpstream(service string, zone int) error {
+	f.mu.Lock()
+	f.born++
+	id := fmt.Sprintf("i-%d", f.born)
+	f.mu.Unlock()
+	s, err := upstream.Start(id, "127.0.0.1")
+	if err != nil {
+		return err
+	}
+	s.Pace = eventPace
+	p, err := newProxy(s.Address())
+	if err != nil {
+		return err
+	}
+	b := &backend{Server: s, proxy: p, service: service, zone: zoneName(zone)}
+	f.mu.Lock()
+	f.upstreams = append(f.upstreams, b)
+	f.mu.Unlock()
+	f.list(b, "ready")
+	return nil
+}
+
+func (f *fleet) list(b *backend, state string) {
+	f.store.Put("servers", b.ID, map[string]any{
+		"service": b.service, "address": b.proxy.address(), "zone": b.zone, "slots": 16, "state": state, "born": 1,
+	})
+}
+
+// replace starts a new upstream and ends an old one: by draining, or at once.
+func (f *fleet) replace(i int, drain bool, hold time.Duration) error {
+	f.mu.Lock()
+	b := f.upstreams[i%len(f.upstreams)]
+	f.upstreams = append(f.upstreams[:i%len(f.upstreams)], f.upstreams[i%len(f.upstreams)+1:]...)
+	f.old = append(f.old, b)
+	f.mu.Unlock()
+	zone := int(b.zone[len(b.zone)-1] - '0')
+	if err := f.addUpstream(b.service, zone); err != nil {
+		return err
+	}
+	if drain {
+		f.list(b, "draining")
+		time.Sleep(hold)
+	}
+	b.proxy.close()
+	b.Close()
+	f.store.Delete("servers", b.ID)
+	return nil
+}
+
+// pick returns an upstream.
+func (f *fleet) pick(i int) *backend {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.upstreams[i%len(f.upstreams)]
+}
+
+// runs returns how often each request began to run.
+func (f *fleet) runs() map[string]int {
+	f.mu.Lock()
+	all := append(append([]*backend{}, f.upstreams...), f.old...)
+	f.mu.Unlock()
+	out := map[string]int{}
+	for _, b := range all {
+		for _, r := range b.Runs() {
+			out[r.RequestID]++
+		}
+	}
+	return out
+}
+
+func (f *fleet) newEntry(block, i int) (*entry, error) {
+	p, err := newProxy(f.address)
+	if err != nil {
+		return nil, err
+	}
+	e := &entry{
+		name: fmt.Sprintf("entry-%d", i), zone: zoneName(i % zones), store: p,
+		ip: fmt.Sprintf("127.%d.%d.%d", 192+block/250, 1+block%250, 1+i),
+	}
+	e.settings = filepath.Join(f.dir, e.name+".conf")
+	lines := []string{
+		"node-name=" + e.name, "ip=" + e.ip, "zone=" + e.zone, "region=region", "zones.zone-0=region", "zones.zone-1=region",
+		fmt.Sprintf("bind.front=%s:%d", e.ip, frontPort), fmt.Sprintf("bind.ready=%s:%d", e.ip, readyPort),
+		fmt.Sprintf("internal-ports=%d,%d", firstPort, lastPort), fmt.Sprintf("limits.memory-mb=%d", memoryMB),
+		fmt.Sprintf("limits.max-fds=%d", maxFiles), fmt.Sprintf("heartbeat-ms=%d", heartbeat),
+		fmt.Sprintf("bounds.grace-s=%g", graceTime.Seconds()), "bounds.usage-window-s=2", "bounds.usage-late-s=10",
+		"platform.address=" + p.address(), "cloud-api.address=" + p.address(), "cloud-api.duties=usage_reporting",
+	}
+	return e, os.WriteFile(e.settings, []byte(strings.Join(lines, "\n")+"\n"), 0o600)
+}
+
+// start starts an entry's process.
+func (f *fleet) start(e *entry) error {
+	f.mu.Lock()
+	f.started++
+	name := fmt.Sprintf("%s.%d.log", e.name, f.started)
+	f.mu.Unlock()
+	log, err := os.Create(filepath.Join(f.dir, name))
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(f.binary, "gateway", "--settings", e.settings)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	go func() {
+		// How it ended shows in its log.
+		_ = cmd.Wait()
+		_ = log.Close()
+		close(exited)
+	}()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cmd, e.exited, e.log, e.paused = cmd, exited, log, false
+	return nil
+}
+
+// signal sends a signal to the entry's own process.
+func (e *entry) signal(s syscall.Signal) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	// The process may have ended; the run goes on with the next step.
+	_ = e.cmd.Process.Signal(s)
+}
+
+// end signals an entry and waits for its end.
+func (e *entry) end(s syscall.Signal) {
+	e.signal(syscall.SIGCONT)
+	e.signal(s)
+	e.mu.Lock()
+	exited := e.exited
+	e.mu.Unlock()
+	select {
+	case <-exited:
+	case <-time.After(graceTime):
+		e.signal(syscall.SIGKILL)
+		<-exited
+	}
+}
+
+// ready reports whether an entry answers that it takes callers.
+func (e *entry) ready() bool {
+	client := &http.Client{Timeout: readyLimit}
+	defer client.CloseIdleConnections()
+	resp, err := client.Get(fmt.Sprintf("http://%s:%d/v1/ready", e.ip, readyPort))
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (e *entry) front() string { return fmt.Sprintf("http://%s:%d", e.ip, frontPort) }
+
+// stop ends everything that the fleet has started.
+func (f *fleet) stop() {
+	var wait sync.WaitGroup
+	for _, e := range f.entries {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			e.end(syscall.SIGTERM)
+			e.store.close()
+		}()
+	}
+	wait.Wait()
+	// Closing a server only fails for a listener that is closed already.
+	_ = f.http.Close()
+	for _, b := range f.upstreams {
+		b.proxy.close()
+		b.Close()
+	}
+}
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -58,6 +58,9 @@
 type Server struct {
 	// ID is the instance's name; requests for another one are turned away.
 	ID string
+	// Pace is the time between two events, and that of a plain answer. It is set
+	// before the first request.
+	Pace time.Duration
 
 	listener net.Listener
 	release  chan struct{}
@@ -205,6 +208,7 @@
 	if fault == Unproven {
 		proof = ""
 	}
+	time.Sleep(s.Pace)
 	body := "answer to " + req.RequestURI
 	if fault == CutAnswer {
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", id, proof, 2*len(body), body)
@@ -230,6 +234,7 @@
 		return false
 	}
 	for n := resumed + 1; n < Events; n++ {
+		time.Sleep(s.Pace)
 		data := Event(n)
 		if fault == CutInEvent && n == 2 {
 			_ = chunk(c, data[:len(data)/2])
