gateway: deny nothing that an entry can't know

Change: an entry whose configuration neither the store nor a watcher has confirmed for 1.75 s answers 503 with Retry-After for routes and keys that it does not know. The soak's callers use keys that every version in force within the apply bound allows; before, two quick changes could take a key from under a sound entry. Ruled out: a slow spread (version 10 was in force 157 ms after the wake).

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -21,6 +21,9 @@
 	// defaultTimeout bounds requests that state no deadline on routes without
 	// a timeout.
 	defaultTimeout = 30 * time.Second
+	// confirmSlack is added to the wait of a watch before the configuration
+	// counts as not confirmed.
+	confirmSlack = 500 * time.Millisecond
 	// notReadyRetry is when to come back to an entry that knows no
 	// configuration yet.
 	notReadyRetry = 300 * time.Millisecond
@@ -80,12 +83,12 @@
 	path, _, _ := strings.Cut(r.target, "?")
 	r.route = r.config.Route(hostOf(r.http.Host), path)
 	if r.route == nil {
-		return &refusal{http.StatusNotFound, reason.UnknownService, 0}
+		return g.unknown(http.StatusNotFound, reason.UnknownService)
 	}
 	if !r.route.Anonymous && len(r.config.Customers) > 0 {
 		r.customer = r.config.CustomerOf(r.Key)
 		if r.customer == nil {
-			return &refusal{http.StatusUnauthorized, reason.UnknownCustomer, 0}
+			return g.unknown(http.StatusUnauthorized, reason.UnknownCustomer)
 		}
 	}
 	r.service = r.config.Service(r.route.PickTarget(draw(r.RequestID)))
@@ -99,6 +102,17 @@
 	return g.admitWork(r)
 }
 
+// unknown refuses what the configuration does not have. An entry whose
+// configuration nobody has confirmed of late, for example because it was
+// suspended, can't know and asks the caller to come back.
+func (g *Gateway) unknown(status int, why reason.Reason) *refusal {
+	age := steady() - time.Duration(g.confirmed.Load())
+	if age > g.watchWait()+confirmSlack {
+		return &refusal{http.StatusServiceUnavailable, reason.NotReady, notReadyRetry}
+	}
+	return &refusal{status, why, 0}
+}
+
 // admitWork takes a request's work off its customer's allowance.
 func (g *Gateway) admitWork(r *request) *refusal {
 	if r.customer == nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,6 +54,9 @@
 	// following says that this entry watches the store itself.
 	following atomic.Bool
 	inFlight  atomic.Int64
+	// confirmed is when the store or a peer last confirmed the configuration in
+	// force, on the steady clock in nanoseconds.
+	confirmed atomic.Int64
 
 	mu      sync.Mutex
 	table   *placement.Table
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -342,6 +342,9 @@
 			continue
 		}
 		g.hear(w, from)
+		if w.Watches && !g.behindConfiguration(w) {
+			g.confirmed.Store(int64(steady()))
+		}
 		if !g.behindConfiguration(w) && !g.behindUpstreams(w) {
 			continue
 		}
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -146,6 +146,7 @@
 
 func (g *Gateway) watchConfiguration(ctx context.Context) {
 	g.follow(ctx, platform.KindConfiguration, 0, func(c change) {
+		g.confirmed.Store(int64(steady()))
 		for _, rec := range c.Items {
 			if rec.Name == platform.ConfigurationName && !rec.Deleted {
 				g.takeConfiguration(rec.Value, "store")
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -50,7 +50,7 @@
 	defer c.client.CloseIdleConnections()
 	for n := 0; ctx.Err() == nil; n++ {
 		e := c.fleet.entries[c.rng.IntN(len(c.fleet.entries))]
-		v := c.call(ctx, e, routes[c.rng.IntN(len(routes))], fmt.Sprintf("%s-%d", c.name, n))
+		v := c.call(ctx, e, routes[c.rng.IntN(len(routes))], fmt.Sprintf("%s-%d", c.name, n), c.fleet.key())
 		c.mu.Lock()
 		*c.verdicts = append(*c.verdicts, v)
 		c.mu.Unlock()
@@ -59,7 +59,7 @@
 }
 
 // call sends one request and checks its answer.
-func (c *caller) call(ctx context.Context, e *entry, route, id string) verdict {
+func (c *caller) call(ctx context.Context, e *entry, route, id, key string) verdict {
 	v := verdict{id: id, route: route, entry: e.name, begun: time.Now()}
 	defer func() { v.ended = time.Now() }()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -76,7 +76,7 @@
 	}
 	req.Host = host
 	req.Header.Set("Request-Id", id)
-	req.Header.Set("Key", c.fleet.key())
+	req.Header.Set("Key", key)
 	req.Header.Set("Deadline-Ms", strconv.FormatInt(callTimeout.Milliseconds(), 10))
 	streams := route == "stream" || route == "once"
 	if streams {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -49,7 +49,7 @@
 	// old holds upstreams that have gone, as their runs still count.
 	old     []*backend
 	version int
-	keys    []string
+	keys    []acceptedKey
 	born    int
 	started int
 }
@@ -81,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, binary: binary, store: metastore.New(), address: l.Addr().String(), version: 1, keys: []string{"key-0"}}
+	f := &fleet{dir: dir, binary: binary, store: metastore.New(), address: l.Addr().String(), version: 1, keys: []acceptedKey{{name: "key-0"}}}
 	f.http = &http.Server{Handler: f.store, ReadHeaderTimeout: time.Minute}
 	// Serve ends with Close, in stop.
 	go func() { _ = f.http.Serve(l) }()
@@ -115,6 +115,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.version += 3
+	names := make([]string, len(f.keys))
+	for i, k := range f.keys {
+		names[i] = k.name
+	}
 	route := func(name, kind, service string, attempts int, resume bool) map[string]any {
 		return map[string]any{
 			"name": name, "host": host, "path-prefix": "/" + name + "/", "kind": kind, "timeout-ms": 4000,
@@ -133,33 +137,50 @@
 		},
 		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 100000, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 		"tenants": []any{map[string]any{
-			"name": customer, "api-keys": f.keys, "billing-unit": "tokens", "plain-tokens": 200, "rate-per-s": 400000, "burst": 400000,
+			"name": customer, "api-keys": names, "billing-unit": "tokens", "plain-tokens": 200, "rate-per-s": 400000, "burst": 400000,
 		}},
 	})
 }
 
-// newKey adds a key and takes the oldest but two away.
+// acceptedKey is an API key and when the store accepted it.
+type acceptedKey struct {
+	name string
+	at   time.Time
+}
+
+const (
+	// keptKeys is how many keys are valid; it takes many changes until one goes.
+	keptKeys = 12
+	// applyBound is the time after which a version is in force everywhere.
+	applyBound = 2500 * time.Millisecond
+)
+
+// newKey adds a key and takes the oldest away.
 func (f *fleet) newKey() {
 	f.mu.Lock()
-	f.keys = append(f.keys, fmt.Sprintf("key-%d", f.version))
-	if len(f.keys) > 3 {
-		f.keys = f.keys[len(f.keys)-3:]
-	}
+	f.keys = append(f.keys, acceptedKey{fmt.Sprintf("key-%d", f.version), time.Now()})
+	f.keys = f.keys[max(len(f.keys)-keptKeys, 0):]
 	f.mu.Unlock()
 	f.configure()
 }
 
-// key returns a key that has been valid for longest.
+// key returns the newest key that every version which may be in force allows.
 func (f *fleet) key() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.keys[max(len(f.keys)-2, 0)]
+	for i := len(f.keys) - 1; i > 0; i-- {
+		if time.Since(f.keys[i].at) > applyBound {
+			return f.keys[i].name
+		}
+	}
+	return f.keys[0].name
 }
 
+// newestKey returns the key that was accepted last.
 func (f *fleet) newestKey() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.keys[len(f.keys)-1]
+	return f.keys[len(f.keys)-1].name
 }
 
 func (f *fleet) addUpstream(service string, zone int) error {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -161,7 +161,7 @@
 			var last verdict
 			ok := eventually(recoverLimit, func() bool {
 				n++
-				last = c.call(context.Background(), e, route, fmt.Sprintf("last-%s-%s-%d", e.name, route, n))
+				last = c.call(context.Background(), e, route, fmt.Sprintf("last-%s-%s-%d", e.name, route, n), f.newestKey())
 				return last.status == http.StatusOK && last.whole
 			})
 			if !ok {
