usage: a new holder listens before it reports; soak: one fault of a process at a time

Cause: on the grown deployment two windows were off by 12 and 15 in 100: a new holder reported from what it had heard so far, and windows two back were no longer told. The soak started an entry's process twice when two faults met, and a proxy that was closing could take a connection it never closed. Change: words hold three windows, a new holder waits 2.5 s, well inside the 10 s that are left. The soak holds a lock for each entry; a closed proxy takes nothing. Ruled out: counts of killed entries (they tell every 0.8 s).

--- a/decision/usage/usage.go
+++ b/decision/usage/usage.go
@@ -56,7 +56,7 @@
 
 // told is the number of windows that are told to others; a window is told for
 // as long as it is one of the newest.
-const told = 2
+const told = 3
 
 // Newest returns a copy of this entry's counts of the newest windows.
 func (b *Book) Newest(now time.Time) Windows {
--- a/decision/usage/usage_test.go
+++ b/decision/usage/usage_test.go
@@ -41,9 +41,10 @@
 		b.Count(at(w, 0), "c")
 	}
 	told := b.Newest(at(119, time.Second))
-	require.Len(t, told, 2)
-	require.Contains(t, told, int64(119))
-	require.Contains(t, told, int64(118))
+	require.Len(t, told, 3)
+	for w := int64(117); w < 120; w++ {
+		require.Contains(t, told, w)
+	}
 	require.Len(t, b.own, kept)
 	// What is told is a copy.
 	told[119]["c"] = 50
--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -48,8 +48,9 @@
 	fenced uint64
 	// reported holds the windows whose usage has been accepted.
 	reported map[int64]bool
-	// token is that of the last look.
+	// token is that of the last look, since when it came.
 	token uint64
+	since time.Duration
 	// scaled is when the number of upstreams was looked at last.
 	scaled time.Time
 }
@@ -65,7 +66,7 @@
 		return 0, false
 	}
 	if grant.Generation != d.token {
-		d.token = grant.Generation
+		d.token, d.since = grant.Generation, steady()
 		for _, s := range g.scalers {
 			s.Reset()
 		}
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -13,6 +13,9 @@
 const (
 	// gatherTime is how long after a window's end its counts are gathered.
 	gatherTime = 1500 * time.Millisecond
+	// listenTime is how long a new holder hears from the others before its first
+	// report.
+	listenTime = 2500 * time.Millisecond
 	// usageKept is how many windows stay in the store.
 	usageKept = 12
 )
@@ -20,7 +23,7 @@
 // reportUsage sends the reports that are due. A report is first fixed in the
 // store, so that a successor sends the same one.
 func (g *Gateway) reportUsage(ctx context.Context, d *dutyState, token uint64) {
-	if !g.settings.ReportsUsage {
+	if !g.settings.ReportsUsage || steady()-d.since < listenTime {
 		return
 	}
 	g.mu.Lock()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -21,6 +21,8 @@
 // restart ends an entry and starts it again; a start that fails shows as an entry
 // that never gets ready.
 func restart(f *fleet, e *entry, s syscall.Signal, pause time.Duration) string {
+	e.fault.Lock()
+	defer e.fault.Unlock()
 	e.end(s)
 	time.Sleep(pause)
 	if err := f.start(e); err != nil {
@@ -53,6 +55,8 @@
 	}},
 	{"entry_paused", func(f *fleet, rng *rand.Rand, hold time.Duration) string {
 		e := anyEntry(f, rng)
+		e.fault.Lock()
+		defer e.fault.Unlock()
 		e.signal(syscall.SIGSTOP)
 		time.Sleep(hold)
 		e.signal(syscall.SIGCONT)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -68,12 +68,13 @@
 	settings       string
 	store          *proxy
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	exited  chan struct{}
-	log     *os.File
-	paused  bool
-	stopped bool
+	// fault is held while a fault of the process is under way: one process at a
+	// time has the entry's ports.
+	fault sync.Mutex
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
 }
 
 func newFleet(dir, binary string, block, entries, upstreams int) (*fleet, error) {
@@ -298,7 +299,7 @@
 	}()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.cmd, e.exited, e.log, e.paused = cmd, exited, log, false
+	e.cmd, e.exited = cmd, exited
 	return nil
 }
 
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -18,6 +18,7 @@
 	// toServer and toClient say which bytes are held back for good.
 	toServer, toClient bool
 	refuse             bool
+	closed             bool
 	tasks              sync.WaitGroup
 }
 
@@ -99,7 +100,7 @@
 func (p *proxy) track(c net.Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.refuse {
+	if p.refuse || p.closed {
 		reset(c)
 		return false
 	}
@@ -145,6 +146,7 @@
 
 func (p *proxy) close() {
 	_ = p.listener.Close()
+	p.set(func(p *proxy) { p.closed = true })
 	p.resetAll()
 	p.tasks.Wait()
 }
