standin: one copy of what speaks the platform's protocol for tests and the soak

Cause: the soak and the gateway's tests both built configurations, upstream entries, settings and caller requests in the platform's words, outside the folders that may know them; TestWireNamesStayHere failed on the soak. Change: standin/metastore writes configurations, upstream entries and settings, standin/caller builds requests; both users go through them. Ruled out: leaving the soak out of the walk.

--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -19,6 +19,7 @@
 
 	"jaylink/gateway"
 	"jaylink/platform"
+	"jaylink/standin/caller"
 	"jaylink/standin/metastore"
 	"jaylink/standin/upstream"
 )
@@ -70,32 +71,17 @@
 // configure writes the next version of the configuration.
 func (d *deployment) configure() {
 	d.version += 2
-	route := func(name, kind string, attempts int, resume bool) map[string]any {
-		service := engines
-		if kind != "streaming" {
-			service = counter
-		}
-		return map[string]any{
-			"name": name, "host": host, "path-prefix": "/" + name + "/", "kind": kind, "timeout-ms": 5000,
-			"target-latency-ms": 800, "gap-aim-ms": 300, "priority": 0, "service": service,
-			"max-attempts": attempts, "stream-resume": resume,
-		}
+	route := func(name, kind, service string, attempts int, resumable bool) metastore.Route {
+		return metastore.Route{Name: name, Host: host, Service: service, Kind: kind, Attempts: attempts, Resumable: resumable, TimeoutMs: 5000}
 	}
-	d.store.Put("config", "main", map[string]any{
-		"version": d.version,
-		"routes": []any{
-			route("stream", "streaming", 2, true), route("once", "streaming", 1, false),
-			route("order", "non_idempotent", 1, false), route("status", "idempotent", 2, false),
-		},
-		"services": []any{
-			map[string]any{"name": engines, "max-connections": 100, "engine": map[string]any{"slots": 8, "kv-capacity": 100000}},
-			map[string]any{"name": counter, "max-connections": 100},
+	d.store.PutConfiguration(metastore.Configuration{
+		Version: d.version,
+		Routes: []metastore.Route{
+			route("stream", "streaming", engines, 2, true), route("once", "streaming", engines, 1, false),
+			route("order", "non_idempotent", counter, 1, false), route("status", "idempotent", counter, 2, false),
 		},
-		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1000, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-		"tenants": []any{map[string]any{
-			"name": customer, "api-keys": d.keys, "billing-unit": "tokens", "plain-tokens": 200,
-			"rate-per-s": d.rate, "burst": d.burst,
-		}},
+		Engines: []string{engines}, Plain: []string{counter}, MaxBodyBytes: 1000,
+		Customer: metastore.Customer{Name: customer, Keys: d.keys, Rate: d.rate, Burst: d.burst},
 	})
 }
 
@@ -116,9 +102,7 @@
 }
 
 func (d *deployment) list(s *upstream.Server, zone, service, state string) {
-	d.store.Put("servers", s.ID, map[string]any{
-		"service": service, "address": s.Address(), "zone": zone, "slots": 8, "state": state, "born": 1,
-	})
+	d.store.PutUpstream(s.ID, service, s.Address(), zone, state)
 }
 
 // entry is one gateway.
@@ -181,33 +165,19 @@
 	require.Eventually(t, condition, within, 10*time.Millisecond)
 }
 
-// call is one request of a caller.
-type call struct {
-	method, path, body string
-	header             map[string]string
-}
-
 // stream is a generation on a route.
-func stream(route, id string) call {
-	return call{"POST", "/" + route + "/1", "prompt", map[string]string{
-		"Request-Id": id, "Key": key, "Deadline-Ms": "5000", "Model": "m", "Token-Count": "100,10", "Prefix-Hash": "1f:60,2e:40",
-	}}
+func stream(route, id string) caller.Call {
+	return caller.Call{
+		Method: "POST", Target: "/" + route + "/1", Host: host, ID: id, Key: key, Body: "prompt", Deadline: 5 * time.Second,
+		Tokens: "100,10", Prefix: "1f:60,2e:40", Header: map[string]string{},
+	}
 }
 
 // plain is a request to the counter service.
-func plain(route, id string) call {
-	return call{"POST", "/" + route + "/1?x=1", "body", map[string]string{"Request-Id": id, "Key": key, "Deadline-Ms": "3000"}}
-}
-
-func (c call) request(ctx context.Context, t *testing.T, e *entry) *http.Request {
-	t.Helper()
-	req, err := http.NewRequestWithContext(ctx, c.method, "http://"+e.settings.Front+c.path, strings.NewReader(c.body))
-	require.NoError(t, err)
-	req.Host = host
-	for name, value := range c.header {
-		req.Header.Set(name, value)
+func plain(route, id string) caller.Call {
+	return caller.Call{
+		Method: "POST", Target: "/" + route + "/1?x=1", Host: host, ID: id, Key: key, Body: "body", Deadline: 3 * time.Second,
 	}
-	return req
 }
 
 // answer is what a caller got; err says that the answer is not whole.
@@ -218,9 +188,11 @@
 	err    error
 }
 
-func (e *entry) send(t *testing.T, c call) answer {
+func (e *entry) send(t *testing.T, c caller.Call) answer {
 	t.Helper()
-	resp, err := e.client.Do(c.request(t.Context(), t, e))
+	req, err := c.Request(t.Context(), e.settings.Front)
+	require.NoError(t, err)
+	resp, err := e.client.Do(req)
 	if err != nil {
 		return answer{err: err}
 	}
--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"jaylink/standin/caller"
 	"jaylink/standin/upstream"
 )
 
@@ -45,9 +46,9 @@
 	c := stream("stream", "r-1")
 	forged := []string{"Tenant", "Target-Instance", "Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Request-Urgency"}
 	for _, name := range forged {
-		c.header[name] = "forged"
+		c.Header[name] = "forged"
 	}
-	c.header["X-Other"] = "kept"
+	c.Header["X-Other"] = "kept"
 	require.Equal(t, http.StatusOK, e.send(t, c).status)
 	h := engine.Runs()[0].Header
 	for _, name := range forged {
@@ -68,17 +69,17 @@
 	d.configure()
 	d.upstream("i-2", counter)
 	e := d.startEntry("entry-1")
-	edit := func(c call, f func(*call)) call { f(&c); return c }
+	edit := func(c caller.Call, f func(*caller.Call)) caller.Call { f(&c); return c }
 	cases := []struct {
 		name   string
-		call   call
+		call   caller.Call
 		status int
 		again  bool
 	}{
-		{"no route", edit(plain("order", "r"), func(c *call) { c.path = "/nowhere/1" }), 404, false},
-		{"unknown key", edit(plain("order", "r"), func(c *call) { c.header["Key"] = "other" }), 401, false},
-		{"no key", edit(plain("order", "r"), func(c *call) { delete(c.header, "Key") }), 401, false},
-		{"body too large", edit(plain("order", "r"), func(c *call) { c.body = string(make([]byte, 2000)) }), 413, false},
+		{"no route", edit(plain("order", "r"), func(c *caller.Call) { c.Target = "/nowhere/1" }), 404, false},
+		{"unknown key", edit(plain("order", "r"), func(c *caller.Call) { c.Key = "other" }), 401, false},
+		{"no key", edit(plain("order", "r"), func(c *caller.Call) { c.Key = "" }), 401, false},
+		{"body too large", edit(plain("order", "r"), func(c *caller.Call) { c.Body = string(make([]byte, 2000)) }), 413, false},
 		{"no upstream", stream("stream", "r"), 503, true},
 	}
 	for _, c := range cases {
@@ -156,12 +157,12 @@
 	desk.SetFault(upstream.Extra)
 	for i := range 20 {
 		c := plain("status", fmt.Sprintf("r-%d", i))
-		c.path = fmt.Sprintf("/status/%d", i)
+		c.Target = fmt.Sprintf("/status/%d", i)
 		a := e.send(t, c)
 		require.NoError(t, a.err)
 		require.Equal(t, http.StatusOK, a.status)
-		require.Equal(t, "answer to "+c.path, a.body)
-		require.Equal(t, c.header["Request-Id"], a.header.Get("Request-Id"))
+		require.Equal(t, "answer to "+c.Target, a.body)
+		require.Equal(t, c.ID, a.header.Get("Request-Id"))
 	}
 }
 
@@ -202,7 +203,9 @@
 	engine.SetFault(upstream.Hold)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	resp, err := e.client.Do(stream("stream", "r-1").request(ctx, t, e))
+	req, err := stream("stream", "r-1").Request(ctx, e.settings.Front)
+	require.NoError(t, err)
+	resp, err := e.client.Do(req)
 	require.NoError(t, err)
 	cancel()
 	require.NoError(t, resp.Body.Close())
--- a/gateway/sources_test.go
+++ b/gateway/sources_test.go
@@ -1,7 +1,6 @@
 package gateway_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"testing"
@@ -16,7 +15,7 @@
 func (d *deployment) inForce(e *entry) func() bool {
 	return func() bool {
 		c := plain("status", "r-key")
-		c.header["Key"] = d.keys[len(d.keys)-1]
+		c.Key = d.keys[len(d.keys)-1]
 		return e.send(d.t, c).status == http.StatusOK
 	}
 }
@@ -96,8 +95,8 @@
 	d.configure()
 	one, two := d.upstream("i-1", counter), d.upstream("i-2", counter)
 	e := d.startEntry("entry-1")
-	d.store.Delete("servers", "i-1")
-	d.store.Delete("servers", "i-2")
+	d.store.DeleteUpstream("i-1")
+	d.store.DeleteUpstream("i-2")
 	d.addKey()
 	eventually(t, d.inForce(e))
 	d.list(one, "zone-a", counter, "ready")
@@ -172,14 +171,12 @@
 	byWindow := map[int64]string{}
 	holders := map[uint64]string{}
 	for _, r := range d.store.Duties() {
-		var report struct {
-			Window int64 `json:"window-id"`
-		}
-		require.NoError(t, json.Unmarshal([]byte(r.Body), &report))
-		if body, ok := byWindow[report.Window]; ok {
+		window, _, err := r.Usage()
+		require.NoError(t, err)
+		if body, ok := byWindow[window]; ok {
 			require.JSONEq(t, body, r.Body)
 		}
-		byWindow[report.Window] = r.Body
+		byWindow[window] = r.Body
 		if holder, ok := holders[r.Token]; ok {
 			require.Equal(t, holder, r.Holder)
 		}
@@ -194,12 +191,8 @@
 func (d *deployment) reported() int {
 	windows := map[int64]int{}
 	for _, r := range d.reports() {
-		var report struct {
-			Window int64          `json:"window-id"`
-			Counts map[string]int `json:"counts"`
-		}
-		if err := json.Unmarshal([]byte(r.Body), &report); err == nil {
-			windows[report.Window] = report.Counts[customer]
+		if window, counts, err := r.Usage(); err == nil {
+			windows[window] = counts[customer]
 		}
 	}
 	sum := 0
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -6,11 +6,11 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"jaylink/standin/caller"
 	"jaylink/standin/upstream"
 )
 
@@ -34,20 +34,20 @@
 	return v.status == http.StatusTooManyRequests || v.status == http.StatusServiceUnavailable
 }
 
-// caller keeps sending requests over connections that it holds open.
-type caller struct {
+// client keeps sending requests over connections that it holds open.
+type client struct {
 	fleet    *fleet
 	name     string
 	rng      *rand.Rand
-	client   *http.Client
+	http     *http.Client
 	mu       *sync.Mutex
 	verdicts *[]verdict
 }
 
 var routes = []string{"stream", "stream", "once", "order", "order", "status"}
 
-func (c *caller) run(ctx context.Context, pause time.Duration) {
-	defer c.client.CloseIdleConnections()
+func (c *client) run(ctx context.Context, pause time.Duration) {
+	defer c.http.CloseIdleConnections()
 	for n := 0; ctx.Err() == nil; n++ {
 		e := c.fleet.entries[c.rng.IntN(len(c.fleet.entries))]
 		v := c.call(ctx, e, routes[c.rng.IntN(len(routes))], fmt.Sprintf("%s-%d", c.name, n), c.fleet.key())
@@ -59,51 +59,49 @@
 }
 
 // call sends one request and checks its answer.
-func (c *caller) call(ctx context.Context, e *entry, route, id, key string) verdict {
+func (c *client) call(ctx context.Context, e *entry, route, id, key string) verdict {
 	v := verdict{id: id, route: route, entry: e.name, begun: time.Now()}
 	defer func() { v.ended = time.Now() }()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	method := http.MethodPost
+	call := caller.Call{
+		Method: http.MethodPost, Target: "/" + route + "/" + id, Host: host, ID: id, Key: key, Body: "prompt of " + id,
+		Deadline: callTimeout,
+	}
 	if route == "status" {
-		method = http.MethodGet
+		call.Method = http.MethodGet
+	}
+	streams := route == "stream" || route == "once"
+	if streams {
+		call.Tokens = "500,100"
+		call.Prefix = fmt.Sprintf("%x:300,%x:200", c.rng.IntN(5)+1, c.rng.Uint64())
 	}
-	path := "/" + route + "/" + id
-	req, err := http.NewRequestWithContext(ctx, method, e.front()+path, strings.NewReader("prompt of "+id))
+	req, err := call.Request(ctx, e.front())
 	if err != nil {
 		v.fault = err.Error()
 		return v
 	}
-	req.Host = host
-	req.Header.Set("Request-Id", id)
-	req.Header.Set("Key", key)
-	req.Header.Set("Deadline-Ms", strconv.FormatInt(callTimeout.Milliseconds(), 10))
-	streams := route == "stream" || route == "once"
-	if streams {
-		req.Header.Set("Token-Count", "500,100")
-		req.Header.Set("Prefix-Hash", fmt.Sprintf("%x:300,%x:200", c.rng.IntN(5)+1, c.rng.Uint64()))
-		req.Header.Set("Model", "m")
-	}
-	resp, err := c.client.Do(req)
+	resp, err := c.http.Do(req)
 	if err != nil {
 		return v
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	v.status, v.whole = resp.StatusCode, err == nil
-	v.fault = checkAnswer(resp, string(body), v, path, streams)
+	v.fault = checkAnswer(resp, string(body), v, call.Target, streams)
 	return v
 }
 
 // checkAnswer says what is wrong with an answer as the caller has it.
 func checkAnswer(resp *http.Response, body string, v verdict, path string, streams bool) string {
-	if got := resp.Header.Get("Request-Id"); got != v.id {
-		return fmt.Sprintf("answer of request %q", got)
+	id, proven := caller.Answered(resp.Header)
+	if id != v.id {
+		return fmt.Sprintf("answer of request %q", id)
 	}
 	if v.status != http.StatusOK {
 		return ""
 	}
-	if resp.Header.Get("Response-Seal") == "" {
+	if !proven {
 		return "success without a proof"
 	}
 	want := "answer to " + path
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -31,8 +30,10 @@
 	graceTime  = 8 * time.Second
 	memoryMB   = 256
 	maxFiles   = 1000
-	heartbeat  = 1200
 	readyLimit = time.Second
+	maxBody    = 100_000
+	// allowance is the customer's, in tokens per second; callers ask for less.
+	allowance = 400_000
 )
 
 // fleet is the platform, the upstreams and the entries of one run.
@@ -111,7 +112,7 @@
 
 func zoneName(i int) string { return fmt.Sprintf("zone-%d", i) }
 
-// configure writes the next version; the newest two keys are valid.
+// configure writes the next version.
 func (f *fleet) configure() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -120,26 +121,20 @@
 	for i, k := range f.keys {
 		names[i] = k.name
 	}
-	route := func(name, kind, service string, attempts int, resume bool) map[string]any {
-		return map[string]any{
-			"name": name, "host": host, "path-prefix": "/" + name + "/", "kind": kind, "timeout-ms": 4000,
-			"target-latency-ms": 800, "gap-aim-ms": 300, "service": service, "max-attempts": attempts, "stream-resume": resume,
+	route := func(name, kind, service string, attempts int, resumable bool) metastore.Route {
+		return metastore.Route{
+			Name: name, Host: host, Service: service, Kind: kind, Attempts: attempts, Resumable: resumable,
+			TimeoutMs: int(callTimeout.Milliseconds()),
 		}
 	}
-	f.store.Put("config", "main", map[string]any{
-		"version": f.version,
-		"routes": []any{
+	f.store.PutConfiguration(metastore.Configuration{
+		Version: f.version,
+		Routes: []metastore.Route{
 			route("stream", "streaming", engines, 2, true), route("once", "streaming", engines, 1, false),
 			route("order", "non_idempotent", counter, 1, false), route("status", "idempotent", counter, 2, false),
 		},
-		"services": []any{
-			map[string]any{"name": engines, "max-connections": 100, "engine": map[string]any{"slots": 16, "kv-capacity": 400000}},
-			map[string]any{"name": counter, "max-connections": 100},
-		},
-		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 100000, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-		"tenants": []any{map[string]any{
-			"name": customer, "api-keys": names, "billing-unit": "tokens", "plain-tokens": 200, "rate-per-s": 400000, "burst": 400000,
-		}},
+		Engines: []string{engines}, Plain: []string{counter}, MaxBodyBytes: maxBody,
+		Customer: metastore.Customer{Name: customer, Keys: names, Rate: allowance, Burst: allowance},
 	})
 }
 
@@ -207,9 +202,7 @@
 }
 
 func (f *fleet) list(b *backend, state string) {
-	f.store.Put("servers", b.ID, map[string]any{
-		"service": b.service, "address": b.proxy.address(), "zone": b.zone, "slots": 16, "state": state, "born": 1,
-	})
+	f.store.PutUpstream(b.ID, b.service, b.proxy.address(), b.zone, state)
 }
 
 // replace starts a new upstream and ends an old one: by draining, or at once.
@@ -229,7 +222,7 @@
 	}
 	b.proxy.close()
 	b.Close()
-	f.store.Delete("servers", b.ID)
+	f.store.DeleteUpstream(b.ID)
 	return nil
 }
 
@@ -264,15 +257,12 @@
 		ip: fmt.Sprintf("127.%d.%d.%d", 192+block/250, 1+block%250, 1+i),
 	}
 	e.settings = filepath.Join(f.dir, e.name+".conf")
-	lines := []string{
-		"node-name=" + e.name, "ip=" + e.ip, "zone=" + e.zone, "region=region", "zones.zone-0=region", "zones.zone-1=region",
-		fmt.Sprintf("bind.front=%s:%d", e.ip, frontPort), fmt.Sprintf("bind.ready=%s:%d", e.ip, readyPort),
-		fmt.Sprintf("internal-ports=%d,%d", firstPort, lastPort), fmt.Sprintf("limits.memory-mb=%d", memoryMB),
-		fmt.Sprintf("limits.max-fds=%d", maxFiles), fmt.Sprintf("heartbeat-ms=%d", heartbeat),
-		fmt.Sprintf("bounds.grace-s=%g", graceTime.Seconds()), "bounds.usage-window-s=2", "bounds.usage-late-s=10",
-		"platform.address=" + p.address(), "cloud-api.address=" + p.address(), "cloud-api.duties=usage_reporting",
+	settings := metastore.EntrySettings{
+		Name: e.name, IP: e.ip, Zone: e.zone, Region: "region", Zones: []string{zoneName(0), zoneName(1)},
+		FrontPort: frontPort, ReadyPort: readyPort, FirstPort: firstPort, LastPort: lastPort,
+		MemoryMB: memoryMB, MaxFiles: maxFiles, GraceSeconds: graceTime.Seconds(), UsageWindowSeconds: 2, Store: p.address(),
 	}
-	return e, os.WriteFile(e.settings, []byte(strings.Join(lines, "\n")+"\n"), 0o600)
+	return e, os.WriteFile(e.settings, []byte(settings.Text()), 0o600)
 }
 
 // start starts an entry's process.
@@ -338,7 +328,7 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-func (e *entry) front() string { return fmt.Sprintf("http://%s:%d", e.ip, frontPort) }
+func (e *entry) front() string { return fmt.Sprintf("%s:%d", e.ip, frontPort) }
 
 // stop ends everything that the fleet has started.
 func (f *fleet) stop() {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -108,9 +107,9 @@
 	var verdicts []verdict
 	var callers, running sync.WaitGroup
 	for i := range o.Callers {
-		c := &caller{
+		c := &client{
 			fleet: f, name: fmt.Sprintf("c%d", i), rng: rand.New(rand.NewPCG(o.Seed, uint64(i+1))),
-			client: &http.Client{Transport: &http.Transport{}}, mu: &mu, verdicts: &verdicts,
+			http: &http.Client{Transport: &http.Transport{}}, mu: &mu, verdicts: &verdicts,
 		}
 		callers.Add(1)
 		go func() {
@@ -155,7 +154,7 @@
 	}
 	var out []string
 	for _, e := range f.entries {
-		c := &caller{fleet: f, name: "last-" + e.name, rng: rand.New(rand.NewPCG(0, 0)), client: &http.Client{Transport: &http.Transport{}}}
+		c := &client{fleet: f, name: "last-" + e.name, rng: rand.New(rand.NewPCG(0, 0)), http: &http.Client{Transport: &http.Transport{}}}
 		for _, route := range []string{"stream", "once", "order", "status"} {
 			n := 0
 			var last verdict
@@ -168,7 +167,7 @@
 				out = append(out, fmt.Sprintf("RECOVER: %s does not serve %s after the last fault: status %d", e.name, route, last.status))
 			}
 		}
-		c.client.CloseIdleConnections()
+		c.http.CloseIdleConnections()
 	}
 	return out
 }
@@ -216,26 +215,16 @@
 			report("ONE: token %d of %s and %s", d.Token, holder, d.Holder)
 		}
 		holders[d.Token] = d.Holder
-		window, text, err := decodeReport(d.Body)
+		window, sent, err := d.Usage()
 		if err != nil {
 			report("ONE: report can't be read: %v", err)
 			continue
 		}
+		// Printed maps are sorted by key.
+		text := fmt.Sprint(sent)
 		if before, ok := counts[window]; ok && before != text {
 			report("ONE: window %d was reported as %s and as %s", window, before, text)
 		}
 		counts[window] = text
 	}
 }
-
-func decodeReport(body string) (window int64, counts string, err error) {
-	var report struct {
-		Window int64          `json:"window-id"`
-		Counts map[string]int `json:"counts"`
-	}
-	if err := json.Unmarshal([]byte(body), &report); err != nil {
-		return 0, "", err
-	}
-	data, err := json.Marshal(report.Counts)
-	return report.Window, string(data), err
-}
--- /dev/null
+++ b/standin/metastore/operator.go
@@ -0,0 +1,124 @@
+package metastore
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+)
+
+// Configuration is what a stand-in operator writes.
+type Configuration struct {
+	Version int
+	Routes  []Route
+	// Engines and Plain name the services of model engines and the others.
+	Engines, Plain []string
+	Customer       Customer
+	MaxBodyBytes   int
+}
+
+// Route is a route of a stand-in operator; its prefix is its name.
+type Route struct {
+	Name, Host, Service string
+	// Kind is streaming, idempotent or non_idempotent.
+	Kind      string
+	Attempts  int
+	Resumable bool
+	// TimeoutMs is the longest time that a caller is kept waiting.
+	TimeoutMs int
+}
+
+// Customer has keys and an allowance in tokens; 0 is none.
+type Customer struct {
+	Name        string
+	Keys        []string
+	Rate, Burst int
+}
+
+// Latency objectives of all routes, and sizes of all engines.
+const (
+	objectiveMs  = 800
+	pauseMs      = 300
+	engineSlots  = 16
+	engineTokens = 400_000
+	connections  = 100
+)
+
+// PutConfiguration writes a configuration as the operator does.
+func (s *Server) PutConfiguration(c Configuration) {
+	routes, services := []any{}, []any{}
+	for _, r := range c.Routes {
+		routes = append(routes, map[string]any{
+			"name": r.Name, "host": r.Host, "path-prefix": "/" + r.Name + "/", "kind": r.Kind, "service": r.Service,
+			"timeout-ms": r.TimeoutMs, "target-latency-ms": objectiveMs, "gap-aim-ms": pauseMs, "priority": 0,
+			"max-attempts": r.Attempts, "stream-resume": r.Resumable,
+		})
+	}
+	for _, name := range c.Engines {
+		services = append(services, map[string]any{
+			"name": name, "max-connections": connections,
+			"engine": map[string]any{"slots": engineSlots, "kv-capacity": engineTokens},
+		})
+	}
+	for _, name := range c.Plain {
+		services = append(services, map[string]any{"name": name, "max-connections": connections})
+	}
+	s.Put("config", "main", map[string]any{
+		"version": c.Version, "routes": routes, "services": services,
+		"limits": map[string]any{
+			"max-header-bytes": 16384, "max-body-bytes": c.MaxBodyBytes, "header-timeout-ms": 3000, "idle-timeout-ms": 15000,
+		},
+		"tenants": []any{map[string]any{
+			"name": c.Customer.Name, "api-keys": c.Customer.Keys, "billing-unit": "tokens", "plain-tokens": 200,
+			"rate-per-s": c.Customer.Rate, "burst": c.Customer.Burst,
+		}},
+	})
+}
+
+// PutUpstream lists an upstream as it does itself. State is ready or draining.
+func (s *Server) PutUpstream(id, service, address, zone, state string) {
+	s.Put("servers", id, map[string]any{
+		"service": service, "address": address, "zone": zone, "slots": engineSlots, "state": state, "born": 1,
+	})
+}
+
+// DeleteUpstream removes an upstream's entry.
+func (s *Server) DeleteUpstream(id string) { s.Delete("servers", id) }
+
+// Usage returns the window and counts of a usage report.
+func (d DutyCall) Usage() (window int64, counts map[string]int, err error) {
+	var report struct {
+		Window int64          `json:"window-id"`
+		Counts map[string]int `json:"counts"`
+	}
+	err = json.Unmarshal([]byte(d.Body), &report)
+	return report.Window, report.Counts, err
+}
+
+// EntrySettings are those of an entry's settings file.
+type EntrySettings struct {
+	Name, IP, Zone, Region string
+	Zones                  []string
+	FrontPort, ReadyPort   int
+	FirstPort, LastPort    int
+	MemoryMB, MaxFiles     int
+	GraceSeconds           float64
+	UsageWindowSeconds     int
+	// Store is the address of the store and the cloud API.
+	Store string
+}
+
+// Text returns the settings file's content.
+func (e EntrySettings) Text() string {
+	lines := []string{
+		"node-name=" + e.Name, "ip=" + e.IP, "zone=" + e.Zone, "region=" + e.Region,
+		fmt.Sprintf("bind.front=%s:%d", e.IP, e.FrontPort), fmt.Sprintf("bind.ready=%s:%d", e.IP, e.ReadyPort),
+		fmt.Sprintf("internal-ports=%d,%d", e.FirstPort, e.LastPort),
+		fmt.Sprintf("limits.memory-mb=%d", e.MemoryMB), fmt.Sprintf("limits.max-fds=%d", e.MaxFiles),
+		fmt.Sprintf("bounds.grace-s=%g", e.GraceSeconds), fmt.Sprintf("bounds.usage-window-s=%d", e.UsageWindowSeconds),
+		"platform.address=" + e.Store, "cloud-api.address=" + e.Store, "cloud-api.duties=usage_reporting",
+	}
+	for _, zone := range e.Zones {
+		lines = append(lines, "zones."+zone+"="+e.Region)
+	}
+	return strings.Join(lines, "\n") + "\n"
+}
