--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -107,6 +107,9 @@
 	peers Load
 	heard map[string]Load
 	cache cache
+	// told is the number of requests that the upstream itself told at toldAt.
+	told   int
+	toldAt time.Time
 
 	failures   int
 	avoidUntil time.Time
@@ -218,7 +221,7 @@
 		if cost < bestCost {
 			bestCost = cost
 			best = Choice{
-				Upstream: p.Upstream, Load: load, kept: kept, Running: p.own.Running + p.peers.Running,
+				Upstream: p.Upstream, Load: load, kept: kept, Running: p.running(now),
 				Predicted: millis(wait), Own: millis(speed.firstMs + float64(load.Unread)/speed.tokensPerMs),
 			}
 		}
@@ -280,9 +283,22 @@
 	return Load{Running: 1, Unread: weighted(unread, r.Prompt.Input), Memory: r.Prompt.Input + r.Prompt.MaxOutput}, kept, max(shared-kept, 0)
 }
 
+// toldLife is how long an upstream's own word about its requests counts.
+const toldLife = 300 * time.Millisecond
+
+// running returns the requests on the upstream: what entries tell, or what it
+// told itself if that is more.
+func (p *place) running(now time.Time) int {
+	known := p.own.Running + p.peers.Running
+	if now.Sub(p.toldAt) > toldLife {
+		return known
+	}
+	return max(known, p.told)
+}
+
 // wait predicts the milliseconds until the first event.
 func (p *place) wait(now time.Time, r *Request, load Load, s *speed) float64 {
-	running := p.own.Running + p.peers.Running
+	running := p.running(now)
 	slots := p.Slots
 	if slots <= 0 {
 		slots = assumedSlots
--- a/decision/placement/placement_test.go
+++ b/decision/placement/placement_test.go
@@ -80,6 +80,20 @@
 	require.False(t, ok)
 }
 
+// An entry that hears nobody goes by what upstreams tell themselves, while it is new.
+func TestUpstreamsOwnWordCountsWhileItIsNew(t *testing.T) {
+	tb := newTestTable(upstreams("desk", "a1", "a2"))
+	pick := func(now time.Time) string {
+		choice, ok := tb.Pick(now, &Request{Service: desk, Zone: "a1"})
+		require.True(t, ok)
+		return choice.Upstream.ID
+	}
+	require.Equal(t, "u0", pick(start))
+	tb.Told(start, "u0", 30)
+	require.Equal(t, "u1", pick(start))
+	require.Equal(t, "u0", pick(start.Add(time.Second)))
+}
+
 // Entries that know nothing of each other send a shared prefix to the same
 // upstream of their region.
 func TestSharedPrefixHasOneHomeInARegion(t *testing.T) {
--- a/decision/placement/progress.go
+++ b/decision/placement/progress.go
@@ -126,6 +126,13 @@
 	p.reading = slices.DeleteFunc(p.reading, func(o *Ticket) bool { return o == k })
 }
 
+// Told takes an upstream's own number of requests, running and waiting.
+func (t *Table) Told(now time.Time, id string, requests int) {
+	if p := t.places[id]; p != nil {
+		p.told, p.toldAt = requests, now
+	}
+}
+
 // Loads returns this entry's own work by upstream.
 func (t *Table) Loads(now time.Time) map[string]Load {
 	out := make(map[string]Load)
--- a/decision/usage/usage.go
+++ b/decision/usage/usage.go
@@ -33,9 +33,6 @@
 // Window returns the number of the window that a moment of true time lies in.
 func (b *Book) Window(t time.Time) int64 { return t.UnixNano() / int64(b.length) }
 
-// End returns the end of a window.
-func (b *Book) End(window int64) time.Time { return time.Unix(0, (window+1)*int64(b.length)) }
-
 // Count counts a request that began to run.
 func (b *Book) Count(t time.Time, customer string) {
 	w := b.Window(t)
--- a/decision/usage/usage_test.go
+++ b/decision/usage/usage_test.go
@@ -18,7 +18,6 @@
 	require.EqualValues(t, 100, b.Window(at(100, 0)))
 	require.EqualValues(t, 100, b.Window(at(100, length-1)))
 	require.EqualValues(t, 101, b.Window(at(100, length)))
-	require.Equal(t, at(101, 0), b.End(100))
 }
 
 // Words that come twice, late or after a restart of the other process count once.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -186,6 +186,7 @@
 	}
 	defer answer.Close()
 	head := platform.DecodeAnswer(answer.Status, answer.Header)
+	g.tellTable(choice.Upstream.ID, head.Load)
 	if head.NotRun {
 		return g.declined(r, ticket, answer), nil
 	}
@@ -197,6 +198,16 @@
 	return g.relayWhole(ctx, r, ticket, answer, head)
 }
 
+// tellTable passes on what an upstream says of its load.
+func (g *Gateway) tellTable(id string, load *platform.Load) {
+	if load == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.Told(time.Now(), id, load.Running+load.Waiting)
+}
+
 // begin counts an attempt that is about to be sent.
 func (g *Gateway) begin(r *request, choice placement.Choice) *placement.Ticket {
 	now := time.Now()
--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -105,7 +105,6 @@
 
 // stepLease makes the one call to the store that the lease asks for.
 func (g *Gateway) stepLease(ctx context.Context) {
-	g.metrics.storeCalls.Inc(1)
 	g.mu.Lock()
 	step := g.lease.Next(steadyTime())
 	g.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,7 +68,7 @@
 	scalers map[string]*scaling.Service
 	peers   map[string]*peer
 
-	// sources counts what the entry can't reach, by name.
+	// lost holds since when a dependency has not answered, by its name.
 	lost    map[string]time.Time
 	servers []*http.Server
 	gossip  *net.UDPConn
@@ -102,6 +102,7 @@
 	if settings.Cloud != "" {
 		g.duties = platform.NewDuties(settings.Cloud, settings.Name, dutyTimeout)
 	}
+	g.objects.Called = func() { g.metrics.storeCalls.Inc(1) }
 	g.pool.Opened = func() { g.metrics.connections.Inc(1) }
 	return g
 }
@@ -190,6 +191,7 @@
 func (g *Gateway) housekeep(ctx context.Context) {
 	for sleep(ctx, housekeepInterval) {
 		g.pool.Sweep()
+		g.metrics.inFlight.Update(g.inFlight.Load())
 		now := time.Now()
 		g.mu.Lock()
 		g.quota.Expire(now)
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -164,6 +164,7 @@
 		}
 		if silent > peerLife || p.leaving && silent > loadLife {
 			delete(g.peers, name)
+			g.quota.Leave(name)
 			g.log.Info("peer gone", "peer", name, "silent", silent, "leaving", p.leaving)
 		}
 	}
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -75,7 +75,6 @@
 		}
 		var c change
 		var err error
-		g.metrics.storeCalls.Inc(1)
 		if at == 0 {
 			c.whole = true
 			c.RecordList, err = g.objects.List(ctx, kind)
