scaling: take most of the headroom from reclaimable upstreams

Change: on-demand upstreams are sized to be 0.7 in use when the others are taken away (0.42 before), all together to 0.15 (0.22 before).

--- a/decision/scaling/scaling.go
+++ b/decision/scaling/scaling.go
@@ -23,11 +23,11 @@
 const (
 	// baseUse is how busy on-demand upstreams may be once the reclaimable ones
 	// are taken away.
-	baseUse = 0.42
+	baseUse = 0.7
 	// soloUse is how busy on-demand upstreams are to be if there are no
 	// reclaimable ones, and fullUse how busy all are to be together.
 	soloUse = 0.3
-	fullUse = 0.22
+	fullUse = 0.15
 	// smoothing is the weight of the newest second in the demand.
 	smoothing = 0.4
 	// memory is for how many seconds a demand counts as possible again.
