exchange: know for sure whether a long request was sent

Cause: a long request is written beside the wait for its answer, and an error of the wait was judged by a flag that the writer sets a moment after the kernel has taken the last byte. A request that had been read whole could count as not sent, and work that may not be repeated go to a second upstream. Change: an error closes the connection and waits for the writer before it says what was sent. Work that may not be repeated goes over connections that were idle for a second at most, as upstreams may have closed an older one. Ruled out: writing long requests first, which blocks on an upstream that answers before it reads.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -29,6 +29,9 @@
 	// for an answer that another upstream could give.
 	minHeadLimit  = 150 * time.Millisecond
 	silenceFactor = 2
+	// freshConnection is how long a connection may have been idle for work that
+	// may not be repeated; shorter than upstreams' idle timeouts.
+	freshConnection = time.Second
 	// declinedBody bounds what is read of a refusal, in bytes.
 	declinedBody = 16 << 10
 	// lowestUrgency is the highest number that engines take.
@@ -241,11 +244,21 @@
 			a := platform.DecodeAnswer(status, h)
 			return a.RequestID == r.RequestID || (a.RequestID == "" && a.NotRun)
 		},
+		MaxIdle:     maxIdle(r),
 		HeadTimeout: g.headLimit(r, choice.Predicted),
 		KeepAlive:   func(h http.Header) time.Duration { return platform.DecodeAnswer(0, h).KeepAlive },
 	})
 }
 
+// maxIdle keeps work that may not be repeated off connections that the upstream
+// may have closed.
+func maxIdle(r *request) time.Duration {
+	if r.route.Repeatable() {
+		return 0
+	}
+	return freshConnection
+}
+
 // headLimit bounds the wait for an answer's head where another upstream could
 // still be asked; 0 is no bound.
 func (g *Gateway) headLimit(r *request, predicted time.Duration) time.Duration {
--- a/upstream/exchange/conn.go
+++ b/upstream/exchange/conn.go
@@ -28,6 +28,8 @@
 type conn struct {
 	net.Conn
 	r *bufio.Reader
+	// idleSince is when its last exchange ended.
+	idleSince time.Time
 	// expires is when an idle connection is no longer used.
 	expires time.Time
 }
--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -25,6 +25,10 @@
 	HasBody bool
 	// Mine says whether an answer belongs to this request; others are skipped.
 	Mine func(status int, header http.Header) bool
+	// MaxIdle is how long a connection may have been idle; 0 is no bound. An
+	// upstream may have closed one that was idle for long, and whether a request
+	// on it was read can't be known.
+	MaxIdle time.Duration
 	// HeadTimeout bounds the wait for the head of the answer; 0 is no bound.
 	HeadTimeout time.Duration
 	// KeepAlive reads how long the upstream keeps an idle connection.
@@ -64,7 +68,7 @@
 	body      io.ReadCloser
 	keepAlive time.Duration
 	reusable  bool
-	written   *atomic.Bool
+	writing   *writing
 	whole     bool
 	stop      func() bool
 }
@@ -72,7 +76,7 @@
 // Do sends a request and returns the head of its answer. When ctx ends, the
 // connection is closed, which also ends reads of the answer.
 func (p *Pool) Do(ctx context.Context, address string, req *Request) (*Answer, error) {
-	c, err := p.take(ctx, address)
+	c, err := p.take(ctx, address, req.MaxIdle)
 	if err != nil {
 		return nil, &Error{Step: "connect", Err: err}
 	}
@@ -95,19 +99,14 @@
 	if err != nil {
 		return nil, &Error{Step: "write", Err: err}
 	}
-	var written atomic.Bool
+	w := writing{done: make(chan struct{})}
 	if len(data) <= inlineBody {
-		if _, err := c.Write(data); err != nil {
-			return nil, &Error{Step: "write", Err: err}
+		w.run(c, data)
+		if !w.whole.Load() {
+			return nil, &Error{Step: "write", Err: w.err}
 		}
-		written.Store(true)
 	} else {
-		go func() {
-			// A failed write shows as a failed read.
-			if _, err := c.Write(data); err == nil {
-				written.Store(true)
-			}
-		}()
+		go w.run(c, data)
 	}
 	if req.HeadTimeout > 0 {
 		// An error means that the connection is closed, which reading tells.
@@ -115,12 +114,16 @@
 	}
 	resp, strays, err := readHead(c, req)
 	if err != nil {
-		return nil, &Error{Step: "read_head", Sent: written.Load(), Err: err}
+		// Closing ends a write that is under way; whether the request was sent
+		// is known only then.
+		_ = c.Close()
+		<-w.done
+		return nil, &Error{Step: "read_head", Sent: w.whole.Load(), Err: err}
 	}
 	_ = c.SetReadDeadline(time.Time{})
 	a := &Answer{
 		Status: resp.StatusCode, Header: resp.Header,
-		pool: p, address: address, conn: c, body: resp.Body, written: &written,
+		pool: p, address: address, conn: c, body: resp.Body, writing: &w,
 		reusable: !resp.Close && strays == 0,
 	}
 	if req.KeepAlive != nil {
@@ -129,6 +132,20 @@
 	return a, nil
 }
 
+// writing is the writing of one request.
+type writing struct {
+	whole atomic.Bool
+	// err may be read once done is closed.
+	err  error
+	done chan struct{}
+}
+
+func (w *writing) run(c *conn, data []byte) {
+	defer close(w.done)
+	_, w.err = c.Write(data)
+	w.whole.Store(w.err == nil)
+}
+
 func encode(req *Request) ([]byte, error) {
 	var b bytes.Buffer
 	b.Grow(1024 + len(req.Body))
@@ -190,7 +207,7 @@
 // and nothing else is on it; otherwise it is closed.
 func (a *Answer) Close() {
 	stopped := a.stop()
-	if stopped && a.whole && a.reusable && a.written.Load() && a.conn.r.Buffered() == 0 {
+	if stopped && a.whole && a.reusable && a.writing.whole.Load() && a.conn.r.Buffered() == 0 {
 		a.SetReadDeadline(time.Time{})
 		a.pool.put(a.address, a.conn, a.keepAlive)
 		return
--- a/upstream/exchange/exchange_test.go
+++ b/upstream/exchange/exchange_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -116,6 +117,35 @@
 	require.Zero(t, p.Open(address))
 }
 
+// Work that may not be repeated does not go over a connection that was idle for
+// long; others still use it.
+func TestLongIdleConnectionsAreLeftToOthers(t *testing.T) {
+	address := serveMany(t)
+	p, opened := newPool(t)
+	fresh := request("/a")
+	fresh.MaxIdle = time.Nanosecond
+	for _, want := range []int{1, 2} {
+		_, err := get(t, p, address, fresh)
+		require.NoError(t, err)
+		require.Equal(t, want, *opened)
+	}
+	_, err := get(t, p, address, request("/a"))
+	require.NoError(t, err)
+	require.Equal(t, 2, *opened)
+}
+
+// serveMany answers on any number of connections at once.
+func serveMany(t *testing.T) string {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("For", r.RequestURI)
+		_, err := io.WriteString(w, "one")
+		require.NoError(t, err)
+	}))
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
 // Each way in which a connection is not clean afterwards ends it.
 func TestUncleanConnectionsAreDropped(t *testing.T) {
 	cases := map[string]string{
@@ -277,3 +307,18 @@
 	require.True(t, timeout.Timeout())
 	require.False(t, errors.Is(err, context.Canceled))
 }
+
+// An upstream that closes after it has read a long request may have run it, however
+// soon it closes.
+func TestLongRequestThatWasReadCountsAsSent(t *testing.T) {
+	address := serve(t, func(_ *testing.T, _ net.Conn, r *bufio.Reader, _ int) { read(r) })
+	p, _ := newPool(t)
+	for range 400 {
+		req := request("/a")
+		req.Method, req.Body = "POST", []byte(strings.Repeat("x", 6000))
+		_, err := get(t, p, address, req)
+		var failed *exchange.Error
+		require.ErrorAs(t, err, &failed)
+		require.True(t, failed.Sent)
+	}
+}
--- a/upstream/exchange/pool.go
+++ b/upstream/exchange/pool.go
@@ -33,10 +33,11 @@
 	return p.open[address]
 }
 
-// take returns a clean idle connection, or a new one.
-func (p *Pool) take(ctx context.Context, address string) (*conn, error) {
+// take returns a clean idle connection, or a new one. With a maxIdle, connections
+// that have been idle for longer are left to others.
+func (p *Pool) take(ctx context.Context, address string, maxIdle time.Duration) (*conn, error) {
 	for {
-		c := p.pop(address)
+		c := p.pop(address, maxIdle)
 		if c == nil {
 			break
 		}
@@ -58,7 +59,7 @@
 }
 
 // pop takes the connection that was used last, so that spare ones can expire.
-func (p *Pool) pop(address string) *conn {
+func (p *Pool) pop(address string, maxIdle time.Duration) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
@@ -66,6 +67,9 @@
 		return nil
 	}
 	c := list[len(list)-1]
+	if maxIdle > 0 && time.Since(c.idleSince) > maxIdle {
+		return nil
+	}
 	p.idle[address] = list[:len(list)-1]
 	return c
 }
@@ -85,7 +89,8 @@
 	if keepAlive <= 0 {
 		keepAlive = defaultKeepAlive
 	}
-	c.expires = time.Now().Add(keepAlive - keepAliveSlack)
+	c.idleSince = time.Now()
+	c.expires = c.idleSince.Add(keepAlive - keepAliveSlack)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[address] = append(p.idle[address], c)
