gossip: spread the turns of entries out, gather usage for longer

All entries start together and sent their whole words at the same moments, 82 of 2 KB, to a holder whose link may have 10 Mbit/s; what fills a link is lost, each time the same. Change: turns begin at random; counts are gathered for 2.5 s after a window's end in place of 1.5 (10 s are allowed); a new holder listens for three whole words of each entry, 0.6 s in a small fleet and 2.4 s at 83 entries.

--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"time"
@@ -29,6 +30,8 @@
 	// wait for their word.
 	tellFanout    = 16
 	watcherFanout = 32
+	// phases is how many beginnings there are for the turns of an entry.
+	phases = 1000
 	// wholePeers is the number of other entries up to which each turn's word has
 	// the totals; with more of them it is every second turn, and so on.
 	wholePeers = 24
@@ -180,10 +183,15 @@
 
 // tellPeers tells the others this entry's state until ctx ends.
 func (g *Gateway) tellPeers(ctx context.Context) {
+	// Entries start together; were their turns to meet, their words would fill
+	// the link of the holder at one moment.
+	if !sleep(ctx, rand.N(tellInterval)) {
+		return
+	}
 	ticker := time.NewTicker(tellInterval)
 	defer ticker.Stop()
-	var near, far rotation
-	for turn := 0; ; {
+	near, far := rotation{rand.IntN(phases)}, rotation{rand.IntN(phases)}
+	for turn := rand.IntN(phases); ; {
 		select {
 		case <-ctx.Done():
 			return
@@ -210,13 +218,16 @@
 	if turn%farEvery == 0 {
 		targets = append(targets, far.next(peers.far, fanout)...)
 	}
-	whole := turn%(1+(len(peers.near)+len(peers.far))/wholePeers) == 0
+	whole := turn%wholeEvery(len(peers.near)+len(peers.far)) == 0
 	if whole && peers.holder != nil && !slices.Contains(targets, peers.holder) {
 		targets = append(targets, peers.holder)
 	}
 	g.sendWord(g.nextWord(whole), targets)
 }
 
+// wholeEvery is how many turns pass between words with the totals.
+func wholeEvery(peers int) int { return 1 + peers/wholePeers }
+
 // peerList is whom an entry may tell.
 type peerList struct {
 	near, far []*net.UDPAddr
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -12,10 +12,10 @@
 
 const (
 	// gatherTime is how long after a window's end its counts are gathered.
-	gatherTime = 1500 * time.Millisecond
-	// listenTime is how long a new holder hears from the others before its first
-	// report.
-	listenTime = 2500 * time.Millisecond
+	gatherTime = 2500 * time.Millisecond
+	// listenWords is how many of each entry's whole words a new holder waits for
+	// before its first report.
+	listenWords = 3
 	// usageKept is how many windows stay in the store.
 	usageKept = 12
 )
@@ -23,7 +23,7 @@
 // reportUsage sends the reports that are due. A report is first fixed in the
 // store, so that a successor sends the same one.
 func (g *Gateway) reportUsage(ctx context.Context, d *dutyState, token uint64) {
-	if !g.settings.ReportsUsage || steady()-d.since < listenTime {
+	if !g.settings.ReportsUsage || steady()-d.since < g.listenTime() {
 		return
 	}
 	g.mu.Lock()
@@ -43,6 +43,11 @@
 	}
 }
 
+// listenTime is how long a new holder hears from the others before it reports.
+func (g *Gateway) listenTime() time.Duration {
+	return listenWords * time.Duration(wholeEvery(g.Peers())) * tellInterval
+}
+
 func (g *Gateway) reportWindow(ctx context.Context, d *dutyState, token uint64, window int64) bool {
 	report, err := g.fixUsage(ctx, window)
 	if err != nil {
