--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -20,6 +20,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -209,7 +210,7 @@
 	speed := t.speed(r.Service.Name)
 	best, bestCost := Choice{}, math.Inf(1)
 	for _, p := range list {
-		if p.Draining || contains(r.Tried, p.ID) {
+		if p.Draining || slices.Contains(r.Tried, p.ID) {
 			continue
 		}
 		load, kept, reread := p.added(r, p == home)
@@ -335,12 +336,3 @@
 	}
 	return p.failing * math.Exp2(-now.Sub(p.failingAt).Seconds()/failureFade.Seconds())
 }
-
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
