gateway: words between entries in protobuf, upstreams by key

Cause: an entry of a fleet of 83 sends some 140 words a second (worked out from the fanout), each of them the whole state in JSON: 510 bytes with 10 loads, 2,063 with the totals of 16 customers. At 340 entries they cost three times the 20 KB/s that a node has for control (worked out). A load also expired before the next word came, once a round through all entries took longer than 1.5 s. Ruled out: sums by availability zone: the load table of 355 upstreams of a region is 4 KB by itself, and who sums up would have to be followed by others. Change: words are protobuf messages, upstreams stand in them under the hash of their ID, usage windows once a word. The address of the sender is that of the datagram. Loads of silent entries count for three rounds in large fleets. The number of datagrams is what is left to bring down.

--- a/decision/quota/quota.go
+++ b/decision/quota/quota.go
@@ -54,8 +54,8 @@
 // Total is one entry's work for a customer since the process's start.
 type Total struct {
 	// Admitted is what was let in, Asked what callers sent.
-	Admitted float64 `json:"a"`
-	Asked    float64 `json:"q"`
+	Admitted float64
+	Asked    float64
 }
 
 type peer struct {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,6 +67,8 @@
 	lease   *lease.Lease
 	scalers map[string]*scaling.Service
 	peers   map[string]*peer
+	// upstreamIDs has the IDs of the known upstreams by the keys used in words.
+	upstreamIDs map[uint32]string
 
 	// lost holds since when a dependency has not answered, by its name.
 	lost    map[string]time.Time
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -10,8 +10,6 @@
 	"time"
 
 	"jaylink/decision/placement"
-	"jaylink/decision/quota"
-	"jaylink/decision/usage"
 	"jaylink/platform"
 )
 
@@ -39,43 +37,16 @@
 	findInterval = 30 * time.Second
 	// findSoon repeats the first look, because all entries start together.
 	findSoon = 2 * time.Second
-	// loadLife is how long a silent entry's load counts.
-	loadLife = 1500 * time.Millisecond
+	// loadLife is how long a silent entry's load counts, and loadTurns for how
+	// many rounds through all entries it does in a large fleet.
+	loadLife  = 1500 * time.Millisecond
+	loadTurns = 3
 	// peerLife is how long a silent entry counts.
 	peerLife = 20 * time.Second
 	// maxDatagram is the largest word that is read, in bytes.
 	maxDatagram = 64 << 10
 )
 
-// word is what an entry tells the others: its state and not what has changed, so
-// that lost and reordered datagrams do no harm.
-type word struct {
-	Entry string `json:"entry"`
-	// Incarnation is the Unix nanosecond of the process's start.
-	Incarnation int64  `json:"incarnation"`
-	Region      string `json:"region"`
-	// Address is IP:PORT of the gossip port.
-	Address string `json:"address"`
-	// Sent is the entry's idea of the time of day, in Unix milliseconds.
-	Sent int64 `json:"sent"`
-	// Configuration and Upstreams are the versions that are in force.
-	Configuration uint64 `json:"configuration,omitempty"`
-	Upstreams     uint64 `json:"upstreams,omitempty"`
-	// Leaving says that the process stops.
-	Leaving bool `json:"leaving,omitempty"`
-	// Watches says that the entry watches the store, and that the store answers.
-	Watches bool `json:"watches,omitempty"`
-	// Holder says that the entry holds the lease of the duties.
-	Holder bool `json:"holder,omitempty"`
-	// Loads is own work by upstream: requests, unread tokens, memory.
-	Loads map[string][3]int `json:"loads,omitempty"`
-	// Totals is work by customer since the process's start; nil if it is left out.
-	Totals map[string]quota.Total `json:"totals"`
-	// Usage is the requests that began to run, by window and customer, for the
-	// newest windows.
-	Usage usage.Windows `json:"usage,omitempty"`
-}
-
 // peer is what is known about another entry.
 type peer struct {
 	address     *net.UDPAddr
@@ -159,12 +130,15 @@
 
 // expirePeers forgets silent entries. The caller holds mu.
 func (g *Gateway) expirePeers(now time.Time) {
+	life := max(loadLife, loadTurns*roundTime(len(g.peers)))
 	for name, p := range g.peers {
 		silent := now.Sub(p.heard)
 		if silent > loadLife {
-			g.table.Hear(name, nil)
 			p.holder = false
 		}
+		if silent > life {
+			g.table.Hear(name, nil)
+		}
 		if silent > peerLife || p.leaving && silent > loadLife {
 			delete(g.peers, name)
 			g.quota.Leave(name)
@@ -228,6 +202,11 @@
 // wholeEvery is how many turns pass between words with the totals.
 func wholeEvery(peers int) int { return 1 + peers/wholePeers }
 
+// roundTime is how long an entry takes at most to tell all others something.
+func roundTime(peers int) time.Duration {
+	return time.Duration((peers+tellFanout-1)/tellFanout) * tellInterval
+}
+
 // peerList is whom an entry may tell.
 type peerList struct {
 	near, far []*net.UDPAddr
@@ -282,11 +261,7 @@
 
 // sendWord sends a word.
 func (g *Gateway) sendWord(w word, targets []*net.UDPAddr) {
-	data, err := json.Marshal(w)
-	if err != nil {
-		g.log.Error("word can't be encoded", "err", err)
-		return
-	}
+	data := w.encode()
 	for _, to := range targets {
 		// A lost datagram is made good by the next one.
 		_, _ = g.gossip.WriteToUDP(data, to)
@@ -296,8 +271,7 @@
 // nextWord puts together what is to be told; a whole word has the running totals.
 func (g *Gateway) nextWord(whole bool) word {
 	w := word{
-		Entry: g.settings.Name, Incarnation: g.incarnation, Address: g.gossip.LocalAddr().String(),
-		Region: g.settings.Region, Leaving: g.stopping.Load(),
+		Entry: g.settings.Name, Incarnation: g.incarnation, Region: g.settings.Region, Leaving: g.stopping.Load(),
 	}
 	if c := g.config.Load(); c != nil {
 		w.Configuration = c.Version
@@ -308,9 +282,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	w.Sent = g.trueTime().UnixMilli()
-	w.Loads = map[string][3]int{}
+	w.Loads = map[uint32]placement.Load{}
 	for id, l := range g.table.Loads(time.Now()) {
-		w.Loads[id] = [3]int{l.Running, l.Unread, l.Memory}
+		w.Loads[upstreamKey(id)] = l
 	}
 	if whole {
 		w.Totals = g.quota.Totals(time.Now())
@@ -321,15 +295,6 @@
 	return w
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 // hearPeers takes the words of others until the socket is closed.
 func (g *Gateway) hearPeers(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() {
@@ -348,11 +313,12 @@
 			}
 			continue
 		}
-		var w word
-		if err := json.Unmarshal(buffer[:n], &w); err != nil || w.Entry == "" || w.Entry == g.settings.Name {
+		w, err := decodeWord(buffer[:n])
+		if err != nil || w.Entry == "" || w.Entry == g.settings.Name {
 			g.log.Debug("odd datagram", "from", from, "err", err)
 			continue
 		}
+		w.Address = from.String()
 		g.hear(w, from)
 		if w.Watches && !g.behindConfiguration(w) {
 			g.confirmed.Store(int64(steady()))
@@ -373,10 +339,6 @@
 
 func (g *Gateway) hear(w word, from *net.UDPAddr) {
 	now := time.Now()
-	loads := make(map[string]placement.Load, len(w.Loads))
-	for id, l := range w.Loads {
-		loads[id] = placement.Load{Running: l[0], Unread: l[1], Memory: l[2]}
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := g.peers[w.Entry]
@@ -390,7 +352,7 @@
 	}
 	p.address, p.incarnation, p.heard = from, w.Incarnation, now
 	p.region, p.holder, p.watches, p.leaving = w.Region, w.Holder, w.Watches, w.Leaving
-	g.table.Hear(w.Entry, loads)
+	g.table.Hear(w.Entry, g.upstreamLoads(w))
 	g.quota.Hear(now, w.Entry, w.Incarnation, w.Totals)
 	g.book.Hear(processName(w), w.Usage)
 	if shift := g.clock.Hear(steady(), w.Entry, time.UnixMilli(w.Sent)); shift != 0 {
@@ -398,7 +360,14 @@
 	}
 }
 
-// processName names one process of an entry.
-func processName(w word) string {
-	return w.Entry + "/" + time.Unix(0, w.Incarnation).UTC().Format(time.RFC3339Nano)
+// upstreamLoads returns the loads of a word by ID, without those of upstreams
+// that are not known here. The caller holds mu.
+func (g *Gateway) upstreamLoads(w word) map[string]placement.Load {
+	loads := make(map[string]placement.Load, len(w.Loads))
+	for key, l := range w.Loads {
+		if id, ok := g.upstreamIDs[key]; ok {
+			loads[id] = l
+		}
+	}
+	return loads
 }
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -213,6 +213,10 @@
 		g.logUpstreamChanges(before, next)
 	}
 	g.upstreams.Store(next)
+	g.upstreamIDs = make(map[uint32]string, len(next.list))
+	for id := range next.list {
+		g.upstreamIDs[upstreamKey(id)] = id
+	}
 	g.table.SetUpstreams(slices.Collect(maps.Values(next.list)))
 	g.metrics.upstreams.Update(int64(len(next.list)))
 }
--- /dev/null
+++ b/gateway/word.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jaylink/decision/placement"
+	"jaylink/decision/quota"
+	"jaylink/decision/usage"
+)
+
+// word is what an entry tells the others: its state and not what has changed, so
+// that lost and reordered datagrams do no harm. docs/PEERS.md has its encoding.
+type word struct {
+	Entry string
+	// Incarnation is the Unix nanosecond of the process's start.
+	Incarnation int64
+	Region      string
+	// Address is IP:PORT of the gossip port, taken from the datagram.
+	Address string
+	// Sent is the entry's idea of the time of day, in Unix milliseconds.
+	Sent int64
+	// Configuration and Upstreams are the versions that are in force.
+	Configuration uint64
+	Upstreams     uint64
+	// Leaving says that the process stops.
+	Leaving bool
+	// Watches says that the entry watches the store, and that the store answers.
+	Watches bool
+	// Holder says that the entry holds the lease of the duties.
+	Holder bool
+	// Loads is own work by key of the upstream.
+	Loads map[uint32]placement.Load
+	// Totals is work by customer since the process's start; nil if it is left out.
+	Totals map[string]quota.Total
+	// Usage is the requests that began to run, by window and customer, for the
+	// newest windows.
+	Usage usage.Windows
+}
+
+// upstreamKey stands for an upstream's ID in words. Two upstreams of one key
+// would be taken to have each other's load, which does little harm.
+func upstreamKey(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
+// processName names one process of an entry.
+func processName(w word) string {
+	return w.Entry + "/" + time.Unix(0, w.Incarnation).UTC().Format(time.RFC3339Nano)
+}
+
+// sortedKeys returns the keys of a map in order.
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
