--- a/cmd/jaylink/standin.go
+++ b/cmd/jaylink/standin.go
@@ -11,7 +11,7 @@
 
 	"jaylink/kernel"
 	"jaylink/standin/engine"
-	"jaylink/standin/platform"
+	"jaylink/standin/hosting"
 	"jaylink/standin/service"
 )
 
@@ -29,7 +29,7 @@
 func addStandinPlatform(parent *kingpin.CmdClause) {
 	cmd := parent.Command("platform", "Object API, host list, notices, host orders and weight store, in memory.")
 	listen := listenFlag(cmd)
-	cmd.Action(func(*kingpin.ParseContext) error { return runStandin(*listen, platform.New()) })
+	cmd.Action(func(*kingpin.ParseContext) error { return runStandin(*listen, hosting.New()) })
 }
 
 func addStandinEngine(parent *kingpin.CmdClause) {
--- a/entry/apply.go
+++ b/entry/apply.go
@@ -12,8 +12,8 @@
 	"strconv"
 
 	"jaylink/api"
+	"jaylink/objects"
 	"jaylink/operator"
-	"jaylink/platform"
 )
 
 // labelAttempts bounds how often a label change is tried against other writers.
@@ -119,7 +119,7 @@
 		res.Status, res.Version = operator.StatusAccepted, stored.Version
 	case errors.Is(err, errStale):
 		res.Status, res.Current, res.Problem = operator.StatusConflict, stored, err.Error()
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, objects.ErrUnavailable):
 		res.Status, res.Problem = operator.StatusUnknown, err.Error()
 	default:
 		res.Status, res.Problem = operator.StatusInvalid, err.Error()
@@ -157,7 +157,7 @@
 		writeJSON(w, http.StatusOK, o)
 	case errors.Is(err, errStale):
 		writeJSON(w, http.StatusConflict, operator.Failure{Error: err.Error(), Current: o})
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objects.ErrNotFound):
 		writeFailure(w, http.StatusNotFound, err)
 	case errors.As(err, &invalid):
 		writeFailure(w, http.StatusUnprocessableEntity, err)
@@ -172,7 +172,7 @@
 func (e *Entry) changeLabels(ctx context.Context, key api.Key, req operator.LabelRequest, who string) (*api.Object, error) {
 	current := e.config.get(key)
 	if current == nil {
-		return nil, fmt.Errorf("%w: %s", platform.ErrNotFound, key)
+		return nil, fmt.Errorf("%w: %s", objects.ErrNotFound, key)
 	}
 	for range labelAttempts {
 		if sameLabelChanged(current, req) {
--- a/entry/claimbook.go
+++ b/entry/claimbook.go
@@ -9,7 +9,8 @@
 	"time"
 
 	"jaylink/decision/claim"
-	"jaylink/platform"
+	"jaylink/hosting"
+	"jaylink/objects"
 )
 
 // kindClaimPage is the kind of the objects that hold claims.
@@ -21,7 +22,7 @@
 // claimBook drives the pages of claims that this entry works on: it carries
 // out their calls of the platform and tells the requests what came of them.
 type claimBook struct {
-	store *platform.Client
+	store *hosting.Client
 	log   *slog.Logger
 	ctx   context.Context
 	work  *sync.WaitGroup
@@ -41,7 +42,7 @@
 	timer  *time.Timer
 }
 
-func newClaimBook(ctx context.Context, work *sync.WaitGroup, store *platform.Client, log *slog.Logger) *claimBook {
+func newClaimBook(ctx context.Context, work *sync.WaitGroup, store *hosting.Client, log *slog.Logger) *claimBook {
 	b := &claimBook{
 		store: store, log: log, ctx: ctx, work: work,
 		pages: map[string]*claimPage{}, waiting: map[string]func(claim.SettleAction){}, idle: make(chan struct{}),
@@ -137,7 +138,7 @@
 	ctx, cancel := context.WithTimeout(b.ctx, claimCallTimeout)
 	defer cancel()
 	rec, err := b.store.Get(ctx, kindClaimPage, name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objects.ErrNotFound) {
 		return claim.Answer{Kind: claim.Found}
 	}
 	if err != nil {
@@ -154,7 +155,7 @@
 	}
 	ctx, cancel := context.WithTimeout(b.ctx, claimCallTimeout)
 	defer cancel()
-	var rec platform.Record
+	var rec objects.Record
 	if a.Base == 0 {
 		rec, err = b.store.Create(ctx, kindClaimPage, name, json.RawMessage(value))
 	} else {
@@ -171,7 +172,7 @@
 
 func (b *claimBook) failed(step, name string, err error) claim.Answer {
 	b.log.Warn("claim page can't be reached", "page", name, "step", step, "err", err)
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, objects.ErrUnavailable) {
 		return claim.Answer{Kind: claim.Lost}
 	}
 	return claim.Answer{Kind: claim.Refused}
@@ -179,7 +180,7 @@
 
 // decoded turns a stored page into an answer. A page that can't be read is left
 // alone: its keys are refused until someone has looked at it.
-func (b *claimBook) decoded(kind claim.AnswerKind, rec platform.Record) claim.Answer {
+func (b *claimBook) decoded(kind claim.AnswerKind, rec objects.Record) claim.Answer {
 	a := claim.Answer{Kind: kind, Version: rec.Version}
 	if rec.Version == 0 {
 		return a
--- a/entry/config.go
+++ b/entry/config.go
@@ -11,8 +11,8 @@
 
 	"jaylink/api"
 	"jaylink/decision/config"
+	"jaylink/objects"
 	"jaylink/peer/peerpb"
-	"jaylink/platform"
 )
 
 // watchPause is the pause after a failed call of the platform.
@@ -159,7 +159,7 @@
 }
 
 // decodeRecord turns a stored record into an object at the record's version.
-func decodeRecord(rec platform.Record) (*api.Object, error) {
+func decodeRecord(rec objects.Record) (*api.Object, error) {
 	o := &api.Object{}
 	if rec.Deleted {
 		return &api.Object{Kind: api.Kind(rec.Kind), Name: rec.Name, Version: rec.Version, Deleted: true}, nil
@@ -173,7 +173,7 @@
 
 // decodeRecords decodes records. One that can't be decoded must neither stop the
 // others nor pass for deleted: it is logged, and what is in force stays.
-func (s *configStore) decodeRecords(records []platform.Record) []*api.Object {
+func (s *configStore) decodeRecords(records []objects.Record) []*api.Object {
 	var out []*api.Object
 	for _, rec := range records {
 		o, err := decodeRecord(rec)
@@ -197,7 +197,7 @@
 	}
 	after := e.config.cursor()
 	list, err := e.platform.Watch(ctx, configKinds(), after, e.settings.Intervals.Watch.Std())
-	if errors.Is(err, platform.ErrCompacted) {
+	if errors.Is(err, objects.ErrCompacted) {
 		e.log.Warn("changes are no longer held by the platform; reading everything", "step", "watch", "revision", after)
 		return e.listConfig(ctx)
 	}
@@ -260,10 +260,10 @@
 }
 
 // errConflict reports whether err is a version conflict, and the current record.
-func errConflict(err error) (platform.Record, bool) {
-	var conflict *platform.ConflictError
+func errConflict(err error) (objects.Record, bool) {
+	var conflict *objects.ConflictError
 	if errors.As(err, &conflict) {
 		return conflict.Current, true
 	}
-	return platform.Record{}, false
+	return objects.Record{}, false
 }
--- a/entry/config_test.go
+++ b/entry/config_test.go
@@ -9,8 +9,8 @@
 
 	"jaylink/api"
 	"jaylink/decision/config"
+	"jaylink/objects"
 	"jaylink/peer/peerpb"
-	"jaylink/platform"
 )
 
 func newTestStore() *configStore {
@@ -30,7 +30,7 @@
 	s.Merge("two", &peerpb.Delta{Revision: 5, Snapshot: true, Objects: [][]byte{unreadable}})
 	require.NotNil(t, s.get(customerKey), "after a snapshot of a peer")
 
-	records := []platform.Record{{Kind: "Customer", Name: "c", Version: 7, Value: json.RawMessage(unreadable)}}
+	records := []objects.Record{{Kind: "Customer", Name: "c", Version: 7, Value: json.RawMessage(unreadable)}}
 	objects := s.decodeRecords(records)
 	s.apply(func(st *config.State) bool { return st.MergeList(api.KindCustomer, 7, objects) })
 	require.NotNil(t, s.get(customerKey), "after a list of the platform")
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,10 +15,10 @@
 
 	"jaylink/decision"
 	"jaylink/decision/route"
+	"jaylink/hosting"
 	"jaylink/kernel"
 	"jaylink/peer"
 	"jaylink/peer/peerpb"
-	"jaylink/platform"
 	"jaylink/upstream"
 )
 
@@ -40,7 +40,7 @@
 	records   *registry
 	driver    *driver
 	decisions *decisionRecord
-	platform  *platform.Client
+	platform  *hosting.Client
 	upstreams *upstream.Client
 	peers     *peer.Node
 	claims    *claimBook
@@ -102,7 +102,7 @@
 		metrics:   newCounters(),
 		config:    newConfigStore(log),
 		records:   newRegistry(int(s.Limits.Kept)),
-		platform:  platform.New(s.Platform).InZone(s.AvailabilityZone),
+		platform:  hosting.New(s.Platform).InZone(s.AvailabilityZone),
 		reclaims:  newReclaims(),
 		leave:     make(chan struct{}),
 		loads:     newLoadStore(),
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -18,7 +18,7 @@
 	"jaylink/internal/procs"
 	"jaylink/operator"
 	"jaylink/standin/engine"
-	"jaylink/standin/platform"
+	"jaylink/standin/hosting"
 	"jaylink/standin/service"
 )
 
@@ -99,7 +99,7 @@
 		trace:    &logBuffer{},
 		service:  httptest.NewServer(service.New()),
 		engine:   httptest.NewServer(engine.New(engine.Options{Slots: 8, QueueLength: 8, PrefixTokens: 64})),
-		platform: httptest.NewServer(platform.New()),
+		platform: httptest.NewServer(hosting.New()),
 	}
 	s := DefaultSettings()
 	s.Name, s.AvailabilityZone, s.Region = "one", "a", "r"
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -11,8 +11,8 @@
 	"jaylink/api"
 	"jaylink/decision/lease"
 	"jaylink/decision/rendezvous"
+	"jaylink/objects"
 	"jaylink/operator"
-	"jaylink/platform"
 	"jaylink/upstream"
 )
 
@@ -92,7 +92,7 @@
 
 func (o *orderer) read(ctx context.Context) {
 	stored, err := o.entry.platform.Get(ctx, kindLease, leaseName)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objects.ErrNotFound) {
 		o.lease.Observe(time.Now(), lease.Record{}, 0)
 		return
 	}
@@ -101,7 +101,7 @@
 	}
 }
 
-func (o *orderer) observe(stored platform.Record) {
+func (o *orderer) observe(stored objects.Record) {
 	var rec lease.Record
 	if len(stored.Value) > 0 && json.Unmarshal(stored.Value, &rec) != nil {
 		o.entry.log.Error("lease can't be decoded", "version", stored.Version)
@@ -111,7 +111,7 @@
 }
 
 func (o *orderer) write(ctx context.Context, rec lease.Record, version uint64) {
-	var stored platform.Record
+	var stored objects.Record
 	var err error
 	if version == 0 {
 		stored, err = o.entry.platform.Create(ctx, kindLease, leaseName, rec)
--- a/entry/poll.go
+++ b/entry/poll.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"jaylink/api"
-	"jaylink/platform"
+	"jaylink/hosting"
 )
 
 // every calls f at once and then at each interval, until ctx is done.
@@ -29,13 +29,13 @@
 	if err != nil {
 		return err
 	}
-	states := map[string]platform.HostState{}
+	states := map[string]hosting.HostState{}
 	seeds := e.settings.Peers
 	for _, h := range hosts {
-		if h.Role == platform.RoleUpstream {
+		if h.Role == hosting.RoleUpstream {
 			states[h.Name] = h.State
 		}
-		if h.Role == platform.RoleEntry && h.Address != "" {
+		if h.Role == hosting.RoleEntry && h.Address != "" {
 			seeds = append(seeds[:len(seeds):len(seeds)], h.Address)
 		}
 	}
--- a/entry/signs.go
+++ b/entry/signs.go
@@ -9,9 +9,9 @@
 	"jaylink/api"
 	"jaylink/decision"
 	"jaylink/decision/sign"
+	"jaylink/hosting"
 	"jaylink/operator"
 	"jaylink/peer/peerpb"
-	"jaylink/platform"
 )
 
 // signStore holds the signs that upstream hosts are leaving, and tells the
@@ -123,7 +123,7 @@
 }
 
 // hostList takes the host list: a host that is not live gets no new work.
-func (s *signStore) hostList(states map[string]platform.HostState) {
+func (s *signStore) hostList(states map[string]hosting.HostState) {
 	hosts := map[string]bool{}
 	for host := range states {
 		hosts[host] = true
@@ -134,7 +134,7 @@
 	s.observe(func(now time.Time) []sign.Sign {
 		var fresh []sign.Sign
 		for host := range hosts {
-			if sg, tell := s.set.Observe(now, host, sign.HostList, states[host] != platform.HostLive); tell {
+			if sg, tell := s.set.Observe(now, host, sign.HostList, states[host] != hosting.HostLive); tell {
 				fresh = append(fresh, sg)
 			}
 		}
--- a/entry/write.go
+++ b/entry/write.go
@@ -9,7 +9,7 @@
 
 	"jaylink/api"
 	"jaylink/decision/config"
-	"jaylink/platform"
+	"jaylink/objects"
 )
 
 const (
@@ -33,7 +33,7 @@
 	write.Version = 0
 	write.Writer = newRequestID(e.settings.Name)
 	rec, err := e.putObject(ctx, &write, version)
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, objects.ErrUnavailable) {
 		rec, err = e.settleWrite(ctx, &write, version, err)
 	}
 	if current, ok := errConflict(err); ok {
@@ -51,7 +51,7 @@
 }
 
 // writeConflict returns the object that a write met, which is news here.
-func (e *Entry) writeConflict(current platform.Record) (*api.Object, error) {
+func (e *Entry) writeConflict(current objects.Record) (*api.Object, error) {
 	stored, err := decodeRecord(current)
 	if current.Version == 0 || err != nil {
 		return nil, fmt.Errorf("%w: it does not exist", errStale)
@@ -60,7 +60,7 @@
 	return stored, staleError(stored)
 }
 
-func (e *Entry) putObject(ctx context.Context, o *api.Object, version uint64) (platform.Record, error) {
+func (e *Entry) putObject(ctx context.Context, o *api.Object, version uint64) (objects.Record, error) {
 	if version == 0 {
 		return e.platform.Create(ctx, string(o.Kind), o.Name, o)
 	}
@@ -71,7 +71,7 @@
 // sending it again: the condition lets it take effect once at most, and the
 // writer's token in the conflict shows that it did. It gives up with the first
 // error, and the write stays unknown, when the platform gives no answer in time.
-func (e *Entry) settleWrite(ctx context.Context, o *api.Object, version uint64, lost error) (platform.Record, error) {
+func (e *Entry) settleWrite(ctx context.Context, o *api.Object, version uint64, lost error) (objects.Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	for {
@@ -82,7 +82,7 @@
 				return current, nil
 			}
 		}
-		if !errors.Is(err, platform.ErrUnavailable) {
+		if !errors.Is(err, objects.ErrUnavailable) {
 			return rec, err
 		}
 		sleep(ctx, settlePause)
@@ -112,7 +112,7 @@
 			return nil, nil
 		case conflict:
 			return e.writeConflict(current)
-		case !errors.Is(err, platform.ErrUnavailable):
+		case !errors.Is(err, objects.ErrUnavailable):
 			return nil, err
 		}
 		repeated = true
--- a/examples/demo/main.go
+++ b/examples/demo/main.go
@@ -19,8 +19,8 @@
 
 	"github.com/tmaxmax/go-sse"
 
+	"jaylink/hosting"
 	"jaylink/internal/procs"
-	"jaylink/platform"
 	"jaylink/standin/engine"
 	"jaylink/standin/service"
 	"jaylink/upstream"
@@ -122,9 +122,9 @@
 	if err := procs.AwaitHTTP("http://" + platformAddress + "/v1/hosts"); err != nil {
 		return err
 	}
-	list := platform.HostList{Hosts: []platform.Host{{Name: "workshop-desk-1", Role: platform.RoleUpstream, State: platform.HostLive}}}
+	list := hosting.HostList{Hosts: []hosting.Host{{Name: "workshop-desk-1", Role: hosting.RoleUpstream, State: hosting.HostLive}}}
 	for name, address := range engines {
-		list.Hosts = append(list.Hosts, platform.Host{Name: name, Role: platform.RoleUpstream, Address: address, State: platform.HostLive})
+		list.Hosts = append(list.Hosts, hosting.Host{Name: name, Role: hosting.RoleUpstream, Address: address, State: hosting.HostLive})
 		if err := procs.AwaitHTTP("http://" + address + "/load"); err != nil {
 			return err
 		}
--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -9,6 +9,7 @@
 	"github.com/oklog/ulid/v2"
 
 	"jaylink/decision/lease"
+	"jaylink/objects"
 	"jaylink/platform"
 )
 
@@ -117,7 +118,7 @@
 
 func (g *Gateway) readLease(ctx context.Context) {
 	rec, err := g.objects.Get(ctx, platform.KindLeases, leaseName)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objects.ErrNotFound) {
 		g.setLost("store."+platform.KindLeases, err)
 		return
 	}
@@ -125,7 +126,7 @@
 	g.observeLease(rec)
 }
 
-func (g *Gateway) observeLease(rec platform.Record) {
+func (g *Gateway) observeLease(rec objects.Record) {
 	var stored lease.Record
 	if rec.Version > 0 {
 		if err := json.Unmarshal(rec.Value, &stored); err != nil {
@@ -141,14 +142,14 @@
 	g.mu.Lock()
 	next, version := g.lease.Write(steadyTime(), ulid.Make().String())
 	g.mu.Unlock()
-	var rec platform.Record
+	var rec objects.Record
 	var err error
 	if version == 0 {
 		rec, err = g.objects.Create(ctx, platform.KindLeases, leaseName, next)
 	} else {
 		rec, err = g.objects.Replace(ctx, platform.KindLeases, leaseName, version, next)
 	}
-	var conflict *platform.ConflictError
+	var conflict *objects.ConflictError
 	switch {
 	case err == nil:
 		g.mu.Lock()
@@ -167,7 +168,7 @@
 // fence notes that a call was refused for its token. It reports whether err says
 // so.
 func (g *Gateway) fence(d *dutyState, token uint64, duty string, err error) bool {
-	var conflict *platform.ConflictError
+	var conflict *objects.ConflictError
 	if !errors.As(err, &conflict) {
 		return false
 	}
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"jaylink/decision/placement"
+	"jaylink/objects"
 	"jaylink/platform"
 )
 
@@ -103,7 +104,7 @@
 func (g *Gateway) register(ctx context.Context) bool {
 	value := entryRecord{Address: g.gossip.LocalAddr().String(), Zone: g.settings.Zone}
 	_, err := g.objects.Create(ctx, platform.KindEntries, g.settings.Name, value)
-	var conflict *platform.ConflictError
+	var conflict *objects.ConflictError
 	if errors.As(err, &conflict) {
 		_, err = g.objects.Replace(ctx, platform.KindEntries, g.settings.Name, 0, value)
 	}
--- a/gateway/scale.go
+++ b/gateway/scale.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"jaylink/decision/scaling"
+	"jaylink/objects"
 	"jaylink/platform"
 	"jaylink/serving"
 )
@@ -108,7 +109,7 @@
 	}
 	err := g.duties.Scale(ctx, token, platform.ScaleOrder{Service: s.Name, Zone: o.Zone, Count: o.Count, Spot: o.Spot})
 	now := time.Now()
-	var conflict *platform.ConflictError
+	var conflict *objects.ConflictError
 	switch {
 	case err == nil:
 		g.mu.Lock()
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"jaylink/decision/quota"
+	"jaylink/objects"
 	"jaylink/platform"
 	"jaylink/serving"
 )
@@ -47,7 +48,7 @@
 // upstreamList is the state of the upstream list at a store revision.
 type upstreamList struct {
 	revision uint64
-	records  map[string]platform.Record
+	records  map[string]objects.Record
 	list     map[string]serving.Upstream
 	// gone holds the revisions at which upstreams were removed, of late.
 	gone map[string]uint64
@@ -59,7 +60,7 @@
 
 // change is what a source of objects has told.
 type change struct {
-	platform.RecordList
+	objects.RecordList
 	// whole says that objects which are not in the list don't exist.
 	whole bool
 }
@@ -84,7 +85,7 @@
 		} else {
 			c.RecordList, err = g.objects.Watch(ctx, kind, at, g.watchWait())
 		}
-		if errors.Is(err, platform.ErrCompacted) {
+		if errors.Is(err, objects.ErrCompacted) {
 			g.log.Info("store history is gone; listing again", "kind", kind, "after", at)
 			at = 0
 			continue
@@ -236,7 +237,7 @@
 
 func mergeUpstreams(before *upstreamList, c change, warn func(string, ...any)) *upstreamList {
 	next := &upstreamList{
-		revision: c.Revision, records: map[string]platform.Record{},
+		revision: c.Revision, records: map[string]objects.Record{},
 		list: map[string]serving.Upstream{}, vanished: map[string]time.Time{},
 		gone: map[string]uint64{}, since: c.Revision,
 	}
@@ -281,7 +282,7 @@
 
 // delta returns what has changed after a revision, or the whole list.
 func (n *upstreamList) delta(after uint64) upstreamNews {
-	news := upstreamNews{RecordList: platform.RecordList{Revision: n.revision}, Whole: after < n.since}
+	news := upstreamNews{RecordList: objects.RecordList{Revision: n.revision}, Whole: after < n.since}
 	for _, rec := range n.records {
 		if news.Whole || rec.Version > after {
 			news.Items = append(news.Items, rec)
@@ -289,7 +290,7 @@
 	}
 	for id, at := range n.gone {
 		if !news.Whole && at > after {
-			news.Items = append(news.Items, platform.Record{Kind: platform.KindUpstreams, Name: id, Version: at, Deleted: true})
+			news.Items = append(news.Items, objects.Record{Kind: platform.KindUpstreams, Name: id, Version: at, Deleted: true})
 		}
 	}
 	return news
@@ -297,7 +298,7 @@
 
 // upstreamNews is what an entry tells another about the upstream list.
 type upstreamNews struct {
-	platform.RecordList
+	objects.RecordList
 	// Whole says that upstreams which are not in the list are gone.
 	Whole bool `json:"whole,omitempty"`
 }
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"jaylink/objects"
 	"jaylink/platform"
 )
 
@@ -66,7 +67,7 @@
 	}
 	g.log.Info("usage reported", "window", window, "counts", report.Counts, "token", token)
 	// What stays is removed with a later window.
-	if err := g.objects.Delete(ctx, platform.KindUsage, usageName(window-usageKept)); err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err := g.objects.Delete(ctx, platform.KindUsage, usageName(window-usageKept)); err != nil && !errors.Is(err, objects.ErrNotFound) {
 		g.log.Info("old usage not removed", "window", window-usageKept, "err", err)
 	}
 	return true
@@ -81,7 +82,7 @@
 	report := platform.UsageReport{Window: window, Counts: g.book.Report(window)}
 	g.mu.Unlock()
 	_, err := g.objects.Create(ctx, platform.KindUsage, usageName(window), report)
-	var conflict *platform.ConflictError
+	var conflict *objects.ConflictError
 	if !errors.As(err, &conflict) {
 		return report, err
 	}
--- a/guarantees/g1_entry_test.go
+++ b/guarantees/g1_entry_test.go
@@ -12,12 +12,12 @@
 
 	"github.com/stretchr/testify/require"
 
+	"jaylink/hosting"
 	"jaylink/internal/caller"
 	"jaylink/internal/procs"
 	"jaylink/internal/testfleet"
-	"jaylink/platform"
 	standinengine "jaylink/standin/engine"
-	platformstandin "jaylink/standin/platform"
+	platformstandin "jaylink/standin/hosting"
 	"jaylink/upstream"
 )
 
@@ -154,7 +154,7 @@
 }
 
 func (f *reclaimFleet) notice(host string, in time.Duration) {
-	f.Post("http://"+f.Platform+"/v1/notices", platform.Notice{Host: host, Deadline: time.Now().Add(in)})
+	f.Post("http://"+f.Platform+"/v1/notices", hosting.Notice{Host: host, Deadline: time.Now().Add(in)})
 }
 
 // counter reads a counter of an entry; 0 if it can't be read.
--- a/guarantees/g3_ran_test.go
+++ b/guarantees/g3_ran_test.go
@@ -14,7 +14,7 @@
 	"jaylink/internal/procs"
 	"jaylink/internal/testfleet"
 	"jaylink/standin/engine"
-	"jaylink/standin/platform"
+	"jaylink/standin/hosting"
 	"jaylink/standin/service"
 )
 
@@ -170,9 +170,9 @@
 }
 
 func ranStoreOut(f *ranFleet, fault string) {
-	f.PlatformFaults(platform.Faults{Outage: true})
+	f.PlatformFaults(hosting.Faults{Outage: true})
 	f.ask(fault, "POST", "/charges", "desk", "ran-"+fault, reason.RanNo)
-	f.PlatformFaults(platform.Faults{})
+	f.PlatformFaults(hosting.Faults{})
 }
 
 func engineRefuses(f *ranFleet, fault string) {
--- a/guarantees/g4_claims_test.go
+++ b/guarantees/g4_claims_test.go
@@ -12,7 +12,7 @@
 	"jaylink/decision/reason"
 	"jaylink/internal/procs"
 	"jaylink/internal/testfleet"
-	"jaylink/standin/platform"
+	"jaylink/standin/hosting"
 	"jaylink/standin/service"
 )
 
@@ -217,7 +217,7 @@
 }
 
 func claimAnswerLost(f *claimFleet, key string) {
-	f.PlatformFaults(platform.Faults{LoseAnswers: 1})
+	f.PlatformFaults(hosting.Faults{LoseAnswers: 1})
 	r := f.one.Book(key, "{}")
 	f.want(r.Status == 201, "got %+v", r)
 	f.want(f.awaitAnswer(f.two, key).Body == r.Body, "another outcome")
@@ -225,20 +225,20 @@
 }
 
 func claimTakesEffectLate(f *claimFleet, key string) {
-	f.PlatformFaults(platform.Faults{LateKind: kindClaimPage})
+	f.PlatformFaults(hosting.Faults{LateKind: kindClaimPage})
 	f.wantRefusal(f.one.Book(key, "{}"), reason.ClaimUnavailable, reason.RanNo, true)
 	f.wantRuns(key, 0)
-	f.PlatformFaults(platform.Faults{})
+	f.PlatformFaults(hosting.Faults{})
 	r := f.awaitAnswer(f.two, key)
 	f.want(r.Status == 201, "the key was not freed: %+v", r)
 	f.wantRuns(key, 1)
 }
 
 func storeOut(f *claimFleet, key string) {
-	f.PlatformFaults(platform.Faults{Outage: true})
+	f.PlatformFaults(hosting.Faults{Outage: true})
 	f.wantRefusal(f.one.Book(key, "{}"), reason.ClaimUnavailable, reason.RanNo, true)
 	f.wantRuns(key, 0)
-	f.PlatformFaults(platform.Faults{})
+	f.PlatformFaults(hosting.Faults{})
 	f.want(f.two.Book(key, "{}").Status == 201, "the key was not free")
 	f.wantRuns(key, 1)
 }
@@ -293,13 +293,13 @@
 	f.hold(false, true)
 	first := f.start(f.two, key)
 	f.awaitDesk(1)
-	f.PlatformFaults(platform.Faults{Outage: true})
+	f.PlatformFaults(hosting.Faults{Outage: true})
 	f.hold(false, false)
 	answer := <-first
 	f.want(answer.Status == 201, "the answer waits for the store: %+v", answer)
 	f.want(f.two.Book(key, "{}").Body == answer.Body, "a repeat on the same entry got another answer")
 	require.NoError(f.t, f.two.Signal(syscall.SIGTERM))
-	f.PlatformFaults(platform.Faults{})
+	f.PlatformFaults(hosting.Faults{})
 	<-f.two.Done()
 	f.want(f.one.Book(key, "{}").Body == answer.Body, "the outcome was lost in a planned stop")
 	f.wantRuns(key, 1)
@@ -307,7 +307,7 @@
 }
 
 func killedBeforeDispatch(f *claimFleet, key string) {
-	f.PlatformFaults(platform.Faults{HoldKind: kindClaimPage})
+	f.PlatformFaults(hosting.Faults{HoldKind: kindClaimPage})
 	first := f.start(f.two, key)
 	f.AwaitHeld(1)
 	f.killed(first, key, 0)
@@ -324,7 +324,7 @@
 func (f *claimFleet) killed(first <-chan testfleet.Response, key string, runs int) {
 	f.two.Kill()
 	<-first
-	f.PlatformFaults(platform.Faults{})
+	f.PlatformFaults(hosting.Faults{})
 	f.hold(false, false)
 	f.restart(f.two)
 	for _, e := range []*testfleet.Entry{f.one, f.two} {
@@ -334,12 +334,12 @@
 }
 
 func frozenBeforeDispatch(f *claimFleet, key string) {
-	f.PlatformFaults(platform.Faults{HoldKind: kindClaimPage})
+	f.PlatformFaults(hosting.Faults{HoldKind: kindClaimPage})
 	first := make(chan testfleet.Response, 1)
 	go func() { first <- f.two.Call("POST", "/bookings", "slot", key, "{}") }()
 	f.AwaitHeld(1)
 	require.NoError(f.t, f.two.Signal(syscall.SIGSTOP))
-	f.PlatformFaults(platform.Faults{})
+	f.PlatformFaults(hosting.Faults{})
 	var r testfleet.Response
 	require.NoError(f.t, procs.Await("the holder to count as gone", func() bool {
 		r = f.one.Call("POST", "/bookings", "slot", key, "{}")
--- a/guarantees/g4_cost_test.go
+++ b/guarantees/g4_cost_test.go
@@ -10,7 +10,7 @@
 
 	"jaylink/internal/procs"
 	"jaylink/internal/testfleet"
-	"jaylink/platform"
+	"jaylink/objects"
 )
 
 // claimCalls counts the platform's calls for claims: reads and writes.
@@ -31,7 +31,7 @@
 
 // storedClaimBytes returns the size of all stored pages of claims.
 func storedClaimBytes(f *claimFleet) int {
-	var list platform.RecordList
+	var list objects.RecordList
 	f.Read("http://"+f.Platform+"/v1/objects/"+kindClaimPage, &list)
 	n := 0
 	for _, rec := range list.Items {
--- a/guarantees/g5_leaving_test.go
+++ b/guarantees/g5_leaving_test.go
@@ -10,11 +10,11 @@
 
 	"github.com/stretchr/testify/require"
 
+	"jaylink/hosting"
 	"jaylink/internal/procs"
 	"jaylink/internal/testfleet"
-	"jaylink/platform"
 	"jaylink/standin/engine"
-	platformstandin "jaylink/standin/platform"
+	platformstandin "jaylink/standin/hosting"
 )
 
 // leavingFleet is entries in two zones that send captions all the time to an
@@ -69,19 +69,19 @@
 
 // list sets the host list; the live ones are named.
 func (f *leavingFleet) list(live ...string) {
-	var hosts []platform.Host
+	var hosts []hosting.Host
 	for _, name := range []string{"leaver", "stayer"} {
-		state := platform.HostLeaving
+		state := hosting.HostLeaving
 		if slices.Contains(live, name) {
-			state = platform.HostLive
+			state = hosting.HostLive
 		}
-		hosts = append(hosts, platform.Host{Name: name, Role: platform.RoleUpstream, State: state})
+		hosts = append(hosts, hosting.Host{Name: name, Role: hosting.RoleUpstream, State: state})
 	}
 	f.Hosts(hosts)
 }
 
 func (f *leavingFleet) notice(host string) {
-	f.Post("http://"+f.Platform+"/v1/notices", platform.Notice{Host: host, Deadline: time.Now().Add(time.Minute)})
+	f.Post("http://"+f.Platform+"/v1/notices", hosting.Notice{Host: host, Deadline: time.Now().Add(time.Minute)})
 }
 
 func (f *leavingFleet) runs(n *testfleet.Node) []*engine.Run {
@@ -178,10 +178,10 @@
 func TestNoticeOfAnUnknownHostIsKept(t *testing.T) {
 	f := newLeavingFleet(t)
 	late := f.Upstream("engine", "caption-lm", "late", "a", "r", "--token-interval", "1ms")
-	f.Hosts([]platform.Host{
-		{Name: "leaver", Role: platform.RoleUpstream, State: platform.HostLive},
-		{Name: "stayer", Role: platform.RoleUpstream, State: platform.HostLive},
-		{Name: "late", Role: platform.RoleUpstream, State: platform.HostLive},
+	f.Hosts([]hosting.Host{
+		{Name: "leaver", Role: hosting.RoleUpstream, State: hosting.HostLive},
+		{Name: "stayer", Role: hosting.RoleUpstream, State: hosting.HostLive},
+		{Name: "late", Role: hosting.RoleUpstream, State: hosting.HostLive},
 	})
 	f.notice("late")
 	f.notice("leaver") // comes after it, on every path
--- a/guarantees/g6_roll_test.go
+++ b/guarantees/g6_roll_test.go
@@ -15,7 +15,7 @@
 	"jaylink/internal/procs"
 	"jaylink/internal/testfleet"
 	"jaylink/standin/engine"
-	"jaylink/standin/platform"
+	"jaylink/standin/hosting"
 	"jaylink/standin/service"
 	"jaylink/upstream"
 )
@@ -55,7 +55,7 @@
 		go book(fmt.Sprintf("running-%d", i))
 	}
 	f.AwaitRunning("d1", running)
-	f.PlatformFaults(platform.Faults{HoldKind: kindClaimPage})
+	f.PlatformFaults(hosting.Faults{HoldKind: kindClaimPage})
 	for i := range claiming {
 		go book(fmt.Sprintf("claiming-%d", i))
 	}
@@ -64,7 +64,7 @@
 	require.NoError(t, procs.Await("the entry to be seen leaving", func() bool {
 		return readiness(f.Entries["one"]) == http.StatusServiceUnavailable
 	}))
-	f.PlatformFaults(platform.Faults{})
+	f.PlatformFaults(hosting.Faults{})
 	f.ServiceFaults("d1", service.Faults{})
 	violations := f.violations(results)
 	for range running + claiming {
--- a/guarantees/g7_config_test.go
+++ b/guarantees/g7_config_test.go
@@ -13,11 +13,11 @@
 	"github.com/stretchr/testify/require"
 
 	"jaylink/api"
+	"jaylink/hosting"
 	"jaylink/internal/procs"
 	"jaylink/internal/testfleet"
 	"jaylink/operator"
-	"jaylink/platform"
-	platformstandin "jaylink/standin/platform"
+	platformstandin "jaylink/standin/hosting"
 )
 
 var (
@@ -90,7 +90,7 @@
 	f.t.Helper()
 	f.PlatformFaults(platformstandin.Faults{})
 	f.HealZones()
-	client := platform.New(f.Platform)
+	client := hosting.New(f.Platform)
 	defer client.Close()
 	want := map[api.Key]uint64{}
 	for _, kind := range api.ConfigKinds {
--- a/guarantees/lease_test.go
+++ b/guarantees/lease_test.go
@@ -11,10 +11,10 @@
 
 	"jaylink/api"
 	"jaylink/decision/lease"
+	"jaylink/hosting"
 	"jaylink/internal/procs"
 	"jaylink/internal/testfleet"
 	"jaylink/operator"
-	"jaylink/platform"
 	"jaylink/standin/engine"
 	"jaylink/upstream"
 )
@@ -103,7 +103,7 @@
 // holder reads the lease from the platform.
 func holder(t *testing.T, f *testfleet.Fleet) lease.Record {
 	t.Helper()
-	client := platform.New(f.Platform)
+	client := hosting.New(f.Platform)
 	defer client.Close()
 	stored, err := client.Get(t.Context(), "Lease", "orders")
 	require.NoError(t, err)
--- a/platform/contract_test.go
+++ b/hosting/contract_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package hosting_test
 
 import (
 	"context"
@@ -12,8 +12,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"jaylink/platform"
-	standin "jaylink/standin/platform"
+	"jaylink/hosting"
+	"jaylink/objects"
+	standin "jaylink/standin/hosting"
 )
 
 // contractCase is one call of the platform: what goes over the wire, what the
@@ -25,18 +26,18 @@
 	header, body string // header is "Name: value"
 	status       int
 	contains     string // part of the answer
-	call         func(context.Context, *platform.Client) error
+	call         func(context.Context, *hosting.Client) error
 	err          error // nil, a sentinel, or errConflict
 }
 
-// errConflict stands for any platform.ConflictError.
-var errConflict = &platform.ConflictError{}
+// errConflict stands for any objects.ConflictError.
+var errConflict = &objects.ConflictError{}
 
 var value = map[string]string{"a": "b"}
 
 // contract holds the calls in order; each builds on those before it.
 var contract = []contractCase{
-	{"get of a missing object", "GET", "/objects/K/x", "", "", 404, "no such object", get("x"), platform.ErrNotFound},
+	{"get of a missing object", "GET", "/objects/K/x", "", "", 404, "no such object", get("x"), objects.ErrNotFound},
 	{"update of a missing object", "PUT", "/objects/K/x", "If-Match: 7", `{"a":"b"}`, 412, `"version":0`, update("x", 7), errConflict},
 	{"delete of a missing object", "DELETE", "/objects/K/x", "If-Match: 7", "", 412, `"version":0`, remove("x", 7), errConflict},
 	{"create", "PUT", "/objects/K/x", "If-None-Match: *", `{"a":"b"}`, 200, `"version":1`, create("x"), nil},
@@ -49,7 +50,7 @@
 	{"watch of what is there", "GET", "/watch?after=1&kind=K&wait=0s", "", "", 200, `"version":2`, watch(1), nil},
 	{"watch that ends without a change", "GET", "/watch?after=2&kind=K&wait=0s", "", "", 200, `"items":[]`, watch(2), nil},
 	{"delete", "DELETE", "/objects/K/x", "If-Match: 2", "", 200, `"deleted":true`, remove("x", 2), nil},
-	{"get of a deleted object", "GET", "/objects/K/x", "", "", 404, "no such object", get("x"), platform.ErrNotFound},
+	{"get of a deleted object", "GET", "/objects/K/x", "", "", 404, "no such object", get("x"), objects.ErrNotFound},
 	{"watch of a deletion", "GET", "/watch?after=2&kind=K&wait=0s", "", "", 200, `"deleted":true`, watch(2), nil},
 	{"host list", "GET", "/hosts", "", "", 200, `"hosts"`, hosts, nil},
 	{"notices", "GET", "/notices?after=0&wait=0s", "", "", 200, `"sequence":0`, notices, nil},
@@ -58,55 +59,55 @@
 	{"host order again", "POST", "/host-orders", "", `{"name":"h","availability_zone":"a","machine_class":"m","on_demand":false}`, 200, `"name":"h"`, order("h"), nil},
 }
 
-func get(name string) func(context.Context, *platform.Client) error {
-	return func(ctx context.Context, c *platform.Client) error { _, err := c.Get(ctx, "K", name); return err }
+func get(name string) func(context.Context, *hosting.Client) error {
+	return func(ctx context.Context, c *hosting.Client) error { _, err := c.Get(ctx, "K", name); return err }
 }
 
-func create(name string) func(context.Context, *platform.Client) error {
-	return func(ctx context.Context, c *platform.Client) error {
+func create(name string) func(context.Context, *hosting.Client) error {
+	return func(ctx context.Context, c *hosting.Client) error {
 		_, err := c.Create(ctx, "K", name, value)
 		return err
 	}
 }
 
-func update(name string, version uint64) func(context.Context, *platform.Client) error {
-	return func(ctx context.Context, c *platform.Client) error {
+func update(name string, version uint64) func(context.Context, *hosting.Client) error {
+	return func(ctx context.Context, c *hosting.Client) error {
 		_, err := c.Update(ctx, "K", name, version, value)
 		return err
 	}
 }
 
-func remove(name string, version uint64) func(context.Context, *platform.Client) error {
-	return func(ctx context.Context, c *platform.Client) error {
+func remove(name string, version uint64) func(context.Context, *hosting.Client) error {
+	return func(ctx context.Context, c *hosting.Client) error {
 		_, err := c.Delete(ctx, "K", name, version)
 		return err
 	}
 }
 
-func list(ctx context.Context, c *platform.Client) error { _, err := c.List(ctx, "K"); return err }
+func list(ctx context.Context, c *hosting.Client) error { _, err := c.List(ctx, "K"); return err }
 
-func watch(after uint64) func(context.Context, *platform.Client) error {
-	return func(ctx context.Context, c *platform.Client) error {
+func watch(after uint64) func(context.Context, *hosting.Client) error {
+	return func(ctx context.Context, c *hosting.Client) error {
 		_, err := c.Watch(ctx, []string{"K"}, after, 0)
 		return err
 	}
 }
 
-func hosts(ctx context.Context, c *platform.Client) error { _, err := c.Hosts(ctx); return err }
+func hosts(ctx context.Context, c *hosting.Client) error { _, err := c.Hosts(ctx); return err }
 
-func notices(ctx context.Context, c *platform.Client) error {
+func notices(ctx context.Context, c *hosting.Client) error {
 	_, err := c.Notices(ctx, 0, 0)
 	return err
 }
 
-func order(name string) func(context.Context, *platform.Client) error {
-	return func(ctx context.Context, c *platform.Client) error {
-		_, err := c.OrderHost(ctx, platform.HostOrder{Name: name, AvailabilityZone: "a", MachineClass: "m"})
+func order(name string) func(context.Context, *hosting.Client) error {
+	return func(ctx context.Context, c *hosting.Client) error {
+		_, err := c.OrderHost(ctx, hosting.HostOrder{Name: name, AvailabilityZone: "a", MachineClass: "m"})
 		return err
 	}
 }
 
-func weights(ctx context.Context, c *platform.Client) error {
+func weights(ctx context.Context, c *hosting.Client) error {
 	_, err := c.Weights(ctx, "m")
 	return err
 }
@@ -122,8 +123,8 @@
 	require.NoError(t, err)
 	require.NoError(t, resp.Body.Close())
 	c := clientOf(s)
-	require.ErrorIs(t, order("h")(t.Context(), c), platform.ErrRefused)
-	require.ErrorIs(t, weights(t.Context(), c), platform.ErrRefused)
+	require.ErrorIs(t, order("h")(t.Context(), c), objects.ErrRefused)
+	require.ErrorIs(t, weights(t.Context(), c), objects.ErrRefused)
 }
 
 func requireError(t *testing.T, want, got error) {
@@ -132,14 +133,14 @@
 	case want == nil:
 		require.NoError(t, got)
 	case want == errConflict:
-		var conflict *platform.ConflictError
+		var conflict *objects.ConflictError
 		require.ErrorAs(t, got, &conflict)
 	default:
 		require.ErrorIs(t, got, want)
 	}
 }
 
-func clientOf(s *httptest.Server) *platform.Client { return platform.New(s.Listener.Addr().String()) }
+func clientOf(s *httptest.Server) *hosting.Client { return hosting.New(s.Listener.Addr().String()) }
 
 // The stand-in answers the calls as the table says.
 func TestStandinKeepsTheContract(t *testing.T) {
@@ -200,17 +201,17 @@
 		answer http.HandlerFunc
 		err    error
 	}{
-		{"outage", status(503, `{"error":"outage"}`), platform.ErrUnavailable},
-		{"internal error", status(500, "boom"), platform.ErrUnavailable},
-		{"bad request", status(400, `{"error":"no"}`), platform.ErrRefused},
-		{"too many calls", status(429, `{"error":"slow down"}`), platform.ErrRefused},
-		{"not JSON", status(200, "<html>"), platform.ErrUnavailable},
-		{"empty", status(200, ""), platform.ErrUnavailable},
-		{"conflict without a record", status(412, "gone"), platform.ErrUnavailable},
-		{"answer cut short", truncated, platform.ErrUnavailable},
-		{"connection cut", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, platform.ErrUnavailable},
+		{"outage", status(503, `{"error":"outage"}`), objects.ErrUnavailable},
+		{"internal error", status(500, "boom"), objects.ErrUnavailable},
+		{"bad request", status(400, `{"error":"no"}`), objects.ErrRefused},
+		{"too many calls", status(429, `{"error":"slow down"}`), objects.ErrRefused},
+		{"not JSON", status(200, "<html>"), objects.ErrUnavailable},
+		{"empty", status(200, ""), objects.ErrUnavailable},
+		{"conflict without a record", status(412, "gone"), objects.ErrUnavailable},
+		{"answer cut short", truncated, objects.ErrUnavailable},
+		{"connection cut", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, objects.ErrUnavailable},
 	}
-	calls := map[string]func(context.Context, *platform.Client) error{
+	calls := map[string]func(context.Context, *hosting.Client) error{
 		"get": get("x"), "list": list, "create": create("x"), "update": update("x", 1), "delete": remove("x", 1),
 		"watch": watch(1), "hosts": hosts, "notices": notices, "order": order("h"), "weights": weights,
 	}
@@ -250,7 +251,7 @@
 	defer cancel()
 	client := clientOf(s)
 	defer client.Close()
-	requireError(t, platform.ErrUnavailable, get("x")(ctx, client))
+	requireError(t, objects.ErrUnavailable, get("x")(ctx, client))
 }
 
 // A write whose answer is lost may have taken effect, and is reported so.
@@ -262,6 +263,6 @@
 	next.ServeHTTP(httptest.NewRecorder(), req)
 	client := clientOf(s)
 	defer client.Close()
-	requireError(t, platform.ErrUnavailable, create("x")(t.Context(), client))
+	requireError(t, objects.ErrUnavailable, create("x")(t.Context(), client))
 	requireError(t, nil, get("x")(t.Context(), client))
 }
--- a/internal/testfleet/fleet.go
+++ b/internal/testfleet/fleet.go
@@ -22,10 +22,10 @@
 	"github.com/stretchr/testify/require"
 
 	"jaylink/api"
+	"jaylink/hosting"
 	"jaylink/internal/procs"
 	"jaylink/operator"
-	"jaylink/platform"
-	platformstandin "jaylink/standin/platform"
+	platformstandin "jaylink/standin/hosting"
 )
 
 const stopTimeout = time.Minute
@@ -257,9 +257,9 @@
 }
 
 // Hosts sets the platform's host list.
-func (f *Fleet) Hosts(hosts []platform.Host) {
+func (f *Fleet) Hosts(hosts []hosting.Host) {
 	f.t.Helper()
-	f.Put("http://"+f.Platform+"/v1/hosts", platform.HostList{Hosts: hosts})
+	f.Put("http://"+f.Platform+"/v1/hosts", hosting.HostList{Hosts: hosts})
 }
 
 // Put sends JSON to a stand-in.
--- /dev/null
+++ b/objects/call.go
@@ -0,0 +1,108 @@
+package objects
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/samber/oops"
+)
+
+// maxAnswerSize bounds one answer in bytes.
+const maxAnswerSize = 64 << 20
+
+// Call is one call with JSON bodies over HTTP.
+type Call struct {
+	// Step names the call in errors.
+	Step   string
+	Method string
+	URL    string
+	Header http.Header
+	// Body is sent as JSON unless it is nil.
+	Body any
+	// Conflict reads the record that a conditional write met from the body of
+	// the refusal.
+	Conflict func(body []byte) (Record, error)
+}
+
+// Do makes the call once and decodes its answer into out, unless that is nil.
+func (c Call) Do(ctx context.Context, client *http.Client, out any) error {
+	errb := oops.In("platform").With("step", c.Step, "peer", c.URL)
+	req, err := c.request(ctx)
+	if err != nil {
+		return errb.Wrap(err)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return errb.Code("unavailable").Wrap(errors.Join(ErrUnavailable, err))
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerSize))
+	if err != nil {
+		return errb.Code("unavailable").Wrap(errors.Join(ErrUnavailable, err))
+	}
+	if err := c.statusError(resp.StatusCode, data); err != nil {
+		return errb.With("status", resp.StatusCode).Wrap(err)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return errb.Code("bad_answer").Wrap(errors.Join(ErrUnavailable, fmt.Errorf("%w: %.80q", err, data)))
+	}
+	return nil
+}
+
+func (c Call) request(ctx context.Context) (*http.Request, error) {
+	var body io.Reader
+	if c.Body != nil {
+		data, err := json.Marshal(c.Body)
+		if err != nil {
+			return nil, err
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, c.Method, c.URL, body)
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range c.Header {
+		req.Header[name] = values
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	return req, nil
+}
+
+// statusError maps a status to this package's errors.
+func (c Call) statusError(status int, body []byte) error {
+	switch {
+	case status < 300:
+		return nil
+	case status == http.StatusNotFound:
+		return ErrNotFound
+	case status == http.StatusGone:
+		return ErrCompacted
+	case status == http.StatusConflict || status == http.StatusPreconditionFailed:
+		return c.conflict(body)
+	case status >= 500:
+		return fmt.Errorf("%w: status %d", ErrUnavailable, status)
+	}
+	return fmt.Errorf("%w: status %d: %.200s", ErrRefused, status, body)
+}
+
+func (c Call) conflict(body []byte) error {
+	if c.Conflict == nil {
+		return &ConflictError{}
+	}
+	current, err := c.Conflict(body)
+	if err != nil {
+		return errors.Join(ErrUnavailable, err)
+	}
+	return &ConflictError{Current: current}
+}
--- a/standin/platform/cloud.go
+++ b/standin/hosting/cloud.go
@@ -1,4 +1,4 @@
-package platform
+package hosting
 
 import (
 	"net/http"
@@ -7,19 +7,19 @@
 
 	"github.com/gorilla/mux"
 
-	"jaylink/platform"
+	"jaylink/hosting"
 	"jaylink/standin"
 )
 
 func (s *Server) listHosts(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
-	list := platform.HostList{Hosts: slices.Clone(s.hosts)}
+	list := hosting.HostList{Hosts: slices.Clone(s.hosts)}
 	s.mu.Unlock()
 	standin.WriteJSON(w, http.StatusOK, list)
 }
 
 func (s *Server) setHosts(w http.ResponseWriter, r *http.Request) {
-	var list platform.HostList
+	var list hosting.HostList
 	if !standin.ReadJSON(w, r, &list) {
 		return
 	}
@@ -41,10 +41,10 @@
 	})
 }
 
-func (s *Server) noticesAfter(after uint64) (platform.NoticeList, <-chan struct{}) {
+func (s *Server) noticesAfter(after uint64) (hosting.NoticeList, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := platform.NoticeList{Sequence: uint64(len(s.notices)), Items: []platform.Notice{}}
+	list := hosting.NoticeList{Sequence: uint64(len(s.notices)), Items: []hosting.Notice{}}
 	if after < uint64(len(s.notices)) {
 		list.Items = slices.Clone(s.notices[after:])
 	}
@@ -52,7 +52,7 @@
 }
 
 func (s *Server) addNotice(w http.ResponseWriter, r *http.Request) {
-	var n platform.Notice
+	var n hosting.Notice
 	if !standin.ReadJSON(w, r, &n) {
 		return
 	}
@@ -66,7 +66,7 @@
 }
 
 func (s *Server) orderHost(w http.ResponseWriter, r *http.Request) {
-	var order platform.HostOrder
+	var order hosting.HostOrder
 	if !standin.ReadJSON(w, r, &order) {
 		return
 	}
@@ -82,7 +82,7 @@
 			return
 		}
 	}
-	host := platform.Host{Name: order.Name, Role: "upstream", AvailabilityZone: order.AvailabilityZone, State: platform.HostLive}
+	host := hosting.Host{Name: order.Name, Role: "upstream", AvailabilityZone: order.AvailabilityZone, State: hosting.HostLive}
 	s.hosts = append(s.hosts, host)
 	standin.WriteJSON(w, http.StatusOK, host)
 }
@@ -100,7 +100,7 @@
 		standin.WriteError(w, http.StatusTooManyRequests, "the rate of the weight store is used up")
 		return
 	}
-	standin.WriteJSON(w, http.StatusOK, platform.WeightSet{Name: name, Size: weightSize})
+	standin.WriteJSON(w, http.StatusOK, hosting.WeightSet{Name: name, Size: weightSize})
 }
 
 func (s *Server) listCalls(w http.ResponseWriter, _ *http.Request) {
--- a/standin/platform/server.go
+++ b/standin/hosting/server.go
@@ -1,4 +1,4 @@
-package platform
+package hosting
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 
 	"github.com/gorilla/mux"
 
-	"jaylink/platform"
+	"jaylink/hosting"
 	"jaylink/standin"
 )
 
@@ -53,7 +53,7 @@
 
 // blocks reports whether calls from a zone are cut off.
 func (f *Faults) blocks(r *http.Request) bool {
-	zone := r.Header.Get(platform.HeaderZone)
+	zone := r.Header.Get(hosting.HeaderZone)
 	return f.Outage || (zone != "" && slices.Contains(f.BlockZones, zone))
 }
 
@@ -68,8 +68,8 @@
 	switched chan struct{}
 	held     int
 	calls    map[string]int
-	hosts    []platform.Host
-	notices  []platform.Notice
+	hosts    []hosting.Host
+	notices  []hosting.Notice
 	noticed  chan struct{}
 	weights  map[string]int
 }
--- a/standin/platform/store.go
+++ b/standin/hosting/store.go
@@ -1,7 +1,7 @@
 // Package platform is the stand-in for the hosting platform: the Object API,
 // the host list, reclaim notices, host orders and the weight store, with
 // switches for the faults that the real ones have.
-package platform
+package hosting
 
 import (
 	"encoding/json"
@@ -9,82 +9,82 @@
 	"strings"
 	"sync"
 
-	"jaylink/platform"
+	"jaylink/objects"
 )
 
 // store holds the objects and their history. Every write adds one event.
 type store struct {
 	mu       sync.Mutex
 	revision uint64
-	objects  map[string]map[string]platform.Record
-	events   []platform.Record
+	objects  map[string]map[string]objects.Record
+	events   []objects.Record
 	changed  chan struct{}
 }
 
 func newStore() *store {
-	return &store{objects: map[string]map[string]platform.Record{}, changed: make(chan struct{})}
+	return &store{objects: map[string]map[string]objects.Record{}, changed: make(chan struct{})}
 }
 
 // get reads an object as it was so many revisions ago.
-func (s *store) get(kind, name string, staleBy uint64) (platform.Record, bool) {
+func (s *store) get(kind, name string, staleBy uint64) (objects.Record, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	objects := s.objects[kind]
+	held := s.objects[kind]
 	if staleBy > 0 {
-		objects = s.past(kind, s.revision-min(staleBy, s.revision))
+		held = s.past(kind, s.revision-min(staleBy, s.revision))
 	}
-	rec, ok := objects[name]
+	rec, ok := held[name]
 	return rec, ok
 }
 
 // list reads a kind as it was so many revisions ago.
-func (s *store) list(kind string, staleBy uint64) platform.RecordList {
+func (s *store) list(kind string, staleBy uint64) objects.RecordList {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	revision, objects := s.revision, s.objects[kind]
+	revision, held := s.revision, s.objects[kind]
 	if staleBy > 0 {
 		revision -= min(staleBy, revision)
-		objects = s.past(kind, revision)
+		held = s.past(kind, revision)
 	}
-	list := platform.RecordList{Revision: revision, Items: []platform.Record{}}
-	for _, rec := range objects {
+	list := objects.RecordList{Revision: revision, Items: []objects.Record{}}
+	for _, rec := range held {
 		list.Items = append(list.Items, rec)
 	}
-	slices.SortFunc(list.Items, func(a, b platform.Record) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(list.Items, func(a, b objects.Record) int { return strings.Compare(a.Name, b.Name) })
 	return list
 }
 
 // past returns the objects of a kind at an earlier revision.
-func (s *store) past(kind string, revision uint64) map[string]platform.Record {
-	objects := map[string]platform.Record{}
+func (s *store) past(kind string, revision uint64) map[string]objects.Record {
+	held := map[string]objects.Record{}
 	for _, rec := range s.events[:revision] {
 		switch {
 		case rec.Kind != kind:
 		case rec.Deleted:
-			delete(objects, rec.Name)
+			delete(held, rec.Name)
 		default:
-			objects[rec.Name] = rec
+			held[rec.Name] = rec
 		}
 	}
-	return objects
+	return held
 }
 
 // write stores a value if the object is at the version that the caller names;
 // version 0 stands for an object that does not exist. A nil value deletes.
-func (s *store) write(kind, name string, version uint64, value json.RawMessage) (platform.Record, bool) {
+func (s *store) write(kind, name string, version uint64, value json.RawMessage) (objects.Record, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current := s.objects[kind][name]
 	if current.Version != version {
 		if current.Version == 0 {
-			current = platform.Record{Kind: kind, Name: name}
+			current = objects.Record{Kind: kind, Name: name}
 		}
 		return current, false
 	}
 	s.revision++
-	rec := platform.Record{Kind: kind, Name: name, Version: s.revision, Value: value, Deleted: value == nil}
+	rec := objects.Record{Kind: kind, Name: name, Version: s.revision, Value: value, Deleted: value == nil}
 	if s.objects[kind] == nil {
-		s.objects[kind] = map[string]platform.Record{}
+		s.objects[kind] = map[string]objects.Record{}
 	}
 	s.objects[kind][name] = rec
 	if rec.Deleted {
@@ -98,11 +98,11 @@
 
 // since returns the events after a revision, as they were known so many
 // revisions ago, and a channel that closes at the next write.
-func (s *store) since(kinds []string, after, staleBy uint64) (platform.RecordList, <-chan struct{}) {
+func (s *store) since(kinds []string, after, staleBy uint64) (objects.RecordList, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	revision := s.revision - min(staleBy, s.revision)
-	list := platform.RecordList{Revision: revision, Items: []platform.Record{}}
+	list := objects.RecordList{Revision: revision, Items: []objects.Record{}}
 	for _, rec := range s.events[min(after, revision):revision] {
 		if slices.Contains(kinds, rec.Kind) {
 			list.Items = append(list.Items, rec)
