check: the platform's settings, and every file's mistakes at once

Cause: jaylink check took files by their name, did not read the platform's settings, said one line about an unknown kind for an entry's settings under another name, and a path that was missing hid the mistakes of all others. Ruled out: a flag for the kind of a file: its content tells it. Change: settings of the platform, settings of an entry and objects are told apart by their content; all mistakes of all files are printed. Measured: go test ./cmd/jaylink -run Check; TestCheckTellsAllFilesAtOnce failed before the folders and files that can be read were kept. Conclusion: what jaylink gateway would refuse at its start can be checked before.

--- a/cmd/jaylink/apply.go
+++ b/cmd/jaylink/apply.go
@@ -8,11 +8,11 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
 
 	"jaylink/api"
-	"jaylink/entry"
 	"jaylink/operator"
 )
 
@@ -103,14 +103,15 @@
 	return nil
 }
 
+// settingsPrefix starts the names of settings files, which a folder may have
+// beside its objects.
+const settingsPrefix = "entry"
+
 // readSources reads the objects of files and folders, in name order.
 func readSources(paths []string) ([]api.Source, error) {
 	var sources []api.Source
-	var errs []error
 	files, err := expand(paths)
-	if err != nil {
-		return nil, err
-	}
+	errs := []error{err}
 	for _, file := range files {
 		data, err := os.ReadFile(file)
 		if err != nil {
@@ -124,77 +125,24 @@
 	return sources, errors.Join(errs...)
 }
 
-// settingsPrefix starts the names of settings files, which are not objects.
-const settingsPrefix = "entry"
-
+// expand returns the files that are named and those in the folders that are. What
+// can't be read does not keep back the others.
 func expand(paths []string) ([]string, error) {
 	var files []string
+	var errs []error
 	for _, path := range paths {
-		info, err := os.Stat(path)
-		if err != nil {
-			return nil, err
-		}
-		if !info.IsDir() {
-			files = append(files, path)
-			continue
-		}
-		err = filepath.WalkDir(path, func(p string, d fs.DirEntry, err error) error {
-			if err == nil && !d.IsDir() && filepath.Ext(p) == ".yaml" && !isSettings(p) {
+		err := filepath.WalkDir(path, func(p string, d fs.DirEntry, err error) error {
+			switch {
+			case err != nil:
+				errs = append(errs, err)
+			case d.IsDir():
+			case p == path, filepath.Ext(p) == ".yaml" && !strings.HasPrefix(d.Name(), settingsPrefix):
 				files = append(files, p)
 			}
-			return err
+			return nil
 		})
-		if err != nil {
-			return nil, err
-		}
+		errs = append(errs, err)
 	}
 	slices.Sort(files)
-	return files, nil
-}
-
-func isSettings(path string) bool {
-	base := filepath.Base(path)
-	return len(base) >= len(settingsPrefix) && base[:len(settingsPrefix)] == settingsPrefix
-}
-
-func addCheck(app *kingpin.Application) {
-	cmd := app.Command("check", "Check files without an entry: objects, and settings whose name starts with \"entry\".")
-	files := cmd.Arg("file", "File or folder.").Required().Strings()
-	cmd.Action(func(*kingpin.ParseContext) error { return runCheck(*files) })
-}
-
-func runCheck(paths []string) error {
-	var objects, errs []error
-	var rest []string
-	for _, path := range paths {
-		if isSettings(path) {
-			_, err := entry.ReadSettings(path)
-			errs = append(errs, err)
-			continue
-		}
-		rest = append(rest, path)
-	}
-	sources, err := readSources(rest)
-	errs = append(errs, err)
-	objects = checkTogether(sources)
-	if err := errors.Join(append(errs, objects...)...); err != nil {
-		return &exitError{exitBadInput, err}
-	}
-	fmt.Printf("ok: %d files, %d objects\n", len(paths), len(sources))
-	return nil
-}
-
-// checkTogether finds the mistakes that only show beside the other objects.
-func checkTogether(sources []api.Source) []error {
-	var errs []error
-	byKey := map[api.Key]api.Source{}
-	var objects []*api.Object
-	for _, s := range sources {
-		byKey[s.Object.Key()] = s
-		objects = append(objects, s.Object)
-	}
-	for _, e := range api.NewCatalog(objects).Check() {
-		errs = append(errs, byKey[e.Key].Errorf(e.Field, "%s", e.Problem))
-	}
-	return errs
+	return files, errors.Join(errs...)
 }
--- a/internal/strictyaml/strictyaml.go
+++ b/internal/strictyaml/strictyaml.go
@@ -128,6 +128,9 @@
 	return path + "." + field
 }
 
+// Has reports whether the document has a top-level field.
+func (d *Document) Has(field string) bool { return child(d.root, field) != nil }
+
 // Scalar returns the text of a top-level scalar field, or "".
 func (d *Document) Scalar(field string) string {
 	n := child(d.root, field)
