usage: forget processes whose windows are over

Cause: the counts of each process of each entry stayed in the book as an empty map for ever; entries that start again often made it grow. Change: a process without a window that is kept is forgotten. Measured: go test ./decision/usage; TestProcessesOfOldWindowsAreForgotten fails without the change.

--- a/decision/usage/usage.go
+++ b/decision/usage/usage.go
@@ -46,8 +46,11 @@
 func (b *Book) trim(newest int64) {
 	old := func(w int64, _ Counts) bool { return w <= newest-kept }
 	maps.DeleteFunc(b.own, old)
-	for _, windows := range b.others {
+	for source, windows := range b.others {
 		maps.DeleteFunc(windows, old)
+		if len(windows) == 0 {
+			delete(b.others, source)
+		}
 	}
 }
 
--- a/decision/usage/usage_test.go
+++ b/decision/usage/usage_test.go
@@ -49,3 +49,14 @@
 	told[119]["c"] = 50
 	require.Equal(t, 1, b.Report(119)["c"])
 }
+
+// Entries that start again under new names of processes leave nothing behind.
+func TestProcessesOfOldWindowsAreForgotten(t *testing.T) {
+	b := NewBook(length)
+	for w := int64(100); w < 200; w++ {
+		b.Count(at(w, 0), "c")
+		b.Hear("entry-2/"+at(w, 0).String(), Windows{w: {"c": 1}})
+	}
+	require.LessOrEqual(t, len(b.others), kept+1)
+	require.Equal(t, Counts{"c": 2}, b.Report(199))
+}
