placement: leave others their connections; find homes in memory order

Cause: an upstream takes max-connections from all entries together and resets what is beyond; the bound was decoded and not kept. Finding the home of a prefix walked all upstreams of the service through pointers, so placing at 710 upstreams missed 5 us. The head of an answer was decoded three times. Ruled out: a bound in the connection pool: the request would be placed by then. Change: an entry has no more requests on an upstream than its equal part of the connections; where all are full it refuses at once with queue_full. Homes are kept by service and region with their hashes side by side. The exchange asks its caller once about an answer's head.

--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -71,6 +71,9 @@
 	Zone string
 	// Tried names upstreams that the request must not go to.
 	Tried []string
+	// MaxRunning bounds this entry's requests on one upstream, each of which
+	// takes a connection; 0 is no bound.
+	MaxRunning int
 }
 
 // Load is the work on an upstream.
@@ -125,6 +128,8 @@
 	services map[string][]*place
 	// ready is the number of upstreams of a service that take new requests.
 	ready map[string]int
+	// homes are those upstreams by service and region.
+	homes map[homesKey][]homeCandidate
 	// turn and scratch are those of sample.
 	turn    int
 	scratch []*place
@@ -134,16 +139,28 @@
 // NewTable returns an empty table; regions maps availability zones to regions.
 func NewTable(regions map[string]string) *Table {
 	return &Table{
-		regions: regions, places: map[string]*place{}, services: map[string][]*place{}, ready: map[string]int{}, speeds: map[string]*speed{},
+		regions: regions, places: map[string]*place{}, services: map[string][]*place{}, ready: map[string]int{},
+		homes: map[homesKey][]homeCandidate{}, speeds: map[string]*speed{},
 	}
 }
 
+// homesKey names the upstreams among which a shared prefix has its home.
+type homesKey struct{ service, region string }
+
+// homeCandidate is a place with its hash beside it, so that finding a home reads
+// memory in order.
+type homeCandidate struct {
+	hash  uint64
+	place *place
+}
+
 // SetUpstreams replaces the upstreams, keeping what is known of instances that
 // stay.
 func (t *Table) SetUpstreams(list []serving.Upstream) {
 	next := make(map[string]*place, len(list))
 	clear(t.services)
 	clear(t.ready)
+	clear(t.homes)
 	for _, u := range list {
 		p := t.places[u.ID]
 		if p == nil || p.Born != u.Born || p.Address != u.Address {
@@ -154,6 +171,8 @@
 		t.services[u.Service] = append(t.services[u.Service], p)
 		if !u.Draining {
 			t.ready[u.Service]++
+			key := homesKey{u.Service, p.region}
+			t.homes[key] = append(t.homes[key], homeCandidate{p.hash, p})
 		}
 	}
 	t.places = next
@@ -182,7 +201,7 @@
 // Pick returns the upstream with the lowest cost, or false if there is none.
 func (t *Table) Pick(now time.Time, r *Request) (Choice, bool) {
 	list := t.services[r.Service.Name]
-	home := t.home(list, r)
+	home := t.home(r)
 	if len(list) > maxLooked {
 		if best, ok := t.cheapest(now, r, t.sample(list, home), home); ok {
 			return best, true
@@ -210,7 +229,7 @@
 	speed := t.speed(r.Service.Name)
 	best, bestCost := Choice{}, math.Inf(1)
 	for _, p := range list {
-		if p.Draining || slices.Contains(r.Tried, p.ID) {
+		if p.Draining || slices.Contains(r.Tried, p.ID) || r.MaxRunning > 0 && p.own.Running >= r.MaxRunning {
 			continue
 		}
 		load, kept, reread := p.added(r, p == home)
@@ -234,20 +253,16 @@
 
 // home returns the upstream of the entry's region that keeps the request's
 // shared prefix.
-func (t *Table) home(list []*place, r *Request) *place {
+func (t *Table) home(r *Request) *place {
 	if r.Prompt == nil || len(r.Prompt.Parts) < 2 {
 		return nil
 	}
 	key := r.Prompt.Parts[len(r.Prompt.Parts)-2].Hash
-	region := t.regions[r.Zone]
 	var home *place
 	var weight uint64
-	for _, p := range list {
-		if p.Draining || p.region != region {
-			continue
-		}
-		if w := mix(key ^ p.hash); home == nil || w > weight {
-			home, weight = p, w
+	for _, c := range t.homes[homesKey{r.Service.Name, t.regions[r.Zone]}] {
+		if w := mix(key ^ c.hash); home == nil || w > weight {
+			home, weight = c.place, w
 		}
 	}
 	return home
--- a/decision/placement/placement_test.go
+++ b/decision/placement/placement_test.go
@@ -72,6 +72,23 @@
 	}
 }
 
+// Load pattern: one entry gets far more of the traffic than the others. It leaves
+// them their part of each upstream's connections.
+func TestConnectionsAreShared(t *testing.T) {
+	tb := newTestTable(upstreams("desk", "a1", "b1"))
+	r := &Request{Service: desk, Zone: "a1", MaxRunning: 3}
+	sent := map[string]int{}
+	for range 6 {
+		choice, ok := tb.Pick(start, r)
+		require.True(t, ok)
+		tb.Start(start, choice, nil)
+		sent[choice.Upstream.ID]++
+	}
+	require.Equal(t, map[string]int{"u0": 3, "u1": 3}, sent)
+	_, ok := tb.Pick(start, r)
+	require.False(t, ok)
+}
+
 func TestNobodyToPick(t *testing.T) {
 	tb := newTestTable(upstreams("desk", "a1"))
 	_, ok := tb.Pick(start, &Request{Service: desk, Zone: "a1", Tried: []string{"u0"}})
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"jaylink/decision/placement"
 	"jaylink/decision/reason"
 	"jaylink/platform"
+	"jaylink/serving"
 	"jaylink/upstream/exchange"
 )
 
@@ -115,9 +116,10 @@
 	defer g.mu.Unlock()
 	choice, ok := g.table.Pick(now, &placement.Request{
 		Service: r.service, Prompt: r.Prompt, Zone: g.settings.Zone, Tried: p.tried,
+		MaxRunning: connectionShare(r.service, g.entries()),
 	})
 	if !ok {
-		return choice, &refusal{http.StatusServiceUnavailable, reason.NoUpstream, noUpstreamRetry}
+		return choice, &refusal{http.StatusServiceUnavailable, g.nobody(r), noUpstreamRetry}
 	}
 	p.predicted, p.unread, p.running = choice.Predicted, choice.Load.Unread, choice.Running
 	if p.attempts == 0 && p.declined == 0 {
@@ -128,6 +130,23 @@
 	return choice, nil
 }
 
+// connectionShare is this entry's part of the connections that an upstream takes
+// from all entries together; 0 is no bound.
+func connectionShare(s *serving.Service, entries int) int {
+	if s.MaxConnections <= 0 {
+		return 0
+	}
+	return max(s.MaxConnections/entries, 1)
+}
+
+// nobody says why no upstream can take a request. The caller holds mu.
+func (g *Gateway) nobody(r *request) reason.Reason {
+	if g.table.Count(r.service.Name) > len(r.progress.tried) {
+		return reason.QueueFull
+	}
+	return reason.NoUpstream
+}
+
 // late refuses a request whose answer would come too late to be of use. A prompt
 // that takes longer than the objective even on an idle upstream is not refused
 // for its size.
@@ -183,12 +202,11 @@
 	ticket := g.begin(r, choice)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answer, err := g.send(ctx, r, choice)
+	answer, head, err := g.send(ctx, r, choice)
 	if err != nil {
 		return g.failedSend(ctx, r, ticket, err), nil
 	}
 	defer answer.Close()
-	head := platform.DecodeAnswer(answer.Status, answer.Header)
 	g.tellTable(choice.Upstream.ID, head.Load)
 	if head.NotRun {
 		return g.declined(r, ticket, answer), nil
@@ -229,7 +247,7 @@
 	g.table.End(time.Now(), t, outcome)
 }
 
-func (g *Gateway) send(ctx context.Context, r *request, choice placement.Choice) (*exchange.Answer, error) {
+func (g *Gateway) send(ctx context.Context, r *request, choice placement.Choice) (*exchange.Answer, platform.UpstreamHeaders, error) {
 	header := platform.EncodeAttempt(r.http.Header, platform.Attempt{
 		Instance:  choice.Upstream.ID,
 		Customer:  customerName(r),
@@ -237,17 +255,19 @@
 		Urgency:   urgency(r),
 		LastEvent: r.progress.lastEvent,
 	})
-	return g.pool.Do(ctx, choice.Upstream.Address, &exchange.Request{
+	var head platform.UpstreamHeaders
+	answer, err := g.pool.Do(ctx, choice.Upstream.Address, &exchange.Request{
 		Method: r.http.Method, Target: r.target, Host: r.http.Host, Header: header,
 		Body: r.body, HasBody: r.http.ContentLength != 0 || r.body != nil,
-		Mine: func(status int, h http.Header) bool {
-			a := platform.DecodeAnswer(status, h)
-			return a.RequestID == r.RequestID || (a.RequestID == "" && a.NotRun)
+		Judge: func(status int, h http.Header) exchange.Verdict {
+			head = platform.DecodeAnswer(status, h)
+			mine := head.RequestID == r.RequestID || (head.RequestID == "" && head.NotRun)
+			return exchange.Verdict{Mine: mine, KeepAlive: head.KeepAlive}
 		},
 		MaxIdle:     maxIdle(r),
 		HeadTimeout: g.headLimit(r, choice.Predicted),
-		KeepAlive:   func(h http.Header) time.Duration { return platform.DecodeAnswer(0, h).KeepAlive },
 	})
+	return answer, head, err
 }
 
 // maxIdle keeps work that may not be repeated off connections that the upstream
--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -23,16 +23,23 @@
 	Body   []byte
 	// HasBody says that a length is sent even if Body is empty.
 	HasBody bool
-	// Mine says whether an answer belongs to this request; others are skipped.
-	Mine func(status int, header http.Header) bool
+	// Judge reads the head of an answer; nil takes every answer as the request's.
+	Judge func(status int, header http.Header) Verdict
 	// MaxIdle is how long a connection may have been idle; 0 is no bound. An
 	// upstream may have closed one that was idle for long, and whether a request
 	// on it was read can't be known.
 	MaxIdle time.Duration
 	// HeadTimeout bounds the wait for the head of the answer; 0 is no bound.
 	HeadTimeout time.Duration
-	// KeepAlive reads how long the upstream keeps an idle connection.
-	KeepAlive func(header http.Header) time.Duration
+}
+
+// Verdict is what a caller makes of the head of an answer.
+type Verdict struct {
+	// Mine says that the answer belongs to the request; others are skipped.
+	Mine bool
+	// KeepAlive is how long the upstream keeps an idle connection; 0 if it does
+	// not say.
+	KeepAlive time.Duration
 }
 
 // Error says how an exchange failed.
@@ -112,7 +119,7 @@
 		// An error means that the connection is closed, which reading tells.
 		_ = c.SetReadDeadline(time.Now().Add(req.HeadTimeout))
 	}
-	resp, strays, err := readHead(c, req)
+	resp, verdict, strays, err := readHead(c, req)
 	if err != nil {
 		// Closing ends a write that is under way; whether the request was sent
 		// is known only then.
@@ -124,10 +131,7 @@
 	a := &Answer{
 		Status: resp.StatusCode, Header: resp.Header,
 		pool: p, address: address, conn: c, body: resp.Body, writing: &w,
-		reusable: !resp.Close && strays == 0,
-	}
-	if req.KeepAlive != nil {
-		a.keepAlive = req.KeepAlive(resp.Header)
+		reusable: !resp.Close && strays == 0, keepAlive: verdict.KeepAlive,
 	}
 	return a, nil
 }
@@ -162,24 +166,27 @@
 }
 
 // readHead reads answers until one belongs to the request.
-func readHead(c *conn, req *Request) (resp *http.Response, strays int, err error) {
+func readHead(c *conn, req *Request) (resp *http.Response, verdict Verdict, strays int, err error) {
 	for strays = 0; strays <= strayAnswers; {
 		resp, err = http.ReadResponse(c.r, &http.Request{Method: req.Method})
 		if err != nil {
-			return nil, strays, err
+			return nil, verdict, strays, err
 		}
 		if resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		if req.Mine == nil || req.Mine(resp.StatusCode, resp.Header) {
-			return resp, strays, nil
+		if req.Judge == nil {
+			return resp, verdict, strays, nil
+		}
+		if verdict = req.Judge(resp.StatusCode, resp.Header); verdict.Mine {
+			return resp, verdict, strays, nil
 		}
 		strays++
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-			return nil, strays, err
+			return nil, verdict, strays, err
 		}
 	}
-	return nil, strays, errors.New("only answers of other requests")
+	return nil, verdict, strays, errors.New("only answers of other requests")
 }
 
 // Streams reports whether the body is a series of events.
--- a/upstream/exchange/exchange_test.go
+++ b/upstream/exchange/exchange_test.go
@@ -75,7 +75,7 @@
 func request(target string) *exchange.Request {
 	return &exchange.Request{
 		Method: "GET", Target: target, Host: "h", Header: http.Header{},
-		Mine: func(_ int, h http.Header) bool { return h.Get("For") == target },
+		Judge: func(_ int, h http.Header) exchange.Verdict { return exchange.Verdict{Mine: h.Get("For") == target} },
 	}
 }
 
