gateway: keep the operator's limits on headers and idle connections

Cause: both were decoded and not kept: headers up to 64 KiB were taken, and idle connections of callers stayed for two minutes with their descriptors. Ruled out: IdleTimeout of the server, which may not change while it runs. Change: headers beyond the limit are answered 431; a connection that has been idle for the limit is closed by a timer of its own, as callers use one again only up to four fifths of it. Measured: go test ./gateway -run 'Idle|Refusals'. The time for headers stays at a fixed 10 s: the operator's bound may change while they are read.

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -80,6 +80,9 @@
 	if r.config == nil || g.upstreams.Load() == nil {
 		return &refusal{http.StatusServiceUnavailable, reason.NotReady, notReadyRetry}
 	}
+	if bound := r.config.Limits.MaxHeaderBytes; bound > 0 && headerSize(r.http) > bound {
+		return &refusal{http.StatusRequestHeaderFieldsTooLarge, reason.HeaderTooLarge, 0}
+	}
 	path, _, _ := strings.Cut(r.target, "?")
 	r.route = r.config.Route(hostOf(r.http.Host), path)
 	if r.route == nil {
@@ -102,6 +105,18 @@
 	return g.admitWork(r)
 }
 
+// headerSize returns the bytes of a request's first line and headers, without
+// what separates them.
+func headerSize(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return size
+}
+
 // unknown refuses what the configuration does not have. An entry whose
 // configuration nobody has confirmed of late, for example because it was
 // suspended, can't know and asks the caller to come back.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,8 +33,7 @@
 	// readHeaderTimeout bounds how long a caller may take for its headers. It
 	// is fixed because the operator's bound may change while callers send.
 	readHeaderTimeout = 10 * time.Second
-	// idleTimeout is longer than any idle time after which callers still use
-	// a connection.
+	// idleTimeout closes idle connections while no configuration bounds them.
 	idleTimeout = 2 * time.Minute
 )
 
@@ -114,17 +113,19 @@
 	ctx, g.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	host := g.settings.IP
 	port := func(offset int) string { return net.JoinHostPort(host, strconv.Itoa(g.settings.PortFirst+offset)) }
+	metricsAddress := net.JoinHostPort(host, strconv.Itoa(metricsPort(g.settings)))
 	listeners := []struct {
 		address string
 		handler http.Handler
+		state   func(net.Conn, http.ConnState)
 	}{
-		{g.settings.Front, http.HandlerFunc(g.serveCaller)},
-		{g.settings.Ready, g.readyHandler()},
-		{port(spreadPort), g.spreadHandler()},
-		{net.JoinHostPort(host, strconv.Itoa(metricsPort(g.settings))), metricstext.Handler(g.metrics.registry)},
+		{g.settings.Front, http.HandlerFunc(g.serveCaller), newIdleConns(g.idleLimit).track},
+		{g.settings.Ready, g.readyHandler(), nil},
+		{port(spreadPort), g.spreadHandler(), nil},
+		{metricsAddress, metricstext.Handler(g.metrics.registry), nil},
 	}
 	for _, l := range listeners {
-		if err := g.listen(l.address, l.handler); err != nil {
+		if err := g.listen(l.address, l.handler, l.state); err != nil {
 			return errors.Join(err, g.Stop(ctx))
 		}
 	}
@@ -146,7 +147,7 @@
 
 func metricsPort(s platform.Settings) int { return s.PortLast - 1 }
 
-func (g *Gateway) listen(address string, handler http.Handler) error {
+func (g *Gateway) listen(address string, handler http.Handler, state func(net.Conn, http.ConnState)) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
@@ -156,6 +157,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         state,
 		ErrorLog:          slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
 	}
 	g.servers = append(g.servers, server)
--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -80,6 +81,7 @@
 		{"unknown key", edit(plain("order", "r"), func(c *caller.Call) { c.Key = "other" }), 401, false},
 		{"no key", edit(plain("order", "r"), func(c *caller.Call) { c.Key = "" }), 401, false},
 		{"body too large", edit(plain("order", "r"), func(c *caller.Call) { c.Body = string(make([]byte, 2000)) }), 413, false},
+		{"header too large", edit(plain("order", "r"), func(c *caller.Call) { c.Header = map[string]string{"X-Long": strings.Repeat("x", 17<<10)} }), 431, false},
 		{"no upstream", stream("stream", "r"), 503, true},
 	}
 	for _, c := range cases {
