gateway: metrics by service and class, ages of beliefs, bounded log lines

Cause: latencies were told over all services together; calls to the store, pauses of streams, attempts that were given up and changes of beliefs had no metric; a flood of refusals wrote a line each. Change: latency of first event, pauses and whole requests by service and class; store calls by call; a counter for each attempt without an answer and each change of a belief by reason; ages of the configuration and of the quietest peer. Lines of one message, outcome and reason are bounded in a second, what is left out is summed up in one line and counted. Measured: go test ./gateway ./internal/logsink: each reason, each change and each registered metric is found on the page; a reader that stands still holds up nobody.

--- a/cmd/jaylink/gateway.go
+++ b/cmd/jaylink/gateway.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -25,6 +26,10 @@
 	// collectAt is the growth of the heap, in percent, after which garbage is
 	// collected; small because peak memory is paid for.
 	collectAt = 60
+	// answeredLines and otherLines bound the log lines of one kind in a second;
+	// the busiest entry of the deployments answers some 150 requests in it.
+	answeredLines = 200
+	otherLines    = 500
 )
 
 func addGateway(app *kingpin.Application) {
@@ -45,14 +50,26 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMB) * (1 << 20)))
 	sink := logsink.New(os.Stdout, logBuffer)
 	defer sink.Close()
-	log := newLoggerTo(sink, "info", "json")
+	limiter := logsink.NewLimiter(newLoggerTo(sink, "info", "json").Handler(), []string{"outcome", "reason"}, linesOf)
+	log := slog.New(limiter)
 	stop := watchHangup(file, log)
 	defer stop()
 	var app kernel.App
-	app.Add("gateway", gateway.New(settings, log))
+	g := gateway.New(settings, log)
+	g.CountLogLosses(func() (limited, dropped int64) { return limiter.LeftOut(), sink.Dropped() })
+	app.Add("gateway", g)
 	return runApp(&app, nil)
 }
 
+// linesOf returns how many lines of a kind may be written in a second. Requests
+// that were answered are counted by the metrics as well.
+func linesOf(kind string) int {
+	if strings.HasPrefix(kind, "request/answered") {
+		return answeredLines
+	}
+	return otherLines
+}
+
 // watchHangup checks the settings file at each SIGHUP. Addresses and bounds take
 // effect at the next start.
 func watchHangup(file string, log *slog.Logger) (stop func()) {
--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -71,6 +71,7 @@
 		for _, s := range g.scalers {
 			s.Reset()
 		}
+		g.metrics.changed[dutiesTaken].Inc(1)
 		g.log.Info("holds the duties", "token", grant.Generation)
 	}
 	return grant.Generation, true
@@ -173,6 +174,7 @@
 		return false
 	}
 	d.fenced = token
+	g.metrics.changed[dutyRefused].Inc(1)
 	g.log.Warn("duty refused: a newer holder has acted", "duty", duty, "token", token)
 	return true
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,6 +75,9 @@
 	gossip  *net.UDPConn
 	cancel  context.CancelFunc
 	tasks   sync.WaitGroup
+	// logLosses returns the numbers of log lines that were left out by the limit
+	// of a message, and for want of room; nil if nobody counts.
+	logLosses func() (limited, dropped int64)
 	// tellSoon asks for a word before the next turn.
 	tellSoon chan struct{}
 }
@@ -103,11 +106,15 @@
 	if settings.Cloud != "" {
 		g.duties = platform.NewDuties(settings.Cloud, settings.Name, dutyTimeout)
 	}
-	g.objects.Called = func() { g.metrics.storeCalls.Inc(1) }
+	g.objects.Called = g.metrics.storeTook
 	g.pool.Opened = func() { g.metrics.connections.Inc(1) }
 	return g
 }
 
+// CountLogLosses makes the metrics show the log lines that were left out by the
+// limit of a message, and for want of room. It is called before Start.
+func (g *Gateway) CountLogLosses(losses func() (limited, dropped int64)) { g.logLosses = losses }
+
 // Start opens the ports and starts the background work.
 func (g *Gateway) Start(ctx context.Context) error {
 	ctx, g.cancel = context.WithCancel(context.WithoutCancel(ctx))
@@ -195,15 +202,40 @@
 func (g *Gateway) housekeep(ctx context.Context) {
 	for sleep(ctx, housekeepInterval) {
 		g.pool.Sweep()
-		g.metrics.inFlight.Update(g.inFlight.Load())
 		now := time.Now()
 		g.mu.Lock()
 		g.quota.Expire(now)
 		g.expirePeers(now)
+		g.measure(now)
 		g.mu.Unlock()
 	}
 }
 
+// measure updates the gauges. The caller holds mu.
+func (g *Gateway) measure(now time.Time) {
+	m := g.metrics
+	m.inFlight.Update(g.inFlight.Load())
+	m.peers.Update(int64(len(g.peers)))
+	if at := g.confirmed.Load(); at > 0 {
+		m.configurationAge.Update((steady() - time.Duration(at)).Milliseconds())
+	}
+	longest := time.Duration(0)
+	for _, p := range g.peers {
+		longest = max(longest, now.Sub(p.heard))
+	}
+	m.peerSilence.Update(longest.Milliseconds())
+	held := int64(0)
+	if _, ok := g.lease.MayOrder(steadyTime(), true); ok {
+		held = 1
+	}
+	m.duties.Update(held)
+	if g.logLosses != nil {
+		limited, dropped := g.logLosses()
+		m.logLimited.Update(limited)
+		m.logDropped.Update(dropped)
+	}
+}
+
 // sleep waits and reports whether the context still holds.
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
@@ -230,8 +262,10 @@
 	g.mu.Unlock()
 	switch {
 	case err != nil && !was:
+		g.metrics.changed[dependencyLost].Inc(1)
 		g.log.Warn("dependency lost", "dependency", name, "err", err)
 	case err == nil && was:
+		g.metrics.changed[dependencyRegained].Inc(1)
 		g.log.Info("dependency regained", "dependency", name, "after", lostFor)
 	}
 	return lostFor
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -143,10 +143,10 @@
 		if silent > peerLife || p.leaving && silent > loadLife {
 			delete(g.peers, name)
 			g.quota.Leave(name)
+			g.metrics.changed[peerGone].Inc(1)
 			g.log.Info("peer gone", "peer", name, "silent", silent, "leaving", p.leaving)
 		}
 	}
-	g.metrics.peers.Update(int64(len(g.peers)))
 }
 
 // Peers returns the number of other entries that are known.
@@ -346,6 +346,7 @@
 	if p == nil {
 		p = &peer{}
 		g.peers[w.Entry] = p
+		g.metrics.changed[peerFound].Inc(1)
 		g.log.Info("peer found", "peer", w.Entry, "address", w.Address)
 	}
 	if w.Incarnation < p.incarnation {
@@ -357,6 +358,7 @@
 	g.quota.Hear(now, w.Entry, w.Incarnation, w.Totals)
 	g.book.Hear(processName(w), w.Usage)
 	if shift := g.clock.Hear(steady(), w.Entry, time.UnixMilli(w.Sent)); shift != 0 {
+		g.metrics.changed[clockSet].Inc(1)
 		g.log.Warn("clock set to that of most entries", "by", shift)
 	}
 }
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -12,7 +12,10 @@
 	took := time.Since(r.arrived)
 	if outcome == "answered" {
 		g.metrics.answered.Inc(1)
-		g.metrics.total.Update(took.Milliseconds())
+		g.metrics.took("total_ms", r, took)
+		if r.route.Streaming {
+			g.metrics.took("pause_ms", r, p.pause)
+		}
 	}
 	attrs := []any{
 		"request_id", r.RequestID, "outcome", outcome, "status", status, "reason", string(why),
@@ -37,6 +40,9 @@
 // logAttempt writes a line for an attempt that did not give the answer.
 func (g *Gateway) logAttempt(r *request, message string) {
 	p := &r.progress
+	if c := g.metrics.unanswered[p.why]; c != nil {
+		c.Inc(1)
+	}
 	g.log.Info(message, "request_id", r.RequestID, "upstream", p.upstream, "reason", string(p.why),
 		"attempts", p.attempts, "declined", p.declined, "ms", time.Since(r.arrived).Milliseconds(),
 		"last_event", p.lastEvent, "detail", p.detail)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -107,7 +107,7 @@
 	now := time.Now()
 	if r.progress.first == 0 {
 		r.progress.first = now.Sub(r.arrived)
-		g.metrics.firstEvent.Update(r.progress.first.Milliseconds())
+		g.metrics.took("first_event_ms", r, r.progress.first)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -178,6 +178,7 @@
 	}
 	g.config.Store(&acceptedConfiguration{next, raw})
 	g.metrics.version.Update(int64(next.Version))
+	g.metrics.changed[newConfiguration].Inc(1)
 	g.log.Info("configuration in force", "version", next.Version, "source", source, "routes", len(next.Routes))
 }
 
@@ -225,11 +226,13 @@
 func (g *Gateway) logUpstreamChanges(before, next *upstreamList) {
 	for id, u := range next.list {
 		if old, ok := before.list[id]; !ok || old.Draining != u.Draining || old.Born != u.Born {
+			g.metrics.changed[upstreamChanged].Inc(1)
 			g.log.Info("upstream", "upstream", id, "address", u.Address, "zone", u.Zone, "draining", u.Draining, "revision", next.revision)
 		}
 	}
 	for id := range before.list {
 		if _, ok := next.list[id]; !ok {
+			g.metrics.changed[upstreamGone].Inc(1)
 			g.log.Info("upstream gone", "upstream", id, "revision", next.revision)
 		}
 	}
--- a/internal/metricstext/metricstext.go
+++ b/internal/metricstext/metricstext.go
@@ -53,8 +53,23 @@
 	return nil
 }
 
-// textName splits a metric's name into a family and the reason label.
+// labelMark stands between a metric's name and each of its labels.
+const labelMark = "|"
+
+// Labelled returns the name under which a metric with labels is registered.
+func Labelled(name string, pairs ...string) string {
+	for i := 0; i+1 < len(pairs); i += 2 {
+		name += fmt.Sprintf("%s%s=%q", labelMark, pairs[i], pairs[i+1])
+	}
+	return name
+}
+
+// textName splits a metric's name into a family and its labels; a third part of
+// the name is the label "reason".
 func textName(name string) (family, label string) {
+	if name, labels, ok := strings.Cut(name, labelMark); ok {
+		return "jaylink_" + strings.ReplaceAll(name, ".", "_"), strings.ReplaceAll(labels, labelMark, ",")
+	}
 	parts := strings.SplitN(name, ".", 3)
 	if len(parts) == 3 {
 		label = fmt.Sprintf("reason=%q", parts[2])
