gateway, quota: allowances hold where totals come late

Cause: totals reach each entry of a large fleet late: of 83 after some 3 s, of 340 after 40 s (worked out from the turns). Until then every entry takes the fleet's bucket to be full, so a customer that sends six times its usual got 5.5 M tokens in a window of 4.8 M with totals each 3 s, and 12.5 M with totals each 40 s. Demand was never learned from totals more than 2 s apart. Peers counted as silent after 1 s, though a word from each takes longer. And whole words shared the rotation of light ones: from 49 entries on, at some sizes some entries never heard the totals of others. Ruled out: sums told by one entry for several: more to follow and to go wrong than the fleet's parts, which every entry knows. Change: the gateway tells quota how late words and totals come; beyond 5 s each entry keeps to its part of the allowance. Rates follow intervals up to 90 s. Whole words have rotations of their own. Turns follow each other so that loads take two thirds of the 20 KB/s for control at most.

--- a/decision/meter/meter.go
+++ b/decision/meter/meter.go
@@ -12,8 +12,12 @@
 	step = 0.3
 	// minInterval bounds the interval that a rate is worked out over.
 	minInterval = 50 * time.Millisecond
-	// maxInterval is when what was known is too old to compare with.
-	maxInterval = 2 * time.Second
+	// longInterval is the interval from which on its mean says more than what was
+	// known before.
+	longInterval = 2 * time.Second
+	// maxInterval is when what was known is too old to compare with; entries of
+	// the largest fleets hear a total every 40 s or so.
+	maxInterval = 90 * time.Second
 )
 
 // Meter is the smoothed rate of one total. The zero value is ready.
@@ -35,6 +39,10 @@
 	if passed < minInterval {
 		return
 	}
-	m.Rate += step * (math.Max(total-m.seen, 0)/passed.Seconds() - m.Rate)
+	weight := step
+	if passed > longInterval {
+		weight = 1
+	}
+	m.Rate += weight * (math.Max(total-m.seen, 0)/passed.Seconds() - m.Rate)
 	m.seen, m.at = total, now
 }
--- a/decision/quota/quota.go
+++ b/decision/quota/quota.go
@@ -20,9 +20,14 @@
 )
 
 const (
-	// silentAfter is when an entry's part of the rate is charged in place of
-	// what it tells.
+	// silentAfter, and at least silentWords times what a word from each entry
+	// takes, is when an entry's part of the rate is charged in place of what it
+	// tells.
 	silentAfter = time.Second
+	silentWords = 2
+	// freshTotals is how late totals may come for the fleet's level to follow
+	// them; in that time a burst of a second's rate can be used several times.
+	freshTotals = 5 * time.Second
 	// forgetAfter is when a silent entry is taken to be gone.
 	forgetAfter = 20 * time.Second
 	// smallWork is the part of the burst up to which work is let in on credit;
@@ -80,10 +85,24 @@
 type Quota struct {
 	buckets map[string]*bucket
 	peers   map[string]*peer
+	// silent is when an entry counts as silent.
+	silent time.Duration
+	// partsOnly says that the fleet's level is not known well enough to go by.
+	partsOnly bool
 }
 
 // New returns a quota without customers.
-func New() *Quota { return &Quota{buckets: map[string]*bucket{}, peers: map[string]*peer{}} }
+func New() *Quota {
+	return &Quota{buckets: map[string]*bucket{}, peers: map[string]*peer{}, silent: silentAfter}
+}
+
+// Pace says how long it takes until all entries have heard an entry's totals, and
+// any word of it. Where totals come late, as in very large fleets, each entry
+// keeps to its part of the allowance, whatever the fleet's level seems to be.
+func (q *Quota) Pace(totals, word time.Duration) {
+	q.partsOnly = totals > freshTotals
+	q.silent = max(silentAfter, silentWords*word)
+}
 
 // Set sets a customer's allowance. A new bucket starts empty, because what the
 // fleet has used before is not known.
@@ -110,14 +129,22 @@
 	equal := earned / float64(len(q.peers)+1)
 	free := earned
 	for _, p := range q.peers {
-		if now.Sub(p.heard) > silentAfter {
+		if now.Sub(p.heard) > q.silent {
 			free -= equal
 			p.charged[customer] += equal
 		}
 	}
 	b.level = math.Min(b.level+free, b.Burst)
 	share := q.share(now, b, customer)
-	b.part = math.Min(b.part+free*share, b.Rate*share*partBurst.Seconds())
+	b.part = math.Min(b.part+free*share, q.partLimit(b, share))
+}
+
+// partLimit is what an entry may save up of its part.
+func (q *Quota) partLimit(b *bucket, share float64) float64 {
+	if q.partsOnly {
+		return b.Burst * share
+	}
+	return b.Rate * share * partBurst.Seconds()
 }
 
 func (q *Quota) refillAll(now time.Time) {
@@ -132,7 +159,7 @@
 	own := b.demand.Rate + idle
 	sum := own
 	for _, p := range q.peers {
-		if now.Sub(p.heard) > silentAfter {
+		if now.Sub(p.heard) > q.silent {
 			continue
 		}
 		sum += idle
@@ -158,19 +185,22 @@
 	b.total.Asked += work
 	share := q.share(now, b, customer)
 	kept := reserve * float64(min(max(rank, 0), ranks))
-	floor, partFloor := kept*b.Burst, kept*b.Rate*share*partBurst.Seconds()
+	floor, partFloor := kept*b.Burst, kept*q.partLimit(b, share)
 	if work <= smallWork*b.Burst {
 		floor, partFloor = -maxCredit*b.Burst, math.Inf(-1)
+		if q.partsOnly {
+			partFloor = floor * share
+		}
 	}
-	if b.level < lowLevel*b.Burst && b.part <= partFloor {
+	if (q.partsOnly || b.level < lowLevel*b.Burst) && b.part <= partFloor {
 		return false, time.Duration((work + partFloor - b.part) / (b.Rate * share) * float64(time.Second))
 	}
-	if b.level <= floor {
+	if !q.partsOnly && b.level <= floor {
 		return false, time.Duration((work + floor - b.level) / b.Rate * float64(time.Second))
 	}
 	b.level -= work
 	b.part -= work
-	if b.level >= lowLevel*b.Burst {
+	if !q.partsOnly && b.level >= lowLevel*b.Burst {
 		b.part = math.Max(b.part, 0)
 	}
 	b.total.Admitted += work
--- a/decision/quota/quota_test.go
+++ b/decision/quota/quota_test.go
@@ -19,6 +19,9 @@
 	// admitted is work by step of a millisecond.
 	admitted []float64
 	asked    float64
+	// every is how often an entry tells its totals; round is how long it takes
+	// to tell all others something.
+	every, round time.Duration
 	// cut says that the words of an entry don't reach the others.
 	cut func(entry int, at time.Duration) bool
 }
@@ -37,7 +40,7 @@
 )
 
 func newFleet(n int) *fleet {
-	f := &fleet{now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(1, 2))}
+	f := &fleet{now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(1, 2)), every: 200 * time.Millisecond}
 	for range n {
 		q := New()
 		q.Set(f.now, customer, Allowance{Rate: rate, Burst: rate})
@@ -54,9 +57,13 @@
 		sum := 0.0
 		for i, q := range f.entries {
 			sum += f.request(q, demand(i, at))
-			if (at/time.Millisecond+time.Duration(i*25))%200 == 0 {
+			phase := f.every * time.Duration(i) / time.Duration(len(f.entries))
+			if (at+phase).Truncate(time.Millisecond)%f.every == 0 {
 				f.tell(i, at)
 			}
+			if f.round > 0 && (at+phase).Truncate(time.Millisecond)%f.round == 0 {
+				f.tellAlive(i)
+			}
 		}
 		f.admitted = append(f.admitted, sum)
 	}
@@ -84,6 +91,15 @@
 	f.words = append(f.words, delayed{f.now.Add(delay), i, totals})
 }
 
+// tellAlive tells the others that an entry lives.
+func (f *fleet) tellAlive(from int) {
+	for i, q := range f.entries {
+		if i != from {
+			q.Hear(f.now, fmt.Sprint(from), 1, nil)
+		}
+	}
+}
+
 func (f *fleet) deliver() {
 	rest := f.words[:0]
 	for _, w := range f.words {
@@ -172,3 +188,48 @@
 	const window = 8 * time.Second
 	require.LessOrEqual(t, f.most(window), (rate*window.Seconds()+rate)*1.1+slack)
 }
+
+// largeFleet is a fleet in which words that only say that an entry lives come each
+// round, and its totals each few rounds.
+func largeFleet(n int, totals, round time.Duration) *fleet {
+	f := newFleet(n)
+	f.every, f.round = totals, round
+	for _, q := range f.entries {
+		q.Pace(totals, round)
+	}
+	return f
+}
+
+// Load pattern: many entries, so that totals come late. A customer that sends six
+// times its usual stays inside its allowance, and one below its rate gets nearly
+// all of it.
+func TestLargeFleetsShareAnAllowance(t *testing.T) {
+	cases := map[string]struct {
+		entries       int
+		totals, round time.Duration
+	}{
+		"totals each 3 s":  {40, 3 * time.Second, 800 * time.Millisecond},
+		"totals each 40 s": {40, 40 * time.Second, 3 * time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := largeFleet(c.entries, c.totals, c.round)
+			const usualTime, hotTime = 60 * time.Second, 20 * time.Second
+			f.play(usualTime+hotTime, func(i int, at time.Duration) float64 {
+				part := 0.5 + float64(i)/float64(c.entries)
+				usual := rate / 1.8 * part / float64(c.entries)
+				if at > usualTime {
+					return usual * 6
+				}
+				return usual
+			})
+			const window = 8 * time.Second
+			require.LessOrEqual(t, f.most(window), (rate*window.Seconds()+rate)*1.1+slack)
+			usual := 0.0
+			for _, w := range f.admitted[:usualTime/time.Millisecond] {
+				usual += w
+			}
+			require.Greater(t, usual, 0.95*rate/1.8*usualTime.Seconds())
+		})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,6 +53,8 @@
 	// following says that this entry watches the store itself.
 	following atomic.Bool
 	inFlight  atomic.Int64
+	// turnTime is the time between the last two turns of words, in nanoseconds.
+	turnTime atomic.Int64
 	// confirmed is when the store or a peer last confirmed the configuration in
 	// force, on the steady clock in nanoseconds.
 	confirmed atomic.Int64
@@ -204,6 +206,8 @@
 		g.pool.Sweep()
 		now := time.Now()
 		g.mu.Lock()
+		peers := g.sortedPeers()
+		g.quota.Pace(g.totalsTime(peers), g.wordTime(peers))
 		g.quota.Expire(now)
 		g.expirePeers(now)
 		g.measure(now)
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -15,8 +15,15 @@
 )
 
 const (
-	// tellInterval is how often an entry tells its state.
+	// tellInterval is how often an entry tells its state, unless loads would take
+	// more than tellBudget bytes a second: two thirds of the 20 kB/s that a node
+	// has for control. Entries that watch the store wait watcherWait at most, as
+	// the others wait for their word.
 	tellInterval = 200 * time.Millisecond
+	tellBudget   = 13_000
+	watcherWait  = 2 * tellInterval
+	// datagramHeader is what a datagram takes beside its word, in bytes.
+	datagramHeader = 28
 	// farEvery is how many turns pass between words to other regions, whose link
 	// is slow and paid for.
 	farEvery = 2
@@ -25,8 +32,7 @@
 	soonTokens = 4000
 	soonDelay  = 20 * time.Millisecond
 	// tellFanout bounds the entries told at a time, in the region and beyond; the
-	// others follow next. Entries that watch the store tell more, as the others
-	// wait for their word.
+	// others follow next. Entries that watch the store tell more of them.
 	tellFanout    = 16
 	watcherFanout = 32
 	// phases is how many beginnings there are for the turns of an entry.
@@ -38,10 +44,10 @@
 	findInterval = 30 * time.Second
 	// findSoon repeats the first look, because all entries start together.
 	findSoon = 2 * time.Second
-	// loadLife is how long a silent entry's load counts, and loadTurns for how
+	// loadLife is how long a silent entry's load counts, and loadRounds for how
 	// many rounds through all entries it does in a large fleet.
-	loadLife  = 1500 * time.Millisecond
-	loadTurns = 3
+	loadLife   = 1500 * time.Millisecond
+	loadRounds = 3
 	// peerLife is how long a silent entry counts.
 	peerLife = 20 * time.Second
 	// maxDatagram is the largest word that is read, in bytes.
@@ -131,7 +137,7 @@
 
 // expirePeers forgets silent entries. The caller holds mu.
 func (g *Gateway) expirePeers(now time.Time) {
-	life := max(loadLife, loadTurns*roundTime(len(g.peers)))
+	life := max(loadLife, loadRounds*g.wordTime(g.sortedPeers()))
 	for name, p := range g.peers {
 		silent := now.Sub(p.heard)
 		if silent > loadLife {
@@ -163,49 +169,97 @@
 	if !sleep(ctx, rand.N(tellInterval)) {
 		return
 	}
-	ticker := time.NewTicker(tellInterval)
-	defer ticker.Stop()
-	near, far := rotation{rand.IntN(phases)}, rotation{rand.IntN(phases)}
-	for turn := rand.IntN(phases); ; {
+	next := time.NewTimer(tellInterval)
+	defer next.Stop()
+	for t := newTelling(); ; {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			g.tellTurn(turn, &near, &far)
-			turn++
+		case <-next.C:
+			next.Reset(g.tellTurn(t))
 		case <-g.tellSoon:
 			if sleep(ctx, soonDelay) {
-				peers := g.listPeers()
-				g.sendWord(g.nextWord(false), near.next(peers.near, tellFanout))
+				g.sendWord(g.nextWord(false), t.near.next(g.listPeers().near, tellFanout))
 			}
 		}
 	}
 }
 
-// tellTurn tells the regular word of a turn.
-func (g *Gateway) tellTurn(turn int, near, far *rotation) {
+// telling is how far an entry has got with telling the others. Whole words have
+// rotations of their own, so that each entry hears them.
+type telling struct {
+	turn                           int
+	near, far, wholeNear, wholeFar rotation
+	// lightBytes is the size of the last word without totals.
+	lightBytes int
+}
+
+func newTelling() *telling {
+	at := func() rotation { return rotation{rand.IntN(phases)} }
+	return &telling{turn: rand.IntN(phases), near: at(), far: at(), wholeNear: at(), wholeFar: at()}
+}
+
+// tellTurn tells the regular word of a turn and returns when the next one is due.
+func (g *Gateway) tellTurn(t *telling) time.Duration {
 	peers := g.listPeers()
 	fanout := tellFanout
 	if g.following.Load() {
 		fanout = watcherFanout
 	}
-	targets := near.next(peers.near, fanout)
-	if turn%farEvery == 0 {
+	targets, whole := t.next(peers, fanout)
+	size := g.sendWord(g.nextWord(whole), targets)
+	if !whole {
+		t.lightBytes = size
+	}
+	wait := g.turnWait(len(targets) * t.lightBytes)
+	g.turnTime.Store(int64(wait))
+	return wait
+}
+
+// next returns whom the next turn tells, and whether it has the totals.
+func (t *telling) next(peers peerList, fanout int) (targets []*net.UDPAddr, whole bool) {
+	whole = t.turn%wholeEvery(len(peers.near)+len(peers.far)) == 0
+	near, far := &t.near, &t.far
+	if whole {
+		near, far = &t.wholeNear, &t.wholeFar
+	}
+	targets = near.next(peers.near, fanout)
+	if whole || t.turn%farEvery == 0 {
 		targets = append(targets, far.next(peers.far, fanout)...)
 	}
-	whole := turn%wholeEvery(len(peers.near)+len(peers.far)) == 0
 	if whole && peers.holder != nil && !slices.Contains(targets, peers.holder) {
 		targets = append(targets, peers.holder)
 	}
-	g.sendWord(g.nextWord(whole), targets)
+	t.turn++
+	return targets, whole
+}
+
+// turnWait is how long after a turn the next one follows. It goes by what the turn
+// would take without totals, which are told the more seldom the larger the fleet.
+func (g *Gateway) turnWait(bytes int) time.Duration {
+	wait := max(tellInterval, time.Duration(bytes)*time.Second/tellBudget)
+	if g.following.Load() {
+		return min(wait, watcherWait)
+	}
+	return wait
 }
 
 // wholeEvery is how many turns pass between words with the totals.
 func wholeEvery(peers int) int { return 1 + peers/wholePeers }
 
-// roundTime is how long an entry takes at most to tell all others something.
-func roundTime(peers int) time.Duration {
-	return time.Duration((peers+tellFanout-1)/tellFanout) * tellInterval
+// rounds is how many turns it takes to tell a number of entries.
+func rounds(entries int) int { return (entries + tellFanout - 1) / tellFanout }
+
+// wordTime is how long it takes until all others have heard a word of an entry,
+// and totalsTime until they have heard its totals, if entries tell at the same
+// pace.
+func (g *Gateway) wordTime(peers peerList) time.Duration {
+	return time.Duration(g.turnTime.Load()) * time.Duration(max(rounds(len(peers.near)), farEvery*rounds(len(peers.far))))
+}
+
+func (g *Gateway) totalsTime(peers peerList) time.Duration {
+	near, far := len(peers.near), len(peers.far)
+	return time.Duration(g.turnTime.Load()) * time.Duration(wholeEvery(near+far)*max(rounds(near), rounds(far)))
 }
 
 // peerList is whom an entry may tell.
@@ -218,6 +272,11 @@
 func (g *Gateway) listPeers() peerList {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.sortedPeers()
+}
+
+// sortedPeers is listPeers for callers that hold mu.
+func (g *Gateway) sortedPeers() peerList {
 	var list peerList
 	for _, name := range sortedKeys(g.peers) {
 		p := g.peers[name]
@@ -260,13 +319,14 @@
 	}
 }
 
-// sendWord sends a word.
-func (g *Gateway) sendWord(w word, targets []*net.UDPAddr) {
+// sendWord sends a word and returns the bytes of one datagram.
+func (g *Gateway) sendWord(w word, targets []*net.UDPAddr) int {
 	data := w.encode()
 	for _, to := range targets {
 		// A lost datagram is made good by the next one.
 		_, _ = g.gossip.WriteToUDP(data, to)
 	}
+	return len(data) + datagramHeader
 }
 
 // nextWord puts together what is to be told; a whole word has the running totals.
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -44,9 +44,11 @@
 	}
 }
 
-// listenTime is how long a new holder hears from the others before it reports.
+// listenTime is how long a new holder hears from the others before it reports;
+// each of them tells it all of its whole words.
 func (g *Gateway) listenTime() time.Duration {
-	return listenWords * time.Duration(wholeEvery(g.Peers())) * tellInterval
+	turn := max(tellInterval, time.Duration(g.turnTime.Load()))
+	return listenWords * time.Duration(wholeEvery(g.Peers())) * turn
 }
 
 func (g *Gateway) reportWindow(ctx context.Context, d *dutyState, token uint64, window int64) bool {
