quota: an allowance is scarce by demand, not by one large request

The largest requests take 77 in 100 of a small burst; below 60 in 100 each entry kept to its part of the rate, and what is kept for urgent work was kept from others, though nothing was scarce. Change: parts and reserves apply while the demand of all entries, smoothed over 2.5 s, is above 0.9 of the rate, while the bucket is nearly empty, or while totals come too late to tell. Silent entries count as using their part.

--- a/decision/quota/quota.go
+++ b/decision/quota/quota.go
@@ -28,6 +28,10 @@
 	// freshTotals is how late totals may come for the fleet's level to follow
 	// them; in that time a burst of a second's rate can be used several times.
 	freshTotals = 5 * time.Second
+	// freshDemand is how late totals may come for an allowance to count as not
+	// scarce; a customer that begins to send many times its usual drains a burst
+	// of a second's rate in about that time.
+	freshDemand = time.Second
 	// forgetAfter is when a silent entry is taken to be gone.
 	forgetAfter = 20 * time.Second
 	// smallWork is the part of the burst up to which work is let in on credit;
@@ -41,6 +45,14 @@
 	ranks = 2
 	// lowLevel is the part of the burst below which the rate is shared out.
 	lowLevel = 0.6
+	// emptyLevel is the part of the burst below which an allowance is scarce
+	// whatever the demand seems to be.
+	emptyLevel = 0.2
+	// scarceDemand is the part of the rate beyond which demand, smoothed over
+	// demandTime, makes an allowance scarce. Below it the bucket is low because of
+	// one large request, and what follows is not refused for it.
+	scarceDemand = 0.9
+	demandTime   = 2500 * time.Millisecond
 	// partBurst is the time for which an entry may save up its part.
 	partBurst = 400 * time.Millisecond
 	// idleDemand is the part of the rate that entries without demand are taken
@@ -79,6 +91,8 @@
 	at          time.Time
 	total       Total
 	demand      meter.Meter
+	// sustained is the smoothed demand of all entries, per second.
+	sustained float64
 }
 
 // Quota is one entry's view of all customers. It is not safe for concurrent use.
@@ -89,6 +103,8 @@
 	silent time.Duration
 	// partsOnly says that the fleet's level is not known well enough to go by.
 	partsOnly bool
+	// lateDemand says that the fleet's demand becomes known too late to go by.
+	lateDemand bool
 }
 
 // New returns a quota without customers.
@@ -100,7 +116,7 @@
 // any word of it. Where totals come late, as in very large fleets, each entry
 // keeps to its part of the allowance, whatever the fleet's level seems to be.
 func (q *Quota) Pace(totals, word time.Duration) {
-	q.partsOnly = totals > freshTotals
+	q.partsOnly, q.lateDemand = totals > freshTotals, totals > freshDemand
 	q.silent = max(silentAfter, silentWords*word)
 }
 
@@ -135,7 +151,8 @@
 		}
 	}
 	b.level = math.Min(b.level+free, b.Burst)
-	share := q.share(now, b, customer)
+	share, demand := q.share(now, b, customer)
+	b.sustained += (1 - math.Exp(-passed/demandTime.Seconds())) * (demand - b.sustained)
 	b.part = math.Min(b.part+free*share, q.partLimit(b, share))
 }
 
@@ -153,24 +170,28 @@
 	}
 }
 
-// share returns this entry's part of what all speaking entries are asked for.
-func (q *Quota) share(now time.Time, b *bucket, customer string) float64 {
+// share returns this entry's part of what all speaking entries are asked for, and
+// what all are asked for per second; silent ones are taken to use up their part.
+func (q *Quota) share(now time.Time, b *bucket, customer string) (part, demand float64) {
 	idle := idleDemand * b.Rate
 	own := b.demand.Rate + idle
 	sum := own
+	demand = b.demand.Rate
 	for _, p := range q.peers {
 		if now.Sub(p.heard) > q.silent {
+			demand += b.Rate / float64(len(q.peers)+1)
 			continue
 		}
 		sum += idle
 		if d := p.demands[customer]; d != nil {
 			sum += d.Rate
+			demand += d.Rate
 		}
 	}
 	if sum <= 0 {
-		return 1
+		return 1, demand
 	}
-	return own / sum
+	return own / sum, demand
 }
 
 // Take admits work of a customer or says when it could be admitted. Work larger
@@ -183,8 +204,12 @@
 	}
 	q.refill(now, b, customer)
 	b.total.Asked += work
-	share := q.share(now, b, customer)
-	kept := reserve * float64(min(max(rank, 0), ranks))
+	share, _ := q.share(now, b, customer)
+	scarce := q.lateDemand || b.sustained > scarceDemand*b.Rate || b.level < emptyLevel*b.Burst
+	kept := 0.0
+	if scarce {
+		kept = reserve * float64(min(max(rank, 0), ranks))
+	}
 	floor, partFloor := kept*b.Burst, kept*q.partLimit(b, share)
 	if work <= smallWork*b.Burst {
 		floor, partFloor = -maxCredit*b.Burst, math.Inf(-1)
@@ -192,7 +217,7 @@
 			partFloor = floor * share
 		}
 	}
-	if (q.partsOnly || b.level < lowLevel*b.Burst) && b.part <= partFloor {
+	if (q.partsOnly || scarce && b.level < lowLevel*b.Burst) && b.part <= partFloor {
 		return false, time.Duration((work + partFloor - b.part) / (b.Rate * share) * float64(time.Second))
 	}
 	if !q.partsOnly && b.level <= floor {
@@ -200,7 +225,7 @@
 	}
 	b.level -= work
 	b.part -= work
-	if !q.partsOnly && b.level >= lowLevel*b.Burst {
+	if !scarce || !q.partsOnly && b.level >= lowLevel*b.Burst {
 		b.part = math.Max(b.part, 0)
 	}
 	b.total.Admitted += work
--- a/decision/quota/quota_test.go
+++ b/decision/quota/quota_test.go
@@ -233,3 +233,38 @@
 		})
 	}
 }
+
+// Load pattern: a customer below its rate whose largest requests take most of its
+// burst. What it sends after one of them is not refused.
+func TestLargeRequestsLeaveRoomForSmallOnes(t *testing.T) {
+	const rate, burst = 64_806.0, 85_920.0
+	f := &fleet{now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(1, 2)), every: 200 * time.Millisecond}
+	for range 8 {
+		q := New()
+		q.Set(f.now, customer, Allowance{Rate: rate, Burst: burst})
+		f.entries = append(f.entries, q)
+	}
+	refused, small := 0, 0
+	take := func(i int, work float64) {
+		if ok, _ := f.entries[i].Take(f.now, customer, work, 0); !ok {
+			refused++
+		}
+	}
+	for second := range 40 {
+		f.play(time.Second, func(int, time.Duration) float64 { return 0 })
+		if second < 3 {
+			continue
+		}
+		if second%4 == 0 {
+			take(second%8, 66_000)
+		}
+		for range 5 {
+			f.play(20*time.Millisecond, func(int, time.Duration) float64 { return 0 })
+			take(f.rng.IntN(8), 200)
+			take(f.rng.IntN(8), 3_000)
+			small += 2
+		}
+	}
+	t.Logf("%d of %d refused", refused, small)
+	require.LessOrEqual(t, refused, small/100)
+}
