quota, placement, truetime: a word of another entry costs what it changes

Answers to entries that catch up took a new compressor of 800 KB each. Change: what the peers say is gathered for all customers once in 50 ms; a word without totals changes nothing while its sender is not silent. A word touches the upstreams that it names. Clocks are compared when one disagrees. Compressors are used again.

--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -107,9 +107,8 @@
 	own    Load
 	// reading holds this entry's attempts without a first event.
 	reading []*Ticket
-	// peers is the sum of what the other entries said, by entry in heard.
+	// peers is the sum of what the other entries said.
 	peers Load
-	heard map[string]Load
 	cache cache
 	// told is the number of requests that the upstream itself told at toldAt.
 	told   int
@@ -130,6 +129,8 @@
 	ready map[string]int
 	// homes are those upstreams by service and region.
 	homes map[homesKey][]homeCandidate
+	// heard is what the other entries said, by entry.
+	heard map[string][]heardLoad
 	// turn and scratch are those of sample.
 	turn    int
 	scratch []*place
@@ -140,7 +141,7 @@
 func NewTable(regions map[string]string) *Table {
 	return &Table{
 		regions: regions, places: map[string]*place{}, services: map[string][]*place{}, ready: map[string]int{},
-		homes: map[homesKey][]homeCandidate{}, speeds: map[string]*speed{},
+		homes: map[homesKey][]homeCandidate{}, heard: map[string][]heardLoad{}, speeds: map[string]*speed{},
 	}
 }
 
@@ -164,7 +165,7 @@
 	for _, u := range list {
 		p := t.places[u.ID]
 		if p == nil || p.Born != u.Born || p.Address != u.Address {
-			p = &place{hash: xxhash.Sum64String(u.ID), heard: map[string]Load{}}
+			p = &place{hash: xxhash.Sum64String(u.ID)}
 		}
 		p.Upstream, p.region = u, t.regions[u.Zone]
 		next[u.ID] = p
--- a/decision/placement/progress.go
+++ b/decision/placement/progress.go
@@ -146,20 +146,30 @@
 	return out
 }
 
+// heardLoad is an entry's work on an upstream, as it said last.
+type heardLoad struct {
+	place *place
+	load  Load
+}
+
 // Hear takes another entry's work, in place of what it said before.
 func (t *Table) Hear(entry string, loads map[string]Load) {
-	for id, p := range t.places {
-		before, had := p.heard[entry]
-		next, has := loads[id]
-		if had {
-			p.peers.sub(before)
-			delete(p.heard, entry)
-		}
-		if has {
-			p.peers.add(next)
-			p.heard[entry] = next
+	told := t.heard[entry]
+	for _, h := range told {
+		h.place.peers.sub(h.load)
+	}
+	told = told[:0]
+	for id, load := range loads {
+		if p := t.places[id]; p != nil {
+			p.peers.add(load)
+			told = append(told, heardLoad{p, load})
 		}
 	}
+	if len(told) == 0 {
+		delete(t.heard, entry)
+		return
+	}
+	t.heard[entry] = told
 }
 
 // TokensPerMs returns the rate at which the upstreams of a service read prompts,
--- a/decision/quota/quota.go
+++ b/decision/quota/quota.go
@@ -55,6 +55,8 @@
 	demandTime   = 2500 * time.Millisecond
 	// partBurst is the time for which an entry may save up its part.
 	partBurst = 400 * time.Millisecond
+	// viewLife is how long what the peers said is used before it is gathered again.
+	viewLife = 50 * time.Millisecond
 	// idleDemand is the part of the rate that entries without demand are taken
 	// to ask for, so that the first request there is not refused.
 	idleDemand = 0.01
@@ -99,6 +101,7 @@
 type Quota struct {
 	buckets map[string]*bucket
 	peers   map[string]*peer
+	view    view
 	// silent is when an entry counts as silent.
 	silent time.Duration
 	// partsOnly says that the fleet's level is not known well enough to go by.
@@ -109,7 +112,9 @@
 
 // New returns a quota without customers.
 func New() *Quota {
-	return &Quota{buckets: map[string]*bucket{}, peers: map[string]*peer{}, silent: silentAfter}
+	return &Quota{
+		buckets: map[string]*bucket{}, peers: map[string]*peer{}, view: view{demand: map[string]float64{}}, silent: silentAfter,
+	}
 }
 
 // Pace says how long it takes until all entries have heard an entry's totals, and
@@ -134,6 +139,40 @@
 	b.part = math.Min(b.part, a.Rate*partBurst.Seconds())
 }
 
+// view is what the peers say, gathered once for many requests.
+type view struct {
+	at     time.Time
+	silent []*peer
+	// speaking is the number of the others, demand what they are asked for per
+	// second by customer.
+	speaking int
+	demand   map[string]float64
+}
+
+// look returns the view of the peers, which may be viewLife old.
+func (q *Quota) look(now time.Time) *view {
+	v := &q.view
+	if now.Sub(v.at) < viewLife {
+		return v
+	}
+	v.at, v.silent, v.speaking = now, v.silent[:0], 0
+	clear(v.demand)
+	for _, p := range q.peers {
+		if now.Sub(p.heard) > q.silent {
+			v.silent = append(v.silent, p)
+			continue
+		}
+		v.speaking++
+		for name, d := range p.demands {
+			v.demand[name] += d.Rate
+		}
+	}
+	return v
+}
+
+// lookAgain makes the next look gather anew.
+func (q *Quota) lookAgain() { q.view.at = time.Time{} }
+
 // refill adds what the rate has earned and charges the parts of silent peers.
 func (q *Quota) refill(now time.Time, b *bucket, customer string) {
 	passed := now.Sub(b.at).Seconds()
@@ -144,11 +183,9 @@
 	earned := b.Rate * passed
 	equal := earned / float64(len(q.peers)+1)
 	free := earned
-	for _, p := range q.peers {
-		if now.Sub(p.heard) > q.silent {
-			free -= equal
-			p.charged[customer] += equal
-		}
+	for _, p := range q.look(now).silent {
+		free -= equal
+		p.charged[customer] += equal
 	}
 	b.level = math.Min(b.level+free, b.Burst)
 	share, demand := q.share(now, b, customer)
@@ -173,25 +210,15 @@
 // share returns this entry's part of what all speaking entries are asked for, and
 // what all are asked for per second; silent ones are taken to use up their part.
 func (q *Quota) share(now time.Time, b *bucket, customer string) (part, demand float64) {
+	v := q.look(now)
 	idle := idleDemand * b.Rate
-	own := b.demand.Rate + idle
-	sum := own
-	demand = b.demand.Rate
-	for _, p := range q.peers {
-		if now.Sub(p.heard) > q.silent {
-			demand += b.Rate / float64(len(q.peers)+1)
-			continue
-		}
-		sum += idle
-		if d := p.demands[customer]; d != nil {
-			sum += d.Rate
-			demand += d.Rate
-		}
-	}
+	demand = b.demand.Rate + v.demand[customer]
+	sum := demand + idle*float64(v.speaking+1)
+	demand += b.Rate * float64(len(v.silent)) / float64(len(q.peers)+1)
 	if sum <= 0 {
 		return 1, demand
 	}
-	return own / sum, demand
+	return (b.demand.Rate + idle) / sum, demand
 }
 
 // Take admits work of a customer or says when it could be admitted. Work larger
@@ -258,8 +285,7 @@
 	p := q.peers[entry]
 	if totals == nil {
 		if p != nil && p.incarnation == incarnation {
-			q.refillAll(now)
-			p.heard = now
+			q.speaks(now, p)
 		}
 		return
 	}
@@ -267,9 +293,11 @@
 		// What a new process has admitted already is not in the level here.
 		p = &peer{incarnation: incarnation, totals: totals, demands: map[string]*meter.Meter{}, charged: map[string]float64{}}
 		q.peers[entry] = p
+		q.lookAgain()
 	}
-	q.refillAll(now)
+	q.speaks(now, p)
 	for name, b := range q.buckets {
+		q.refill(now, b, name)
 		b.level -= totals[name].Admitted - p.totals[name].Admitted - p.charged[name]
 		b.level = math.Min(b.level, b.Burst)
 		d := p.demands[name]
@@ -280,7 +308,16 @@
 		d.See(now, totals[name].Asked)
 	}
 	clear(p.charged)
-	p.totals, p.heard = totals, now
+	p.totals = totals
+}
+
+// speaks notes that a peer lives. If it was silent, its part is charged up to now.
+func (q *Quota) speaks(now time.Time, p *peer) {
+	if now.Sub(p.heard) > q.silent {
+		q.refillAll(now)
+		q.lookAgain()
+	}
+	p.heard = now
 }
 
 // Expire forgets entries that have been silent for long.
@@ -288,9 +325,13 @@
 	for name, p := range q.peers {
 		if now.Sub(p.heard) > forgetAfter {
 			delete(q.peers, name)
+			q.lookAgain()
 		}
 	}
 }
 
 // Leave forgets an entry that said that it stops.
-func (q *Quota) Leave(entry string) { delete(q.peers, entry) }
+func (q *Quota) Leave(entry string) {
+	delete(q.peers, entry)
+	q.lookAgain()
+}
--- a/decision/truetime/truetime.go
+++ b/decision/truetime/truetime.go
@@ -43,7 +43,12 @@
 // Hear takes another entry's time of day. It returns by how much the clock was
 // set, mostly 0.
 func (c *Clock) Hear(steady time.Duration, entry string, theirs time.Time) time.Duration {
-	c.words[entry] = word{offset: theirs.Sub(c.At(steady)), at: steady}
+	own := word{offset: theirs.Sub(c.At(steady)), at: steady}
+	c.words[entry] = own
+	if own.offset.Abs() <= tolerance {
+		// If most disagree, one of them will say so.
+		return 0
+	}
 	var offsets []time.Duration
 	for name, w := range c.words {
 		if steady-w.at > fresh {
--- a/gateway/compress.go
+++ b/gateway/compress.go
@@ -4,8 +4,13 @@
 	"compress/gzip"
 	"net/http"
 	"strings"
+	"sync"
 )
 
+// compressors keeps writers between answers: a new one takes more memory than
+// most answers.
+var compressors = sync.Pool{New: func() any { return gzip.NewWriter(nil) }}
+
 // compressed compresses answers for clients that ask for it, as Go's do. A
 // configuration with many routes shrinks to a tenth.
 func compressed(next http.Handler) http.Handler {
@@ -15,7 +20,9 @@
 			return
 		}
 		w.Header().Set("Content-Encoding", "gzip")
-		out := gzip.NewWriter(w)
+		out := compressors.Get().(*gzip.Writer)
+		defer compressors.Put(out)
+		out.Reset(w)
 		next.ServeHTTP(&compressedWriter{w, out}, r)
 		// The other side notices a torn answer and asks again.
 		_ = out.Close()
