--- a/decision/scaling/scaling.go
+++ b/decision/scaling/scaling.go
@@ -98,6 +98,10 @@
 	// rose is the number that was aimed at by the last rise, at roseAt.
 	rose   int
 	roseAt time.Time
+	// spot is the number of reclaimable upstreams a step ago, lost how many have
+	// gone of late, the last of them at lostAt, that no rise has made up for.
+	spot, lost int
+	lostAt     time.Time
 	// gaveBack is when upstreams were given back last.
 	gaveBack time.Time
 	orders   map[key]ordered
@@ -207,7 +211,8 @@
 
 // target returns the number of on-demand upstreams. It rises with the demand of
 // now, and falls only to what all of the last seconds would have needed. Requests
-// pile up while new upstreams boot, so one rise has to arrive before the next.
+// pile up while new upstreams boot, so one rise has to arrive before the next; but
+// what has been reclaimed since is made up for at once.
 func (s *Service) target(now time.Time, in Input, spot int) int {
 	have := 0
 	for _, z := range in.Zones {
@@ -215,18 +220,35 @@
 	}
 	least, most := onDemandFor(s.smooth, spot), onDemandFor(slices.Max(s.recent[:]), spot)
 	total := min(max(have, least), max(most, least))
-	if total > have {
-		total = min(total, have+1+int(riseFactor*float64(have)))
-	}
+	s.countLost(now, spot, in.Scaling.Boot+riseSlack)
 	if now.Sub(s.roseAt) < in.Scaling.Boot+riseSlack {
+		if total > s.rose {
+			total = min(total, s.rose+s.lost)
+			s.lost -= total - s.rose
+			s.rose = total
+		}
 		return s.rose
 	}
 	if total > have {
-		s.rose, s.roseAt = total, now
+		total = min(total, have+1+int(riseFactor*float64(have))+s.lost)
+		s.rose, s.roseAt, s.lost = total, now, 0
 	}
 	return total
 }
 
+// countLost follows the reclaimable upstreams. Those that went a while ago are no
+// longer missed.
+func (s *Service) countLost(now time.Time, spot int, life time.Duration) {
+	switch {
+	case spot < s.spot:
+		s.lostAt = now
+	case now.Sub(s.lostAt) > life:
+		s.lost = 0
+	}
+	s.lost = max(s.lost+s.spot-spot, 0)
+	s.spot = spot
+}
+
 // onDemandFor returns how many on-demand upstreams carry a demand beside
 // reclaimable ones.
 func onDemandFor(demand float64, spot int) int {
--- a/decision/scaling/scaling_test.go
+++ b/decision/scaling/scaling_test.go
@@ -220,6 +220,29 @@
 	require.GreaterOrEqual(t, f.count(false), upstreams(72.0/slots, soloUse))
 }
 
+// Load pattern: the reclaimable upstreams of one zone after the other are taken
+// away, a few seconds apart, with none to be had, and requests pile up on what is
+// left. What is lost is ordered at once, though an earlier rise has not arrived.
+func TestReclaimsInSeriesAreMadeUpForAtOnce(t *testing.T) {
+	const running = 60
+	f := newFleet()
+	for range 40 {
+		f.second(running)
+	}
+	f.dry = true
+	for _, zone := range []string{"a", "b", "c"} {
+		f.ready[key{zone, true}] = 0
+		for range 3 {
+			f.second(running)
+		}
+	}
+	// The last reclaim was 3 s ago.
+	for range f.scaling.Boot / time.Second {
+		f.second(running)
+	}
+	require.GreaterOrEqual(t, f.count(false), upstreams(float64(running)/slots, soloUse))
+}
+
 func TestOrdersStayInsideTheLimits(t *testing.T) {
 	f := newFleet()
 	for range 60 {
