scaling: make up at once for reclaimable upstreams once all have gone

Change: once no reclaimable upstream is left, what went of late is ordered beside the rise that is under way, up to what the demand asks for.

--- a/decision/scaling/scaling.go
+++ b/decision/scaling/scaling.go
@@ -212,7 +212,7 @@
 // target returns the number of on-demand upstreams. It rises with the demand of
 // now, and falls only to what all of the last seconds would have needed. Requests
 // pile up while new upstreams boot, so one rise has to arrive before the next; but
-// what has been reclaimed since is made up for at once.
+// once all reclaimable ones have gone, they are made up for at once.
 func (s *Service) target(now time.Time, in Input, spot int) int {
 	have := 0
 	for _, z := range in.Zones {
@@ -221,16 +221,21 @@
 	least, most := onDemandFor(s.smooth, spot), onDemandFor(slices.Max(s.recent[:]), spot)
 	total := min(max(have, least), max(most, least))
 	s.countLost(now, spot, in.Scaling.Boot+riseSlack)
+	lost := 0
+	if spot == 0 {
+		// While any are left they carry what is missing until the rise arrives.
+		lost = s.lost
+	}
 	if now.Sub(s.roseAt) < in.Scaling.Boot+riseSlack {
 		if total > s.rose {
-			total = min(total, s.rose+s.lost)
-			s.lost -= total - s.rose
+			total = min(total, s.rose+lost)
+			s.lost = max(s.lost-total+s.rose, 0)
 			s.rose = total
 		}
 		return s.rose
 	}
 	if total > have {
-		total = min(total, have+1+int(riseFactor*float64(have))+s.lost)
+		total = min(total, have+1+int(riseFactor*float64(have))+lost)
 		s.rose, s.roseAt, s.lost = total, now, 0
 	}
 	return total
