gateway: refusals say what decided them

Change: the line of a refusal has the deciding inputs: allowance, level, own part, demand and share; how long ago the configuration was confirmed; the number of upstreams; the bound and the request's own time. The fleet of the allowance's tests tells processes apart, and a test restarts its entries. Measured: go test ./gateway -run Refusals, go test ./decision/quota.

--- a/decision/quota/quota.go
+++ b/decision/quota/quota.go
@@ -259,6 +259,31 @@
 	return true, 0
 }
 
+// State is what an entry goes by for a customer, to explain a refusal.
+type State struct {
+	Allowance
+	// Level is what the fleet's bucket is taken to hold, Part what this entry's
+	// own part of the rate has saved up.
+	Level, Part float64
+	// Demand is what all entries are asked for per second, smoothed; Share is this
+	// entry's part of it.
+	Demand, Share float64
+	// Silent is the number of other entries that are taken to use their part.
+	Silent int
+}
+
+// State returns what decides about a customer's work now.
+func (q *Quota) State(now time.Time, customer string) State {
+	b := q.buckets[customer]
+	if b == nil {
+		return State{}
+	}
+	share, _ := q.share(now, b, customer)
+	return State{
+		Allowance: b.Allowance, Level: b.level, Part: b.part, Demand: b.sustained, Share: share, Silent: len(q.look(now).silent),
+	}
+}
+
 // Refund takes back work that no upstream has run.
 func (q *Quota) Refund(customer string, work float64) {
 	if b := q.buckets[customer]; b != nil && b.Rate > 0 {
--- a/decision/quota/quota_test.go
+++ b/decision/quota/quota_test.go
@@ -14,8 +14,10 @@
 type fleet struct {
 	now     time.Time
 	entries []*Quota
-	rng     *rand.Rand
-	words   []delayed
+	// starts counts the processes of each entry.
+	starts []int64
+	rng    *rand.Rand
+	words  []delayed
 	// admitted is work by step of a millisecond.
 	admitted []float64
 	asked    float64
@@ -29,6 +31,7 @@
 type delayed struct {
 	at     time.Time
 	from   int
+	start  int64
 	totals map[string]Total
 }
 
@@ -46,6 +49,7 @@
 		q.Set(f.now, customer, Allowance{Rate: rate, Burst: rate})
 		f.entries = append(f.entries, q)
 	}
+	f.starts = make([]int64, n)
 	return f
 }
 
@@ -88,14 +92,14 @@
 		return
 	}
 	delay := time.Duration(1+f.rng.IntN(12)) * time.Millisecond
-	f.words = append(f.words, delayed{f.now.Add(delay), i, totals})
+	f.words = append(f.words, delayed{f.now.Add(delay), i, f.starts[i], totals})
 }
 
 // tellAlive tells the others that an entry lives.
 func (f *fleet) tellAlive(from int) {
 	for i, q := range f.entries {
 		if i != from {
-			q.Hear(f.now, fmt.Sprint(from), 1, nil)
+			q.Hear(f.now, fmt.Sprint(from), f.starts[from], nil)
 		}
 	}
 }
@@ -109,7 +113,7 @@
 		}
 		for i, q := range f.entries {
 			if i != w.from {
-				q.Hear(f.now, fmt.Sprint(w.from), 1, w.totals)
+				q.Hear(f.now, fmt.Sprint(w.from), w.start, w.totals)
 			}
 		}
 	}
@@ -238,7 +242,8 @@
 // burst. What it sends after one of them is not refused.
 func TestLargeRequestsLeaveRoomForSmallOnes(t *testing.T) {
 	const rate, burst = 64_806.0, 85_920.0
-	f := &fleet{now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(1, 2)), every: 200 * time.Millisecond}
+	f := newFleet(8)
+	f.entries = nil
 	for range 8 {
 		q := New()
 		q.Set(f.now, customer, Allowance{Rate: rate, Burst: burst})
@@ -268,3 +273,21 @@
 	t.Logf("%d of %d refused", refused, small)
 	require.LessOrEqual(t, refused, small/100)
 }
+
+// Load pattern: entries are killed one after the other under a customer that sends
+// six times its usual. What new processes don't know yet does not add up.
+func TestRestartsOneByOneStayInsideTheAllowance(t *testing.T) {
+	f := newFleet(8)
+	hot := func(int, time.Duration) float64 { return 6 * rate / 1.8 / 8 }
+	f.play(6*time.Second, hot)
+	for i := range f.entries {
+		q := New()
+		q.Set(f.now, customer, Allowance{Rate: rate, Burst: rate})
+		f.entries[i] = q
+		f.starts[i]++
+		f.play(time.Second, hot)
+	}
+	f.play(4*time.Second, hot)
+	const window = 8 * time.Second
+	require.LessOrEqual(t, f.most(window), (rate*window.Seconds()+rate)*1.1+slack)
+}
--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -52,6 +52,13 @@
 	status     int
 	why        reason.Reason
 	retryAfter time.Duration
+	// inputs are what decided it, as pairs for the log.
+	inputs []any
+}
+
+// refused returns a refusal that says what decided it.
+func refused(status int, why reason.Reason, retryAfter time.Duration, inputs ...any) *refusal {
+	return &refusal{status, why, retryAfter, inputs}
 }
 
 // serveCaller handles one request from its headers to its last byte.
@@ -78,10 +85,10 @@
 func (g *Gateway) admit(r *request) *refusal {
 	r.config = g.config.Load()
 	if r.config == nil || g.upstreams.Load() == nil {
-		return &refusal{http.StatusServiceUnavailable, reason.NotReady, notReadyRetry}
+		return refused(http.StatusServiceUnavailable, reason.NotReady, notReadyRetry)
 	}
 	if bound := r.config.Limits.MaxHeaderBytes; bound > 0 && headerSize(r.http) > bound {
-		return &refusal{http.StatusRequestHeaderFieldsTooLarge, reason.HeaderTooLarge, 0}
+		return refused(http.StatusRequestHeaderFieldsTooLarge, reason.HeaderTooLarge, 0)
 	}
 	path, _, _ := strings.Cut(r.target, "?")
 	r.route = r.config.Route(hostOf(r.http.Host), path)
@@ -96,7 +103,7 @@
 	}
 	r.service = r.config.Service(r.route.PickTarget(draw(r.RequestID)))
 	if r.service == nil {
-		return &refusal{http.StatusServiceUnavailable, reason.NoUpstream, noUpstreamRetry}
+		return refused(http.StatusServiceUnavailable, reason.NoUpstream, noUpstreamRetry)
 	}
 	r.deadline = r.arrived.Add(timeLimit(r))
 	if no := readBody(r); no != nil {
@@ -123,9 +130,9 @@
 func (g *Gateway) unknown(status int, why reason.Reason) *refusal {
 	age := steady() - time.Duration(g.confirmed.Load())
 	if age > g.watchWait()+confirmSlack {
-		return &refusal{http.StatusServiceUnavailable, reason.NotReady, notReadyRetry}
+		return refused(http.StatusServiceUnavailable, reason.NotReady, notReadyRetry, "confirmed_ms_ago", age.Milliseconds())
 	}
-	return &refusal{status, why, 0}
+	return refused(status, why, 0, "confirmed_ms_ago", age.Milliseconds())
 }
 
 // admitWork takes a request's work off its customer's allowance.
@@ -136,8 +143,12 @@
 	work := r.customer.Work(r.Prompt)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if ok, wait := g.quota.Take(time.Now(), r.customer.Name, work, r.route.Priority); !ok {
-		return &refusal{http.StatusTooManyRequests, reason.CustomerLimit, max(wait, minRetryAfter)}
+	now := time.Now()
+	if ok, wait := g.quota.Take(now, r.customer.Name, work, r.route.Priority); !ok {
+		s := g.quota.State(now, r.customer.Name)
+		return refused(http.StatusTooManyRequests, reason.CustomerLimit, max(wait, minRetryAfter),
+			"asked", work, "allowance_rate", s.Rate, "allowance_burst", s.Burst, "allowance_level", int(s.Level),
+			"allowance_part", int(s.Part), "allowance_demand", int(s.Demand), "allowance_share", s.Share, "silent_peers", s.Silent)
 	}
 	r.work = work
 	return nil
@@ -176,7 +187,7 @@
 		bound = 1 << 20
 	}
 	if r.http.ContentLength > bound {
-		return &refusal{http.StatusRequestEntityTooLarge, reason.BodyTooLarge, 0}
+		return refused(http.StatusRequestEntityTooLarge, reason.BodyTooLarge, 0)
 	}
 	if r.http.ContentLength == 0 {
 		return nil
@@ -189,11 +200,11 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return &refusal{http.StatusRequestEntityTooLarge, reason.BodyTooLarge, 0}
+		return refused(http.StatusRequestEntityTooLarge, reason.BodyTooLarge, 0)
 	case isTimeout(err):
-		return &refusal{http.StatusRequestTimeout, reason.BodyTooSlow, 0}
+		return refused(http.StatusRequestTimeout, reason.BodyTooSlow, 0)
 	case err != nil:
-		return &refusal{http.StatusBadRequest, reason.BadRequest, 0}
+		return refused(http.StatusBadRequest, reason.BadRequest, 0)
 	}
 	r.body = body
 	return nil
@@ -213,6 +224,6 @@
 		g.mu.Unlock()
 	}
 	g.metrics.refused[no.why].Inc(1)
-	g.logEnd(r, "refused", no.status, no.why, "retry_after", no.retryAfter.Seconds())
+	g.logEnd(r, "refused", no.status, no.why, append([]any{"retry_after", no.retryAfter.Seconds()}, no.inputs...)...)
 	platform.Refuse(r.w, r.RequestID, no.status, no.retryAfter, string(no.why))
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -119,7 +119,7 @@
 		MaxRunning: connectionShare(r.service, g.entries()),
 	})
 	if !ok {
-		return choice, &refusal{http.StatusServiceUnavailable, g.nobody(r), noUpstreamRetry}
+		return choice, refused(http.StatusServiceUnavailable, g.nobody(r), noUpstreamRetry, "upstreams", g.table.Count(r.service.Name))
 	}
 	p.predicted, p.unread, p.running = choice.Predicted, choice.Load.Unread, choice.Running
 	if p.attempts == 0 && p.declined == 0 {
@@ -160,7 +160,7 @@
 		return nil
 	}
 	wait := max(c.Predicted-bound, minRetryAfter)
-	return &refusal{http.StatusServiceUnavailable, reason.DeadlineUnmet, wait}
+	return refused(http.StatusServiceUnavailable, reason.DeadlineUnmet, wait, "bound_ms", bound.Milliseconds(), "own_ms", c.Own.Milliseconds())
 }
 
 // unserved is the refusal of a request that no upstream has taken.
@@ -169,7 +169,7 @@
 	if r.progress.why == reason.UpstreamBusy {
 		why = reason.QueueFull
 	}
-	return &refusal{http.StatusServiceUnavailable, why, max(r.progress.predicted, minRetryAfter)}
+	return refused(http.StatusServiceUnavailable, why, max(r.progress.predicted, minRetryAfter))
 }
 
 // mayRepeat decides whether a request may go to another upstream.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -154,7 +154,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if p.headSent || held != nil || !p.mayHaveRun {
-		g.finish(r, held, &refusal{http.StatusServiceUnavailable, reason.TimedOut, minRetryAfter})
+		g.finish(r, held, refused(http.StatusServiceUnavailable, reason.TimedOut, minRetryAfter))
 		return
 	}
 	g.metrics.failed.Inc(1)
