gateway, quota: totals in time at the grown size; upstreams heard of by all

Ruled out: the new words: a fleet of 8 tells everything each turn as before. Keeping to parts of allowances at 83 entries: a small customer's part there is smaller than one request. Change: in fleets of more than 25 totals go to all others within 1.2 s while that takes 25 kB/s at most, loads and usage go apart. What an ended process may have admitted after its last totals is charged, and all that a restarted entry has admitted. Each watch has a flag of its own. TestWordsFitIntoTheControlBudget: 17 kB/s. TestUpstreamsAreHeardOfUnlessTheyAreWatched.

--- a/decision/quota/quota.go
+++ b/decision/quota/quota.go
@@ -84,6 +84,8 @@
 	demands     map[string]*meter.Meter
 	// charged is what was charged for each customer while the peer was silent.
 	charged map[string]float64
+	// latest is the work admitted between the last two totals.
+	latest map[string]float64
 }
 
 type bucket struct {
@@ -315,15 +317,25 @@
 		return
 	}
 	if p == nil || p.incarnation != incarnation {
-		// What a new process has admitted already is not in the level here.
-		p = &peer{incarnation: incarnation, totals: totals, demands: map[string]*meter.Meter{}, charged: map[string]float64{}}
+		// What an entry had admitted before it was known is not in the level here;
+		// what one has admitted since it started again is charged in full.
+		known := totals
+		if p != nil {
+			q.chargeEnded(now, p)
+			known = nil
+		}
+		p = &peer{
+			incarnation: incarnation, totals: known,
+			demands: map[string]*meter.Meter{}, charged: map[string]float64{}, latest: map[string]float64{},
+		}
 		q.peers[entry] = p
 		q.lookAgain()
 	}
 	q.speaks(now, p)
 	for name, b := range q.buckets {
 		q.refill(now, b, name)
-		b.level -= totals[name].Admitted - p.totals[name].Admitted - p.charged[name]
+		p.latest[name] = totals[name].Admitted - p.totals[name].Admitted
+		b.level -= p.latest[name] - p.charged[name]
 		b.level = math.Min(b.level, b.Burst)
 		d := p.demands[name]
 		if d == nil {
@@ -336,6 +348,16 @@
 	p.totals = totals
 }
 
+// chargeEnded charges what a process that has ended may have admitted after its
+// last totals: as much as between the last two, less what was charged for its
+// silence.
+func (q *Quota) chargeEnded(now time.Time, ended *peer) {
+	for name, b := range q.buckets {
+		q.refill(now, b, name)
+		b.level -= math.Max(ended.latest[name]-ended.charged[name], 0)
+	}
+}
+
 // speaks notes that a peer lives. If it was silent, its part is charged up to now.
 func (q *Quota) speaks(now time.Time, p *peer) {
 	if now.Sub(p.heard) > q.silent {
@@ -349,6 +371,7 @@
 func (q *Quota) Expire(now time.Time) {
 	for name, p := range q.peers {
 		if now.Sub(p.heard) > forgetAfter {
+			q.chargeEnded(now, p)
 			delete(q.peers, name)
 			q.lookAgain()
 		}
--- a/decision/quota/quota_test.go
+++ b/decision/quota/quota_test.go
@@ -42,7 +42,10 @@
 	slack = 140_000.0
 )
 
-func newFleet(n int) *fleet {
+func newFleet(n int) *fleet { return newFleetOf(n, rate) }
+
+// newFleetOf returns a fleet for a customer with a rate and a burst of one second.
+func newFleetOf(n int, rate float64) *fleet {
 	f := &fleet{now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(1, 2)), every: 200 * time.Millisecond}
 	for range n {
 		q := New()
@@ -195,8 +198,8 @@
 
 // largeFleet is a fleet in which words that only say that an entry lives come each
 // round, and its totals each few rounds.
-func largeFleet(n int, totals, round time.Duration) *fleet {
-	f := newFleet(n)
+func largeFleet(n int, rate float64, totals, round time.Duration) *fleet {
+	f := newFleetOf(n, rate)
 	f.every, f.round = totals, round
 	for _, q := range f.entries {
 		q.Pace(totals, round)
@@ -210,30 +213,30 @@
 func TestLargeFleetsShareAnAllowance(t *testing.T) {
 	cases := map[string]struct {
 		entries       int
+		rate          float64
 		totals, round time.Duration
 	}{
-		"totals each 3 s":  {40, 3 * time.Second, 800 * time.Millisecond},
-		"totals each 40 s": {40, 40 * time.Second, 3 * time.Second},
+		"totals each 1.2 s, large customer": {83, 1_060_000, 1200 * time.Millisecond, 2 * time.Second},
+		"totals each 1.2 s, small customer": {83, 60_000, 1200 * time.Millisecond, 2 * time.Second},
+		"totals each 3 s":                   {40, rate, 3 * time.Second, 800 * time.Millisecond},
+		"totals each 40 s":                  {40, rate, 40 * time.Second, 3 * time.Second},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			f := largeFleet(c.entries, c.totals, c.round)
+			f, rate := largeFleet(c.entries, c.rate, c.totals, c.round), c.rate
 			const usualTime, hotTime = 60 * time.Second, 20 * time.Second
-			f.play(usualTime+hotTime, func(i int, at time.Duration) float64 {
-				part := 0.5 + float64(i)/float64(c.entries)
-				usual := rate / 1.8 * part / float64(c.entries)
-				if at > usualTime {
-					return usual * 6
+			demand := func(times float64) func(int, time.Duration) float64 {
+				return func(i int, _ time.Duration) float64 {
+					return times * rate / 1.8 * (0.5 + float64(i)/float64(c.entries)) / float64(c.entries)
 				}
-				return usual
-			})
+			}
+			f.play(usualTime, demand(1))
+			usual := f.total() / f.asked
+			f.play(hotTime, demand(6))
 			const window = 8 * time.Second
 			require.LessOrEqual(t, f.most(window), (rate*window.Seconds()+rate)*1.1+slack)
-			usual := 0.0
-			for _, w := range f.admitted[:usualTime/time.Millisecond] {
-				usual += w
-			}
-			require.Greater(t, usual, 0.95*rate/1.8*usualTime.Seconds())
+			t.Logf("most in a window %.0f, of the usual work %.3f", f.most(window), usual)
+			require.Greater(t, usual, 0.95)
 		})
 	}
 }
@@ -291,3 +294,29 @@
 	const window = 8 * time.Second
 	require.LessOrEqual(t, f.most(window), (rate*window.Seconds()+rate)*1.1+slack)
 }
+
+// Load pattern: many entries are killed at the same moment and start again, some
+// seconds apart, under a customer that sends six times its usual. What they had
+// admitted and not told yet is charged.
+func TestHerdsOfRestartsStayInsideTheAllowance(t *testing.T) {
+	const rate = 594_000
+	f := largeFleet(40, rate, 1200*time.Millisecond, 2*time.Second)
+	hot := func(int, time.Duration) float64 { return 6 * rate / 1.8 / 40 }
+	f.play(6*time.Second, hot)
+	for range 4 {
+		for i := range f.entries {
+			if i%5 < 3 {
+				q := New()
+				q.Pace(1200*time.Millisecond, 2*time.Second)
+				q.Set(f.now, customer, Allowance{Rate: rate, Burst: rate})
+				f.entries[i] = q
+				f.starts[i]++
+			}
+		}
+		f.play(1500*time.Millisecond, hot)
+	}
+	f.play(4*time.Second, hot)
+	const window = 8 * time.Second
+	t.Logf("most in a window: %.3f of the bound", f.most(window)/((rate*window.Seconds()+rate)*1.1+slack))
+	require.LessOrEqual(t, f.most(window), (rate*window.Seconds()+rate)*1.1+slack)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,11 +50,14 @@
 	config    atomic.Pointer[acceptedConfiguration]
 	upstreams atomic.Pointer[upstreamList]
 	stopping  atomic.Bool
-	// following says that this entry watches the store itself.
-	following atomic.Bool
-	inFlight  atomic.Int64
+	// followsConfiguration and followsUpstreams say that this entry watches the
+	// store for them. One may begin or end a while before the other.
+	followsConfiguration, followsUpstreams atomic.Bool
+	inFlight                               atomic.Int64
 	// turnTime is the time between the last two turns of words, in nanoseconds.
 	turnTime atomic.Int64
+	// totalsTime is how long it takes to tell all others the totals.
+	totalsTime atomic.Int64
 	// confirmed is when the store or a peer last confirmed the configuration in
 	// force, on the steady clock in nanoseconds.
 	confirmed atomic.Int64
@@ -70,6 +73,8 @@
 	peers   map[string]*peer
 	// upstreamIDs has the IDs of the known upstreams by the keys used in words.
 	upstreamIDs map[uint32]string
+	// customerNames has the names of the customers seen so far by those keys.
+	customerNames map[uint32]string
 
 	// lost holds since when a dependency has not answered, by its name.
 	lost    map[string]time.Time
@@ -102,8 +107,10 @@
 		lease:       lease.New(settings.Name, lease.Options{Duration: b.Lease, OrderTimeout: dutyTimeout}),
 		scalers:     map[string]*scaling.Service{},
 		peers:       map[string]*peer{},
-		lost:        map[string]time.Time{},
-		tellSoon:    make(chan struct{}, 1),
+
+		customerNames: map[uint32]string{},
+		lost:          map[string]time.Time{},
+		tellSoon:      make(chan struct{}, 1),
 	}
 	if settings.Cloud != "" {
 		g.duties = platform.NewDuties(settings.Cloud, settings.Name, dutyTimeout)
@@ -207,7 +214,7 @@
 		now := time.Now()
 		g.mu.Lock()
 		peers := g.sortedPeers()
-		g.quota.Pace(g.totalsTime(peers), g.wordTime(peers))
+		g.quota.Pace(time.Duration(g.totalsTime.Load()), g.wordTime(peers))
 		g.quota.Expire(now)
 		g.expirePeers(now)
 		g.measure(now)
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"jaylink/decision/placement"
+	"jaylink/decision/quota"
 	"jaylink/objects"
 	"jaylink/platform"
 )
@@ -37,9 +38,18 @@
 	watcherFanout = 32
 	// phases is how many beginnings there are for the turns of an entry.
 	phases = 1000
-	// wholePeers is the number of other entries up to which each turn's word has
-	// the totals; with more of them it is every second turn, and so on.
-	wholePeers = 24
+	// smallFleet is the number of other entries up to which each word has
+	// everything.
+	smallFleet = 24
+	// totalsInterval is how long it may take to tell all others the totals, so that
+	// allowances hold while a customer sends many times its usual, and freshBudget
+	// what that may take in bytes a second. A fleet in which it takes more goes by
+	// parts of allowances, for which lateBudget suffices.
+	totalsInterval = 1200 * time.Millisecond
+	freshBudget    = 25_000
+	lateBudget     = 4_000
+	// usageInterval is how often usage is told in a large fleet.
+	usageInterval = 800 * time.Millisecond
 	// findInterval is how often entries that never spoke are looked for.
 	findInterval = 30 * time.Second
 	// findSoon repeats the first look, because all entries start together.
@@ -179,96 +189,125 @@
 			next.Reset(g.tellTurn(t))
 		case <-g.tellSoon:
 			if sleep(ctx, soonDelay) {
-				g.sendWord(g.nextWord(false), t.near.next(g.listPeers().near, tellFanout))
+				g.sendWord(g.nextWord(content{loads: true}), t.near.next(g.listPeers().near, tellFanout))
 			}
 		}
 	}
 }
 
-// telling is how far an entry has got with telling the others. Whole words have
-// rotations of their own, so that each entry hears them.
+// telling is how far an entry has got with telling the others.
 type telling struct {
-	turn                           int
-	near, far, wholeNear, wholeFar rotation
-	// lightBytes is the size of the last word without totals.
-	lightBytes int
+	turn              int
+	near, far, totals rotation
+	// due is the part of a target of totals that is left over, sinceUsage how long
+	// ago usage was told.
+	due        float64
+	sinceUsage time.Duration
+	// lightBytes and totalsBytes are the sizes of the last such datagrams.
+	lightBytes, totalsBytes int
 }
 
 func newTelling() *telling {
 	at := func() rotation { return rotation{rand.IntN(phases)} }
-	return &telling{turn: rand.IntN(phases), near: at(), far: at(), wholeNear: at(), wholeFar: at()}
+	return &telling{turn: rand.IntN(phases), near: at(), far: at(), totals: at()}
 }
 
-// tellTurn tells the regular word of a turn and returns when the next one is due.
+// content is what a word has beside the state of its entry.
+type content struct{ loads, totals, usage bool }
+
+// sending is a word that goes to some entries.
+type sending struct {
+	content
+	targets []*net.UDPAddr
+}
+
+// tellTurn tells the regular words of a turn and returns when the next one is due.
 func (g *Gateway) tellTurn(t *telling) time.Duration {
 	peers := g.listPeers()
 	fanout := tellFanout
-	if g.following.Load() {
+	if g.watches() {
 		fanout = watcherFanout
 	}
-	targets, whole := t.next(peers, fanout)
-	size := g.sendWord(g.nextWord(whole), targets)
-	if !whole {
-		t.lightBytes = size
+	light := 0
+	for _, s := range t.next(peers, fanout, time.Duration(g.turnTime.Load())) {
+		size := g.sendWord(g.nextWord(s.content), s.targets)
+		switch s.content {
+		case content{loads: true}:
+			light, t.lightBytes = len(s.targets), size
+		case content{totals: true}:
+			t.totalsBytes = size
+		}
 	}
-	wait := g.turnWait(len(targets) * t.lightBytes)
+	wait := g.turnWait(light * t.lightBytes)
 	g.turnTime.Store(int64(wait))
+	g.totalsTime.Store(int64(t.totalsTime(peers)))
 	return wait
 }
 
-// next returns whom the next turn tells, and whether it has the totals.
-func (t *telling) next(peers peerList, fanout int) (targets []*net.UDPAddr, whole bool) {
-	whole = t.turn%wholeEvery(len(peers.near)+len(peers.far)) == 0
-	near, far := &t.near, &t.far
-	if whole {
-		near, far = &t.wholeNear, &t.wholeFar
+// next returns the words of a turn. In a small fleet each word has everything. In
+// a large one loads go to some entries in turn, totals to all others within
+// totalsTime, and usage to those that report it or may have to soon.
+func (t *telling) next(peers peerList, fanout int, passed time.Duration) []sending {
+	targets := t.near.next(peers.near, fanout)
+	if t.turn%farEvery == 0 {
+		targets = append(targets, t.far.next(peers.far, fanout)...)
 	}
-	targets = near.next(peers.near, fanout)
-	if whole || t.turn%farEvery == 0 {
-		targets = append(targets, far.next(peers.far, fanout)...)
+	t.turn++
+	if peers.count() <= smallFleet {
+		return []sending{{content{loads: true, totals: true, usage: true}, targets}}
 	}
-	if whole && peers.holder != nil && !slices.Contains(targets, peers.holder) {
-		targets = append(targets, peers.holder)
+	out := []sending{{content{loads: true}, targets}}
+	t.due += float64(peers.count()) * passed.Seconds() / t.totalsTime(peers).Seconds()
+	n := int(t.due)
+	t.due -= float64(n)
+	out = append(out, sending{content{totals: true}, t.totals.next(slices.Concat(peers.near, peers.far), n)})
+	if t.sinceUsage += passed; t.sinceUsage >= usageInterval {
+		t.sinceUsage = 0
+		out = append(out, sending{content{usage: true}, peers.duties})
 	}
-	t.turn++
-	return targets, whole
+	return out
+}
+
+// totalsTime is how long it takes to tell all others the totals.
+func (t *telling) totalsTime(peers peerList) time.Duration {
+	if peers.count() <= smallFleet {
+		return farEvery * tellInterval
+	}
+	bytes := time.Duration(peers.count() * max(t.totalsBytes, datagramHeader))
+	if fresh := bytes * time.Second / freshBudget; fresh <= totalsInterval {
+		return totalsInterval
+	}
+	return bytes * time.Second / lateBudget
 }
 
 // turnWait is how long after a turn the next one follows. It goes by what the turn
 // would take without totals, which are told the more seldom the larger the fleet.
 func (g *Gateway) turnWait(bytes int) time.Duration {
 	wait := max(tellInterval, time.Duration(bytes)*time.Second/tellBudget)
-	if g.following.Load() {
+	if g.watches() {
 		return min(wait, watcherWait)
 	}
 	return wait
 }
 
-// wholeEvery is how many turns pass between words with the totals.
-func wholeEvery(peers int) int { return 1 + peers/wholePeers }
-
 // rounds is how many turns it takes to tell a number of entries.
 func rounds(entries int) int { return (entries + tellFanout - 1) / tellFanout }
 
-// wordTime is how long it takes until all others have heard a word of an entry,
-// and totalsTime until they have heard its totals, if entries tell at the same
-// pace.
+// wordTime is how long it takes until all others have heard a word of an entry, if
+// entries tell at the same pace.
 func (g *Gateway) wordTime(peers peerList) time.Duration {
 	return time.Duration(g.turnTime.Load()) * time.Duration(max(rounds(len(peers.near)), farEvery*rounds(len(peers.far))))
 }
 
-func (g *Gateway) totalsTime(peers peerList) time.Duration {
-	near, far := len(peers.near), len(peers.far)
-	return time.Duration(g.turnTime.Load()) * time.Duration(wholeEvery(near+far)*max(rounds(near), rounds(far)))
-}
-
 // peerList is whom an entry may tell.
 type peerList struct {
 	near, far []*net.UDPAddr
-	// holder does the duties; nil if it is unknown or this entry.
-	holder *net.UDPAddr
+	// duties does the duties, or would be among the next to do them.
+	duties []*net.UDPAddr
 }
 
+func (p peerList) count() int { return len(p.near) + len(p.far) }
+
 func (g *Gateway) listPeers() peerList {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -278,6 +317,7 @@
 // sortedPeers is listPeers for callers that hold mu.
 func (g *Gateway) sortedPeers() peerList {
 	var list peerList
+	before := 0
 	for _, name := range sortedKeys(g.peers) {
 		p := g.peers[name]
 		switch {
@@ -288,8 +328,11 @@
 		default:
 			list.far = append(list.far, p.address)
 		}
-		if p.holder {
-			list.holder = p.address
+		if p.holder || before < candidates {
+			list.duties = append(list.duties, p.address)
+		}
+		if !p.leaving {
+			before++
 		}
 	}
 	return list
@@ -329,13 +372,13 @@
 	return len(data) + datagramHeader
 }
 
-// nextWord puts together what is to be told; a whole word has the running totals.
-func (g *Gateway) nextWord(whole bool) word {
+// nextWord puts together what is to be told.
+func (g *Gateway) nextWord(c content) word {
 	w := word{
 		Entry: g.settings.Name, Incarnation: g.incarnation, Region: g.settings.Region, Leaving: g.stopping.Load(),
 	}
-	if c := g.config.Load(); c != nil {
-		w.Configuration = c.Version
+	if config := g.config.Load(); config != nil {
+		w.Configuration = config.Version
 	}
 	if u := g.upstreams.Load(); u != nil {
 		w.Upstreams = u.revision
@@ -343,15 +386,22 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	w.Sent = g.trueTime().UnixMilli()
-	w.Loads = map[uint32]placement.Load{}
-	for id, l := range g.table.Loads(time.Now()) {
-		w.Loads[upstreamKey(id)] = l
+	if c.loads {
+		w.Loads = map[uint32]placement.Load{}
+		for id, l := range g.table.Loads(time.Now()) {
+			w.Loads[keyOf(id)] = l
+		}
+	}
+	if c.totals {
+		w.Totals = map[uint32]quota.Total{}
+		for name, total := range g.quota.Totals(time.Now()) {
+			w.Totals[keyOf(name)] = total
+		}
 	}
-	if whole {
-		w.Totals = g.quota.Totals(time.Now())
+	if c.usage {
 		w.Usage = g.book.Newest(g.trueTime())
 	}
-	w.Watches = g.storeHeld() && g.following.Load()
+	w.Watches = g.storeHeld() && g.watches()
 	_, w.Holder = g.lease.MayOrder(steadyTime(), true)
 	return w
 }
@@ -414,8 +464,10 @@
 	}
 	p.address, p.incarnation, p.heard = from, w.Incarnation, now
 	p.region, p.holder, p.watches, p.leaving = w.Region, w.Holder, w.Watches, w.Leaving
-	g.table.Hear(w.Entry, g.upstreamLoads(w))
-	g.quota.Hear(now, w.Entry, w.Incarnation, w.Totals)
+	if w.Loads != nil {
+		g.table.Hear(w.Entry, g.upstreamLoads(w))
+	}
+	g.quota.Hear(now, w.Entry, w.Incarnation, g.customerTotals(w))
 	g.book.Hear(processName(w), w.Usage)
 	if shift := g.clock.Hear(steady(), w.Entry, time.UnixMilli(w.Sent)); shift != 0 {
 		g.metrics.changed[clockSet].Inc(1)
@@ -434,3 +486,18 @@
 	}
 	return loads
 }
+
+// customerTotals returns the totals of a word by name; nil if it has none, or if
+// no customers are known yet. The caller holds mu.
+func (g *Gateway) customerTotals(w word) map[string]quota.Total {
+	if w.Totals == nil || len(g.customerNames) == 0 {
+		return nil
+	}
+	totals := make(map[string]quota.Total, len(w.Totals))
+	for key, total := range w.Totals {
+		if name, ok := g.customerNames[key]; ok {
+			totals[name] = total
+		}
+	}
+	return totals
+}
--- a/gateway/gossip_test.go
+++ b/gateway/gossip_test.go
@@ -29,40 +29,57 @@
 		peers := fleetOf(entries)
 		g := &Gateway{}
 		g.turnTime.Store(int64(tellInterval))
-		words, totals := int(g.wordTime(peers)/tellInterval), int(g.totalsTime(peers)/tellInterval)
 		telling := newTelling()
-		heard, heardTotals := map[*net.UDPAddr]int{}, map[*net.UDPAddr]int{}
-		for turn := range 4 * totals {
-			targets, whole := telling.next(peers, tellFanout)
-			for _, to := range targets {
-				require.LessOrEqual(t, turn-heard[to], 2*words, "%d entries", entries)
-				heard[to] = turn
-				if whole {
-					require.LessOrEqual(t, turn-heardTotals[to], 2*totals, "%d entries", entries)
-					heardTotals[to] = turn
+		telling.totalsBytes = len(testTotals(16).encode()) + datagramHeader
+		loadsTime, totalsTime := g.wordTime(peers), telling.totalsTime(peers)
+		loads, totals := map[*net.UDPAddr]time.Duration{}, map[*net.UDPAddr]time.Duration{}
+		for now := tellInterval; now < 4*totalsTime; now += tellInterval {
+			for _, s := range telling.next(peers, tellFanout, tellInterval) {
+				for _, to := range s.targets {
+					if s.loads {
+						require.LessOrEqual(t, now-loads[to], 2*loadsTime, "%d entries", entries)
+						loads[to] = now
+					}
+					if s.totals {
+						require.LessOrEqual(t, now-totals[to], 2*totalsTime+tellInterval, "%d entries", entries)
+						totals[to] = now
+					}
 				}
 			}
 		}
-		require.Len(t, heardTotals, entries-1, "%d entries", entries)
+		require.Len(t, totals, entries-1, "%d entries", entries)
 	}
 }
 
+// Totals reach all others in time for allowances up to the size of the users' grown
+// deployments, with some room.
+func TestTotalsOfTheGrownFleetsAreFresh(t *testing.T) {
+	telling := newTelling()
+	telling.totalsBytes = len(testTotals(16).encode()) + datagramHeader
+	require.Equal(t, totalsInterval, telling.totalsTime(fleetOf(90)))
+}
+
 // At the size to design for the words take no more than a node has for control,
 // beside what configuration and upstreams take.
 func TestWordsFitIntoTheControlBudget(t *testing.T) {
-	const entries, loads, customers, budget = 340, 10, 16, 20_000
-	peers, telling := fleetOf(entries), newTelling()
-	light, whole := len(testWord(loads, customers, false).encode())+datagramHeader, len(testWord(loads, customers, true).encode())+datagramHeader
-	telling.lightBytes = light
-	bytes, passed := 0, time.Duration(0)
-	for range 100 * wholeEvery(entries-1) {
-		targets, isWhole := telling.next(peers, tellFanout)
-		if isWhole {
-			bytes += len(targets) * whole
-		} else {
-			bytes += len(targets) * light
+	const entries, loads, budget = 340, 10, 20_000
+	peers, telling, g := fleetOf(entries), newTelling(), &Gateway{}
+	telling.lightBytes = len(testWord(loads, 0, false).encode()) + datagramHeader
+	telling.totalsBytes = len(testTotals(16).encode()) + datagramHeader
+	bytes, passed, turn := 0, time.Duration(0), tellInterval
+	for passed < 10*time.Minute {
+		light := 0
+		for _, s := range telling.next(peers, tellFanout, turn) {
+			switch {
+			case s.loads:
+				light = len(s.targets) * telling.lightBytes
+				bytes += light
+			case s.totals:
+				bytes += len(s.targets) * telling.totalsBytes
+			}
 		}
-		passed += (&Gateway{}).turnWait(len(targets) * light)
+		turn = g.turnWait(light)
+		passed += turn
 	}
 	perSecond := float64(bytes) / passed.Seconds()
 	t.Logf("%.0f bytes a second", perSecond)
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -65,12 +66,16 @@
 	whole bool
 }
 
-// follow lists a kind and then watches it for as long as ctx holds.
-func (g *Gateway) follow(ctx context.Context, kind string, gap time.Duration, apply func(change)) {
+// watches reports whether this entry watches the store for everything.
+func (g *Gateway) watches() bool { return g.followsConfiguration.Load() && g.followsUpstreams.Load() }
+
+// follow lists a kind and then watches it for as long as ctx holds; following says
+// whether it does.
+func (g *Gateway) follow(ctx context.Context, kind string, following *atomic.Bool, gap time.Duration, apply func(change)) {
 	var at uint64
 	for ctx.Err() == nil {
 		follows := at == 0 || g.watchesStore()
-		g.following.Store(follows)
+		following.Store(follows)
 		if !follows {
 			// The others tell what they see; a later watch begins with a list.
 			at = 0
@@ -148,7 +153,7 @@
 }
 
 func (g *Gateway) watchConfiguration(ctx context.Context) {
-	g.follow(ctx, platform.KindConfiguration, 0, func(c change) {
+	g.follow(ctx, platform.KindConfiguration, &g.followsConfiguration, 0, func(c change) {
 		g.confirmed.Store(int64(steady()))
 		for _, rec := range c.Items {
 			if rec.Name == platform.ConfigurationName && !rec.Deleted {
@@ -174,6 +179,7 @@
 	now := time.Now()
 	for i := range next.Customers {
 		c := &next.Customers[i]
+		g.customerNames[keyOf(c.Name)] = c.Name
 		g.quota.Set(now, c.Name, quota.Allowance{Rate: c.Rate, Burst: c.Burst})
 	}
 	g.config.Store(&acceptedConfiguration{next, raw})
@@ -183,7 +189,7 @@
 }
 
 func (g *Gateway) watchUpstreams(ctx context.Context) {
-	g.follow(ctx, platform.KindUpstreams, upstreamGap, func(c change) { g.takeUpstreams(ctx, c, "store") })
+	g.follow(ctx, platform.KindUpstreams, &g.followsUpstreams, upstreamGap, func(c change) { g.takeUpstreams(ctx, c, "store") })
 }
 
 // takeUpstreams merges a change into the upstream list.
@@ -217,7 +223,7 @@
 	g.upstreams.Store(next)
 	g.upstreamIDs = make(map[uint32]string, len(next.list))
 	for id := range next.list {
-		g.upstreamIDs[upstreamKey(id)] = id
+		g.upstreamIDs[keyOf(id)] = id
 	}
 	g.table.SetUpstreams(slices.Collect(maps.Values(next.list)))
 	g.metrics.upstreams.Update(int64(len(next.list)))
--- a/gateway/spread.go
+++ b/gateway/spread.go
@@ -121,7 +121,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return u.revision < w.Upstreams && !(g.following.Load() && g.storeHeld())
+	return u.revision < w.Upstreams && !(g.followsUpstreams.Load() && g.storeHeld())
 }
 
 func (g *Gateway) fetch(ctx context.Context, peer, url string) []byte {
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -14,7 +14,7 @@
 const (
 	// gatherTime is how long after a window's end its counts are gathered.
 	gatherTime = 2500 * time.Millisecond
-	// listenWords is how many of each entry's whole words a new holder waits for
+	// listenWords is how many words of each entry's usage a new holder waits for
 	// before its first report.
 	listenWords = 3
 	// usageKept is how many windows stay in the store.
@@ -44,11 +44,12 @@
 	}
 }
 
-// listenTime is how long a new holder hears from the others before it reports;
-// each of them tells it all of its whole words.
+// listenTime is how long a new holder hears from the others before it reports.
 func (g *Gateway) listenTime() time.Duration {
-	turn := max(tellInterval, time.Duration(g.turnTime.Load()))
-	return listenWords * time.Duration(wholeEvery(g.Peers())) * turn
+	if g.Peers() <= smallFleet {
+		return listenWords * farEvery * tellInterval
+	}
+	return listenWords * usageInterval
 }
 
 func (g *Gateway) reportWindow(ctx context.Context, d *dutyState, token uint64, window int64) bool {
--- a/gateway/word.go
+++ b/gateway/word.go
@@ -32,18 +32,19 @@
 	Watches bool
 	// Holder says that the entry holds the lease of the duties.
 	Holder bool
-	// Loads is own work by key of the upstream.
+	// Loads is own work by key of the upstream; nil if it is left out.
 	Loads map[uint32]placement.Load
-	// Totals is work by customer since the process's start; nil if it is left out.
-	Totals map[string]quota.Total
+	// Totals is work by key of the customer since the process's start; nil if it is
+	// left out.
+	Totals map[uint32]quota.Total
 	// Usage is the requests that began to run, by window and customer, for the
 	// newest windows.
 	Usage usage.Windows
 }
 
-// upstreamKey stands for an upstream's ID in words. Two upstreams of one key
-// would be taken to have each other's load, which does little harm.
-func upstreamKey(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+// keyOf stands for the ID of an upstream or the name of a customer in words. Two
+// of one key would be taken for each other, which is rare and does little harm.
+func keyOf(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
 // processName names one process of an entry.
 func processName(w word) string {
--- a/gateway/word_test.go
+++ b/gateway/word_test.go
@@ -20,14 +20,14 @@
 		Sent: 1788699736267, Configuration: 2400, Upstreams: 88123, Loads: map[uint32]placement.Load{},
 	}
 	for i := range loads {
-		w.Loads[upstreamKey(fmt.Sprintf("i-%010x", i))] = placement.Load{Running: 2, Unread: 12000, Memory: 24000}
+		w.Loads[keyOf(fmt.Sprintf("i-%010x", i))] = placement.Load{Running: 2, Unread: 12000, Memory: 24000}
 	}
 	if whole {
-		w.Totals = map[string]quota.Total{}
+		w.Totals = map[uint32]quota.Total{}
 		w.Usage = usage.Windows{}
 		for i := range customers {
 			name := fmt.Sprintf("customer-%d", i)
-			w.Totals[name] = quota.Total{Admitted: 123456789, Asked: 123456999}
+			w.Totals[keyOf(name)] = quota.Total{Admitted: 123456789, Asked: 123456999}
 			for window := range int64(3) {
 				if w.Usage[window] == nil {
 					w.Usage[window] = usage.Counts{}
@@ -39,6 +39,13 @@
 	return w
 }
 
+// testTotals is a word with totals only, as large fleets tell them.
+func testTotals(customers int) word {
+	w := testWord(0, customers, true)
+	w.Loads, w.Usage = nil, nil
+	return w
+}
+
 // A word fits into few packets, so that a lost one is rare.
 func TestWordsStaySmall(t *testing.T) {
 	size := func(w word) int { return len(w.encode()) }
@@ -63,14 +70,16 @@
 		Holder:        rapid.Bool().Draw(t, "holder"),
 	}
 	number := rapid.IntRange(0, 1<<31-1)
-	w.Loads = rapid.MapOf(rapid.Uint32(), rapid.Custom(func(t *rapid.T) placement.Load {
-		return placement.Load{Running: number.Draw(t, "running"), Unread: number.Draw(t, "unread"), Memory: number.Draw(t, "memory")}
-	})).Draw(t, "loads")
+	if rapid.Bool().Draw(t, "light") {
+		w.Loads = rapid.MapOf(rapid.Uint32(), rapid.Custom(func(t *rapid.T) placement.Load {
+			return placement.Load{Running: number.Draw(t, "running"), Unread: number.Draw(t, "unread"), Memory: number.Draw(t, "memory")}
+		})).Draw(t, "loads")
+	}
 	if !rapid.Bool().Draw(t, "whole") {
 		return w
 	}
 	work := rapid.Uint64Max(1 << 50)
-	w.Totals = rapid.MapOf(rapid.String(), rapid.Custom(func(t *rapid.T) quota.Total {
+	w.Totals = rapid.MapOf(rapid.Uint32(), rapid.Custom(func(t *rapid.T) quota.Total {
 		return quota.Total{Admitted: float64(work.Draw(t, "admitted")), Asked: float64(work.Draw(t, "asked"))}
 	})).Draw(t, "totals")
 	counts := rapid.MapOf(rapid.String(), rapid.IntRange(1, 1<<31-1))
@@ -92,9 +101,6 @@
 		sent := genWord(t)
 		got, err := decodeWord(sent.encode())
 		require.NoError(t, err)
-		if len(sent.Loads) == 0 {
-			got.Loads = sent.Loads
-		}
 		for window, counts := range got.Usage {
 			if len(counts) == 0 {
 				delete(got.Usage, window)
--- a/gateway/wordcodec.go
+++ b/gateway/wordcodec.go
@@ -24,16 +24,15 @@
 	fieldUpstreams     protowire.Number = 6  // varint
 	fieldFlags         protowire.Number = 7  // varint
 	fieldLoads         protowire.Number = 8  // bytes, see appendLoads
-	fieldCustomer      protowire.Number = 9  // message, repeated
+	fieldCustomer      protowire.Number = 9  // message, repeated: a customer's usage
 	fieldWindow        protowire.Number = 10 // varint, the newest usage window
+	fieldTotals        protowire.Number = 11 // bytes, see appendTotals
 )
 
 // Field numbers of a customer in a word.
 const (
-	fieldName     protowire.Number = 1 // string
-	fieldAdmitted protowire.Number = 2 // varint
-	fieldAsked    protowire.Number = 3 // varint
-	fieldCounts   protowire.Number = 4 // bytes: varints, the newest window first
+	fieldName   protowire.Number = 1 // string
+	fieldCounts protowire.Number = 2 // bytes: varints, the newest window first
 )
 
 // Bits of fieldFlags.
@@ -41,9 +40,9 @@
 	flagLeaving = 1 << iota
 	flagWatches
 	flagHolder
-	// flagWhole tells a word with the totals of no customer from one without
-	// totals.
-	flagWhole
+	// flagLoads and flagTotals tell that there are none from their being left out.
+	flagLoads
+	flagTotals
 )
 
 // maxWindows bounds the usage windows of a word.
@@ -55,7 +54,8 @@
 func (w word) flags() uint64 {
 	var flags uint64
 	for flag, set := range map[uint64]bool{
-		flagLeaving: w.Leaving, flagWatches: w.Watches, flagHolder: w.Holder, flagWhole: w.Totals != nil,
+		flagLeaving: w.Leaving, flagWatches: w.Watches, flagHolder: w.Holder,
+		flagLoads: w.Loads != nil, flagTotals: w.Totals != nil,
 	} {
 		if set {
 			flags |= flag
@@ -78,6 +78,10 @@
 		b = protowire.AppendTag(b, fieldLoads, protowire.BytesType)
 		b = protowire.AppendBytes(b, appendLoads(nil, w.Loads))
 	}
+	if len(w.Totals) > 0 {
+		b = protowire.AppendTag(b, fieldTotals, protowire.BytesType)
+		b = protowire.AppendBytes(b, appendTotals(nil, w.Totals))
+	}
 	windows := w.windows()
 	if len(windows) > 0 {
 		b = appendVarint(b, fieldWindow, uint64(windows[0]))
@@ -104,12 +108,9 @@
 	return windows
 }
 
-// customers returns the names of the customers that the word speaks of.
+// customers returns the names of the customers whose usage the word has.
 func (w word) customers() []string {
 	names := map[string]bool{}
-	for name := range w.Totals {
-		names[name] = true
-	}
 	for _, counts := range w.Usage {
 		for name := range counts {
 			names[name] = true
@@ -120,10 +121,6 @@
 
 func (w word) appendCustomer(b []byte, name string, windows []int64) []byte {
 	b = appendString(b, fieldName, name)
-	if total, ok := w.Totals[name]; ok {
-		b = protowire.AppendVarint(protowire.AppendTag(b, fieldAdmitted, protowire.VarintType), wholeWork(total.Admitted))
-		b = protowire.AppendVarint(protowire.AppendTag(b, fieldAsked, protowire.VarintType), wholeWork(total.Asked))
-	}
 	var counts []byte
 	for _, window := range windows {
 		counts = protowire.AppendVarint(counts, uint64(w.Usage[window][name]))
@@ -150,6 +147,17 @@
 	return b
 }
 
+// appendTotals encodes totals one after the other: the key in four bytes, then
+// what was admitted and what was asked as varints.
+func appendTotals(b []byte, totals map[uint32]quota.Total) []byte {
+	for key, total := range totals {
+		b = protowire.AppendFixed32(b, key)
+		b = protowire.AppendVarint(b, wholeWork(total.Admitted))
+		b = protowire.AppendVarint(b, wholeWork(total.Asked))
+	}
+	return b
+}
+
 func appendString(b []byte, field protowire.Number, s string) []byte {
 	return protowire.AppendString(protowire.AppendTag(b, field, protowire.BytesType), s)
 }
@@ -224,6 +232,8 @@
 			flags = v.number
 		case fieldLoads:
 			return w.decodeLoads(v.bytes)
+		case fieldTotals:
+			return w.decodeTotals(v.bytes)
 		case fieldCustomer:
 			customers = append(customers, v.bytes)
 		case fieldWindow:
@@ -240,46 +250,66 @@
 		}
 	}
 	w.Leaving, w.Watches, w.Holder = flags&flagLeaving != 0, flags&flagWatches != 0, flags&flagHolder != 0
-	if flags&flagWhole != 0 && w.Totals == nil {
-		w.Totals = map[string]quota.Total{}
+	if flags&flagLoads != 0 && w.Loads == nil {
+		w.Loads = map[uint32]placement.Load{}
+	}
+	if flags&flagTotals != 0 && w.Totals == nil {
+		w.Totals = map[uint32]quota.Total{}
 	}
 	return w, nil
 }
 
+// consumeKeyed reads a key in four bytes and then some varints.
+func consumeKeyed(b []byte, parts []uint64) (key uint32, rest []byte, err error) {
+	key, n := protowire.ConsumeFixed32(b)
+	if n < 0 {
+		return 0, nil, errShortWord
+	}
+	b = b[n:]
+	for i := range parts {
+		if parts[i], n = protowire.ConsumeVarint(b); n < 0 {
+			return 0, nil, errShortWord
+		}
+		b = b[n:]
+	}
+	return key, b, nil
+}
+
 func (w *word) decodeLoads(b []byte) error {
 	w.Loads = map[uint32]placement.Load{}
 	for len(b) > 0 {
-		key, n := protowire.ConsumeFixed32(b)
-		if n < 0 {
+		var parts [3]uint64
+		key, rest, err := consumeKeyed(b, parts[:])
+		if err != nil || max(parts[0], parts[1], parts[2]) > math.MaxInt32 {
 			return errShortWord
 		}
-		b = b[n:]
-		var parts [3]int
-		for i := range parts {
-			v, n := protowire.ConsumeVarint(b)
-			if n < 0 || v > math.MaxInt32 {
-				return errShortWord
-			}
-			parts[i], b = int(v), b[n:]
+		w.Loads[key] = placement.Load{Running: int(parts[0]), Unread: int(parts[1]), Memory: int(parts[2])}
+		b = rest
+	}
+	return nil
+}
+
+func (w *word) decodeTotals(b []byte) error {
+	w.Totals = map[uint32]quota.Total{}
+	for len(b) > 0 {
+		var parts [2]uint64
+		key, rest, err := consumeKeyed(b, parts[:])
+		if err != nil {
+			return err
 		}
-		w.Loads[key] = placement.Load{Running: parts[0], Unread: parts[1], Memory: parts[2]}
+		w.Totals[key] = quota.Total{Admitted: float64(parts[0]), Asked: float64(parts[1])}
+		b = rest
 	}
 	return nil
 }
 
 func (w *word) decodeCustomer(b []byte, newest int64) error {
 	var name string
-	var total quota.Total
 	var counts []byte
-	told := false
 	err := eachField(b, func(field protowire.Number, v fieldValue) error {
 		switch field {
 		case fieldName:
 			name = string(v.bytes)
-		case fieldAdmitted:
-			told, total.Admitted = true, float64(v.number)
-		case fieldAsked:
-			told, total.Asked = true, float64(v.number)
 		case fieldCounts:
 			counts = v.bytes
 		}
@@ -288,12 +318,6 @@
 	if err != nil {
 		return err
 	}
-	if told {
-		if w.Totals == nil {
-			w.Totals = map[string]quota.Total{}
-		}
-		w.Totals[name] = total
-	}
 	return w.decodeCounts(counts, name, newest)
 }
 
