--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -6,7 +6,6 @@
 	"errors"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"time"
 
 	"jaylink/decision/placement"
@@ -25,31 +24,10 @@
 	watcherWait  = 2 * tellInterval
 	// datagramHeader is what a datagram takes beside its word, in bytes.
 	datagramHeader = 28
-	// farEvery is how many turns pass between words to other regions, whose link
-	// is slow and paid for.
-	farEvery = 2
 	// soonTokens is the unread tokens of an attempt that the others of the region
 	// hear of before the next turn, and soonDelay gathers such attempts.
 	soonTokens = 4000
 	soonDelay  = 20 * time.Millisecond
-	// tellFanout bounds the entries told at a time, in the region and beyond; the
-	// others follow next. Entries that watch the store tell more of them.
-	tellFanout    = 16
-	watcherFanout = 32
-	// phases is how many beginnings there are for the turns of an entry.
-	phases = 1000
-	// smallFleet is the number of other entries up to which each word has
-	// everything.
-	smallFleet = 24
-	// totalsInterval is how long it may take to tell all others the totals, so that
-	// allowances hold while a customer sends many times its usual, and freshBudget
-	// what that may take in bytes a second. A fleet in which it takes more goes by
-	// parts of allowances, for which lateBudget suffices.
-	totalsInterval = 1200 * time.Millisecond
-	freshBudget    = 25_000
-	lateBudget     = 4_000
-	// usageInterval is how often usage is told in a large fleet.
-	usageInterval = 800 * time.Millisecond
 	// findInterval is how often entries that never spoke are looked for.
 	findInterval = 30 * time.Second
 	// findSoon repeats the first look, because all entries start together.
@@ -195,32 +173,6 @@
 	}
 }
 
-// telling is how far an entry has got with telling the others.
-type telling struct {
-	turn              int
-	near, far, totals rotation
-	// due is the part of a target of totals that is left over, sinceUsage how long
-	// ago usage was told.
-	due        float64
-	sinceUsage time.Duration
-	// lightBytes and totalsBytes are the sizes of the last such datagrams.
-	lightBytes, totalsBytes int
-}
-
-func newTelling() *telling {
-	at := func() rotation { return rotation{rand.IntN(phases)} }
-	return &telling{turn: rand.IntN(phases), near: at(), far: at(), totals: at()}
-}
-
-// content is what a word has beside the state of its entry.
-type content struct{ loads, totals, usage bool }
-
-// sending is a word that goes to some entries.
-type sending struct {
-	content
-	targets []*net.UDPAddr
-}
-
 // tellTurn tells the regular words of a turn and returns when the next one is due.
 func (g *Gateway) tellTurn(t *telling) time.Duration {
 	peers := g.listPeers()
@@ -244,44 +196,8 @@
 	return wait
 }
 
-// next returns the words of a turn. In a small fleet each word has everything. In
-// a large one loads go to some entries in turn, totals to all others within
-// totalsTime, and usage to those that report it or may have to soon.
-func (t *telling) next(peers peerList, fanout int, passed time.Duration) []sending {
-	targets := t.near.next(peers.near, fanout)
-	if t.turn%farEvery == 0 {
-		targets = append(targets, t.far.next(peers.far, fanout)...)
-	}
-	t.turn++
-	if peers.count() <= smallFleet {
-		return []sending{{content{loads: true, totals: true, usage: true}, targets}}
-	}
-	out := []sending{{content{loads: true}, targets}}
-	t.due += float64(peers.count()) * passed.Seconds() / t.totalsTime(peers).Seconds()
-	n := int(t.due)
-	t.due -= float64(n)
-	out = append(out, sending{content{totals: true}, t.totals.next(slices.Concat(peers.near, peers.far), n)})
-	if t.sinceUsage += passed; t.sinceUsage >= usageInterval {
-		t.sinceUsage = 0
-		out = append(out, sending{content{usage: true}, peers.duties})
-	}
-	return out
-}
-
-// totalsTime is how long it takes to tell all others the totals.
-func (t *telling) totalsTime(peers peerList) time.Duration {
-	if peers.count() <= smallFleet {
-		return farEvery * tellInterval
-	}
-	bytes := time.Duration(peers.count() * max(t.totalsBytes, datagramHeader))
-	if fresh := bytes * time.Second / freshBudget; fresh <= totalsInterval {
-		return totalsInterval
-	}
-	return bytes * time.Second / lateBudget
-}
-
-// turnWait is how long after a turn the next one follows. It goes by what the turn
-// would take without totals, which are told the more seldom the larger the fleet.
+// turnWait is how long after a turn whose loads took some bytes the next one
+// follows.
 func (g *Gateway) turnWait(bytes int) time.Duration {
 	wait := max(tellInterval, time.Duration(bytes)*time.Second/tellBudget)
 	if g.watches() {
@@ -290,24 +206,12 @@
 	return wait
 }
 
-// rounds is how many turns it takes to tell a number of entries.
-func rounds(entries int) int { return (entries + tellFanout - 1) / tellFanout }
-
 // wordTime is how long it takes until all others have heard a word of an entry, if
 // entries tell at the same pace.
 func (g *Gateway) wordTime(peers peerList) time.Duration {
 	return time.Duration(g.turnTime.Load()) * time.Duration(max(rounds(len(peers.near)), farEvery*rounds(len(peers.far))))
 }
 
-// peerList is whom an entry may tell.
-type peerList struct {
-	near, far []*net.UDPAddr
-	// duties does the duties, or would be among the next to do them.
-	duties []*net.UDPAddr
-}
-
-func (p peerList) count() int { return len(p.near) + len(p.far) }
-
 func (g *Gateway) listPeers() peerList {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -338,19 +242,6 @@
 	return list
 }
 
-// rotation goes through a list over several turns.
-type rotation struct{ at int }
-
-func (r *rotation) next(list []*net.UDPAddr, n int) []*net.UDPAddr {
-	n = min(n, len(list))
-	out := make([]*net.UDPAddr, 0, n)
-	for range n {
-		r.at = (r.at + 1) % len(list)
-		out = append(out, list[r.at])
-	}
-	return out
-}
-
 // tellLarge has the others told soon of an attempt with much to read.
 func (g *Gateway) tellLarge(unread int) {
 	if unread < soonTokens {
