--- a/decision/quota/quota.go
+++ b/decision/quota/quota.go
@@ -2,14 +2,21 @@
 // is pure: times are the caller's.
 //
 // Each entry estimates the level of one token bucket for the whole fleet from
-// its own work and from the running totals that the others tell. While that
-// level is high, an entry admits freely. Once it is low, the words of the others
-// come too late to share what the rate earns, so each entry spends only its part
-// of it, in proportion to what callers ask of it. An entry that has fallen silent
-// is taken to use an equal part of the rate until it speaks again or is
-// forgotten, so entries that are cut off from each other stay inside the
-// allowance together. Load pattern answered: one customer sends many times its
-// usual, over entries that see unequal parts of it.
+// its own work and from the running totals that the others tell. While nothing is
+// scarce, an entry admits what that level allows. Once the fleet is asked for
+// nearly the rate or the level is low, the words of the others come too late to
+// share what the rate earns: each entry spends only its part of it, in proportion
+// to what callers ask of it, and keeps some of the burst for urgent work. Where
+// totals come later still, as in very large fleets, the parts are all it goes by.
+//
+// An entry that has fallen silent is taken to use an equal part of the rate until
+// it speaks again or is forgotten, so entries that are cut off from each other stay
+// inside the allowance together. What a process may have admitted between its last
+// words and its end is charged when it starts again or is forgotten.
+//
+// Load patterns answered: one customer sends many times its usual, over entries
+// that see unequal parts of it; a customer below its rate sends single requests that
+// take most of its burst; entries start again one after the other.
 package quota
 
 import (
