--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -21,6 +21,10 @@
 	defaultSeed      = 1
 	// steps is the mean number of actions of a schedule.
 	steps = 80
+	// properties is how often a property that is no guarantee is tried, and
+	// propertySteps the mean number of its actions.
+	properties    = 100
+	propertySteps = 30
 )
 
 // Check runs a property over random schedules and prints its outcome as a line
@@ -42,6 +46,16 @@
 	rapid.Check(t, property)
 }
 
+// Property tries a property with the seed that the environment sets.
+func Property(t *testing.T, property func(*rapid.T)) {
+	t.Helper()
+	set(t, "rapid.checks", strconv.Itoa(properties))
+	set(t, "rapid.seed", number(t, EnvSeed, defaultSeed))
+	set(t, "rapid.steps", strconv.Itoa(propertySteps))
+	set(t, "rapid.nofailfile", "true")
+	rapid.Check(t, property)
+}
+
 func number(t *testing.T, name string, byDefault int) string {
 	t.Helper()
 	text := os.Getenv(name)
