gateway, metastore: what was written twice or parsed back

Read again: the stand-in of the store had its own copy of standin.WriteJSON; the address of a word's sender was turned into text and parsed back, with two errors dropped without a line; the flags of each word were built through a map; the peers were sorted twice a second for one figure; check asked twice whether a file is empty. Change: one copy each, and the sender's address as it came. Behaviour, log keys and encoding are as they were.

--- a/cmd/jaylink/check.go
+++ b/cmd/jaylink/check.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"os"
@@ -70,7 +69,7 @@
 // spec.
 func looksLikeEntrySettings(path string, data []byte) bool {
 	docs, err := strictyaml.Split(path, data)
-	if err != nil || len(bytes.TrimSpace(data)) == 0 {
+	if err != nil {
 		return false
 	}
 	for _, doc := range docs {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -213,10 +213,10 @@
 		g.pool.Sweep()
 		now := time.Now()
 		g.mu.Lock()
-		peers := g.sortedPeers()
-		g.quota.Pace(time.Duration(g.totalsTime.Load()), g.wordTime(peers))
+		words := g.wordTime(g.sortedPeers())
+		g.quota.Pace(time.Duration(g.totalsTime.Load()), words)
 		g.quota.Expire(now)
-		g.expirePeers(now)
+		g.expirePeers(now, words)
 		g.measure(now)
 		g.mu.Unlock()
 	}
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -123,9 +123,10 @@
 	p.address = udp
 }
 
-// expirePeers forgets silent entries. The caller holds mu.
-func (g *Gateway) expirePeers(now time.Time) {
-	life := max(loadLife, loadRounds*g.wordTime(g.sortedPeers()))
+// expirePeers forgets silent entries; words is how long one from each takes. The
+// caller holds mu.
+func (g *Gateway) expirePeers(now time.Time, words time.Duration) {
+	life := max(loadLife, loadRounds*words)
 	for name, p := range g.peers {
 		silent := now.Sub(p.heard)
 		if silent > loadLife {
@@ -320,8 +321,8 @@
 			g.log.Debug("odd datagram", "from", from, "err", err)
 			continue
 		}
-		w.Address = from.String()
-		g.hear(w, from)
+		w.From = from
+		g.hear(w)
 		if w.Watches && !g.behindConfiguration(w) {
 			g.confirmed.Store(int64(steady()))
 		}
@@ -339,7 +340,7 @@
 	}
 }
 
-func (g *Gateway) hear(w word, from *net.UDPAddr) {
+func (g *Gateway) hear(w word) {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -348,12 +349,12 @@
 		p = &peer{}
 		g.peers[w.Entry] = p
 		g.metrics.changed[peerFound].Inc(1)
-		g.log.Info("peer found", "peer", w.Entry, "address", w.Address)
+		g.log.Info("peer found", "peer", w.Entry, "address", w.From.String())
 	}
 	if w.Incarnation < p.incarnation {
 		return
 	}
-	p.address, p.incarnation, p.heard = from, w.Incarnation, now
+	p.address, p.incarnation, p.heard = w.From, w.Incarnation, now
 	p.region, p.holder, p.watches, p.leaving = w.Region, w.Holder, w.Watches, w.Leaving
 	if w.Loads != nil {
 		g.table.Hear(w.Entry, g.upstreamLoads(w))
--- a/gateway/spread.go
+++ b/gateway/spread.go
@@ -71,15 +71,8 @@
 	if !sleep(ctx, spreadDelay) {
 		return
 	}
-	host, port, err := net.SplitHostPort(w.Address)
-	if err != nil {
-		return
-	}
-	n, err := strconv.Atoi(port)
-	if err != nil {
-		return
-	}
-	base := "http://" + net.JoinHostPort(host, strconv.Itoa(n+spreadPort-gossipPort))
+	port := w.From.Port + spreadPort - gossipPort
+	base := "http://" + net.JoinHostPort(w.From.IP.String(), strconv.Itoa(port))
 	if g.behindConfiguration(w) {
 		if data := g.fetch(ctx, w.Entry, base+configurationPath); data != nil {
 			g.takeConfiguration(data, w.Entry)
--- a/gateway/word.go
+++ b/gateway/word.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net"
 	"slices"
 	"time"
 
@@ -19,8 +20,8 @@
 	// Incarnation is the Unix nanosecond of the process's start.
 	Incarnation int64
 	Region      string
-	// Address is IP:PORT of the gossip port, taken from the datagram.
-	Address string
+	// From is the gossip port that the datagram came from.
+	From *net.UDPAddr
 	// Sent is the entry's idea of the time of day, in Unix milliseconds.
 	Sent int64
 	// Configuration and Upstreams are the versions that are in force.
--- a/gateway/wordcodec.go
+++ b/gateway/wordcodec.go
@@ -52,19 +52,18 @@
 var errShortWord = errors.New("word is cut short")
 
 func (w word) flags() uint64 {
-	var flags uint64
-	for flag, set := range map[uint64]bool{
-		flagLeaving: w.Leaving, flagWatches: w.Watches, flagHolder: w.Holder,
-		flagLoads: w.Loads != nil, flagTotals: w.Totals != nil,
-	} {
-		if set {
-			flags |= flag
-		}
+	return flagIf(w.Leaving, flagLeaving) | flagIf(w.Watches, flagWatches) | flagIf(w.Holder, flagHolder) |
+		flagIf(w.Loads != nil, flagLoads) | flagIf(w.Totals != nil, flagTotals)
+}
+
+func flagIf(set bool, flag uint64) uint64 {
+	if set {
+		return flag
 	}
-	return flags
+	return 0
 }
 
-// encode returns the word as bytes; Address is left out.
+// encode returns the word as bytes; From is left out.
 func (w word) encode() []byte {
 	b := appendString(nil, fieldEntry, w.Entry)
 	b = protowire.AppendTag(b, fieldIncarnation, protowire.Fixed64Type)
--- a/standin/metastore/metastore.go
+++ b/standin/metastore/metastore.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"jaylink/standin"
 )
 
 // Faults are how the store misbehaves. The zero value is a sound store.
@@ -176,13 +178,6 @@
 	s.changed = make(chan struct{})
 }
 
-func answer(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	// The caller may be gone.
-	_ = json.NewEncoder(w).Encode(body)
-}
-
 func (s *Server) list(w http.ResponseWriter, r *http.Request) {
 	kind := r.PathValue("kind")
 	if r.URL.Query().Has("watch") {
@@ -208,7 +203,7 @@
 	if more {
 		entries = entries[:pageSize]
 	}
-	answer(w, http.StatusOK, map[string]any{"entries": entries, "has-more": more, "at": at})
+	standin.WriteJSON(w, http.StatusOK, map[string]any{"entries": entries, "has-more": more, "at": at})
 }
 
 // pageSize is small, so that clients are held to asking for more.
@@ -233,7 +228,7 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(events) > 0:
-			answer(w, http.StatusOK, map[string]any{"events": events, "at": at})
+			standin.WriteJSON(w, http.StatusOK, map[string]any{"events": events, "at": at})
 			return
 		}
 		select {
@@ -241,7 +236,7 @@
 			return
 		case <-changed:
 		case <-timer.C:
-			answer(w, http.StatusOK, map[string]any{"events": events, "at": at})
+			standin.WriteJSON(w, http.StatusOK, map[string]any{"events": events, "at": at})
 			return
 		}
 	}
@@ -264,10 +259,10 @@
 	o, ok := s.objects[r.PathValue("kind")][r.PathValue("name")]
 	s.mu.Unlock()
 	if !ok {
-		answer(w, http.StatusNotFound, struct{}{})
+		standin.WriteJSON(w, http.StatusNotFound, struct{}{})
 		return
 	}
-	answer(w, http.StatusOK, o)
+	standin.WriteJSON(w, http.StatusOK, o)
 }
 
 func (s *Server) create(w http.ResponseWriter, r *http.Request) {
@@ -299,7 +294,7 @@
 func (s *Server) write(w http.ResponseWriter, r *http.Request, apply func(Object) (Object, int)) {
 	var o Object
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
-		answer(w, http.StatusBadRequest, err.Error())
+		standin.WriteJSON(w, http.StatusBadRequest, err.Error())
 		return
 	}
 	s.mu.Lock()
@@ -309,7 +304,7 @@
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
-	answer(w, status, out)
+	standin.WriteJSON(w, status, out)
 }
 
 func (s *Server) remove(w http.ResponseWriter, r *http.Request) {
@@ -317,10 +312,10 @@
 	found := s.drop(r.PathValue("kind"), r.PathValue("name"))
 	s.mu.Unlock()
 	if !found {
-		answer(w, http.StatusNotFound, struct{}{})
+		standin.WriteJSON(w, http.StatusNotFound, struct{}{})
 		return
 	}
-	answer(w, http.StatusOK, struct{}{})
+	standin.WriteJSON(w, http.StatusOK, struct{}{})
 }
 
 // duty takes a call that one holder makes, and refuses it if a newer holder has
@@ -329,16 +324,16 @@
 	token, err := strconv.ParseUint(r.Header.Get("Fencing-Token"), 10, 64)
 	var body json.RawMessage
 	if decodeErr := json.NewDecoder(r.Body).Decode(&body); err != nil || decodeErr != nil {
-		answer(w, http.StatusBadRequest, struct{}{})
+		standin.WriteJSON(w, http.StatusBadRequest, struct{}{})
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if token < s.fences[r.URL.Path] {
-		answer(w, http.StatusConflict, struct{}{})
+		standin.WriteJSON(w, http.StatusConflict, struct{}{})
 		return
 	}
 	s.fences[r.URL.Path] = token
 	s.duties = append(s.duties, DutyCall{r.URL.Path, r.Header.Get("Duty-Holder"), token, string(body)})
-	answer(w, http.StatusOK, struct{}{})
+	standin.WriteJSON(w, http.StatusOK, struct{}{})
 }
