guarantees: hold the streams of the handover test until all have begun

Its log shows the first answers at 25:33.09 and the last ones at 25:44.96: streams of 60 tokens at 45 ms lasted 2.7 s, so the first had ended before the last began and 200 were never under way at once. Ruled out: a lost stream; all 200 were answered. Change: the engine stand-in can be slowed while the streams begin. The test asks for the same as before.

--- a/guarantees/g1_cost_test.go
+++ b/guarantees/g1_cost_test.go
@@ -53,6 +53,8 @@
 	}
 	f.Ready()
 	f.Apply(f.Entries["a1"], captionObjects)
+	// No stream ends before the last one has begun, however slow the machine is.
+	f.setPace(engine.Faults{SlowMS: 2000})
 	header := http.Header{"Jaylink-Label-App": {"captions"}, "Jaylink-Label-Account": {"desai"}}
 	var callers sync.WaitGroup
 	for i := range streams {
@@ -71,6 +73,7 @@
 		s, err := entry.Client().Status(t.Context())
 		return err == nil && s.InFlight == streams
 	}))
+	f.setPace(engine.Faults{})
 	used, begun := processorTime(t, entry.PID()), time.Now()
 	f.notice("a1", 2*time.Second)
 	f.awaitCount("a1", "handover.moved", streams)
@@ -81,4 +84,10 @@
 	callers.Wait()
 }
 
+func (f *reclaimFleet) setPace(faults engine.Faults) {
+	for _, n := range f.Nodes {
+		f.Put("http://"+n.Address+"/faults", faults)
+	}
+}
+
 func setSlots(n *testfleet.Node, slots int) { n.Object.Spec.(*api.UpstreamSpec).Slots = slots }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -54,6 +54,8 @@
 type Faults struct {
 	// BreakAfter cuts each stream after so many tokens; 0 means never.
 	BreakAfter int `json:"break_after"`
+	// SlowMS is the least time between tokens in milliseconds; 0 is no bound.
+	SlowMS int `json:"slow_ms"`
 	// Leaving is reported in /load.
 	Leaving bool `json:"leaving"`
 	// Refuse answers 503 to every completion.
@@ -272,7 +274,8 @@
 func (s *Server) interval() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.opts.TokenInterval + time.Duration(s.running-1)*s.opts.BatchInterval
+	batch := s.opts.TokenInterval + time.Duration(s.running-1)*s.opts.BatchInterval
+	return max(batch, time.Duration(s.faults.SlowMS)*time.Millisecond)
 }
 
 func writeEvent(w http.ResponseWriter, chunk upstream.Chunk) {
