quota: a new process keeps to its part until it knows the others

Cause: a process that starts again knows no totals of others. Its share of the rate came out near 1 until words had come from all, and what the others had admitted before was not in its level. Change: for two rounds of totals a new process spends an equal part of the rate. The size of the fleet comes from the store's list, or from the part of a round heard so far. What it refuses then may come back once it knows the others.

--- a/decision/quota/quota.go
+++ b/decision/quota/quota.go
@@ -14,9 +14,13 @@
 // inside the allowance together. What a process may have admitted between its last
 // words and its end is charged when it starts again or is forgotten.
 //
+// A new process does not know what the others admit. Until it has heard the totals
+// of all of them twice, it spends only an equal part of the rate and takes the
+// fleet to be as large as it was told, or as the part heard so far suggests.
+//
 // Load patterns answered: one customer sends many times its usual, over entries
 // that see unequal parts of it; a customer below its rate sends single requests that
-// take most of its burst; entries start again one after the other.
+// take most of its burst; entries start again one after the other, or many at once.
 package quota
 
 import (
@@ -64,6 +68,15 @@
 	partBurst = 400 * time.Millisecond
 	// viewLife is how long what the peers said is used before it is gathered again.
 	viewLife = 50 * time.Millisecond
+	// learnRounds is how many rounds of totals a new process hears before it goes by
+	// what the others admit: two totals make a rate. maxLearn bounds that where
+	// totals come late and parts are all that an entry goes by.
+	learnRounds = 2
+	maxLearn    = 5 * time.Second
+	// minHeard is the least time from which the size of the fleet is worked out.
+	minHeard = 10 * time.Millisecond
+	// assumedTotals is how long totals are taken to need until the pace is known.
+	assumedTotals = 400 * time.Millisecond
 	// idleDemand is the part of the rate that entries without demand are taken
 	// to ask for, so that the first request there is not refused.
 	idleDemand = 0.01
@@ -117,12 +130,21 @@
 	partsOnly bool
 	// lateDemand says that the fleet's demand becomes known too late to go by.
 	lateDemand bool
+	// totals is how long it takes until all entries have heard an entry's totals.
+	totals time.Duration
+	// begun is when the first allowance was set, others the number of other entries
+	// that are known from elsewhere.
+	begun  time.Time
+	others int
+	// learnt says that enough was heard of the others.
+	learnt bool
 }
 
 // New returns a quota without customers.
 func New() *Quota {
 	return &Quota{
 		buckets: map[string]*bucket{}, peers: map[string]*peer{}, view: view{demand: map[string]float64{}}, silent: silentAfter,
+		totals: assumedTotals,
 	}
 }
 
@@ -130,10 +152,42 @@
 // any word of it. Where totals come late, as in very large fleets, each entry
 // keeps to its part of the allowance, whatever the fleet's level seems to be.
 func (q *Quota) Pace(totals, word time.Duration) {
+	q.totals = totals
 	q.partsOnly, q.lateDemand = totals > freshTotals, totals > freshDemand
 	q.silent = max(silentAfter, silentWords*word)
 }
 
+// Expect says how many other entries there are, as far as is known without their
+// words.
+func (q *Quota) Expect(others int) { q.others = others }
+
+// learnTime is how long a new process takes to know the others.
+func (q *Quota) learnTime() time.Duration { return min(learnRounds*q.totals, maxLearn) }
+
+// learning reports whether the totals of the others are not known well enough yet.
+func (q *Quota) learning(now time.Time) bool {
+	if q.learnt || now.Sub(q.begun) < q.learnTime() {
+		return !q.learnt
+	}
+	q.learnt = true
+	since := now.Sub(q.begun) - q.learnTime()
+	for _, b := range q.buckets {
+		// What was admitted before the others were heard is not known.
+		b.level = math.Min(math.Min(b.level, 0)+b.Rate*since.Seconds(), b.Burst)
+	}
+	return false
+}
+
+// fleet returns the number of entries. While totals of others come in for the
+// first time, it goes by the part of a round that has passed.
+func (q *Quota) fleet(now time.Time) float64 {
+	others := float64(max(len(q.peers), q.others))
+	if passed := now.Sub(q.begun); passed < q.totals {
+		others = math.Max(others, float64(len(q.peers))*q.totals.Seconds()/math.Max(passed.Seconds(), minHeard.Seconds()))
+	}
+	return others + 1
+}
+
 // Set sets a customer's allowance. A new bucket starts empty, because what the
 // fleet has used before is not known.
 func (q *Quota) Set(now time.Time, customer string, a Allowance) {
@@ -142,6 +196,9 @@
 		b = &bucket{at: now}
 		q.buckets[customer] = b
 	}
+	if q.begun.IsZero() {
+		q.begun = now
+	}
 	q.refill(now, b, customer)
 	b.Allowance = a
 	b.level = math.Min(b.level, a.Burst)
@@ -198,6 +255,9 @@
 	}
 	b.level = math.Min(b.level+free, b.Burst)
 	share, demand := q.share(now, b, customer)
+	if q.learning(now) {
+		share = 1 / q.fleet(now)
+	}
 	b.sustained += (1 - math.Exp(-passed/demandTime.Seconds())) * (demand - b.sustained)
 	b.part = math.Min(b.part+free*share, q.partLimit(b, share))
 }
@@ -240,6 +300,9 @@
 	}
 	q.refill(now, b, customer)
 	b.total.Asked += work
+	if q.learning(now) {
+		return q.takeLearning(now, b, work)
+	}
 	share, _ := q.share(now, b, customer)
 	scarce := q.lateDemand || b.sustained > scarceDemand*b.Rate || b.level < emptyLevel*b.Burst
 	kept := 0.0
@@ -268,6 +331,18 @@
 	return true, 0
 }
 
+// takeLearning admits work of a process that does not know the others yet, from its
+// equal part of the rate.
+func (q *Quota) takeLearning(now time.Time, b *bucket, work float64) (ok bool, wait time.Duration) {
+	if b.part <= 0 {
+		saved := time.Duration((work - b.part) / (b.Rate / q.fleet(now)) * float64(time.Second))
+		return false, min(saved, q.learnTime()-now.Sub(q.begun))
+	}
+	b.part -= work
+	b.total.Admitted += work
+	return true, 0
+}
+
 // State is what an entry goes by for a customer, to explain a refusal.
 type State struct {
 	Allowance
--- a/decision/quota/quota_test.go
+++ b/decision/quota/quota_test.go
@@ -40,6 +40,8 @@
 	rate     = 473_000.0
 	// slack is what the users' platform allows beyond the allowance.
 	slack = 140_000.0
+	// leastWork and largestWork are the sizes of requests.
+	leastWork, largestWork = 500.0, 7_500.0
 )
 
 func newFleet(n int) *fleet { return newFleetOf(n, rate) }
@@ -81,7 +83,7 @@
 	if f.rng.Float64() > perSecond/mean/1000 {
 		return 0
 	}
-	work := 500 + f.rng.Float64()*7_000
+	work := leastWork + f.rng.Float64()*(largestWork-leastWork)
 	f.asked += work
 	if ok, _ := q.Take(f.now, customer, work, 0); ok {
 		return work
@@ -322,3 +324,42 @@
 	t.Logf("most in a window: %.3f of the bound", f.most(window)/((rate*window.Seconds()+rate)*1.1+slack))
 	require.LessOrEqual(t, f.most(window), (rate*window.Seconds()+rate)*1.1+slack)
 }
+
+// Load pattern: one process of many starts again under a customer that sends six
+// times its usual. Until it knows the others it admits no more than its part,
+// whether the store or only the words of the others tell it how many they are.
+func TestNewProcessKeepsToItsPart(t *testing.T) {
+	const entries, length = 40, 2 * time.Second
+	for name, expected := range map[string]int{"told by the store": entries - 1, "told by words": 0} {
+		t.Run(name, func(t *testing.T) {
+			f := largeFleet(entries, rate, 1200*time.Millisecond, 2*time.Second)
+			hot := func(int, time.Duration) float64 { return 6 * rate / 1.8 / entries }
+			f.play(6*time.Second, hot)
+			q := New()
+			q.Pace(1200*time.Millisecond, 2*time.Second)
+			q.Expect(expected)
+			q.Set(f.now, customer, Allowance{Rate: rate, Burst: rate})
+			f.entries[0] = q
+			f.starts[0]++
+			f.play(length, hot)
+			admitted := q.Totals(f.now)[customer].Admitted
+			// Its last request may be larger than what was left.
+			require.LessOrEqual(t, admitted, 1.5*rate*length.Seconds()/entries+largestWork)
+		})
+	}
+}
+
+// A new process that refuses says to come back once it knows the others.
+func TestNewProcessSaysWhenItKnows(t *testing.T) {
+	now := time.Unix(1000, 0)
+	q := New()
+	q.Pace(time.Second, time.Second)
+	q.Expect(99)
+	q.Set(now, customer, Allowance{Rate: 1000, Burst: 1000})
+	now = now.Add(500 * time.Millisecond)
+	ok, _ := q.Take(now, customer, 200, 0)
+	require.True(t, ok)
+	ok, wait := q.Take(now, customer, 200, 0)
+	require.False(t, ok)
+	require.Equal(t, 1500*time.Millisecond, wait)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,6 +115,8 @@
 	if settings.Cloud != "" {
 		g.duties = platform.NewDuties(settings.Cloud, settings.Name, dutyTimeout)
 	}
+	// Until the size of the fleet is known it is taken to be large.
+	g.quota.Pace(totalsInterval, 0)
 	g.objects.Called = g.metrics.storeTook
 	g.pool.Opened = func() { g.metrics.connections.Inc(1) }
 	return g
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -119,6 +119,7 @@
 	if p == nil {
 		p = &peer{heard: time.Now()}
 		g.peers[name] = p
+		g.quota.Expect(len(g.peers))
 	}
 	p.address = udp
 }
@@ -138,6 +139,7 @@
 		if silent > peerLife || p.leaving && silent > loadLife {
 			delete(g.peers, name)
 			g.quota.Leave(name)
+			g.quota.Expect(len(g.peers))
 			g.metrics.changed[peerGone].Inc(1)
 			g.log.Info("peer gone", "peer", name, "silent", silent, "leaving", p.leaving)
 		}
