exchange, gateway: leave upstreams that send bytes without end

A stream that only sends comments never was overdue. A long plain answer that broke off was asked for again and the second copy written behind the first part. Ruled out: chunk extensions and trailers, which net/http bounds. Change: bounds in bytes on heads, stray answers, events and plain answers, with a reason of their own; the upstream is avoided for a while. Events without data do not count as progress. An answer of which the caller has a part is not repeated. Before: TestBytesWithoutEnd and TestAnswersWithoutEnd fail (the first does not end within 100 s). After: both pass, 0.2 s and 3 s.

--- a/decision/reason/describe.go
+++ b/decision/reason/describe.go
@@ -50,6 +50,7 @@
 	UpstreamError:   {Meaning: "The upstream answered with a status of 500 or more."},
 	StreamBroken:    {Meaning: "The upstream's answer ended early."},
 	NoAnswer:        {Meaning: "The connection ended without an answer."},
+	AnswerTooLong:   {Meaning: "The upstream sent more bytes than an answer, its head or one event may have."},
 	UpstreamLeaving: {Meaning: "The upstream is leaving."},
 	Hedge:           {Meaning: "An urgent idempotent request had no answer yet."},
 }
--- a/decision/reason/reason.go
+++ b/decision/reason/reason.go
@@ -59,13 +59,14 @@
 	UpstreamError   Reason = "upstream_error"
 	StreamBroken    Reason = "stream_broken"
 	NoAnswer        Reason = "no_answer"
+	AnswerTooLong   Reason = "answer_too_long"
 	UpstreamLeaving Reason = "upstream_leaving"
 	Hedge           Reason = "hedge"
 )
 
 // Retries lists every retry reason.
 var Retries = []Reason{
-	ConnectFailed, UpstreamBusy, UpstreamError, StreamBroken, NoAnswer,
+	ConnectFailed, UpstreamBusy, UpstreamError, StreamBroken, NoAnswer, AnswerTooLong,
 	UpstreamLeaving, Hedge,
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -47,7 +47,10 @@
 	// mayHaveRun says that some upstream may have run the request.
 	mayHaveRun bool
 	// headSent says that the caller has the head of an answer.
-	headSent  bool
+	headSent bool
+	// partial says that the caller has the beginning of an answer that can't go on
+	// elsewhere.
+	partial   bool
 	lastEvent int64
 	upstream  string
 	predicted time.Duration
@@ -176,7 +179,7 @@
 func (g *Gateway) mayRepeat(r *request, end ending) bool {
 	p := &r.progress
 	switch {
-	case end == notRun && p.declined >= maxDeclined:
+	case p.partial, end == notRun && p.declined >= maxDeclined:
 		return false
 	case end != notRun && (!r.route.Repeatable() || p.attempts >= r.route.MaxAttempts):
 		return false
@@ -315,8 +318,11 @@
 	}
 	g.end(t, placement.Unreachable)
 	p.why = reason.NoAnswer
-	if ex != nil && ex.Step == "connect" {
+	switch {
+	case ex != nil && ex.Step == "connect":
 		p.why = reason.ConnectFailed
+	case errors.Is(err, exchange.ErrTooLong):
+		p.why = reason.AnswerTooLong
 	}
 	g.logAttempt(r, "attempt failed")
 	if sent {
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -48,6 +49,8 @@
 	// rate and burst are the customer's allowance; 0 is none.
 	rate, burst int
 	keys        []string
+	// timeout is that of the routes; 0 is five seconds.
+	timeout time.Duration
 }
 
 // hosts numbers the loopback addresses, so that each entry has its own.
@@ -71,8 +74,9 @@
 // configure writes the next version of the configuration.
 func (d *deployment) configure() {
 	d.version += 2
+	timeout := cmp.Or(d.timeout, 5*time.Second)
 	route := func(name, kind, service string, attempts int, resumable bool) metastore.Route {
-		return metastore.Route{Name: name, Host: host, Service: service, Kind: kind, Attempts: attempts, Resumable: resumable, TimeoutMs: 5000}
+		return metastore.Route{Name: name, Host: host, Service: service, Kind: kind, Attempts: attempts, Resumable: resumable, TimeoutMs: int(timeout.Milliseconds())}
 	}
 	d.store.PutConfiguration(metastore.Configuration{
 		Version: d.version,
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -20,6 +20,10 @@
 // longer one is relayed as it comes.
 const heldBytes = 1 << 20
 
+// longestAnswer bounds an answer that is no stream, in bytes, so that one without
+// an end does not take an entry's link up to the caller's deadline.
+const longestAnswer = 64 << 20
+
 // heldAnswer is an upstream's whole answer.
 type heldAnswer struct {
 	status int
@@ -79,10 +83,14 @@
 
 // relayLong relays an answer that is too long to hold.
 func (g *Gateway) relayLong(ctx context.Context, r *request, t *placement.Ticket, answer *exchange.Answer, begun []byte) ending {
-	r.progress.headSent = true
+	r.progress.headSent, r.progress.partial = true, true
 	maps.Copy(r.w.Header(), platform.CallerAnswer(answer.Header))
 	r.w.WriteHeader(answer.Status)
-	if _, err := io.Copy(r.w, io.MultiReader(bytes.NewReader(begun), answer)); err != nil {
+	n, err := io.Copy(r.w, io.MultiReader(bytes.NewReader(begun), io.LimitReader(answer, longestAnswer)))
+	if err == nil && n > longestAnswer {
+		err = exchange.ErrTooLong
+	}
+	if err != nil {
 		if ctx.Err() != nil {
 			g.end(t, placement.Abandoned)
 			return callerGone
@@ -95,8 +103,13 @@
 
 // brokenAnswer ends an attempt whose answer can't be used.
 func (g *Gateway) brokenAnswer(r *request, t *placement.Ticket, err error) ending {
-	g.end(t, placement.Failed)
+	outcome := placement.Failed
 	r.progress.why = reason.StreamBroken
+	if errors.Is(err, exchange.ErrTooLong) {
+		outcome = placement.Unreachable
+		r.progress.why = reason.AnswerTooLong
+	}
+	g.end(t, outcome)
 	r.progress.detail = err.Error()
 	g.logAttempt(r, "answer broken")
 	return broken
--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -135,6 +135,54 @@
 	}
 }
 
+// An upstream that sends bytes without end is left as soon as they can be no answer,
+// and what may be repeated goes on elsewhere. The deadline is far off.
+func TestAnswersWithoutEnd(t *testing.T) {
+	cases := map[string]struct {
+		fault  upstream.Fault
+		route  string
+		status int
+	}{
+		"head":                        {upstream.EndlessHead, "status", 200},
+		"head of an order":            {upstream.EndlessHead, "order", 502},
+		"interim answers":             {upstream.EndlessInterim, "status", 200},
+		"event":                       {upstream.EndlessEvent, "stream", 200},
+		"event that may not go on":    {upstream.EndlessEvent, "once", 502},
+		"stream of comments":          {upstream.Trickle, "stream", 200},
+		"body that was begun to pass": {upstream.EndlessBody, "status", 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			d.timeout = time.Minute
+			d.configure()
+			service := counter
+			call := plain(c.route, "r-1")
+			if c.route == "stream" || c.route == "once" {
+				service, call = engines, stream(c.route, "r-1")
+			}
+			call.Deadline = time.Minute
+			bad, good := d.upstream("i-bad", service), d.upstreamIn("zone-b", "i-good", service)
+			e := d.startEntry("entry-1")
+			bad.SetFault(c.fault)
+			began := time.Now()
+			a := e.send(t, call)
+			require.Less(t, time.Since(began), within)
+			if c.status == 0 {
+				require.Error(t, a.err)
+			} else {
+				require.NoError(t, a.err)
+				require.Equal(t, c.status, a.status)
+			}
+			if c.route == "stream" {
+				require.Equal(t, wholeStream(), strings.ReplaceAll(a.body, ": still here\n\n", ""))
+			}
+			eventually(t, func() bool { return bad.Left() == 1 })
+			require.Equal(t, c.status == 200, len(good.Runs()) == 1)
+		})
+	}
+}
+
 // With every upstream declining, the refusal says truly that nothing has run.
 func TestDeclinedEverywhereIsRefusedUnrun(t *testing.T) {
 	d := newDeployment(t)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -20,6 +20,8 @@
 const (
 	// eventBuffer is the longest line of an event, in bytes.
 	eventBuffer = 64 << 10
+	// maxEvent bounds one event, in bytes; the users' are some hundred.
+	maxEvent = 256 << 10
 	// pauseFactor times the route's objective for pauses, and at least
 	// minPauseLimit, is when a silent stream goes on at another upstream.
 	pauseFactor   = 3
@@ -40,6 +42,9 @@
 	data []byte
 	// id is -1 if the event has none.
 	id int64
+	// empty says that the event has no data, like a comment that only keeps a
+	// connection open.
+	empty bool
 }
 
 func newEventReader(r io.Reader) *eventReader {
@@ -50,10 +55,13 @@
 // event.
 func (e *eventReader) next() (event, error) {
 	e.pending = e.pending[:0]
-	id := int64(-1)
+	ev := event{id: -1, empty: true}
 	for {
 		line, err := e.r.ReadSlice('\n')
 		e.pending = append(e.pending, line...)
+		if len(e.pending) > maxEvent || errors.Is(err, bufio.ErrBufferFull) {
+			return event{}, exchange.ErrTooLong
+		}
 		if err != nil {
 			if errors.Is(err, io.EOF) && len(e.pending) > 0 {
 				err = errTorn
@@ -62,11 +70,13 @@
 		}
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
-			return event{e.pending, id}, nil
+			ev.data = e.pending
+			return ev, nil
 		}
+		ev.empty = ev.empty && !bytes.HasPrefix(line, []byte("data"))
 		if text, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			if n, err := strconv.ParseInt(string(bytes.TrimSpace(text)), 10, 64); err == nil {
-				id = n
+				ev.id = n
 			}
 		}
 	}
@@ -78,9 +88,12 @@
 		return g.brokenAnswer(r, t, errors.New("the answer bears no proof")), nil
 	}
 	events := newEventReader(answer)
-	for {
-		answer.SetReadDeadline(g.pauseEnd(r))
-		ev, err := events.next()
+	for ev := (event{}); ; {
+		if !ev.empty {
+			answer.SetReadDeadline(g.pauseEnd(r))
+		}
+		var err error
+		ev, err = events.next()
 		if errors.Is(err, io.EOF) {
 			return g.endOfStream(r, t, answer), nil
 		}
@@ -150,9 +163,13 @@
 	}
 	outcome := placement.Failed
 	p.why = reason.StreamBroken
-	if isTimeout(err) {
+	switch {
+	case isTimeout(err):
 		outcome = placement.Unreachable
 		p.why = reason.NoAnswer
+	case errors.Is(err, exchange.ErrTooLong):
+		outcome = placement.Unreachable
+		p.why = reason.AnswerTooLong
 	}
 	g.end(t, outcome)
 	g.logAttempt(r, "stream broken")
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -39,6 +40,16 @@
 	Silent
 	// Hold sends the first event and waits until Release.
 	Hold
+	// EndlessHead sends header lines until its caller closes, EndlessInterim
+	// interim answers.
+	EndlessHead
+	EndlessInterim
+	// EndlessEvent sends lines of one event until its caller closes, EndlessBody
+	// bytes of a plain answer.
+	EndlessEvent
+	EndlessBody
+	// Trickle sends the first event and then comments until its caller closes.
+	Trickle
 )
 
 // Events is the number of events of a whole stream.
@@ -189,6 +200,15 @@
 	case Silent:
 		s.awaitClose(c)
 		return false
+	case EndlessHead:
+		s.pour(c, "HTTP/1.1 200 OK\r\n", "X-More: "+strings.Repeat("x", 1000)+"\r\n", 0)
+		return false
+	case EndlessInterim:
+		s.pour(c, "", "HTTP/1.1 103 Early Hints\r\nX-More: "+strings.Repeat("x", 1000)+"\r\n\r\n", 0)
+		return false
+	case EndlessEvent, EndlessBody, Trickle:
+		s.pourBody(c, id, fault)
+		return false
 	}
 	if req.Header.Get("Token-Count") != "" {
 		return s.stream(c, id, fault, resumed)
@@ -196,6 +216,36 @@
 	return s.plain(c, req, id, fault)
 }
 
+// pour sends more again and again until the caller closes.
+func (s *Server) pour(c net.Conn, head, more string, pause time.Duration) {
+	for text := head + more; ; text = more {
+		if _, err := io.WriteString(c, text); err != nil {
+			s.mu.Lock()
+			s.left++
+			s.mu.Unlock()
+			return
+		}
+		time.Sleep(pause)
+	}
+}
+
+// tricklePause is the time between two comments of Trickle.
+const tricklePause = 50 * time.Millisecond
+
+// pourBody begins an answer and never ends it.
+func (s *Server) pourBody(c net.Conn, id string, fault Fault) {
+	head := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\n" + s.proof() + "Transfer-Encoding: chunked\r\n"
+	text := func(data string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(data), data) }
+	switch fault {
+	case EndlessEvent:
+		s.pour(c, head+"Content-Type: text/event-stream\r\n\r\n", text("data: "+strings.Repeat("x", 1000)+"\n"), 0)
+	case EndlessBody:
+		s.pour(c, head+"\r\n", text(strings.Repeat("x", 16<<10)), 0)
+	default:
+		s.pour(c, head+"Content-Type: text/event-stream\r\n\r\n"+text(Event(0)), text(": still here\n\n"), tricklePause)
+	}
+}
+
 func (s *Server) proof() string { return "Response-Seal: seal-" + s.ID + "\r\n" }
 
 func reply(c net.Conn, status, id, header, body string) bool {
--- a/upstream/exchange/conn.go
+++ b/upstream/exchange/conn.go
@@ -28,6 +28,9 @@
 type conn struct {
 	net.Conn
 	r *bufio.Reader
+	// bounded says that reads take from left, the bytes that may still be read.
+	bounded bool
+	left    int
 	// idleSince is when its last exchange ended.
 	idleSince time.Time
 	// expires is when an idle connection is no longer used.
@@ -53,9 +56,30 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, r: bufio.NewReaderSize(c, readBuffer)}, nil
+	bounded := &conn{Conn: c}
+	bounded.r = bufio.NewReaderSize(bounded, readBuffer)
+	return bounded, nil
 }
 
+// Read implements io.Reader.
+func (c *conn) Read(p []byte) (int, error) {
+	if !c.bounded {
+		return c.Conn.Read(p)
+	}
+	if c.left <= 0 {
+		return 0, ErrTooLong
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.left)])
+	c.left -= n
+	return n, err
+}
+
+// bound lets the next reads take so many bytes.
+func (c *conn) bound(bytes int) { c.bounded, c.left = true, bytes }
+
+// unbound lets reads take any number of bytes.
+func (c *conn) unbound() { c.bounded = false }
+
 // quiet reports whether an idle connection is open and has nothing to read.
 // Anything that stands there belongs to no request.
 func (c *conn) quiet() bool {
--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -42,6 +42,9 @@
 	KeepAlive time.Duration
 }
 
+// ErrTooLong means that an upstream sent more than an answer may have.
+var ErrTooLong = errors.New("answer too long")
+
 // Error says how an exchange failed.
 type Error struct {
 	// Step is "connect", "write", "read_head" or "read_body".
@@ -61,8 +64,17 @@
 // answer is awaited; larger ones may be answered before they are read.
 const inlineBody = 4096
 
-// strayAnswers bounds the answers of other requests that are skipped.
-const strayAnswers = 3
+// strayAnswers bounds the answers of other requests that are skipped, strayBytes
+// the body of each.
+const (
+	strayAnswers = 3
+	strayBytes   = 1 << 20
+)
+
+// headBytes bounds the head of an answer, with the interim answers before it and
+// what is read ahead. Clients of net/http read ten megabytes at most; entries have
+// less memory for each of their streams.
+const headBytes = 256 << 10
 
 // Answer is an upstream's answer. It must be closed.
 type Answer struct {
@@ -167,6 +179,8 @@
 
 // readHead reads answers until one belongs to the request.
 func readHead(c *conn, req *Request) (resp *http.Response, verdict Verdict, strays int, err error) {
+	defer c.unbound()
+	c.bound(headBytes)
 	for strays = 0; strays <= strayAnswers; {
 		resp, err = http.ReadResponse(c.r, &http.Request{Method: req.Method})
 		if err != nil {
@@ -182,9 +196,11 @@
 			return resp, verdict, strays, nil
 		}
 		strays++
+		c.bound(strayBytes)
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, verdict, strays, err
 		}
+		c.bound(headBytes)
 	}
 	return nil, verdict, strays, errors.New("only answers of other requests")
 }
--- a/upstream/exchange/exchange_test.go
+++ b/upstream/exchange/exchange_test.go
@@ -322,3 +322,42 @@
 		require.True(t, failed.Sent)
 	}
 }
+
+// What can be no answer is read up to a bound, and not until the caller's deadline.
+func TestBytesWithoutEnd(t *testing.T) {
+	line := "X-More: " + strings.Repeat("x", 1000) + "\r\n"
+	cases := map[string][2]string{
+		"head":            {"HTTP/1.1 200 OK\r\n", line},
+		"one line":        {"HTTP/1.1 200 OK\r\nX-More: ", strings.Repeat("x", 1000)},
+		"no head":         {"", strings.Repeat("x", 1000)},
+		"interim answers": {"", "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n"},
+		"foreign answer":  {"HTTP/1.1 200 OK\r\nFor: /other\r\n\r\n", strings.Repeat("x", 1000)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			sent := make(chan int, 1)
+			address := serve(t, func(_ *testing.T, conn net.Conn, r *bufio.Reader, _ int) {
+				read(r)
+				n := 0
+				for text, err := c[0]+c[1], error(nil); err == nil; text = c[1] {
+					_, err = io.WriteString(conn, text)
+					n += len(text)
+				}
+				sent <- n
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			_, err := exchange.NewPool().Do(ctx, address, request("/1"))
+			require.NoError(t, ctx.Err())
+			var ex *exchange.Error
+			require.ErrorAs(t, err, &ex)
+			require.Equal(t, "read_head", ex.Step)
+			require.True(t, ex.Sent)
+			if name != "no head" {
+				require.ErrorIs(t, err, exchange.ErrTooLong)
+			}
+			// What the kernel takes beyond what was read is a few megabytes.
+			require.Less(t, <-sent, 64<<20)
+		})
+	}
+}
