quota: new processes learn from the others which allowances are scarce

Ruled out: a larger part, which is what overran. Change: words with totals say which allowances are scarce. A new process admits all work of a customer whose allowance no knowing entry calls scarce.

--- a/decision/quota/quota.go
+++ b/decision/quota/quota.go
@@ -95,6 +95,9 @@
 	// Admitted is what was let in, Asked what callers sent.
 	Admitted float64
 	Asked    float64
+	// Known says that the entry knows whether the allowance is scarce; new processes
+	// don't. Scarce says that it is.
+	Known, Scarce bool
 }
 
 type peer struct {
@@ -143,7 +146,7 @@
 // New returns a quota without customers.
 func New() *Quota {
 	return &Quota{
-		buckets: map[string]*bucket{}, peers: map[string]*peer{}, view: view{demand: map[string]float64{}}, silent: silentAfter,
+		buckets: map[string]*bucket{}, peers: map[string]*peer{}, view: view{demand: map[string]float64{}, ample: map[string]bool{}}, silent: silentAfter,
 		totals: assumedTotals,
 	}
 }
@@ -169,11 +172,17 @@
 	if q.learnt || now.Sub(q.begun) < q.learnTime() {
 		return !q.learnt
 	}
+	ample := q.look(now).ample
 	q.learnt = true
 	since := now.Sub(q.begun) - q.learnTime()
-	for _, b := range q.buckets {
-		// What was admitted before the others were heard is not known.
-		b.level = math.Min(math.Min(b.level, 0)+b.Rate*since.Seconds(), b.Burst)
+	for name, b := range q.buckets {
+		// What was admitted before the others were heard is not known, but what they
+		// say of the allowance is.
+		least := 0.0
+		if ample[name] {
+			least = emptyLevel * b.Burst
+		}
+		b.level = math.Min(math.Min(b.level, least)+b.Rate*since.Seconds(), b.Burst)
 	}
 	return false
 }
@@ -213,6 +222,8 @@
 	// second by customer.
 	speaking int
 	demand   map[string]float64
+	// ample has the customers whose allowance is not scarce, as far as others know.
+	ample map[string]bool
 }
 
 // look returns the view of the peers, which may be viewLife old.
@@ -223,6 +234,7 @@
 	}
 	v.at, v.silent, v.speaking = now, v.silent[:0], 0
 	clear(v.demand)
+	clear(v.ample)
 	for _, p := range q.peers {
 		if now.Sub(p.heard) > q.silent {
 			v.silent = append(v.silent, p)
@@ -232,6 +244,14 @@
 		for name, d := range p.demands {
 			v.demand[name] += d.Rate
 		}
+		if q.learnt {
+			continue
+		}
+		for name, total := range p.totals {
+			if ample, heard := v.ample[name]; total.Known {
+				v.ample[name] = !total.Scarce && (ample || !heard)
+			}
+		}
 	}
 	return v
 }
@@ -301,10 +321,10 @@
 	q.refill(now, b, customer)
 	b.total.Asked += work
 	if q.learning(now) {
-		return q.takeLearning(now, b, work)
+		return q.takeLearning(now, b, customer, work)
 	}
 	share, _ := q.share(now, b, customer)
-	scarce := q.lateDemand || b.sustained > scarceDemand*b.Rate || b.level < emptyLevel*b.Burst
+	scarce := q.lateDemand || b.scarce()
 	kept := 0.0
 	if scarce {
 		kept = reserve * float64(min(max(rank, 0), ranks))
@@ -331,10 +351,16 @@
 	return true, 0
 }
 
+// scarce reports whether an allowance has to be shared out.
+func (b *bucket) scarce() bool {
+	return b.sustained > scarceDemand*b.Rate || b.level < emptyLevel*b.Burst
+}
+
 // takeLearning admits work of a process that does not know the others yet, from its
-// equal part of the rate.
-func (q *Quota) takeLearning(now time.Time, b *bucket, work float64) (ok bool, wait time.Duration) {
-	if b.part <= 0 {
+// equal part of the rate; where the others know the allowance not to be scarce, all
+// of it.
+func (q *Quota) takeLearning(now time.Time, b *bucket, customer string, work float64) (ok bool, wait time.Duration) {
+	if b.part <= 0 && !q.look(now).ample[customer] {
 		saved := time.Duration((work - b.part) / (b.Rate / q.fleet(now)) * float64(time.Second))
 		return false, min(saved, q.learnTime()-now.Sub(q.begun))
 	}
@@ -383,7 +409,10 @@
 	for name, b := range q.buckets {
 		b.demand.See(now, b.total.Asked)
 		if b.total.Asked > 0 {
-			out[name] = b.total
+			total := b.total
+			total.Known = !q.learning(now)
+			total.Scarce = total.Known && b.scarce()
+			out[name] = total
 		}
 	}
 	return out
--- a/decision/quota/quota_test.go
+++ b/decision/quota/quota_test.go
@@ -363,3 +363,28 @@
 	require.False(t, ok)
 	require.Equal(t, 1500*time.Millisecond, wait)
 }
+
+// Load pattern: most entries are killed at the same moment and start again, while a
+// customer keeps to its rate. The entries that stayed say that its allowance is not
+// scarce, so that the new ones refuse next to nothing.
+func TestHerdsOfRestartsRefuseNoUsualWork(t *testing.T) {
+	const entries, rate = 40, 594_000
+	f := largeFleet(entries, rate, 1200*time.Millisecond, 2*time.Second)
+	usual := func(int, time.Duration) float64 { return rate / 1.8 / entries }
+	f.play(8*time.Second, usual)
+	asked, admitted := f.asked, f.total()
+	for i := range f.entries {
+		if i%5 < 3 {
+			q := New()
+			q.Pace(1200*time.Millisecond, 2*time.Second)
+			q.Expect(entries - 1)
+			q.Set(f.now, customer, Allowance{Rate: rate, Burst: rate})
+			f.entries[i] = q
+			f.starts[i]++
+		}
+	}
+	f.play(4*time.Second, usual)
+	share := (f.total() - admitted) / (f.asked - asked)
+	t.Logf("%.3f of what was asked is admitted", share)
+	require.Greater(t, share, 0.95)
+}
--- a/gateway/word_test.go
+++ b/gateway/word_test.go
@@ -80,8 +80,12 @@
 		return w
 	}
 	work := rapid.Uint64Max(1 << 50)
+	known := rapid.Bool().Draw(t, "known")
 	w.Totals = rapid.MapOf(rapid.Uint32(), rapid.Custom(func(t *rapid.T) quota.Total {
-		return quota.Total{Admitted: float64(work.Draw(t, "admitted")), Asked: float64(work.Draw(t, "asked"))}
+		return quota.Total{
+			Admitted: float64(work.Draw(t, "admitted")), Asked: float64(work.Draw(t, "asked")),
+			Known: known, Scarce: known && rapid.Bool().Draw(t, "scarce"),
+		}
 	})).Draw(t, "totals")
 	counts := rapid.MapOf(rapid.String(), rapid.IntRange(1, 1<<31-1))
 	newest := rapid.Int64Range(maxWindows, 1<<40).Draw(t, "window")
--- a/gateway/wordcodec.go
+++ b/gateway/wordcodec.go
@@ -27,6 +27,7 @@
 	fieldCustomer      protowire.Number = 9  // message, repeated: a customer's usage
 	fieldWindow        protowire.Number = 10 // varint, the newest usage window
 	fieldTotals        protowire.Number = 11 // bytes, see appendTotals
+	fieldScarce        protowire.Number = 12 // bytes: keys of scarce allowances in four bytes
 )
 
 // Field numbers of a customer in a word.
@@ -43,6 +44,8 @@
 	// flagLoads and flagTotals tell that there are none from their being left out.
 	flagLoads
 	flagTotals
+	// flagKnown tells that the entry knows which allowances are scarce.
+	flagKnown
 )
 
 // maxWindows bounds the usage windows of a word.
@@ -53,7 +56,27 @@
 
 func (w word) flags() uint64 {
 	return flagIf(w.Leaving, flagLeaving) | flagIf(w.Watches, flagWatches) | flagIf(w.Holder, flagHolder) |
-		flagIf(w.Loads != nil, flagLoads) | flagIf(w.Totals != nil, flagTotals)
+		flagIf(w.Loads != nil, flagLoads) | flagIf(w.Totals != nil, flagTotals) | flagIf(w.knows(), flagKnown)
+}
+
+// knows reports whether the totals say which allowances are scarce. They do so
+// all alike, as an entry learns of all of them at once.
+func (w word) knows() bool {
+	for _, total := range w.Totals {
+		return total.Known
+	}
+	return false
+}
+
+// scarce returns the keys of the customers whose allowance is scarce.
+func (w word) scarce() []byte {
+	var b []byte
+	for key, total := range w.Totals {
+		if total.Scarce {
+			b = protowire.AppendFixed32(b, key)
+		}
+	}
+	return b
 }
 
 func flagIf(set bool, flag uint64) uint64 {
@@ -81,6 +104,10 @@
 		b = protowire.AppendTag(b, fieldTotals, protowire.BytesType)
 		b = protowire.AppendBytes(b, appendTotals(nil, w.Totals))
 	}
+	if scarce := w.scarce(); len(scarce) > 0 {
+		b = protowire.AppendTag(b, fieldScarce, protowire.BytesType)
+		b = protowire.AppendBytes(b, scarce)
+	}
 	windows := w.windows()
 	if len(windows) > 0 {
 		b = appendVarint(b, fieldWindow, uint64(windows[0]))
@@ -212,6 +239,7 @@
 	var w word
 	var flags uint64
 	var customers [][]byte
+	var scarce []byte
 	var newest int64
 	err := eachField(b, func(field protowire.Number, v fieldValue) error {
 		switch field {
@@ -233,6 +261,8 @@
 			return w.decodeLoads(v.bytes)
 		case fieldTotals:
 			return w.decodeTotals(v.bytes)
+		case fieldScarce:
+			scarce = v.bytes
 		case fieldCustomer:
 			customers = append(customers, v.bytes)
 		case fieldWindow:
@@ -255,7 +285,30 @@
 	if flags&flagTotals != 0 && w.Totals == nil {
 		w.Totals = map[uint32]quota.Total{}
 	}
-	return w, nil
+	return w, w.decodeScarce(scarce, flags&flagKnown != 0)
+}
+
+// decodeScarce completes the totals by what the entry knows of allowances.
+func (w *word) decodeScarce(b []byte, known bool) error {
+	if !known {
+		return nil
+	}
+	for key, total := range w.Totals {
+		total.Known = true
+		w.Totals[key] = total
+	}
+	for len(b) > 0 {
+		key, rest, err := consumeKeyed(b, nil)
+		if err != nil {
+			return err
+		}
+		if total, ok := w.Totals[key]; ok {
+			total.Scarce = true
+			w.Totals[key] = total
+		}
+		b = rest
+	}
+	return nil
 }
 
 // consumeKeyed reads a key in four bytes and then some varints.
