gateway: entries that start together make fewer calls to the store

Ruled out: reading the configuration or the upstreams stale; a process could start with a withdrawn key or an upstream that left. Change: entries are looked up in stale lists, fresh ones only while few of the listed entries speak. After its first list an entry waits to hear who watches; the first three in the order of the watchers do not wait for others.

--- a/gateway/bounds_test.go
+++ b/gateway/bounds_test.go
@@ -40,3 +40,9 @@
 func TestNoticeTimeLeavesGrace(t *testing.T) {
 	require.Less(t, noticeTime+killSlack, bounds().Grace/2)
 }
+
+// An entry that starts begins to watch, or hears from those that do, before a change
+// made just after its first list has to be in force.
+func TestFirstWatchFitsIntoTheApplyBound(t *testing.T) {
+	require.Less(t, 2*watchLead, bounds().ConfigurationApply)
+}
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -32,6 +32,9 @@
 	findInterval = 30 * time.Second
 	// findSoon repeats the first look, because all entries start together.
 	findSoon = 2 * time.Second
+	// findHeard is the part of the listed entries that must have spoken for the
+	// first look to do; a listed entry that has left does not speak.
+	findHeard = 0.5
 	// loadLife is how long a silent entry's load counts, and loadRounds for how
 	// many rounds through all entries it does in a large fleet.
 	loadLife   = 1500 * time.Millisecond
@@ -68,31 +71,52 @@
 	return err
 }
 
-// findPeers makes this entry known in the store and looks up the others.
+// findPeers makes this entry known in the store and looks up the others. A stale
+// list is cheap and does unless many entries start together, which shows by how few
+// of the listed ones speak.
 func (g *Gateway) findPeers(ctx context.Context) {
 	registered := false
-	pause := findSoon
-	for ctx.Err() == nil {
-		if !registered {
-			registered = g.register(ctx)
+	for looked := 0; ctx.Err() == nil; looked++ {
+		registered = registered || g.register(ctx)
+		look := g.objects.ListStale
+		if looked > 0 && !g.heardMost() {
+			look = g.objects.List
 		}
-		list, err := g.objects.List(ctx, platform.KindEntries)
+		list, err := look(ctx, platform.KindEntries)
 		g.setLost("store."+platform.KindEntries, err)
-		if err != nil || !registered {
-			sleep(ctx, findSoon)
+		if err == nil {
+			g.takeEntries(list.Items)
+		}
+		sleep(ctx, findSoon)
+		if err == nil && registered && (looked > 0 || g.heardMost()) {
+			sleep(ctx, findInterval)
+		}
+	}
+}
+
+// takeEntries notes the entries that stand in the store.
+func (g *Gateway) takeEntries(list []objects.Record) {
+	for _, rec := range list {
+		var e entryRecord
+		if err := json.Unmarshal(rec.Value, &e); err != nil {
+			g.log.Warn("entry record can't be read", "entry", rec.Name, "err", err)
 			continue
 		}
-		for _, rec := range list.Items {
-			var e entryRecord
-			if err := json.Unmarshal(rec.Value, &e); err != nil {
-				g.log.Warn("entry record can't be read", "entry", rec.Name, "err", err)
-				continue
-			}
-			g.addPeer(rec.Name, e.Address)
+		g.addPeer(rec.Name, e.Address)
+	}
+}
+
+// heardMost reports whether most of the known entries have spoken.
+func (g *Gateway) heardMost() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	spoke := 0
+	for _, p := range g.peers {
+		if p.incarnation != 0 {
+			spoke++
 		}
-		sleep(ctx, pause)
-		pause = findInterval
 	}
+	return spoke > 0 && float64(spoke) >= findHeard*float64(len(g.peers))
 }
 
 func (g *Gateway) register(ctx context.Context) bool {
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -23,6 +23,11 @@
 	watchShare = 0.5
 	// watchers is how many entries watch the store; the others hear from them.
 	watchers = 3
+	// watchLead is how long an entry that has listed what is there waits to hear who
+	// the others are, and as long again for those before it to begin to watch. Many
+	// entries start together, and all would watch. Both fit into the time in which
+	// a configuration has to be in force.
+	watchLead = 4 * watchCheck
 	// watchCheck is how often an entry that does not watch looks whether it
 	// has to.
 	watchCheck = 200 * time.Millisecond
@@ -104,6 +109,10 @@
 			continue
 		}
 		apply(c)
+		if at == 0 {
+			following.Store(false)
+			g.awaitWatchers(ctx)
+		}
 		at = c.Revision
 		if len(c.Items) > 0 && gap > 0 {
 			sleep(ctx, gap)
@@ -125,6 +134,28 @@
 	return before < watchers
 }
 
+// awaitWatchers gives others the time to say that they watch the store.
+func (g *Gateway) awaitWatchers(ctx context.Context) {
+	if sleep(ctx, watchLead) && g.othersWatchFirst() {
+		sleep(ctx, watchLead)
+	}
+}
+
+// othersWatchFirst reports whether enough of the known entries come before this one
+// in the order in which entries watch the store.
+func (g *Gateway) othersWatchFirst() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before := 0
+	rank := watchRank(g.settings.Name)
+	for name, p := range g.peers {
+		if !p.leaving && watchRank(name) < rank {
+			before++
+		}
+	}
+	return before >= watchers
+}
+
 // watchRank orders entries in a way that does not go by availability zone.
 func watchRank(entry string) uint64 { return xxhash.Sum64String(entry) }
 
