--- a/decision/quota/quota.go
+++ b/decision/quota/quota.go
@@ -172,11 +172,17 @@
 	if q.learnt || now.Sub(q.begun) < q.learnTime() {
 		return !q.learnt
 	}
+	ample := q.look(now).ample
 	q.learnt = true
 	since := now.Sub(q.begun) - q.learnTime()
-	for _, b := range q.buckets {
-		// What was admitted before the others were heard is not known.
-		b.level = math.Min(math.Min(b.level, emptyLevel*b.Burst)+b.Rate*since.Seconds(), b.Burst)
+	for name, b := range q.buckets {
+		// What was admitted before the others were heard is not known, but what they
+		// say of the allowance is.
+		least := 0.0
+		if ample[name] {
+			least = emptyLevel * b.Burst
+		}
+		b.level = math.Min(math.Min(b.level, least)+b.Rate*since.Seconds(), b.Burst)
 	}
 	return false
 }
@@ -354,7 +360,7 @@
 // equal part of the rate; where the others know the allowance not to be scarce, all
 // of it.
 func (q *Quota) takeLearning(now time.Time, b *bucket, customer string, work float64) (ok bool, wait time.Duration) {
-	if b.part <= -q.partLimit(b, 1/q.fleet(now)) && !q.look(now).ample[customer] {
+	if b.part <= 0 && !q.look(now).ample[customer] {
 		saved := time.Duration((work - b.part) / (b.Rate / q.fleet(now)) * float64(time.Second))
 		return false, min(saved, q.learnTime()-now.Sub(q.begun))
 	}
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -31,10 +31,8 @@
 	// watchCheck is how often an entry that does not watch looks whether it
 	// has to.
 	watchCheck = 200 * time.Millisecond
-	// storeBackoff is the pause after a failed call; it doubles with each failure
-	// in a row up to maxStoreBackoff, as calls that the store refuses are priced too.
-	storeBackoff    = 250 * time.Millisecond
-	maxStoreBackoff = time.Second
+	// storeBackoff is the pause after a failed call.
+	storeBackoff = 250 * time.Millisecond
 	// upstreamGap gathers changes of upstreams into one answer.
 	upstreamGap = 250 * time.Millisecond
 	// maxGone bounds the removed upstreams that are remembered.
@@ -80,7 +78,6 @@
 // whether it does.
 func (g *Gateway) follow(ctx context.Context, kind string, following *atomic.Bool, gap time.Duration, apply func(change)) {
 	var at uint64
-	failures := 0
 	for ctx.Err() == nil {
 		follows := at == 0 || g.watchesStore()
 		following.Store(follows)
@@ -108,11 +105,9 @@
 		}
 		g.setLost("store."+kind, err)
 		if err != nil {
-			sleep(ctx, storePause(failures))
-			failures++
+			sleep(ctx, storeBackoff)
 			continue
 		}
-		failures = 0
 		apply(c)
 		if at == 0 {
 			following.Store(false)
@@ -125,11 +120,6 @@
 	}
 }
 
-// storePause is how long to wait after a failed call that followed others.
-func storePause(failures int) time.Duration {
-	return min(storeBackoff<<min(failures, 8), maxStoreBackoff)
-}
-
 // watchesStore reports whether this entry is one of the few that watch the store.
 func (g *Gateway) watchesStore() bool {
 	g.mu.Lock()
