--- a/gateway/bounds_test.go
+++ b/gateway/bounds_test.go
@@ -46,3 +46,15 @@
 func TestFirstWatchFitsIntoTheApplyBound(t *testing.T) {
 	require.Less(t, 2*watchLead, bounds().ConfigurationApply)
 }
+
+// Load pattern: the store refuses a third of the entries for seconds. They call less
+// and less often, and still within a second of its return.
+func TestRefusedEntriesCallLessOften(t *testing.T) {
+	const outage = 9 * time.Second
+	calls := 0
+	for passed := time.Duration(0); passed < outage; passed += storePause(calls - 1) {
+		calls++
+	}
+	require.LessOrEqual(t, calls, int(outage/maxStoreBackoff)+2)
+	require.Equal(t, maxStoreBackoff, storePause(1000))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -216,7 +216,6 @@
 		now := time.Now()
 		g.mu.Lock()
 		words := g.wordTime(g.sortedPeers())
-		g.quota.Pace(time.Duration(g.totalsTime.Load()), words)
 		g.quota.Expire(now)
 		g.expirePeers(now, words)
 		g.measure(now)
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -31,8 +31,10 @@
 	// watchCheck is how often an entry that does not watch looks whether it
 	// has to.
 	watchCheck = 200 * time.Millisecond
-	// storeBackoff is the pause after a failed call.
-	storeBackoff = 250 * time.Millisecond
+	// storeBackoff is the pause after a failed call; it doubles with each failure
+	// in a row up to maxStoreBackoff, as calls that the store refuses are priced too.
+	storeBackoff    = 250 * time.Millisecond
+	maxStoreBackoff = time.Second
 	// upstreamGap gathers changes of upstreams into one answer.
 	upstreamGap = 250 * time.Millisecond
 	// maxGone bounds the removed upstreams that are remembered.
@@ -78,6 +80,7 @@
 // whether it does.
 func (g *Gateway) follow(ctx context.Context, kind string, following *atomic.Bool, gap time.Duration, apply func(change)) {
 	var at uint64
+	listed, failures := false, 0
 	for ctx.Err() == nil {
 		follows := at == 0 || g.watchesStore()
 		following.Store(follows)
@@ -105,11 +108,14 @@
 		}
 		g.setLost("store."+kind, err)
 		if err != nil {
-			sleep(ctx, storeBackoff)
+			sleep(ctx, storePause(failures))
+			failures++
 			continue
 		}
+		failures = 0
 		apply(c)
-		if at == 0 {
+		if !listed {
+			listed = true
 			following.Store(false)
 			g.awaitWatchers(ctx)
 		}
@@ -120,6 +126,11 @@
 	}
 }
 
+// storePause is how long to wait after a failed call that followed others.
+func storePause(failures int) time.Duration {
+	return min(storeBackoff<<min(failures, 8), maxStoreBackoff)
+}
+
 // watchesStore reports whether this entry is one of the few that watch the store.
 func (g *Gateway) watchesStore() bool {
 	g.mu.Lock()
