gateway: entries know the others before the first of them watches the store

A log of who watches shows that all 45 entries of a zone began to watch 0.8 s after their start and went on for 2 s: stale lists had been empty, nobody knew anybody before the second list at 2 s, and each change of upstreams ended every watch. Ruled out: watchers not heard later on; all but one of the zone stopped then. Change: the second look comes after 0.5 s; the region of a listed entry is known from its zone. A line says when an entry begins or ends to watch.

--- a/gateway/bounds_test.go
+++ b/gateway/bounds_test.go
@@ -45,6 +45,8 @@
 // made just after its first list has to be in force.
 func TestFirstWatchFitsIntoTheApplyBound(t *testing.T) {
 	require.Less(t, 2*watchLead, bounds().ConfigurationApply)
+	// By then the others are known.
+	require.Less(t, findAgain, watchLead)
 }
 
 // Load pattern: the store refuses a third of the entries for seconds. They call less
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -35,8 +35,11 @@
 	soonDelay  = 20 * time.Millisecond
 	// findInterval is how often entries that never spoke are looked for.
 	findInterval = 30 * time.Second
-	// findSoon repeats the first look, because all entries start together.
-	findSoon = 2 * time.Second
+	// findAgain repeats the first look, because all entries start together, before
+	// the first of them begin to watch the store; findSoon is the pause after a look
+	// that failed.
+	findAgain = 500 * time.Millisecond
+	findSoon  = 2 * time.Second
 	// findHeard is the part of the listed entries that must have spoken for the
 	// first look to do; a listed entry that has left does not speak.
 	findHeard = 0.5
@@ -89,11 +92,13 @@
 		}
 		list, err := look(ctx, platform.KindEntries)
 		g.setLost("store."+platform.KindEntries, err)
-		if err == nil {
-			g.takeEntries(list.Items)
+		if err != nil || !registered {
+			sleep(ctx, findSoon)
+			continue
 		}
-		sleep(ctx, findSoon)
-		if err == nil && registered && (looked > 0 || g.heardMost()) {
+		g.takeEntries(list.Items)
+		sleep(ctx, findAgain)
+		if looked > 0 || g.heardMost() {
 			sleep(ctx, findInterval)
 		}
 	}
@@ -107,7 +112,7 @@
 			g.log.Warn("entry record can't be read", "entry", rec.Name, "err", err)
 			continue
 		}
-		g.addPeer(rec.Name, e.Address)
+		g.addPeer(rec.Name, e.Address, e.Zone)
 	}
 }
 
@@ -137,7 +142,7 @@
 	return err == nil
 }
 
-func (g *Gateway) addPeer(name, address string) {
+func (g *Gateway) addPeer(name, address, zone string) {
 	udp, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil || name == g.settings.Name {
 		return
@@ -146,7 +151,7 @@
 	defer g.mu.Unlock()
 	p := g.peers[name]
 	if p == nil {
-		p = &peer{heard: time.Now()}
+		p = &peer{heard: time.Now(), region: g.settings.Regions[zone]}
 		g.peers[name] = p
 		g.quota.Expect(len(g.peers))
 	}
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -86,7 +86,9 @@
 	listed, failures := false, 0
 	for ctx.Err() == nil {
 		follows := at == 0 || g.watchesStore()
-		following.Store(follows)
+		if following.Swap(follows) != follows {
+			g.log.Info("watching the store", "kind", kind, "watches", follows, "after", at)
+		}
 		if !follows {
 			// The others tell what they see; a later watch begins with a list.
 			at = 0
