--- a/decision/quota/quota.go
+++ b/decision/quota/quota.go
@@ -261,7 +261,7 @@
 		for name, d := range p.demands {
 			v.demand[name] += d.Rate
 		}
-		if q.learnt {
+		if q.learnt || q.partsOnly {
 			continue
 		}
 		for name, total := range p.totals {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,8 +56,6 @@
 	inFlight                               atomic.Int64
 	// turnTime is the time between the last two turns of words, in nanoseconds.
 	turnTime atomic.Int64
-	// totalsTime is how long it takes to tell all others the totals.
-	totalsTime atomic.Int64
 	// confirmed is when the store or a peer last confirmed the configuration in
 	// force, on the steady clock in nanoseconds.
 	confirmed atomic.Int64
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -230,7 +230,6 @@
 	}
 	wait := g.turnWait(light*t.lightBytes, len(peers.near))
 	g.turnTime.Store(int64(wait))
-	g.totalsTime.Store(int64(t.totalsTime(peers)))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.quota.Pace(t.totalsTime(peers), g.wordTime(peers))
--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -72,8 +72,8 @@
 )
 
 // headBytes bounds the head of an answer, with the interim answers before it and
-// what is read ahead. Clients of net/http read ten megabytes at most; entries have
-// less memory for each of their streams.
+// what is read ahead. The 10 MB that net/http's client takes are too much for an
+// entry with hundreds of streams.
 const headBytes = 256 << 10
 
 // Answer is an upstream's answer. It must be closed.
