gateway: one odd message does not end the process

Cause: handling of peers' words, configurations and lists ran without a guard, so that a panic there ended the process with all its streams. A property that feeds odd words found one way: a usage window of 0 in the settings divides by zero in the first word, and a retry window of 0 in the first request.

--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -361,27 +361,33 @@
 			}
 			continue
 		}
-		w, err := decodeWord(buffer[:n])
-		if err != nil || w.Entry == "" || w.Entry == g.settings.Name {
-			g.log.Debug("odd datagram", "from", from, "err", err)
-			continue
-		}
-		w.From = from
-		g.hear(w)
-		if w.Watches && !g.behindConfiguration(w) {
-			g.confirmed.Store(int64(steady()))
-		}
-		if !g.behindConfiguration(w) && !g.behindUpstreams(w) {
-			continue
-		}
-		select {
-		case catching <- struct{}{}:
-			go func() {
-				g.catchUp(ctx, w)
-				<-catching
-			}()
-		default:
-		}
+		g.survive("word", func() { g.hearDatagram(ctx, buffer[:n], from, catching) })
+	}
+}
+
+// hearDatagram takes one word. If its entry knows more, catching, which has room for
+// one, has this entry fetch that in the background.
+func (g *Gateway) hearDatagram(ctx context.Context, data []byte, from *net.UDPAddr, catching chan struct{}) {
+	w, err := decodeWord(data)
+	if err != nil || w.Entry == "" || w.Entry == g.settings.Name {
+		g.log.Debug("odd datagram", "from", from, "err", err)
+		return
+	}
+	w.From = from
+	g.hear(w)
+	if w.Watches && !g.behindConfiguration(w) {
+		g.confirmed.Store(int64(steady()))
+	}
+	if !g.behindConfiguration(w) && !g.behindUpstreams(w) {
+		return
+	}
+	select {
+	case catching <- struct{}{}:
+		go func() {
+			g.survive("catch up", func() { g.catchUp(ctx, w) })
+			<-catching
+		}()
+	default:
 	}
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -50,6 +50,8 @@
 	// storeCalls and storeErrors count calls to the platform's store.
 	storeCalls  metrics.Counter
 	storeErrors metrics.Counter
+	// panics counts messages whose handling panicked.
+	panics metrics.Counter
 	// logLimited and logDropped are the log lines left out by the limit of a
 	// message, and for want of room in the buffer.
 	logLimited metrics.Gauge
@@ -81,6 +83,7 @@
 		unanswered: map[reason.Reason]metrics.Counter{}, changed: map[belief]metrics.Counter{},
 		answered: counter("request.answered"), failed: counter("request.failed"), abandoned: counter("request.abandoned"),
 		connections: counter("upstream.connections"), storeCalls: counter("store.calls"), storeErrors: counter("store.errors"),
+		panics:     counter("message.panics"),
 		logLimited: gauge("log.limited"), logDropped: gauge("log.dropped"),
 		inFlight: gauge("request.in_flight"), version: gauge("configuration.version"),
 		peers: gauge("peer.live"), upstreams: gauge("upstream.known"),
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -118,7 +118,7 @@
 			continue
 		}
 		failures = 0
-		apply(c)
+		g.survive("store."+kind, func() { apply(c) })
 		if !listed {
 			listed = true
 			following.Store(false)
--- /dev/null
+++ b/gateway/survive_test.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"math"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/encoding/protowire"
+	"pgregory.net/rapid"
+
+	"jaylink/internal/schedule"
+	"jaylink/platform"
+	"jaylink/serving"
+)
+
+// A message whose handling panics is counted, and what it had locked is free.
+func TestPanicEndsOnlyTheMessage(t *testing.T) {
+	g := New(platform.Settings{Name: "e"}, slog.New(slog.DiscardHandler))
+	g.survive("test", func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		panic("odd")
+	})
+	require.EqualValues(t, 1, g.metrics.panics.Snapshot().Count())
+	require.True(t, g.mu.TryLock())
+}
+
+// Whatever words say, an entry goes on, and none of them makes its handling panic.
+func TestOddWordsAreSurvived(t *testing.T) {
+	schedule.Property(t, func(t *rapid.T) {
+		limits := bounds()
+		limits.UsageWindow = time.Second
+		g := New(platform.Settings{Name: "e", Region: "r", Bounds: limits}, slog.New(slog.DiscardHandler))
+		g.config.Store(&acceptedConfiguration{Configuration: &serving.Configuration{Version: math.MaxUint64}})
+		g.upstreams.Store(&upstreamList{revision: math.MaxUint64})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		for range rapid.IntRange(1, 8).Draw(t, "words") {
+			data := genWord(t).encode()
+			if rapid.Bool().Draw(t, "odd") {
+				data = append(data, rapid.SliceOfN(rapid.Byte(), 0, 20).Draw(t, "tail")...)
+			}
+			if rapid.Bool().Draw(t, "zero") {
+				data = protowire.AppendTag(data, fieldIncarnation, protowire.Fixed64Type)
+				data = protowire.AppendFixed64(data, rapid.Uint64().Draw(t, "incarnation"))
+			}
+			g.survive("word", func() {
+				g.hearDatagram(ctx, data, &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1}, make(chan struct{}, 1))
+			})
+			g.expirePeers(time.Now(), time.Second)
+			g.nextWord(content{loads: true, totals: true, usage: true}).encode()
+		}
+		require.Zero(t, g.metrics.panics.Snapshot().Count())
+	})
+}
