--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"jaylink/decision/quota"
 	"jaylink/objects"
 	"jaylink/platform"
@@ -21,19 +19,6 @@
 	// force for which one watch waits: a watch may go silent, and what it
 	// missed is then read by the next.
 	watchShare = 0.5
-	// watchers is how many entries watch the store, in a large fleet of each region;
-	// the others hear from them.
-	watchers = 3
-	// watchTakeover is what a list and a watch in place of a silent entry may take.
-	watchTakeover = time.Second
-	// watchLead is how long an entry that has listed what is there waits to hear who
-	// the others are, and as long again for those before it to begin to watch. Many
-	// entries start together, and all would watch. Both fit into the time in which
-	// a configuration has to be in force.
-	watchLead = 4 * watchCheck
-	// watchCheck is how often an entry that does not watch looks whether it
-	// has to.
-	watchCheck = 200 * time.Millisecond
 	// storeBackoff is the pause after a failed call; it doubles with each failure
 	// in a row up to maxStoreBackoff, as calls that the store refuses are priced too.
 	storeBackoff    = 250 * time.Millisecond
@@ -136,68 +121,6 @@
 	return min(storeBackoff<<min(failures, 8), maxStoreBackoff)
 }
 
-// watchesStore reports whether this entry is one of the few that watch the store.
-func (g *Gateway) watchesStore() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	before := 0
-	rank := watchRank(g.settings.Name)
-	life := g.watcherLife()
-	for name, p := range g.peers {
-		if p.watches && !p.leaving && time.Since(p.heard) < life && watchRank(name) < rank && g.tellsWatches(p) {
-			before++
-		}
-	}
-	return before < watchers
-}
-
-// watcherLife is how long an entry that watches the store counts without a word. In
-// a large fleet its words come each two seconds; what a change then takes until it
-// is in force leaves watchTakeover for this entry to watch in its place.
-func (g *Gateway) watcherLife() time.Duration {
-	return max(loadLife, g.settings.Bounds.ConfigurationApply-watchTakeover)
-}
-
-// tellsWatches reports whether a peer's words come often enough to leave watching the
-// store to it; in a large fleet only those of the region do. The caller holds mu.
-func (g *Gateway) tellsWatches(p *peer) bool {
-	return len(g.peers) <= smallFleet || p.region == g.settings.Region
-}
-
-// awaitWatchers gives others the time to say that they watch the store.
-func (g *Gateway) awaitWatchers(ctx context.Context) {
-	if sleep(ctx, watchLead) && g.othersWatchFirst() {
-		sleep(ctx, watchLead)
-	}
-}
-
-// othersWatchFirst reports whether enough of the known entries come before this one
-// in the order in which entries watch the store.
-func (g *Gateway) othersWatchFirst() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	before := 0
-	rank := watchRank(g.settings.Name)
-	for name, p := range g.peers {
-		if !p.leaving && watchRank(name) < rank && g.tellsWatches(p) {
-			before++
-		}
-	}
-	return before >= watchers
-}
-
-// watchRank orders entries in a way that does not go by availability zone.
-func watchRank(entry string) uint64 { return xxhash.Sum64String(entry) }
-
-// awaitWatch returns once this entry has to watch the store.
-func (g *Gateway) awaitWatch(ctx context.Context) {
-	for sleep(ctx, watchCheck) {
-		if g.watchesStore() {
-			return
-		}
-	}
-}
-
 // storeHeld reports whether the store answers this entry's watches. The caller
 // holds mu.
 func (g *Gateway) storeHeld() bool {
