gateway: late words make no more calls to the store

Words come each 5 to 10 s there, but an entry counted as gone for the lease after 1.5 s, so that many looked at it; one lost word of one of three watchers made an entry list and watch. Change: who looks at the lease goes by how long words take; an entry begins to watch when it hears of fewer than two watchers, and ends when three are before it. Before: TestLateWordsMakeNoMoreCalls fails for either part. After: passes.

--- a/gateway/behind_test.go
+++ b/gateway/behind_test.go
@@ -4,7 +4,9 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -62,3 +64,40 @@
 	}
 	require.True(t, g.heardMost())
 }
+
+// Load pattern: a fleet in which words come each ten seconds. Only the first in the
+// order of names look at the lease, and one lost word of a watcher makes nobody else
+// watch the store.
+func TestLateWordsMakeNoMoreCalls(t *testing.T) {
+	const entries = 295
+	name := func(i int) string { return fmt.Sprintf("e-%03d", i) }
+	follow, watch := 0, 0
+	for i := range entries {
+		g := New(platform.Settings{Name: name(i), Region: "r", Bounds: bounds()}, slog.New(slog.DiscardHandler))
+		g.turnTime.Store(int64(lateInterval))
+		for j := range entries {
+			if j != i {
+				g.peers[name(j)] = &peer{
+					region: "r", address: &net.UDPAddr{}, incarnation: 1, heard: time.Now().Add(-4 * time.Second),
+				}
+			}
+		}
+		// Three watch, and one of them was not heard in time.
+		for j, id := range []string{name(7), name(70), name(170)} {
+			if p := g.peers[id]; p != nil {
+				p.watches = true
+				if j > 0 {
+					p.heard = time.Now()
+				}
+			}
+		}
+		if g.isCandidate() {
+			follow++
+		}
+		if last := watchRank(name(i)) > max(watchRank(name(70)), watchRank(name(170))); last && g.watchersBefore() < minWatchers {
+			watch++
+		}
+	}
+	require.Equal(t, candidates, follow)
+	require.Zero(t, watch)
+}
--- a/gateway/cost_test.go
+++ b/gateway/cost_test.go
@@ -85,7 +85,7 @@
 	b.Run("watches", func(b *testing.B) {
 		g, _ := largeGateway()
 		for b.Loop() {
-			g.watchesStore()
+			g.watchersBefore()
 		}
 	})
 }
--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -94,11 +94,12 @@
 		return true
 	}
 	before := 0
+	life := max(loadLife, g.wordTime(g.sortedPeers()))
 	for name, p := range g.peers {
 		if p.holder && !p.leaving {
 			return false
 		}
-		if name < g.settings.Name && !p.leaving && time.Since(p.heard) < loadLife {
+		if name < g.settings.Name && !p.leaving && time.Since(p.heard) < life {
 			before++
 		}
 	}
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -70,7 +70,7 @@
 	var at uint64
 	listed, failures := false, 0
 	for ctx.Err() == nil {
-		follows := at == 0 || g.watchesStore()
+		follows := at == 0 || g.keepsWatching()
 		if following.Swap(follows) != follows {
 			g.log.Info("watching the store", "kind", kind, "watches", follows, "after", at)
 		}
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -12,6 +12,9 @@
 	// watchers is how many entries watch the store, in a large fleet of each region;
 	// the others hear from them.
 	watchers = 3
+	// minWatchers is the number of watchers below which another entry begins to
+	// watch. A lost datagram hides one of them for a while.
+	minWatchers = 2
 	// watchTakeover is what a list and a watch in place of a silent entry may take.
 	watchTakeover = time.Second
 	// watchLead is how long an entry that has listed what is there waits to hear who
@@ -24,8 +27,12 @@
 	watchCheck = 200 * time.Millisecond
 )
 
-// watchesStore reports whether this entry is one of the few that watch the store.
-func (g *Gateway) watchesStore() bool {
+// keepsWatching reports whether an entry that watches the store is one of the few
+// that do.
+func (g *Gateway) keepsWatching() bool { return g.watchersBefore() < watchers }
+
+// watchersBefore returns how many entries that watch the store come before this one.
+func (g *Gateway) watchersBefore() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	before := 0
@@ -36,7 +43,7 @@
 			before++
 		}
 	}
-	return before < watchers
+	return before
 }
 
 // watcherLife is how long an entry that watches the store counts without a word. In
@@ -80,7 +87,7 @@
 // awaitWatch returns once this entry has to watch the store.
 func (g *Gateway) awaitWatch(ctx context.Context) {
 	for sleep(ctx, watchCheck) {
-		if g.watchesStore() {
+		if g.watchersBefore() < minWatchers {
 			return
 		}
 	}
