gateway: the holder of the duties is told of usage between its words

Entries tell usage to the first four by name and to the holder; they took it for no holder after 1.5 s without a word, and its words come each 5 to 10 s there. A holder beyond the first four heard next to nothing. Change: who holds the duties is known until its next word or its end; those who would succeed it go by its silence as before. Before: TestHolderIsToldOfUsageBetweenItsWords fails. After: passes.

--- a/gateway/behind_test.go
+++ b/gateway/behind_test.go
@@ -101,3 +101,19 @@
 	require.Equal(t, candidates, follow)
 	require.Zero(t, watch)
 }
+
+// In a large fleet the holder of the duties is heard each ten seconds. It is told of
+// usage all the while, and those who would succeed it don't wait for its next word.
+func TestHolderIsToldOfUsageBetweenItsWords(t *testing.T) {
+	g := New(platform.Settings{Name: "e-000", Region: "r", Bounds: bounds()}, slog.New(slog.DiscardHandler))
+	for i := 1; i < 40; i++ {
+		g.peers[fmt.Sprintf("e-%03d", i)] = &peer{region: "r", address: &net.UDPAddr{Port: i}, heard: time.Now()}
+	}
+	holder := g.peers["e-030"]
+	holder.holder, holder.heard = true, time.Now().Add(-2*loadLife)
+	g.expirePeers(time.Now(), 10*time.Second)
+	require.Contains(t, g.sortedPeers().duties, holder.address)
+	require.True(t, g.isCandidate())
+	holder.heard = time.Now()
+	require.False(t, g.isCandidate())
+}
--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -96,7 +96,7 @@
 	before := 0
 	life := max(loadLife, g.wordTime(g.sortedPeers()))
 	for name, p := range g.peers {
-		if p.holder && !p.leaving {
+		if p.holder && !p.leaving && time.Since(p.heard) < loadLife {
 			return false
 		}
 		if name < g.settings.Name && !p.leaving && time.Since(p.heard) < life {
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -65,9 +65,6 @@
 	life := max(loadLife, loadRounds*words)
 	for name, p := range g.peers {
 		silent := now.Sub(p.heard)
-		if silent > loadLife {
-			p.holder = false
-		}
 		if silent > life {
 			g.table.Hear(name, nil)
 		}
