gateway: every second look for other entries is fresh

Change: the second look always reads a fresh list after the entry has registered, so of two entries the later one finds the other. No test of its own yet.

--- a/gateway/find.go
+++ b/gateway/find.go
@@ -20,8 +20,8 @@
 	// that failed.
 	findAgain = 500 * time.Millisecond
 	findSoon  = 2 * time.Second
-	// findHeard is the part of the listed entries that must have spoken for the
-	// first look to do; a listed entry that has left does not speak.
+	// findHeard is the part of the listed entries that must have spoken for a stale
+	// list to do; a listed entry that has left does not speak.
 	findHeard = 0.5
 )
 
@@ -31,15 +31,16 @@
 	Zone    string `json:"zone"`
 }
 
-// findPeers makes this entry known in the store and looks up the others. A stale
-// list is cheap and does unless many entries start together, which shows by how few
-// of the listed ones speak.
+// findPeers makes this entry known in the store and looks up the others: at once in a
+// stale list, which is cheap, then in a fresh one, and later in a fresh one only if
+// few of the listed ones speak.
 func (g *Gateway) findPeers(ctx context.Context) {
 	registered := false
 	for looked := 0; ctx.Err() == nil; looked++ {
 		registered = registered || g.register(ctx)
 		look := g.objects.ListStale
-		if looked > 0 && !g.heardMost() {
+		if looked == 1 || looked > 1 && !g.heardMost() {
+			// Of two entries that start together, the later one finds the other.
 			look = g.objects.List
 		}
 		list, err := look(ctx, platform.KindEntries)
@@ -50,7 +51,7 @@
 		}
 		g.takeEntries(list.Items)
 		sleep(ctx, findAgain)
-		if looked > 0 || g.heardMost() {
+		if looked > 0 {
 			sleep(ctx, findInterval)
 		}
 	}
