--- a/decision/quota/quota.go
+++ b/decision/quota/quota.go
@@ -68,11 +68,6 @@
 	demandTime   = 2500 * time.Millisecond
 	// partBurst is the time for which an entry may save up its part.
 	partBurst = 400 * time.Millisecond
-	// viewLife is how long what the peers said is used before it is gathered again,
-	// and viewPart the part of a round of totals for which it is where they come
-	// late: gathering takes as long as hearing from a dozen entries.
-	viewLife = 50 * time.Millisecond
-	viewPart = 24
 	// assumedTotals is how long totals are taken to need until the pace is known.
 	assumedTotals = 400 * time.Millisecond
 	// creditPart is the part of the platform's slack that entries which go by parts
@@ -184,51 +179,6 @@
 	b.part = math.Min(b.part, a.Rate*partBurst.Seconds())
 }
 
-// view is what the peers say, gathered once for many requests.
-type view struct {
-	at     time.Time
-	silent []*peer
-	// speaking is the number of the others, demand what they are asked for per
-	// second by customer.
-	speaking int
-	demand   map[string]float64
-	// ample has the customers whose allowance is not scarce, as far as others know.
-	ample map[string]bool
-}
-
-// look returns the view of the peers, which may be viewLife old.
-func (q *Quota) look(now time.Time) *view {
-	v := &q.view
-	if now.Sub(v.at) < max(viewLife, q.totals/viewPart) {
-		return v
-	}
-	v.at, v.silent, v.speaking = now, v.silent[:0], 0
-	clear(v.demand)
-	clear(v.ample)
-	for _, p := range q.peers {
-		if now.Sub(p.heard) > q.silent {
-			v.silent = append(v.silent, p)
-			continue
-		}
-		v.speaking++
-		for name, d := range p.demands {
-			v.demand[name] += d.Rate
-		}
-		if q.learnt || q.partsOnly {
-			continue
-		}
-		for name, total := range p.totals {
-			if ample, heard := v.ample[name]; total.Known {
-				v.ample[name] = !total.Scarce && (ample || !heard)
-			}
-		}
-	}
-	return v
-}
-
-// lookAgain makes the next look gather anew.
-func (q *Quota) lookAgain() { q.view.at = time.Time{} }
-
 // refill adds what the rate has earned and charges the parts of silent peers.
 func (q *Quota) refill(now time.Time, b *bucket, customer string) {
 	passed := now.Sub(b.at).Seconds()
@@ -245,12 +195,12 @@
 	}
 	b.level = math.Min(b.level+free, b.Burst)
 	share, demand := q.share(now, b, customer)
+	fleet := q.fleet(now)
 	if q.learning(now) {
-		share = 1 / q.fleet(now)
+		share = 1 / fleet
 	}
 	b.sustained += (1 - math.Exp(-passed/demandTime.Seconds())) * (demand - b.sustained)
 	b.part = math.Min(b.part+free*share, q.partLimit(b, share))
-	fleet := q.fleet(now)
 	b.credit = math.Min(b.credit+earned/fleet, creditPart*q.slack/fleet)
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -101,14 +101,18 @@
 	return delivered
 }
 
-// brokenAnswer ends an attempt whose answer can't be used.
-func (g *Gateway) brokenAnswer(r *request, t *placement.Ticket, err error) ending {
-	outcome := placement.Failed
-	r.progress.why = reason.StreamBroken
+// faultOf says what an unusable answer means for its upstream.
+func faultOf(err error) (placement.Outcome, reason.Reason) {
 	if errors.Is(err, exchange.ErrTooLong) {
-		outcome = placement.Unreachable
-		r.progress.why = reason.AnswerTooLong
+		return placement.Unreachable, reason.AnswerTooLong
 	}
+	return placement.Failed, reason.StreamBroken
+}
+
+// brokenAnswer ends an attempt whose answer can't be used.
+func (g *Gateway) brokenAnswer(r *request, t *placement.Ticket, err error) ending {
+	var outcome placement.Outcome
+	outcome, r.progress.why = faultOf(err)
 	g.end(t, outcome)
 	r.progress.detail = err.Error()
 	g.logAttempt(r, "answer broken")
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -161,16 +161,11 @@
 		g.end(t, placement.Abandoned)
 		return callerGone
 	}
-	outcome := placement.Failed
-	p.why = reason.StreamBroken
-	switch {
-	case isTimeout(err):
-		outcome = placement.Unreachable
-		p.why = reason.NoAnswer
-	case errors.Is(err, exchange.ErrTooLong):
-		outcome = placement.Unreachable
-		p.why = reason.AnswerTooLong
+	outcome, why := faultOf(err)
+	if isTimeout(err) {
+		outcome, why = placement.Unreachable, reason.NoAnswer
 	}
+	p.why = why
 	g.end(t, outcome)
 	g.logAttempt(r, "stream broken")
 	return broken
--- a/gateway/watchers.go
+++ b/gateway/watchers.go
@@ -33,13 +33,19 @@
 
 // watchersBefore returns how many entries that watch the store come before this one.
 func (g *Gateway) watchersBefore() int {
+	life := g.watcherLife()
+	return g.entriesBefore(func(p *peer) bool { return p.watches && time.Since(p.heard) < life })
+}
+
+// entriesBefore returns how many of the entries that count come before this one in
+// the order in which entries watch the store.
+func (g *Gateway) entriesBefore(counts func(*peer) bool) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	before := 0
 	rank := watchRank(g.settings.Name)
-	life := g.watcherLife()
 	for name, p := range g.peers {
-		if p.watches && !p.leaving && time.Since(p.heard) < life && watchRank(name) < rank && g.tellsWatches(p) {
+		if counts(p) && !p.leaving && watchRank(name) < rank && g.tellsWatches(p) {
 			before++
 		}
 	}
@@ -66,19 +72,9 @@
 	}
 }
 
-// othersWatchFirst reports whether enough of the known entries come before this one
-// in the order in which entries watch the store.
+// othersWatchFirst reports whether enough of the known entries come before this one.
 func (g *Gateway) othersWatchFirst() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	before := 0
-	rank := watchRank(g.settings.Name)
-	for name, p := range g.peers {
-		if !p.leaving && watchRank(name) < rank && g.tellsWatches(p) {
-			before++
-		}
-	}
-	return before >= watchers
+	return g.entriesBefore(func(*peer) bool { return true }) >= watchers
 }
 
 // watchRank orders entries in a way that does not go by availability zone.
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -235,14 +235,13 @@
 // pourBody begins an answer and never ends it.
 func (s *Server) pourBody(c net.Conn, id string, fault Fault) {
 	head := "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\n" + s.proof() + "Transfer-Encoding: chunked\r\n"
-	text := func(data string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(data), data) }
 	switch fault {
 	case EndlessEvent:
-		s.pour(c, head+"Content-Type: text/event-stream\r\n\r\n", text("data: "+strings.Repeat("x", 1000)+"\n"), 0)
+		s.pour(c, head+"Content-Type: text/event-stream\r\n\r\n", chunked("data: "+strings.Repeat("x", 1000)+"\n"), 0)
 	case EndlessBody:
-		s.pour(c, head+"\r\n", text(strings.Repeat("x", 16<<10)), 0)
+		s.pour(c, head+"\r\n", chunked(strings.Repeat("x", 16<<10)), 0)
 	default:
-		s.pour(c, head+"Content-Type: text/event-stream\r\n\r\n"+text(Event(0)), text(": still here\n\n"), tricklePause)
+		s.pour(c, head+"Content-Type: text/event-stream\r\n\r\n"+chunked(Event(0)), chunked(": still here\n\n"), tricklePause)
 	}
 }
 
@@ -334,7 +333,10 @@
 	return ok && timeout.Timeout()
 }
 
+// chunked returns data as one chunk of a body.
+func chunked(data string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(data), data) }
+
 func chunk(c net.Conn, data string) error {
-	_, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(data), data)
+	_, err := io.WriteString(c, chunked(data))
 	return err
 }
