--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -72,14 +72,23 @@
 	// Pace is the time between two events, and that of a plain answer. It is set
 	// before the first request.
 	Pace time.Duration
+	// Deadly is a part of bodies that end the upstream when it runs them, if it is
+	// not empty; Down is how long it is away then, after which Restarted is called,
+	// if set. They are set before the first request.
+	Deadly    string
+	Down      time.Duration
+	Restarted func()
 
-	listener net.Listener
-	release  chan struct{}
+	address string
+	release chan struct{}
+	closed  chan struct{}
 
 	mu       sync.Mutex
+	listener net.Listener
 	fault    Fault
 	runs     []Run
 	arrivals int
+	crashes  int
 	// left counts connections that their caller closed before the end.
 	left  int
 	conns map[net.Conn]bool
@@ -92,24 +101,82 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{ID: id, listener: l, release: make(chan struct{}), conns: map[net.Conn]bool{}}
+	s := &Server{
+		ID: id, listener: l, address: l.Addr().String(), release: make(chan struct{}), closed: make(chan struct{}), conns: map[net.Conn]bool{},
+	}
 	s.done.Add(1)
-	go s.accept()
+	go s.accept(l)
 	return s, nil
 }
 
 // Address returns IP:PORT.
-func (s *Server) Address() string { return s.listener.Addr().String() }
+func (s *Server) Address() string { return s.address }
 
 // Close stops the upstream and cuts off what it runs.
 func (s *Server) Close() {
-	_ = s.listener.Close()
+	close(s.closed)
+	s.cut()
+	s.done.Wait()
+}
+
+// cut closes the listener and every connection.
+func (s *Server) cut() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = s.listener.Close()
 	for c := range s.conns {
 		_ = c.Close()
 	}
+}
+
+// Crash ends the upstream at once; it listens again after Down.
+func (s *Server) Crash() {
+	s.mu.Lock()
+	s.crashes++
 	s.mu.Unlock()
-	s.done.Wait()
+	s.cut()
+	s.done.Add(1)
+	go s.restart()
+}
+
+// relistenPause is the pause between two tries to listen again.
+const relistenPause = 10 * time.Millisecond
+
+func (s *Server) restart() {
+	defer s.done.Done()
+	for wait := s.Down; ; wait = relistenPause {
+		select {
+		case <-s.closed:
+			return
+		case <-time.After(wait):
+		}
+		l, err := net.Listen("tcp", s.address)
+		if err != nil {
+			continue
+		}
+		s.mu.Lock()
+		s.listener = l
+		s.mu.Unlock()
+		select {
+		case <-s.closed:
+			_ = l.Close()
+			return
+		default:
+		}
+		s.done.Add(1)
+		go s.accept(l)
+		if s.Restarted != nil {
+			s.Restarted()
+		}
+		return
+	}
+}
+
+// Crashes returns how often the upstream crashed.
+func (s *Server) Crashes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashes
 }
 
 // Release lets held streams go on.
@@ -136,10 +203,10 @@
 	return s.left
 }
 
-func (s *Server) accept() {
+func (s *Server) accept(l net.Listener) {
 	defer s.done.Done()
 	for {
-		c, err := s.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -192,6 +259,10 @@
 	s.mu.Lock()
 	s.runs = append(s.runs, Run{id, req.RequestURI, req.Header, body, resumed})
 	s.mu.Unlock()
+	if s.Deadly != "" && strings.Contains(body, s.Deadly) {
+		s.Crash()
+		return false
+	}
 	switch fault {
 	case Fail:
 		return reply(c, "500 Internal Server Error", id, s.proof(), "failed")
