gateway: refuse requests that have ended three upstreams, at every entry

What callers saw: one request, sent again with new IDs, ended upstream after upstream; requests beside it lost theirs.

Cause: nothing connected a caller's repeats. The bound on attempts is one for each request. jaylink entry counts crashes by content; the gateway, which is what the users run, never imported that decision. Class: a promise kept by one serving path and not by the other.

Ruled out: more attempts of one request than its route allows (none of 40 had more than two); counting by each entry alone (three entries would end nine).

Change: crashes are counted by target, customer and body with decision/poison, told to all entries at once and to those that start, and the request is refused with 400 as soon as it is poison. Requests answered in full are acquitted everywhere; one that was answered before is held responsible once for all crashes within a second, so that a herd of crashes blames no popular request.

--- a/decision/poison/poison.go
+++ b/decision/poison/poison.go
@@ -4,7 +4,8 @@
 // A crash is noted with the fingerprints of the requests whose connections
 // broke in it, as this entry and the others saw them. A request that took part
 // in several crashes is poison, unless another one took part in the same ones:
-// then either may be the cause, and the next crash tells.
+// then either may be the cause, and the next crash tells. A request that is answered
+// in full is sound: what was held against it is forgotten (verdict.go).
 package poison
 
 import (
@@ -41,6 +42,10 @@
 	crashes  []*crash // the oldest report first
 	counts   map[uint64]int
 	poisoned map[uint64]time.Time
+	// sound has the requests that were answered in full although a crash was held
+	// against them, and when.
+	sound    map[uint64]time.Time
+	answered *answers
 }
 
 // crash is one crash with the requests that took part in it.
@@ -57,14 +62,16 @@
 
 // NewTracker returns a tracker that knows of no crash.
 func NewTracker() *Tracker {
-	return &Tracker{counts: map[uint64]int{}, poisoned: map[uint64]time.Time{}}
+	return &Tracker{
+		counts: map[uint64]int{}, poisoned: map[uint64]time.Time{}, sound: map[uint64]time.Time{}, answered: newAnswers(),
+	}
 }
 
 // Add notes that a request took part in a crash and reports whether that was
 // new.
 func (t *Tracker) Add(now time.Time, report Crash) bool {
 	t.expire(now)
-	if now.Sub(report.At) >= memory {
+	if now.Sub(report.At) >= memory || !report.At.After(t.sound[report.Fingerprint]) {
 		return false
 	}
 	c := t.find(report)
@@ -102,7 +109,7 @@
 // judge reports whether a request is poison. The reports of one crash come in
 // any order, so a request beside it may lack the last one still.
 func (t *Tracker) judge(fingerprint uint64) bool {
-	n := t.counts[fingerprint]
+	n := t.held(fingerprint)
 	if n < Limit || n >= HardLimit {
 		return n >= HardLimit
 	}
@@ -158,9 +165,11 @@
 		t.forget(c)
 		return true
 	})
-	for f, at := range t.poisoned {
-		if now.Sub(at) >= memory {
-			delete(t.poisoned, f)
+	for _, verdicts := range []map[uint64]time.Time{t.poisoned, t.sound} {
+		for f, at := range verdicts {
+			if now.Sub(at) >= memory {
+				delete(verdicts, f)
+			}
 		}
 	}
 }
--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -111,6 +111,9 @@
 	if no := readBody(r); no != nil {
 		return no
 	}
+	if g.isPoison(r) {
+		return refusePoison(r)
+	}
 	return g.admitWork(r)
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -104,6 +104,9 @@
 		case end == callerGone || ctx.Err() != nil:
 			g.giveUp(r, held)
 			return
+		case g.isPoison(r):
+			g.finish(r, held, refusePoison(r))
+			return
 		case !g.mayRepeat(r, end):
 			g.finish(r, held, unserved(r))
 			return
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -5,12 +5,15 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"jaylink/decision/placement"
 	"jaylink/decision/poison"
+	"jaylink/decision/reason"
 	"jaylink/serving"
 )
 
@@ -65,7 +68,7 @@
 	case look:
 		go g.survive("crash look", func() { g.lookAtUpstream(u) })
 	case crashed:
-		g.takeCrashes([]poison.Crash{{Fingerprint: f, Upstream: u.ID, At: now}})
+		g.takeCrashes(g.settings.Name, []poison.Crash{{Fingerprint: f, Upstream: u.ID, At: now}})
 	}
 }
 
@@ -89,7 +92,7 @@
 	if crashed {
 		g.metrics.crashes.Inc(1)
 	}
-	g.takeCrashes(crashes)
+	g.takeCrashes(g.settings.Name, crashes)
 }
 
 func refusesConnections(address string) bool {
@@ -111,13 +114,86 @@
 	return false
 }
 
-// takeCrashes counts what requests took part in.
-func (g *Gateway) takeCrashes(crashes []poison.Crash) {
+// takeCrashes counts what requests took part in, and has the other entries told of
+// what is new.
+func (g *Gateway) takeCrashes(source string, crashes []poison.Crash) {
 	for _, c := range crashes {
 		g.mu.Lock()
-		g.poison.Add(g.trueTime(), c)
+		isNew := g.poison.Add(g.trueTime(), c)
 		count, poisoned := g.poison.Crashes(c.Fingerprint), g.poison.Poisoned(g.trueTime(), c.Fingerprint)
 		g.mu.Unlock()
-		g.log.Warn("upstream crashed", "upstream", c.Upstream, "fingerprint", c.Fingerprint, "crashes", count, "poison", poisoned)
+		if isNew {
+			g.log.Warn("upstream crashed", "upstream", c.Upstream, "fingerprint", c.Fingerprint, "crashes", count, "poison", poisoned, "source", source)
+			g.tellOfCrashes()
+		}
+	}
+}
+
+// tellOfCrashes has some entries told soon of what is known of crashes.
+func (g *Gateway) tellOfCrashes() {
+	select {
+	case g.tellCrashes <- struct{}{}:
+	default:
+	}
+}
+
+// knowsOfCrashes reports whether there is something to tell.
+func (g *Gateway) knowsOfCrashes() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	reports, verdicts := g.poison.News(g.trueTime())
+	return len(reports)+len(verdicts) > 0
+}
+
+// hearCrashes takes what another entry knows of crashes and tells on what is new.
+func (g *Gateway) hearCrashes(w word) {
+	for _, c := range w.Crashes {
+		crashes := make([]poison.Crash, 0, len(c.Requests))
+		for _, f := range c.Requests {
+			crashes = append(crashes, poison.Crash{Fingerprint: f, Upstream: c.Upstream, At: c.At})
+		}
+		g.takeCrashes(w.Entry, crashes)
+	}
+	for _, v := range w.Verdicts {
+		g.mu.Lock()
+		isNew := g.poison.Hear(g.trueTime(), v)
+		g.mu.Unlock()
+		if isNew {
+			g.log.Warn("verdict on a request", "fingerprint", v.Fingerprint, "poison", !v.Sound, "source", w.Entry)
+			g.tellOfCrashes()
+		}
+	}
+}
+
+// isPoison reports whether a request has ended too many upstreams.
+func (g *Gateway) isPoison(r *request) bool {
+	g.mu.Lock()
+	some := g.poison.AnyPoison()
+	g.mu.Unlock()
+	if !some {
+		return false
+	}
+	f := r.fingerprint()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.poison.Poisoned(g.trueTime(), f)
+}
+
+// refusePoison is the final answer to a request that ends its upstreams. Sent again it
+// would be refused again, so there is no time to come back at.
+func refusePoison(r *request) *refusal {
+	return refused(http.StatusBadRequest, reason.Poison, 0, "fingerprint", r.fingerprint())
+}
+
+// answered ends an attempt whose answer was whole: its request does not end upstreams.
+func (g *Gateway) answered(r *request, t *placement.Ticket) {
+	f := r.fingerprint()
+	g.mu.Lock()
+	g.table.End(time.Now(), t, placement.Answered)
+	acquitted := g.poison.Answered(g.trueTime(), f)
+	g.mu.Unlock()
+	if acquitted {
+		g.log.Warn("verdict on a request", "fingerprint", f, "poison", false, "request_id", r.RequestID)
+		g.tellOfCrashes()
 	}
 }
--- a/gateway/deadly_test.go
+++ b/gateway/deadly_test.go
@@ -50,7 +50,7 @@
 func knowEachOther(t *testing.T, entries ...*entry) {
 	t.Helper()
 	for _, e := range entries {
-		eventually(t, func() bool { return e.Peers() == len(entries)-1 })
+		eventually(t, func() bool { return e.HeardPeers() == len(entries)-1 })
 	}
 }
 
@@ -91,3 +91,100 @@
 		})
 	}
 }
+
+// crashUntilRefused sends a deadly request until it is refused for good.
+func crashUntilRefused(t *testing.T, e *entry) {
+	t.Helper()
+	n := 0
+	eventually(t, func() bool {
+		n++
+		call := plain("order", fmt.Sprintf("deadly-%s-%d", e.settings.Name, n))
+		call.Body = deadlyBody
+		return e.send(t, call).status == http.StatusBadRequest
+	})
+}
+
+// An entry that starts after a request has ended three upstreams does not send it on.
+func TestDeadlyRequestIsRefusedByAnEntryThatStartsLater(t *testing.T) {
+	d := newDeployment(t)
+	d.configure()
+	upstreams := d.deadlyUpstreams(8, counter)
+	one, two := d.startEntry("entry-1"), d.startEntry("entry-2")
+	knowEachOther(t, one, two)
+	crashUntilRefused(t, one)
+	ended := crashes(upstreams)
+	three := d.startEntry("entry-3")
+	knowEachOther(t, one, two, three)
+	// A word of the others has come, and each word has what they know.
+	crashUntilRefused(t, three)
+	require.Equal(t, ended, crashes(upstreams))
+}
+
+// Upstreams that close connections and are still there have not crashed.
+func TestLostConnectionsBlameNoRequest(t *testing.T) {
+	for _, fault := range []upstream.Fault{upstream.CloseUnanswered, upstream.CutAnswer, upstream.CutInEvent} {
+		t.Run(fmt.Sprint(fault), func(t *testing.T) {
+			d := newDeployment(t)
+			d.configure()
+			service, call := counter, plain("status", "")
+			if fault == upstream.CutInEvent {
+				service, call = engines, stream("once", "")
+			}
+			var list []*upstream.Server
+			for i := range 6 {
+				s := d.upstream(fmt.Sprintf("i-%d", i), service)
+				s.SetFault(fault)
+				list = append(list, s)
+			}
+			e := d.startEntry("entry-1")
+			for i := range 10 {
+				call.ID = fmt.Sprintf("r-%d", i)
+				require.NotEqual(t, http.StatusBadRequest, e.send(t, call).status)
+			}
+			for _, s := range list {
+				s.SetFault(upstream.Sound)
+			}
+			call.ID = "last"
+			require.Equal(t, http.StatusOK, e.send(t, call).status)
+		})
+	}
+}
+
+// Sound requests that run beside a deadly one lose their upstream with it, and are
+// served all the same.
+func TestSoundRequestsBesideADeadlyOneAreServed(t *testing.T) {
+	d := newDeployment(t)
+	d.configure()
+	upstreams := d.deadlyUpstreams(6, engines)
+	for _, s := range upstreams {
+		s.Pace = 20 * time.Millisecond
+	}
+	one, two := d.startEntry("entry-1"), d.startEntry("entry-2")
+	knowEachOther(t, one, two)
+	const callers, calls = 12, 10
+	refused := make(chan int, callers)
+	for n := range callers {
+		go func() {
+			count := 0
+			for i := range calls {
+				call := stream("stream", fmt.Sprintf("sound-%d-%d", n, i))
+				call.Body = call.ID
+				if a := one.send(t, call); a.status == http.StatusBadRequest {
+					count++
+				}
+			}
+			refused <- count
+		}()
+	}
+	sent := 0
+	eventually(t, func() bool {
+		sent++
+		call := stream("once", fmt.Sprintf("deadly-%d", sent))
+		call.Body = deadlyBody
+		return two.send(t, call).status == http.StatusBadRequest
+	})
+	for range callers {
+		require.Zero(t, <-refused)
+	}
+	require.LessOrEqual(t, crashes(upstreams), mostEnds)
+}
--- a/gateway/find.go
+++ b/gateway/find.go
@@ -73,12 +73,7 @@
 func (g *Gateway) heardMost() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	spoke := 0
-	for _, p := range g.peers {
-		if p.incarnation != 0 {
-			spoke++
-		}
-	}
+	spoke := g.spoke()
 	return spoke > 0 && float64(spoke) >= findHeard*float64(len(g.peers))
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,6 +92,10 @@
 	logLosses func() (limited, dropped int64)
 	// tellSoon asks for a word before the next turn.
 	tellSoon chan struct{}
+	// tellCrashes asks for a word about crashes before the next turn.
+	tellCrashes chan struct{}
+	// greetings are processes that have just started and are told of crashes.
+	greetings chan *net.UDPAddr
 }
 
 // New returns a gateway that does not run yet.
@@ -118,6 +122,8 @@
 		customerNames: map[uint32]string{},
 		lost:          map[string]time.Time{},
 		tellSoon:      make(chan struct{}, 1),
+		tellCrashes:   make(chan struct{}, 1),
+		greetings:     make(chan *net.UDPAddr, smallFleet),
 	}
 	if settings.Cloud != "" {
 		g.duties = platform.NewDuties(settings.Cloud, settings.Name, dutyTimeout)
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -86,6 +86,24 @@
 	return len(g.peers)
 }
 
+// HeardPeers returns the number of other entries that have spoken.
+func (g *Gateway) HeardPeers() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.spoke()
+}
+
+// spoke is HeardPeers for callers that hold mu.
+func (g *Gateway) spoke() int {
+	n := 0
+	for _, p := range g.peers {
+		if p.incarnation != 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // tellPeers tells the others this entry's state until ctx ends.
 func (g *Gateway) tellPeers(ctx context.Context) {
 	// Entries start together; were their turns to meet, their words would fill
@@ -105,6 +123,12 @@
 			if sleep(ctx, soonDelay) {
 				g.sendWord(g.nextWord(content{loads: true}), t.near.next(g.listPeers().near, tellFanout))
 			}
+		case to := <-g.greetings:
+			g.sendWord(g.nextWord(content{crashes: true}), []*net.UDPAddr{to})
+		case <-g.tellCrashes:
+			if sleep(ctx, soonDelay) {
+				g.sendWord(g.nextWord(content{crashes: true}), g.listPeers().draw(t.rng, crashFanout))
+			}
 		}
 	}
 }
@@ -126,6 +150,10 @@
 			t.totalsBytes = size
 		}
 	}
+	if peers.count() > smallFleet && g.knowsOfCrashes() {
+		// Makes good what was lost when it was new, and reaches entries that start.
+		g.sendWord(g.nextWord(content{crashes: true}), peers.draw(t.rng, 1))
+	}
 	wait := g.turnWait(light*t.lightBytes, len(peers.near))
 	g.turnTime.Store(int64(wait))
 	g.mu.Lock()
@@ -233,6 +261,9 @@
 			w.Totals[keyOf(name)] = total
 		}
 	}
+	if c.crashes {
+		w.Crashes, w.Verdicts = g.poison.News(g.trueTime())
+	}
 	if c.usage {
 		w.Usage = g.book.Newest(g.trueTime())
 	}
@@ -273,6 +304,7 @@
 	}
 	w.From = from
 	g.hear(w)
+	g.hearCrashes(w)
 	if w.Watches && !g.behindConfiguration(w) {
 		g.confirmed.Store(int64(steady()))
 	}
@@ -303,6 +335,9 @@
 	if w.Incarnation < p.incarnation {
 		return
 	}
+	if w.Incarnation > p.incarnation {
+		g.greet(w.From)
+	}
 	p.address, p.incarnation, p.heard = w.From, w.Incarnation, now
 	p.region, p.holder, p.watches, p.leaving = w.Region, w.Holder, w.Watches, w.Leaving
 	if w.Loads != nil {
@@ -316,6 +351,22 @@
 	}
 }
 
+// greet tells a process that has just started what is known of crashes. In a large
+// fleet some entries do so. The caller holds mu.
+func (g *Gateway) greet(to *net.UDPAddr) {
+	if rand.IntN(len(g.peers)+1) >= smallFleet {
+		return
+	}
+	if reports, verdicts := g.poison.News(g.trueTime()); len(reports)+len(verdicts) == 0 {
+		return
+	}
+	select {
+	case g.greetings <- to:
+	default:
+		// So many start at once that the regular words have to do.
+	}
+}
+
 // upstreamLoads returns the loads of a word by ID, without those of upstreams
 // that are not known here. The caller holds mu.
 func (g *Gateway) upstreamLoads(w word) map[string]placement.Load {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -71,7 +71,7 @@
 		g.logAttempt(r, "upstream failed")
 		return rejected, held
 	}
-	g.end(t, placement.Answered)
+	g.answered(r, t)
 	g.deliver(r, held)
 	return delivered, held
 }
@@ -97,7 +97,7 @@
 		}
 		return g.brokenAnswer(r, t, err)
 	}
-	g.end(t, placement.Answered)
+	g.answered(r, t)
 	return delivered
 }
 
@@ -156,13 +156,20 @@
 		g.logEnd(r, "upstream failed", held.status, p.why)
 	case !p.mayHaveRun:
 		g.refuse(r, no)
+	case no.why == reason.Poison:
+		g.fail(r, no.status, no.why)
 	default:
-		g.metrics.failed.Inc(1)
-		g.logEnd(r, "failed", http.StatusBadGateway, p.why)
-		platform.Refuse(r.w, r.RequestID, http.StatusBadGateway, 0, string(p.why))
+		g.fail(r, http.StatusBadGateway, p.why)
 	}
 }
 
+// fail answers a request that may have run and has no answer of an upstream.
+func (g *Gateway) fail(r *request, status int, why reason.Reason) {
+	g.metrics.failed.Inc(1)
+	g.logEnd(r, "failed", status, why)
+	platform.Refuse(r.w, r.RequestID, status, 0, string(why))
+}
+
 // giveUp ends a request whose caller left or whose time is over.
 func (g *Gateway) giveUp(r *request, held *heldAnswer) {
 	p := &r.progress
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -22,7 +22,7 @@
 	begun := time.Now()
 	g.log.Info("stopping", "in_flight", g.inFlight.Load())
 	if g.gossip != nil {
-		g.tellTurn(&telling{})
+		g.tellTurn(newTelling())
 	}
 	grace := g.settings.Bounds.Grace - killSlack
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -150,7 +150,7 @@
 
 func (g *Gateway) endOfStream(r *request, t *placement.Ticket, answer *exchange.Answer) ending {
 	g.sendHead(r, answer)
-	g.end(t, placement.Answered)
+	g.answered(r, t)
 	return delivered
 }
 
--- a/gateway/telling.go
+++ b/gateway/telling.go
@@ -28,6 +28,9 @@
 	totalsInterval = 1200 * time.Millisecond
 	freshBudget    = 25_000
 	lateBudget     = 4_000
+	// crashFanout is how many entries, drawn at random, hear at once of something new
+	// about crashes. They tell it on, so that all know it within some rounds.
+	crashFanout = 6
 	// usageInterval is how often usage is told in a large fleet.
 	usageInterval = 800 * time.Millisecond
 )
@@ -51,15 +54,21 @@
 	sinceUsage time.Duration
 	// lightBytes and totalsBytes are the sizes of the last such datagrams.
 	lightBytes, totalsBytes int
+	rng                     *rand.Rand
 }
 
 func newTelling() *telling {
 	at := func() rotation { return rotation{rand.IntN(phases)} }
-	return &telling{turn: rand.IntN(phases), near: at(), far: at(), totals: at()}
+	return &telling{
+		turn: rand.IntN(phases), near: at(), far: at(), totals: at(), rng: rand.New(rand.NewPCG(rand.Uint64(), 0)),
+	}
 }
 
 // content is what a word has beside the state of its entry.
-type content struct{ loads, totals, usage bool }
+type content struct{ loads, totals, usage, crashes bool }
+
+// everything is what words of small fleets have.
+var everything = content{loads: true, totals: true, usage: true, crashes: true}
 
 // sending is a word that goes to some entries.
 type sending struct {
@@ -77,7 +86,7 @@
 	}
 	t.turn++
 	if peers.count() <= smallFleet {
-		return []sending{{content{loads: true, totals: true, usage: true}, targets}}
+		return []sending{{everything, targets}}
 	}
 	out := []sending{{content{loads: true}, targets}}
 	t.due += float64(peers.count()) * passed.Seconds() / t.totalsTime(peers).Seconds()
@@ -91,6 +100,17 @@
 	return out
 }
 
+// draw returns some entries at random.
+func (p peerList) draw(rng *rand.Rand, n int) []*net.UDPAddr {
+	all := slices.Concat(p.near, p.far)
+	n = min(n, len(all))
+	for i := range n {
+		j := i + rng.IntN(len(all)-i)
+		all[i], all[j] = all[j], all[i]
+	}
+	return all[:n]
+}
+
 // totalsTime is how long it takes to tell all others the totals.
 func (t *telling) totalsTime(peers peerList) time.Duration {
 	if peers.count() <= smallFleet {
--- a/gateway/word.go
+++ b/gateway/word.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"jaylink/decision/placement"
+	"jaylink/decision/poison"
 	"jaylink/decision/quota"
 	"jaylink/decision/usage"
 )
@@ -38,6 +39,9 @@
 	// Totals is work by key of the customer since the process's start; nil if it is
 	// left out.
 	Totals map[uint32]quota.Total
+	// Crashes and Verdicts are what is known of requests that end their upstreams.
+	Crashes  []poison.Report
+	Verdicts []poison.Verdict
 	// Usage is the requests that began to run, by window and customer, for the
 	// newest windows.
 	Usage usage.Windows
--- a/gateway/word_test.go
+++ b/gateway/word_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/encoding/protowire"
 	"pgregory.net/rapid"
 
 	"jaylink/decision/placement"
+	"jaylink/decision/poison"
 	"jaylink/decision/quota"
 	"jaylink/decision/usage"
 	"jaylink/internal/schedule"
@@ -70,6 +72,22 @@
 		Watches:       rapid.Bool().Draw(t, "watches"),
 		Holder:        rapid.Bool().Draw(t, "holder"),
 	}
+	moment := rapid.Custom(func(t *rapid.T) time.Time { return time.UnixMilli(rapid.Int64Range(1, 1<<45).Draw(t, "moment")) })
+	w.Crashes = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) poison.Report {
+		return poison.Report{
+			Upstream: rapid.String().Draw(t, "upstream"), At: moment.Draw(t, "at"),
+			Requests: rapid.SliceOfN(rapid.Uint64(), 1, maxHeardRequests).Draw(t, "requests"),
+		}
+	}), -1, 3).Draw(t, "crashes")
+	w.Verdicts = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) poison.Verdict {
+		return poison.Verdict{Fingerprint: rapid.Uint64().Draw(t, "request"), At: moment.Draw(t, "at"), Sound: rapid.Bool().Draw(t, "sound")}
+	}), -1, 3).Draw(t, "verdicts")
+	if len(w.Crashes) == 0 {
+		w.Crashes = nil
+	}
+	if len(w.Verdicts) == 0 {
+		w.Verdicts = nil
+	}
 	number := rapid.IntRange(0, 1<<31-1)
 	if rapid.Bool().Draw(t, "light") {
 		w.Loads = rapid.MapOf(rapid.Uint32(), rapid.Custom(func(t *rapid.T) placement.Load {
@@ -130,6 +148,10 @@
 	f.Add(testWord(10, 16, true).encode())
 	f.Add(testWord(0, 0, false).encode())
 	f.Add([]byte(`{"entry":"frontend-1"}`))
+	crashes := testWord(0, 0, false)
+	crashes.Crashes = []poison.Report{{Upstream: "i-1", At: time.UnixMilli(1788699736267), Requests: []uint64{1, 2}}}
+	crashes.Verdicts = []poison.Verdict{{Fingerprint: 1, At: time.UnixMilli(1788699736267), Sound: true}}
+	f.Add(crashes.encode())
 	f.Fuzz(func(t *testing.T, data []byte) {
 		w, err := decodeWord(data)
 		if err != nil {
--- a/gateway/wordcodec.go
+++ b/gateway/wordcodec.go
@@ -28,6 +28,8 @@
 	fieldWindow        protowire.Number = 10 // varint, the newest usage window
 	fieldTotals        protowire.Number = 11 // bytes, see appendTotals
 	fieldScarce        protowire.Number = 12 // bytes: keys of scarce allowances in four bytes
+	fieldCrash         protowire.Number = 13 // message, repeated, see appendCrash
+	fieldVerdict       protowire.Number = 14 // message, repeated, see appendVerdict
 )
 
 // Field numbers of a customer in a word.
@@ -108,6 +110,7 @@
 		b = protowire.AppendTag(b, fieldScarce, protowire.BytesType)
 		b = protowire.AppendBytes(b, scarce)
 	}
+	b = w.appendCrashes(b)
 	windows := w.windows()
 	if len(windows) > 0 {
 		b = appendVarint(b, fieldWindow, uint64(windows[0]))
@@ -267,6 +270,10 @@
 			customers = append(customers, v.bytes)
 		case fieldWindow:
 			newest = int64(v.number)
+		case fieldCrash:
+			return w.decodeCrash(v.bytes)
+		case fieldVerdict:
+			return w.decodeVerdict(v.bytes)
 		}
 		return nil
 	})
