gateway: heed upstreams that say they leave, or want no requests for a while

What callers saw: nothing; an upstream got requests that it had asked not to get.

A leaving instance gets nothing from that answer on, a resting one nothing until its time; when all upstreams of a service rest, callers are refused at once with the shortest of their times (upstreams_rest).

--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -110,6 +110,8 @@
 	// peers is the sum of what the other entries said.
 	peers Load
 	cache cache
+	// notice is nil if the upstream itself has said nothing.
+	notice *notice
 	// told is the number of requests that the upstream itself told at toldAt.
 	told   int
 	toldAt time.Time
@@ -127,6 +129,10 @@
 	services map[string][]*place
 	// ready is the number of upstreams of a service that take new requests.
 	ready map[string]int
+	// notices are what upstreams have said, resting the upstreams of a service that
+	// wanted no requests for a while; Resting drops those that do again.
+	notices map[instance]*notice
+	resting map[string][]*place
 	// homes are those upstreams by service and region.
 	homes map[homesKey][]homeCandidate
 	// heard is what the other entries said, by entry.
@@ -141,6 +147,7 @@
 func NewTable(regions map[string]string) *Table {
 	return &Table{
 		regions: regions, places: map[string]*place{}, services: map[string][]*place{}, ready: map[string]int{},
+		notices: map[instance]*notice{}, resting: map[string][]*place{},
 		homes: map[homesKey][]homeCandidate{}, heard: map[string][]heardLoad{}, speeds: map[string]*speed{},
 	}
 }
@@ -162,15 +169,19 @@
 	clear(t.services)
 	clear(t.ready)
 	clear(t.homes)
+	clear(t.resting)
 	for _, u := range list {
 		p := t.places[u.ID]
 		if p == nil || p.Born != u.Born || p.Address != u.Address {
 			p = &place{hash: xxhash.Sum64String(u.ID)}
 		}
-		p.Upstream, p.region = u, t.regions[u.Zone]
+		p.Upstream, p.region, p.notice = u, t.regions[u.Zone], t.notices[instanceOf(&u)]
 		next[u.ID] = p
 		t.services[u.Service] = append(t.services[u.Service], p)
-		if !u.Draining {
+		if p.notice != nil && !p.notice.restUntil.IsZero() {
+			t.resting[u.Service] = append(t.resting[u.Service], p)
+		}
+		if !p.leaving() {
 			t.ready[u.Service]++
 			key := homesKey{u.Service, p.region}
 			t.homes[key] = append(t.homes[key], homeCandidate{p.hash, p})
@@ -230,7 +241,7 @@
 	speed := t.speed(r.Service.Name)
 	best, bestCost := Choice{}, math.Inf(1)
 	for _, p := range list {
-		if p.Draining || slices.Contains(r.Tried, p.ID) || r.MaxRunning > 0 && p.own.Running >= r.MaxRunning {
+		if p.leaving() || p.rests(now) || slices.Contains(r.Tried, p.ID) || r.MaxRunning > 0 && p.own.Running >= r.MaxRunning {
 			continue
 		}
 		load, kept, reread := p.added(r, p == home)
--- a/decision/reason/describe.go
+++ b/decision/reason/describe.go
@@ -30,6 +30,7 @@
 	CustomerLimit:    {"The customer has as many requests in flight as max_in_flight allows.", againLater},
 	QueueFull:        {"Too many requests of the service wait already.", againLater},
 	NoUpstream:       {"No upstream would take the request.", againLater},
+	UpstreamsRest:    {"All upstreams of the service have asked for no requests for a while.", againLater},
 	TimedOut:         {"The deadline passed before the answer was complete.", againSafe},
 	AttemptsUsedUp:   {"Every attempt that max_attempts allows has failed.", againSafe},
 	NotRepeatable:    {"An attempt failed and the work may not be repeated.", againSafe},
--- a/decision/reason/reason.go
+++ b/decision/reason/reason.go
@@ -8,19 +8,22 @@
 
 // Reasons for refusing a request, or for giving it up.
 const (
-	BadRequest       Reason = "bad_request"
-	BodyTooLarge     Reason = "body_too_large"
-	BodyTooSlow      Reason = "body_too_slow"
-	HeaderTooLarge   Reason = "header_too_large"
-	WrongMethod      Reason = "wrong_method"
-	UnknownService   Reason = "unknown_service"
-	UnknownCustomer  Reason = "unknown_customer"
-	UnknownRequest   Reason = "unknown_request"
-	WrongCustomer    Reason = "wrong_customer"
-	Draining         Reason = "draining"
-	CustomerLimit    Reason = "customer_limit"
-	QueueFull        Reason = "queue_full"
-	NoUpstream       Reason = "no_upstream"
+	BadRequest      Reason = "bad_request"
+	BodyTooLarge    Reason = "body_too_large"
+	BodyTooSlow     Reason = "body_too_slow"
+	HeaderTooLarge  Reason = "header_too_large"
+	WrongMethod     Reason = "wrong_method"
+	UnknownService  Reason = "unknown_service"
+	UnknownCustomer Reason = "unknown_customer"
+	UnknownRequest  Reason = "unknown_request"
+	WrongCustomer   Reason = "wrong_customer"
+	Draining        Reason = "draining"
+	CustomerLimit   Reason = "customer_limit"
+	QueueFull       Reason = "queue_full"
+	NoUpstream      Reason = "no_upstream"
+	// UpstreamsRest means that all upstreams of the service have asked for no requests
+	// for a while.
+	UpstreamsRest    Reason = "upstreams_rest"
 	TimedOut         Reason = "timed_out"
 	AttemptsUsedUp   Reason = "attempts_used_up"
 	NotRepeatable    Reason = "not_repeatable"
@@ -45,7 +48,7 @@
 // Refusals lists every refusal reason.
 var Refusals = []Reason{
 	BadRequest, BodyTooLarge, BodyTooSlow, HeaderTooLarge, WrongMethod, UnknownService, UnknownCustomer, UnknownRequest,
-	WrongCustomer, Draining, CustomerLimit, QueueFull, NoUpstream, TimedOut,
+	WrongCustomer, Draining, CustomerLimit, QueueFull, NoUpstream, UpstreamsRest, TimedOut,
 	AttemptsUsedUp, NotRepeatable, RetryBudget, KeyReused, KeyInProgress,
 	ClaimUnavailable, OutcomeUnknown, OutcomeNotKept, Poison, AnswerTooLarge,
 	OwnerUnreachable,
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -108,7 +108,7 @@
 			g.finish(r, held, refusePoison(r))
 			return
 		case !g.mayRepeat(r, end):
-			g.finish(r, held, unserved(r))
+			g.finish(r, held, g.unserved(r))
 			return
 		}
 		g.metrics.retried[r.progress.why].Inc(1)
@@ -126,7 +126,7 @@
 		MaxRunning: connectionShare(r.service, g.entries()),
 	})
 	if !ok {
-		return choice, refused(http.StatusServiceUnavailable, g.nobody(r), noUpstreamRetry, "upstreams", g.table.Count(r.service.Name))
+		return choice, g.nobody(now, r)
 	}
 	p.predicted, p.unread, p.running = choice.Predicted, choice.Load.Unread, choice.Running
 	if p.attempts == 0 && p.declined == 0 {
@@ -146,12 +146,27 @@
 	return max(s.MaxConnections/entries, 1)
 }
 
-// nobody says why no upstream can take a request. The caller holds mu.
-func (g *Gateway) nobody(r *request) reason.Reason {
-	if g.table.Count(r.service.Name) > len(r.progress.tried) {
-		return reason.QueueFull
+// nobody refuses a request that no upstream can take. The caller holds mu.
+func (g *Gateway) nobody(now time.Time, r *request) *refusal {
+	ready := g.table.Count(r.service.Name)
+	if no := g.allRest(now, r); no != nil {
+		return no
 	}
-	return reason.NoUpstream
+	why := reason.NoUpstream
+	if ready > len(r.progress.tried) {
+		why = reason.QueueFull
+	}
+	return refused(http.StatusServiceUnavailable, why, noUpstreamRetry, "upstreams", ready)
+}
+
+// allRest refuses a request until the first upstream of its service wants requests
+// again; nil if one does now. The caller holds mu.
+func (g *Gateway) allRest(now time.Time, r *request) *refusal {
+	resting, until := g.table.Resting(now, r.service.Name)
+	if resting == 0 || resting < g.table.Count(r.service.Name) {
+		return nil
+	}
+	return refused(http.StatusServiceUnavailable, reason.UpstreamsRest, until.Sub(now), "resting", resting)
 }
 
 // late refuses a request whose answer would come too late to be of use. A prompt
@@ -171,7 +186,12 @@
 }
 
 // unserved is the refusal of a request that no upstream has taken.
-func unserved(r *request) *refusal {
+func (g *Gateway) unserved(r *request) *refusal {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if no := g.allRest(time.Now(), r); no != nil {
+		return no
+	}
 	why := reason.NoUpstream
 	if r.progress.why == reason.UpstreamBusy {
 		why = reason.QueueFull
@@ -214,7 +234,7 @@
 		return g.failedSend(ctx, r, ticket, err), nil
 	}
 	defer answer.Close()
-	g.tellTable(choice.Upstream.ID, head.Load)
+	g.heed(choice.Upstream, head)
 	if head.NotRun {
 		return g.declined(r, ticket, answer), nil
 	}
@@ -226,14 +246,24 @@
 	return g.relayWhole(ctx, r, ticket, answer, head)
 }
 
-// tellTable passes on what an upstream says of its load.
-func (g *Gateway) tellTable(id string, load *platform.Load) {
-	if load == nil {
-		return
-	}
+// heed takes what an upstream says of itself with an answer.
+func (g *Gateway) heed(u serving.Upstream, head platform.UpstreamHeaders) {
+	now := time.Now()
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.table.Told(time.Now(), id, load.Running+load.Waiting)
+	if load := head.Load; load != nil {
+		g.table.Told(now, u.ID, load.Running+load.Waiting)
+	}
+	leaves := head.Leaving && g.table.Leave(u)
+	rests := head.Rest > 0 && g.table.Rest(now, u, head.Rest)
+	g.mu.Unlock()
+	if leaves {
+		g.metrics.changed[upstreamLeaving].Inc(1)
+		g.log.Info("upstream leaves by its own word", "upstream", u.ID, "address", u.Address, "born", u.Born)
+	}
+	if rests {
+		g.metrics.changed[upstreamRests].Inc(1)
+		g.log.Info("upstream wants no requests", "upstream", u.ID, "for", head.Rest)
+	}
 }
 
 // begin counts an attempt that is about to be sent.
@@ -303,7 +333,8 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.table.Count(r.service.Name) > len(r.progress.tried)
+	resting, _ := g.table.Resting(time.Now(), r.service.Name)
+	return g.table.Count(r.service.Name)-resting > len(r.progress.tried)
 }
 
 // failedSend classifies an attempt without an answer.
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -51,6 +51,8 @@
 	keys        []string
 	// timeout is that of the routes; 0 is five seconds.
 	timeout time.Duration
+	// drain is the time after which a leaving upstream gets nothing more; 0 is 2.5 s.
+	drain time.Duration
 }
 
 // hosts numbers the loopback addresses, so that each entry has its own.
@@ -135,7 +137,7 @@
 		Store: d.storeHTTP.Listener.Addr().String(), Cloud: d.storeHTTP.Listener.Addr().String(),
 		ReportsUsage: true,
 		Bounds: platform.Bounds{
-			ConfigurationApply: 2500 * time.Millisecond, Drain: 2500 * time.Millisecond, Grace: 8 * time.Second,
+			ConfigurationApply: 2500 * time.Millisecond, Drain: cmp.Or(d.drain, 2500*time.Millisecond), Grace: 8 * time.Second,
 			Lease: 3 * time.Second, RetryRatio: 0.2, RetryExtra: 56, RetryWindow: 10 * time.Second,
 			UsageWindow: time.Second, UsageLate: 10 * time.Second, QuotaWindow: 8 * time.Second,
 		},
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -18,6 +18,8 @@
 	newConfiguration   belief = "configuration"
 	upstreamChanged    belief = "upstream"
 	upstreamGone       belief = "upstream_gone"
+	upstreamLeaving    belief = "upstream_leaving"
+	upstreamRests      belief = "upstream_rests"
 	peerFound          belief = "peer"
 	peerGone           belief = "peer_gone"
 	dependencyLost     belief = "dependency_lost"
@@ -29,7 +31,7 @@
 
 // beliefs lists every kind of change.
 var beliefs = []belief{
-	newConfiguration, upstreamChanged, upstreamGone, peerFound, peerGone,
+	newConfiguration, upstreamChanged, upstreamGone, upstreamLeaving, upstreamRests, peerFound, peerGone,
 	dependencyLost, dependencyRegained, clockSet, dutiesTaken, dutyRefused,
 }
 
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -50,6 +50,10 @@
 	EndlessBody
 	// Trickle sends the first event and then comments until its caller closes.
 	Trickle
+	// Rest turns every request away and asks to be left alone for RestTime.
+	Rest
+	// Leave answers in full and says with each answer that the upstream is leaving.
+	Leave
 )
 
 // Events is the number of events of a whole stream.
@@ -78,6 +82,8 @@
 	Deadly    string
 	Down      time.Duration
 	Restarted func()
+	// RestTime is what Rest asks for. It is set before the first request.
+	RestTime time.Duration
 
 	address string
 	release chan struct{}
@@ -87,7 +93,7 @@
 	listener net.Listener
 	fault    Fault
 	runs     []Run
-	arrivals int
+	arrivals []time.Time
 	crashes  int
 	// left counts connections that their caller closed before the end.
 	left  int
@@ -196,6 +202,13 @@
 	return append([]Run(nil), s.runs...)
 }
 
+// Arrivals returns when requests came, also those that were turned away.
+func (s *Server) Arrivals() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]time.Time(nil), s.arrivals...)
+}
+
 // Left returns how many callers left before the end of their answer.
 func (s *Server) Left() int {
 	s.mu.Lock()
@@ -244,13 +257,15 @@
 	id := req.Header.Get("Request-Id")
 	s.mu.Lock()
 	fault := s.fault
-	s.arrivals++
+	s.arrivals = append(s.arrivals, time.Now())
 	s.mu.Unlock()
 	switch {
 	case req.Header.Get("Target-Instance") != s.ID:
 		return reply(c, "421 Misdirected Request", id, "Instance-Id: "+s.ID+"\r\n", "")
 	case fault == Decline:
 		return reply(c, "503 Service Unavailable", id, "Not-Executed: 1\r\n", "")
+	case fault == Rest:
+		return reply(c, "503 Service Unavailable", id, fmt.Sprintf("Not-Executed: 1\r\nRetry-After: %.3f\r\n", s.RestTime.Seconds()), "")
 	}
 	resumed := -1
 	if n, err := strconv.Atoi(req.Header.Get("Last-Event-Id")); err == nil {
@@ -316,6 +331,17 @@
 	}
 }
 
+// head returns the headers that an answer bears under a fault.
+func (s *Server) head(fault Fault) string {
+	switch fault {
+	case Unproven:
+		return ""
+	case Leave:
+		return s.proof() + "Server-Leaving: 1\r\n"
+	}
+	return s.proof()
+}
+
 func (s *Server) proof() string { return "Response-Seal: seal-" + s.ID + "\r\n" }
 
 func reply(c net.Conn, status, id, header, body string) bool {
@@ -324,10 +350,7 @@
 }
 
 func (s *Server) plain(c net.Conn, req *http.Request, id string, fault Fault) bool {
-	proof := s.proof()
-	if fault == Unproven {
-		proof = ""
-	}
+	proof := s.head(fault)
 	time.Sleep(s.Pace)
 	body := "answer to " + req.RequestURI
 	if fault == CutAnswer {
@@ -345,10 +368,7 @@
 func Event(n int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n) }
 
 func (s *Server) stream(c net.Conn, id string, fault Fault, resumed int) bool {
-	proof := s.proof()
-	if fault == Unproven {
-		proof = ""
-	}
+	proof := s.head(fault)
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, proof)
 	if _, err := io.WriteString(c, head); err != nil {
 		return false
