soak: deadly requests, upstreams that want rest, and that answer that they leave

Change: a second series of faults beside the first, so that a seed keeps its faults. A sound request answered 400 counts as denied.

--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -15,8 +15,8 @@
 // between counts arrivals in a span after a moment.
 func between(s *upstream.Server, moment time.Time, from, to time.Duration) int {
 	n := 0
-	for _, at := range s.Arrivals() {
-		if after := at.Sub(moment); after >= from && after < to {
+	for _, a := range s.Arrivals() {
+		if after := a.At.Sub(moment); after >= from && after < to {
 			n++
 		}
 	}
@@ -80,7 +80,7 @@
 	e := d.startEntry("entry-1")
 	require.Equal(t, http.StatusOK, e.send(t, plain("status", "first")).status)
 	require.Len(t, resting.Arrivals(), 1, "it is in the entry's own zone")
-	asked := resting.Arrivals()[0]
+	asked := resting.Arrivals()[0].At
 	resting.SetFault(upstream.Sound)
 	sent, answered := e.sendFor(t, restTime-time.Since(asked))
 	require.Equal(t, sent, answered)
@@ -110,7 +110,7 @@
 	require.Less(t, time.Since(begun), restStart, "it is refused at once")
 	again, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
 	require.NoError(t, err)
-	left := restTime - time.Since(short.Arrivals()[0])
+	left := restTime - time.Since(short.Arrivals()[0].At)
 	require.GreaterOrEqual(t, again, left.Seconds())
 	require.LessOrEqual(t, again, restTime.Seconds())
 	require.Len(t, short.Arrivals(), 1)
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -60,12 +60,17 @@
 
 // call sends one request and checks its answer.
 func (c *client) call(ctx context.Context, e *entry, route, id, key string) verdict {
+	return c.callWith(ctx, e, route, id, key, id, "prompt of "+id)
+}
+
+// callWith is call for a subject, which ends the path, and a body of their own.
+func (c *client) callWith(ctx context.Context, e *entry, route, id, key, subject, body string) verdict {
 	v := verdict{id: id, route: route, entry: e.name, begun: time.Now()}
 	defer func() { v.ended = time.Now() }()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	call := caller.Call{
-		Method: http.MethodPost, Target: "/" + route + "/" + id, Host: host, ID: id, Key: key, Body: "prompt of " + id,
+		Method: http.MethodPost, Target: "/" + route + "/" + subject, Host: host, ID: id, Key: key, Body: body,
 		Deadline: callTimeout,
 	}
 	if route == "status" {
@@ -86,9 +91,9 @@
 		return v
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
+	answer, err := io.ReadAll(resp.Body)
 	v.status, v.whole = resp.StatusCode, err == nil
-	v.fault = checkAnswer(resp, string(body), v, call.Target, streams)
+	v.fault = checkAnswer(resp, string(answer), v, call.Target, streams)
 	return v
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -33,6 +33,7 @@
 
 // onProxy makes a proxy misbehave for a while.
 func onProxy(p *proxy, hold time.Duration, change func(*proxy)) {
+	p.set(func(p *proxy) { p.disturbed = true })
 	p.set(change)
 	time.Sleep(hold)
 	p.heal()
@@ -57,9 +58,11 @@
 		e := anyEntry(f, rng)
 		e.fault.Lock()
 		defer e.fault.Unlock()
+		e.disturb()
 		e.signal(syscall.SIGSTOP)
 		time.Sleep(hold)
 		e.signal(syscall.SIGCONT)
+		e.disturb()
 		return e.name
 	}},
 	{"entry_hangup", func(f *fleet, rng *rand.Rand, _ time.Duration) string {
@@ -101,6 +104,7 @@
 	}},
 	{"upstream_reset", func(f *fleet, rng *rand.Rand, _ time.Duration) string {
 		b := f.pick(rng.IntN(8))
+		b.proxy.set(func(p *proxy) { p.disturbed = true })
 		b.proxy.resetAll()
 		return b.ID
 	}},
@@ -143,3 +147,23 @@
 		return ""
 	}},
 }
+
+// notices are played beside faults, as a series of their own: a seed keeps its faults
+// when this list grows.
+var notices = []fault{
+	{"upstream_rests", func(f *fleet, rng *rand.Rand, hold time.Duration) string {
+		b := f.pick(rng.IntN(8))
+		b.SetFault(upstream.Rest)
+		time.Sleep(hold)
+		b.SetFault(upstream.Sound)
+		return b.ID
+	}},
+	{"upstream_answers_that_it_leaves", func(f *fleet, rng *rand.Rand, hold time.Duration) string {
+		b, err := f.leave(rng.IntN(8), hold)
+		if err != nil {
+			return err.Error()
+		}
+		return b.ID
+	}},
+	{"deadly_request", func(f *fleet, rng *rand.Rand, hold time.Duration) string { return f.sendDeadly(rng, hold) }},
+}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -76,6 +77,22 @@
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
+	// disturbed is when the process was started, paused or resumed.
+	disturbed []time.Time
+}
+
+// disturb notes that the process does not know or see everything at this moment.
+func (e *entry) disturb() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.disturbed = append(e.disturbed, time.Now())
+}
+
+// calm reports whether the process was left alone between two moments.
+func (e *entry) calm(from, to time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !slices.ContainsFunc(e.disturbed, func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
 }
 
 func newFleet(dir, binary string, block, entries, upstreams int) (*fleet, error) {
@@ -193,6 +210,8 @@
 	if err != nil {
 		return err
 	}
+	s.Deadly, s.Down, s.RestTime = deadlyMark, downTime, restTime
+	s.Crashed, s.Restarted = p.down, p.up
 	b := &backend{Server: s, proxy: p, service: service, zone: zoneName(zone)}
 	f.mu.Lock()
 	f.upstreams = append(f.upstreams, b)
@@ -205,27 +224,41 @@
 	f.store.PutUpstream(b.ID, b.service, b.proxy.address(), b.zone, state)
 }
 
-// replace starts a new upstream and ends an old one: by draining, or at once.
-func (f *fleet) replace(i int, drain bool, hold time.Duration) error {
+// retire takes an upstream off those that faults and replacements pick.
+func (f *fleet) retire(i int) *backend {
 	f.mu.Lock()
-	b := f.upstreams[i%len(f.upstreams)]
-	f.upstreams = append(f.upstreams[:i%len(f.upstreams)], f.upstreams[i%len(f.upstreams)+1:]...)
+	defer f.mu.Unlock()
+	i %= len(f.upstreams)
+	b := f.upstreams[i]
+	f.upstreams = slices.Delete(f.upstreams, i, i+1)
 	f.old = append(f.old, b)
-	f.mu.Unlock()
-	zone := int(b.zone[len(b.zone)-1] - '0')
-	if err := f.addUpstream(b.service, zone); err != nil {
+	return b
+}
+
+// replace starts a new upstream and ends an old one: by draining, or at once.
+func (f *fleet) replace(i int, drain bool, hold time.Duration) error {
+	b := f.retire(i)
+	if err := f.addUpstream(b.service, b.zoneIndex()); err != nil {
 		return err
 	}
 	if drain {
 		f.list(b, "draining")
 		time.Sleep(hold)
 	}
+	f.end(b)
+	return nil
+}
+
+// end ends an upstream and takes it off the list.
+func (f *fleet) end(b *backend) {
 	b.proxy.close()
 	b.Close()
 	f.store.DeleteUpstream(b.ID)
-	return nil
 }
 
+// zoneIndex is the number in the name of the upstream's zone.
+func (b *backend) zoneIndex() int { return int(b.zone[len(b.zone)-1] - '0') }
+
 // pick returns an upstream.
 func (f *fleet) pick(i int) *backend {
 	f.mu.Lock()
@@ -233,13 +266,17 @@
 	return f.upstreams[i%len(f.upstreams)]
 }
 
+// all returns every upstream that there is or was.
+func (f *fleet) all() []*backend {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Concat(f.upstreams, f.old)
+}
+
 // runs returns how often each request began to run.
 func (f *fleet) runs() map[string]int {
-	f.mu.Lock()
-	all := append(append([]*backend{}, f.upstreams...), f.old...)
-	f.mu.Unlock()
 	out := map[string]int{}
-	for _, b := range all {
+	for _, b := range f.all() {
 		for _, r := range b.Runs() {
 			out[r.RequestID]++
 		}
@@ -290,6 +327,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.cmd, e.exited = cmd, exited
+	e.disturbed = append(e.disturbed, time.Now())
 	return nil
 }
 
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -11,6 +11,7 @@
 type proxy struct {
 	listener net.Listener
 	target   string
+	at       string
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -19,7 +20,9 @@
 	toServer, toClient bool
 	refuse             bool
 	closed             bool
-	tasks              sync.WaitGroup
+	// disturbed says that the proxy has misbehaved at some time.
+	disturbed bool
+	tasks     sync.WaitGroup
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -28,17 +31,44 @@
 		return nil, err
 	}
 	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}}
+	p.at = l.Addr().String()
 	p.tasks.Add(1)
-	go p.accept()
+	go p.accept(l)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string { return p.at }
 
-func (p *proxy) accept() {
+// down refuses connections and cuts those that stand, as the port of a process that
+// has ended does, until up.
+func (p *proxy) down() {
+	p.mu.Lock()
+	// An error means that it is closed already.
+	_ = p.listener.Close()
+	p.mu.Unlock()
+	p.resetAll()
+}
+
+func (p *proxy) up() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return
+	}
+	l, err := net.Listen("tcp", p.at)
+	if err != nil {
+		// The port was free a moment ago; callers find the upstream gone for good.
+		return
+	}
+	p.listener = l
+	p.tasks.Add(1)
+	go p.accept(l)
+}
+
+func (p *proxy) accept(l net.Listener) {
 	defer p.tasks.Done()
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -144,9 +174,18 @@
 	p.set(func(p *proxy) { p.delay, p.toServer, p.toClient, p.refuse = 0, false, false, false })
 }
 
+// sound reports whether the proxy has never misbehaved.
+func (p *proxy) sound() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.disturbed
+}
+
 func (p *proxy) close() {
-	_ = p.listener.Close()
-	p.set(func(p *proxy) { p.closed = true })
+	p.set(func(p *proxy) {
+		p.closed = true
+		_ = p.listener.Close()
+	})
 	p.resetAll()
 	p.tasks.Wait()
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -54,6 +54,10 @@
 	// gapMost bounds the pause between the starts of two faults.
 	gapMost = 600 * time.Millisecond
 	poll    = 50 * time.Millisecond
+	// faultStream and noticeStream are the streams of random numbers of the two series
+	// of faults; callers have those between.
+	faultStream  = 0
+	noticeStream = 1 << 32
 )
 
 // Run plays one seed.
@@ -105,7 +109,7 @@
 	defer cancel()
 	var mu sync.Mutex
 	var verdicts []verdict
-	var callers, running sync.WaitGroup
+	var callers sync.WaitGroup
 	for i := range o.Callers {
 		c := &client{
 			fleet: f, name: fmt.Sprintf("c%d", i), rng: rand.New(rand.NewPCG(o.Seed, uint64(i+1))),
@@ -117,33 +121,51 @@
 			c.run(ctx, callerPause)
 		}()
 	}
-	rng := rand.New(rand.NewPCG(o.Seed, 0))
+	log := &faultLog{begun: time.Now(), out: o.Out}
+	var series sync.WaitGroup
+	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, faultStream)), faults, log) })
+	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, noticeStream)), notices, log) })
+	series.Wait()
+	callers.Wait()
+	slices.Sort(log.lines)
+	r.Faults = log.lines
+	return verdicts
+}
+
+// faultLog keeps a line for each fault.
+type faultLog struct {
+	begun time.Time
+	out   io.Writer
+	mu    sync.Mutex
+	lines []string
+}
+
+func (l *faultLog) add(line string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lines = append(l.lines, line)
+	// The line is for those who watch.
+	_, _ = fmt.Fprintln(l.out, line)
+}
+
+// inject plays faults of a list, some of them at once, and returns when all have ended.
+func (f *fleet) inject(ctx context.Context, rng *rand.Rand, list []fault, log *faultLog) {
+	var running sync.WaitGroup
 	slots := make(chan struct{}, overlap)
-	begun := time.Now()
 	for ctx.Err() == nil {
-		next := faults[rng.IntN(len(faults))]
+		next := list[rng.IntN(len(list))]
 		hold := holdLeast + time.Duration(rng.Int64N(int64(holdMost-holdLeast)))
 		own := rand.New(rand.NewPCG(rng.Uint64(), 0))
 		gap := time.Duration(rng.Int64N(int64(gapMost)))
 		slots <- struct{}{}
-		line := fmt.Sprintf("%6.2f %s for %s", time.Since(begun).Seconds(), next.name, hold.Round(time.Millisecond))
-		running.Add(1)
-		go func() {
-			defer running.Done()
+		line := fmt.Sprintf("%6.2f %s for %s", time.Since(log.begun).Seconds(), next.name, hold.Round(time.Millisecond))
+		running.Go(func() {
 			defer func() { <-slots }()
-			detail := next.run(f, own, hold)
-			mu.Lock()
-			r.Faults = append(r.Faults, line+" "+detail)
-			mu.Unlock()
-			// The line is for those who watch.
-			_, _ = fmt.Fprintln(o.Out, line, detail)
-		}()
+			log.add(line + " " + next.run(f, own, hold))
+		})
 		time.Sleep(gap)
 	}
 	running.Wait()
-	callers.Wait()
-	slices.Sort(r.Faults)
-	return verdicts
 }
 
 // recovered waits until every entry serves every route with the newest key.
@@ -199,10 +221,12 @@
 		if repeatable && runs[v.id] > 2 {
 			report("BUDGET: %s %s ran %d times", v.route, v.id, runs[v.id])
 		}
-		if v.status == http.StatusNotFound || v.status == http.StatusUnauthorized {
+		if v.status == http.StatusNotFound || v.status == http.StatusUnauthorized || v.status == http.StatusBadRequest {
 			report("DENIED: %s %s at %s was answered %d", v.route, v.id, v.entry, v.status)
 		}
 	}
+	checkNotices(f, verdicts, report)
+	checkDeadly(f, report)
 	r.checkDuties(f, report)
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -16,7 +16,9 @@
 //
 // 201: an entry was paused while two versions were accepted, and denied the newer key
 // with 401 for the 150 ms until it had heard of them.
-var seeds = []uint64{1, 201}
+//
+// 9001 has deadly requests, rests and upstreams that answer that they leave.
+var seeds = []uint64{1, 201, 9001}
 
 func TestSoak(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "jaylink")
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -69,6 +69,15 @@
 	Resumed int
 }
 
+// Arrival is a request that reached the upstream, also one that it turned away.
+type Arrival struct {
+	RequestID string
+	Body      string
+	At        time.Time
+	// Under is how the upstream misbehaved then.
+	Under Fault
+}
+
 // Server is one upstream.
 type Server struct {
 	// ID is the instance's name; requests for another one are turned away.
@@ -77,11 +86,11 @@
 	// before the first request.
 	Pace time.Duration
 	// Deadly is a part of bodies that end the upstream when it runs them, if it is
-	// not empty; Down is how long it is away then, after which Restarted is called,
-	// if set. They are set before the first request.
-	Deadly    string
-	Down      time.Duration
-	Restarted func()
+	// not empty; Down is how long it is away then. Crashed and Restarted are called
+	// before and after that, if set. All are set before the first request.
+	Deadly             string
+	Down               time.Duration
+	Crashed, Restarted func()
 	// RestTime is what Rest asks for. It is set before the first request.
 	RestTime time.Duration
 
@@ -93,7 +102,7 @@
 	listener net.Listener
 	fault    Fault
 	runs     []Run
-	arrivals []time.Time
+	arrivals []Arrival
 	crashes  int
 	// left counts connections that their caller closed before the end.
 	left  int
@@ -140,6 +149,9 @@
 	s.mu.Lock()
 	s.crashes++
 	s.mu.Unlock()
+	if s.Crashed != nil {
+		s.Crashed()
+	}
 	s.cut()
 	s.done.Add(1)
 	go s.restart()
@@ -202,11 +214,11 @@
 	return append([]Run(nil), s.runs...)
 }
 
-// Arrivals returns when requests came, also those that were turned away.
-func (s *Server) Arrivals() []time.Time {
+// Arrivals returns the requests that came, in order.
+func (s *Server) Arrivals() []Arrival {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]time.Time(nil), s.arrivals...)
+	return append([]Arrival(nil), s.arrivals...)
 }
 
 // Left returns how many callers left before the end of their answer.
@@ -257,7 +269,7 @@
 	id := req.Header.Get("Request-Id")
 	s.mu.Lock()
 	fault := s.fault
-	s.arrivals = append(s.arrivals, time.Now())
+	s.arrivals = append(s.arrivals, Arrival{id, body, time.Now(), fault})
 	s.mu.Unlock()
 	switch {
 	case req.Header.Get("Target-Instance") != s.ID:
