gateway: end requests whose caller does not read

What callers saw: nothing; a caller that takes nothing of a long answer held its request, and with it a goroutine, buffers and the end of a planned stop, for as long as it kept its connection.

Cause: the same class as the incident with deadly requests: jaylink entry bounds writes to callers, the gateway did not. Found by going through the promises that only the other serving path has a test for.

Change: writes of a request end 2 s after its deadline.

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -24,6 +24,8 @@
 	// confirmSlack is added to the wait of a watch before the configuration
 	// counts as not confirmed.
 	confirmSlack = 500 * time.Millisecond
+	// writeSlack is how long after its deadline a request may take to be answered.
+	writeSlack = 2 * time.Second
 	// notReadyRetry is when to come back to an entry that knows no
 	// configuration yet.
 	notReadyRetry = 300 * time.Millisecond
@@ -80,6 +82,9 @@
 	}
 	ctx, cancel := context.WithDeadline(hr.Context(), r.deadline)
 	defer cancel()
+	// A caller that does not read would hold its request for good. Only connections
+	// of tests know no deadline.
+	_ = http.NewResponseController(w).SetWriteDeadline(r.deadline.Add(writeSlack))
 	g.run(ctx, r)
 }
 
