gateway: drop upstreams that have vanished, also when others change meanwhile

What callers saw: nothing; upstreams that had gone got requests for as long as the watch brought other changes (DRAIN).

Cause: upstreams that vanish together are kept for up to 2 s, because their entries may have lapsed with the store. The next change of the list copied them and forgot that they had vanished, so nothing dropped them until the next whole list.

Change: what has vanished is carried over and dropped when its time is over.

--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -238,11 +238,13 @@
 		maps.Copy(next.records, before.records)
 		maps.Copy(next.list, before.list)
 		maps.Copy(next.gone, before.gone)
+		maps.Copy(next.vanished, before.vanished)
 		next.since = before.since
 	}
 	for _, rec := range c.Items {
 		delete(next.records, rec.Name)
 		delete(next.list, rec.Name)
+		delete(next.vanished, rec.Name)
 		if rec.Deleted {
 			next.gone[rec.Name] = c.Revision
 			continue
@@ -334,18 +336,21 @@
 func (g *Gateway) dropVanished() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	current := g.upstreams.Load()
-	now := time.Now()
+	g.setUpstreams(g.upstreams.Load().withoutVanished(time.Now(), g.lapseTime()))
+}
+
+// withoutVanished returns the list without those that have been kept for the grace.
+func (n *upstreamList) withoutVanished(now time.Time, grace time.Duration) *upstreamList {
 	next := &upstreamList{
-		revision: current.revision, since: current.since, gone: current.gone, records: maps.Clone(current.records),
-		list: maps.Clone(current.list), vanished: maps.Clone(current.vanished),
+		revision: n.revision, since: n.since, gone: n.gone, records: maps.Clone(n.records),
+		list: maps.Clone(n.list), vanished: maps.Clone(n.vanished),
 	}
-	for id, since := range current.vanished {
-		if now.Sub(since) >= g.lapseTime() {
+	for id, since := range n.vanished {
+		if now.Sub(since) >= grace {
 			delete(next.records, id)
 			delete(next.list, id)
 			delete(next.vanished, id)
 		}
 	}
-	g.setUpstreams(next)
+	return next
 }
