gateway: upstreams that drained do not count as vanished together

What callers saw: nothing; an upstream that left without a word, beside others that had drained, was taken for one whose entry had lapsed with the store, and got requests for 2 s more.

Cause: "more than half of a service at once" counted those that had said they were draining. A reclaim of a zone takes away several of them at one moment.

Change: only upstreams that were not draining count, as lost and as there.

Measured: TestUpstreamBesideDrainedOnesIsTakenForLapsed fails on the code before and passes now.

--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -307,6 +307,9 @@
 	}
 	lost, had := map[string]int{}, map[string]int{}
 	for id, u := range before.list {
+		if u.Draining {
+			continue
+		}
 		had[u.Service]++
 		if _, ok := n.list[id]; !ok {
 			lost[u.Service]++
--- a/gateway/vanished_test.go
+++ b/gateway/vanished_test.go
@@ -69,3 +69,15 @@
 	require.Contains(t, next.list, "i-0")
 	require.NotContains(t, next.list, "i-1")
 }
+
+// Four upstreams drain and go, and one goes without a word at the same time: that is
+// planned work, and not a store that has forgotten most upstreams.
+func TestUpstreamBesideDrainedOnesIsTakenForLapsed(t *testing.T) {
+	list, _ := listOf(time.Unix(1000, 0),
+		upstreamChange(1, readyUpstreams(7)),
+		upstreamChange(2, map[string]string{"i-0": "draining", "i-1": "draining", "i-2": "draining", "i-3": "draining"}),
+		upstreamChange(3, map[string]string{"i-0": "", "i-1": "", "i-2": "", "i-3": "", "i-4": ""}),
+	)
+	require.Empty(t, list.vanished)
+	require.Len(t, list.list, 2)
+}
