scaling: give nothing back inside a wave of reclaims

Reclaims take the reclaimable upstreams of one zone after the other, and nowhere are more to be had.

The rise that followed is bounded and takes the boot time: 20 s with a third to half of the requests refused or late.

Change: nothing is given back for 8 s after reclaimable upstreams went that were still ordered.

TestUpstreamsAreGivenBackInsideAWaveOfReclaims fails on the code before.

--- a/decision/scaling/scaling.go
+++ b/decision/scaling/scaling.go
@@ -40,6 +40,10 @@
 	// missing for the whole boot time if the demand returns.
 	giveBackPart = 1.0 / 3
 	giveBackTime = 2 * time.Second
+	// waveTime is how long after a reclaim nothing is given back: reclaims come in
+	// waves, 2.4 to 3.6 s apart on the recorded days, and what is ordered in their
+	// place takes the boot time.
+	waveTime = 8 * time.Second
 	// riseFactor bounds one rise, as a part of what there is; riseSlack is added
 	// to the boot time before the next.
 	riseFactor = 0.4
@@ -102,6 +106,12 @@
 	// gone of late, the last of them at lostAt, that no rise has made up for.
 	spot, lost int
 	lostAt     time.Time
+	// zoneSpot is the number of reclaimable upstreams of each zone a step ago, and
+	// reclaimedAt when some of them went that had not been given back.
+	zoneSpot    map[string]int
+	reclaimedAt time.Time
+	// spotOrdered is the last accepted order of each zone for reclaimable ones.
+	spotOrdered map[string]int
 	// gaveBack is when upstreams were given back last.
 	gaveBack time.Time
 	orders   map[key]ordered
@@ -110,7 +120,7 @@
 
 // NewService returns a service that has measured and ordered nothing.
 func NewService() *Service {
-	return &Service{orders: map[key]ordered{}, dry: map[string]time.Time{}}
+	return &Service{orders: map[key]ordered{}, dry: map[string]time.Time{}, zoneSpot: map[string]int{}, spotOrdered: map[string]int{}}
 }
 
 // Demand returns the demand as it is followed.
@@ -121,6 +131,7 @@
 func (s *Service) Reset() {
 	clear(s.orders)
 	clear(s.dry)
+	clear(s.spotOrdered)
 }
 
 // Dry notes that a zone has no reclaimable upstreams to give.
@@ -148,6 +159,7 @@
 	if s.since.IsZero() {
 		return nil
 	}
+	s.noteReclaims(now, in)
 	plan := s.plan(now, in)
 	s.limitGivingBack(now, plan, in)
 	return s.changed(now, plan)
@@ -155,7 +167,7 @@
 
 // limitGivingBack raises a plan so that upstreams are given back in steps.
 func (s *Service) limitGivingBack(now time.Time, plan []Order, in Input) {
-	may := now.Sub(s.since) >= measureTime && now.Sub(s.gaveBack) >= giveBackTime
+	may := now.Sub(s.since) >= measureTime && now.Sub(s.gaveBack) >= giveBackTime && now.Sub(s.reclaimedAt) >= waveTime
 	for i := range plan {
 		o := &plan[i]
 		have := onDemandIn(in, o.Zone)
@@ -171,6 +183,18 @@
 	}
 }
 
+// noteReclaims sees reclaimable upstreams go that are still ordered, or that another
+// holder had ordered.
+func (s *Service) noteReclaims(now time.Time, in Input) {
+	for _, z := range in.Zones {
+		ordered, known := s.spotOrdered[z.Name]
+		if z.Spot < s.zoneSpot[z.Name] && (!known || z.Spot < ordered) {
+			s.reclaimedAt = now
+		}
+		s.zoneSpot[z.Name] = z.Spot
+	}
+}
+
 func onDemandIn(in Input, zone string) int {
 	for _, z := range in.Zones {
 		if z.Name == zone {
@@ -312,4 +336,7 @@
 // Sent notes that an order was accepted.
 func (s *Service) Sent(now time.Time, o Order) {
 	s.orders[key{o.Zone, o.Spot}] = ordered{o.Count, now}
+	if o.Spot {
+		s.spotOrdered[o.Zone] = o.Count
+	}
 }
--- a/decision/scaling/scaling_test.go
+++ b/decision/scaling/scaling_test.go
@@ -243,6 +243,32 @@
 	require.GreaterOrEqual(t, f.count(false), upstreams(float64(running)/slots, soloUse))
 }
 
+// Load pattern: trouble-1 of parikh-smriti, seconds 9 to 16. Reclaims come as a wave,
+// zone after zone. What carries the demand beside the reclaimable upstreams is given
+// back between two of them.
+func TestUpstreamsAreGivenBackInsideAWaveOfReclaims(t *testing.T) {
+	const running = 30
+	f := newFleet()
+	for range 9 {
+		f.second(running)
+	}
+	f.dry = true
+	for _, zone := range []string{"a", "b", "c"} {
+		require.Positive(t, f.ready[key{zone, true}])
+		f.ready[key{zone, true}] = 0
+		before := f.count(false)
+		for range 3 {
+			f.second(running)
+		}
+		require.GreaterOrEqual(t, f.count(false), before, "after the reclaim of zone %s", zone)
+	}
+	f.dry = false
+	for range 30 {
+		f.second(running)
+	}
+	require.Less(t, f.count(false), 9, "they are given back once the wave is over")
+}
+
 func TestOrdersStayInsideTheLimits(t *testing.T) {
 	f := newFleet()
 	for range 60 {
