gateway: an upstream that ends as it had said has not crashed

What callers saw: nothing yet; each planned end of an upstream that the store could not tell of (it was out) counted as a crash against all requests there.

Cause: the look at a lost connection asked the upstream list only, and not what the upstream had said in its answers.

Change: an upstream that has answered that it leaves has not crashed. A crash has one line with the number of requests; a request gets a line of its own from its second crash on.

Measured: TestPlannedEndOfAnUpstreamBlamesItsRequests fails on the code before and passes now.

--- a/decision/placement/notices.go
+++ b/decision/placement/notices.go
@@ -44,6 +44,12 @@
 	return true
 }
 
+// Leaving reports whether an upstream has said itself that it is leaving.
+func (t *Table) Leaving(u serving.Upstream) bool {
+	n := t.notices[instanceOf(&u)]
+	return n != nil && n.leaving
+}
+
 // Rest takes an upstream's word that it wants no requests for a while and reports
 // whether the time is longer than was known.
 func (t *Table) Rest(now time.Time, u serving.Upstream, wait time.Duration) bool {
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -61,6 +61,10 @@
 	}
 	f := r.fingerprint()
 	g.mu.Lock()
+	if g.table.Leaving(u) {
+		g.mu.Unlock()
+		return
+	}
 	now := g.trueTime()
 	look, crashed := g.suspicions.Broke(now, u.ID, f)
 	g.mu.Unlock()
@@ -114,19 +118,32 @@
 	return false
 }
 
-// takeCrashes counts what requests took part in, and has the other entries told of
-// what is new.
+// takeCrashes counts one crash against the requests that took part in it, and has the
+// other entries told of what is new.
 func (g *Gateway) takeCrashes(source string, crashes []poison.Crash) {
+	news := 0
 	for _, c := range crashes {
-		g.mu.Lock()
-		isNew := g.poison.Add(g.trueTime(), c)
-		count, poisoned := g.poison.Crashes(c.Fingerprint), g.poison.Poisoned(g.trueTime(), c.Fingerprint)
-		g.mu.Unlock()
-		if isNew {
-			g.log.Warn("upstream crashed", "upstream", c.Upstream, "fingerprint", c.Fingerprint, "crashes", count, "poison", poisoned, "source", source)
-			g.tellOfCrashes()
+		if g.countCrash(source, c) {
+			news++
 		}
 	}
+	if news > 0 {
+		g.log.Warn("upstream crashed", "upstream", crashes[0].Upstream, "requests", news, "source", source)
+		g.tellOfCrashes()
+	}
+}
+
+// countCrash counts a crash against one request and reports whether it was new. A
+// request that took part in more than one is logged.
+func (g *Gateway) countCrash(source string, c poison.Crash) bool {
+	g.mu.Lock()
+	isNew := g.poison.Add(g.trueTime(), c)
+	count, poisoned := g.poison.Crashes(c.Fingerprint), g.poison.Poisoned(g.trueTime(), c.Fingerprint)
+	g.mu.Unlock()
+	if isNew && (poisoned || count > 1) {
+		g.log.Warn("request took part in crashes", "upstream", c.Upstream, "fingerprint", c.Fingerprint, "crashes", count, "poison", poisoned, "source", source)
+	}
+	return isNew
 }
 
 // tellOfCrashes has some entries told soon of what is known of crashes.
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"testing"
@@ -10,6 +12,8 @@
 	"github.com/stretchr/testify/require"
 
 	"jaylink/decision/poison"
+	"jaylink/platform"
+	"jaylink/serving"
 )
 
 // crashFleet is a model of what entries tell each other of crashes, in virtual time.
@@ -111,3 +115,18 @@
 		})
 	}
 }
+
+// An upstream ends as it had said in its answers, while the store, which knows as well,
+// is out. That is no crash.
+func TestPlannedEndOfAnUpstreamBlamesItsRequests(t *testing.T) {
+	u := serving.Upstream{ID: "i", Service: "s", Address: "127.0.0.1:1", Zone: "z", Born: 1}
+	g := New(platform.Settings{Name: "e", Bounds: bounds()}, slog.New(slog.DiscardHandler))
+	g.upstreams.Store(&upstreamList{list: map[string]serving.Upstream{"i": u}})
+	g.table.SetUpstreams([]serving.Upstream{u})
+	g.table.Leave(u)
+	r := &request{target: "/a/1"}
+	r.progress.upstream = u
+	g.suspectCrash(r, io.EOF)
+	look, _ := g.suspicions.Broke(g.trueTime(), "i", r.fingerprint())
+	require.True(t, look, "nothing was suspected before")
+}
