scaling: demand counts the prompts that wait to be read

Engines of 128 slots have a seventh of them in use, and prompts wait for most of a second; p50 of the first event 300 to 900 ms at fewer requests than were served in time later.

Cause: demand was requests by slots. An engine with many slots is at its limit by reading prompts long before its slots are in use, so three to six upstreams were ordered for a load that needs more.

Ruled out: placement (busiest to mean 1.0 to 1.1).

Change: demand is at least what reads all waiting prompts within .4 of the tightest objective for a first event. docs of Follow say so.

TestPromptsThatWaitOrderNoUpstreamsWhileSlotsAreFree fails without the change.

--- a/decision/placement/progress.go
+++ b/decision/placement/progress.go
@@ -176,6 +176,12 @@
 // as learned so far.
 func (t *Table) TokensPerMs(service string) float64 { return t.speed(service).tokensPerMs }
 
+// ReadingTime returns how long one upstream of a service would take to read all prompts
+// that wait on its upstreams.
+func (t *Table) ReadingTime(service string) time.Duration {
+	return millis(float64(t.Total(service).Unread) / t.speed(service).tokensPerMs)
+}
+
 // Total returns the work of all entries on the upstreams of a service.
 func (t *Table) Total(service string) Load {
 	var sum Load
--- a/decision/scaling/scaling.go
+++ b/decision/scaling/scaling.go
@@ -2,8 +2,9 @@
 // availability zone. It is pure: times are the caller's.
 //
 // The demand is the number of requests that all entries have on upstreams, in
-// units of one upstream with all slots in use. It grows with the traffic and with
-// how slow upstreams get, so it rises before callers wait. On-demand upstreams
+// units of one upstream with all slots in use, or what the prompts to be read there
+// ask for if that is more. It grows with the traffic and with how slow upstreams get,
+// so it rises before callers wait. On-demand upstreams
 // carry the demand alone; reclaimable ones, which cost a fraction, give the headroom that
 // keeps waiting short, spread over the availability zones so that a reclaim
 // takes one part of it. Load patterns answered: slow waves, bursts that double
@@ -28,6 +29,9 @@
 	// reclaimable ones, and fullUse how busy all are to be together.
 	soloUse = 0.3
 	fullUse = 0.15
+	// readPart is the part of the objective for a first event within which upstreams
+	// are to read the prompts that they have; the rest is for the way and for chance.
+	readPart = 0.4
 	// smoothing is the weight of the newest second in the demand.
 	smoothing = 0.4
 	// memory is for how many seconds a demand counts as possible again.
@@ -140,10 +144,30 @@
 	delete(s.orders, key{zone, true})
 }
 
-// Follow takes the number of requests on all upstreams and the slots of one. Every
-// entry calls it once a second, so that a new holder knows what has been.
-func (s *Service) Follow(now time.Time, running, slots int) {
-	s.smooth += smoothing * (float64(running)/float64(max(slots, 1)) - s.smooth)
+// Load is what is on the upstreams of a service at a moment.
+type Load struct {
+	// Running is the number of requests on all of them, Slots what one runs at once.
+	Running, Slots int
+	// Reading is the time that one upstream would take to read all prompts that wait.
+	// An engine with many slots is at its limit long before they are in use.
+	Reading time.Duration
+	// Objective is the tightest one for a first event; 0 if there is none.
+	Objective time.Duration
+}
+
+// demand is in upstreams with all slots in use.
+func (l Load) demand() float64 {
+	demand := float64(l.Running) / float64(max(l.Slots, 1))
+	if l.Objective > 0 {
+		demand = max(demand, soloUse*float64(l.Reading)/(readPart*float64(l.Objective)))
+	}
+	return demand
+}
+
+// Follow takes what is on the upstreams. Every entry calls it once a second, so that a
+// new holder knows what has been.
+func (s *Service) Follow(now time.Time, l Load) {
+	s.smooth += smoothing * (l.demand() - s.smooth)
 	s.recent[s.steps%memory] = s.smooth
 	s.steps++
 	switch {
--- a/decision/scaling/scaling_test.go
+++ b/decision/scaling/scaling_test.go
@@ -64,7 +64,10 @@
 }
 
 // second plays one second with a number of requests on the upstreams.
-func (f *fleet) second(running int) {
+func (f *fleet) second(running int) { f.secondOf(running, slots, 0) }
+
+// secondOf plays one second of upstreams with some slots, and with prompts to be read.
+func (f *fleet) secondOf(running, slots int, reading time.Duration) {
 	f.now = f.now.Add(time.Second)
 	rest := f.booting[:0]
 	for _, b := range f.booting {
@@ -75,7 +78,7 @@
 		f.ready[b.key]++
 	}
 	f.booting = rest
-	f.service.Follow(f.now, running, slots)
+	f.service.Follow(f.now, Load{Running: running, Slots: slots, Reading: reading, Objective: 500 * time.Millisecond})
 	for _, o := range f.service.Step(f.now, f.input()) {
 		f.carryOut(o)
 	}
@@ -269,6 +272,21 @@
 	require.Less(t, f.count(false), 9, "they are given back once the wave is over")
 }
 
+// Load pattern: trouble-3 of emace-jaylink, seconds 20 to 30. Engines of 128 slots have
+// a seventh of them in use, and prompts wait for most of a second to be read.
+func TestPromptsThatWaitOrderNoUpstreamsWhileSlotsAreFree(t *testing.T) {
+	const wide, running, upstreamsThere = 128, 100, 6
+	f := newFleet()
+	f.dry = true
+	for zone := range f.scaling.ZonePrices {
+		f.ready[key{zone, false}] = upstreamsThere / 3
+	}
+	for range 10 {
+		f.secondOf(running, wide, upstreamsThere*700*time.Millisecond)
+	}
+	require.Greater(t, f.count(false), upstreamsThere)
+}
+
 func TestOrdersStayInsideTheLimits(t *testing.T) {
 	f := newFleet()
 	for range 60 {
--- a/gateway/scale.go
+++ b/gateway/scale.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"jaylink/decision/scaling"
@@ -34,13 +35,30 @@
 		g.mu.Lock()
 		for i := range c.Services {
 			if s := &c.Services[i]; s.Scaling != nil {
-				g.scaler(s.Name).Follow(time.Now(), g.table.Total(s.Name).Running, slotsOf(s))
+				g.scaler(s.Name).Follow(time.Now(), scaling.Load{
+					Running: g.table.Total(s.Name).Running, Slots: slotsOf(s),
+					Reading: g.table.ReadingTime(s.Name), Objective: firstObjective(c, s.Name),
+				})
 			}
 		}
 		g.mu.Unlock()
 	}
 }
 
+// firstObjective is the tightest objective for a first event among the routes that a
+// service serves; 0 if there is none.
+func firstObjective(c *acceptedConfiguration, service string) time.Duration {
+	least := time.Duration(0)
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		serves := slices.ContainsFunc(r.Targets, func(t serving.Target) bool { return t.Service == service })
+		if serves && r.Streaming && r.Objective > 0 && (least == 0 || r.Objective < least) {
+			least = r.Objective
+		}
+	}
+	return least
+}
+
 // assumedSlots is taken for services that state none.
 const assumedSlots = 8
 
