truetime: words that waited for a frozen entry do not set its clock back

Cause: waiting makes every word look late, and all of them alike, which is what a wrong clock of one's own looks like.

Change: a clock that enough others have agreed with is set only if most go on disagreeing for half a second. One that nobody has agreed with yet is set at once, as before.

Measured: TestWordsThatWaitedForAFrozenEntrySetItsClockBack fails on the code before (-7 s) and passes now.

--- a/decision/truetime/truetime.go
+++ b/decision/truetime/truetime.go
@@ -3,7 +3,9 @@
 //
 // The time of day is read once and then counted with a clock that never jumps.
 // If most other entries disagree in the same way, the entry takes their median,
-// so one that started while its clock was wrong is set right.
+// so one that started while its clock was wrong is set right. Words that waited while
+// the entry was frozen look late, all alike: a clock that others have agreed with is
+// set only if they go on disagreeing.
 package truetime
 
 import (
@@ -18,6 +20,9 @@
 	fresh = 3 * time.Second
 	// quorum is the least number of others whose word is taken.
 	quorum = 2
+	// settle is how long the others must disagree with a clock that they have agreed
+	// with; words that have waited are read in some milliseconds.
+	settle = 500 * time.Millisecond
 )
 
 type word struct {
@@ -30,6 +35,10 @@
 	base  time.Time
 	start time.Duration
 	words map[string]word
+	// agreed says that enough others have agreed with the clock, doubted since when
+	// most disagree; 0 if they don't.
+	agreed  bool
+	doubted time.Duration
 }
 
 // New returns a clock that believes the time of day wall at the steady reading.
@@ -47,6 +56,7 @@
 	c.words[entry] = own
 	if own.offset.Abs() <= tolerance {
 		// If most disagree, one of them will say so.
+		c.agreed = c.agreed || c.agreeing() >= quorum
 		return 0
 	}
 	var offsets []time.Duration
@@ -65,7 +75,31 @@
 	if median.Abs() <= tolerance {
 		return 0
 	}
+	if c.agreed && !c.lasting(steady) {
+		return 0
+	}
 	c.base = c.base.Add(median)
+	c.doubted = 0
 	clear(c.words)
 	return median
 }
+
+// agreeing returns how many others agree with the clock.
+func (c *Clock) agreeing() int {
+	n := 0
+	for _, w := range c.words {
+		if w.offset.Abs() <= tolerance {
+			n++
+		}
+	}
+	return n
+}
+
+// lasting reports whether most have disagreed for long enough. Doubts that have not come
+// up again for a while are over.
+func (c *Clock) lasting(steady time.Duration) bool {
+	if c.doubted == 0 || steady-c.doubted > fresh {
+		c.doubted = steady
+	}
+	return steady-c.doubted >= settle
+}
--- a/decision/truetime/truetime_test.go
+++ b/decision/truetime/truetime_test.go
@@ -40,3 +40,49 @@
 	c.Hear(0, "a", noon.Add(time.Minute))
 	require.Zero(t, c.Hear(10*time.Second, "b", noon.Add(time.Minute)))
 }
+
+// An entry that was frozen finds the words of seven seconds in its socket when it wakes.
+// They look as if all others were late.
+func TestWordsThatWaitedForAFrozenEntrySetItsClockBack(t *testing.T) {
+	const frozen, pace = 7 * time.Second, 200 * time.Millisecond
+	names := []string{"a", "b", "c", "d"}
+	for _, freezes := range []int{1, 3} {
+		c := New(noon, 0)
+		now := time.Duration(0)
+		for range freezes {
+			for range 20 {
+				now += pace
+				for _, name := range names {
+					require.Zero(t, c.Hear(now, name, noon.Add(now)))
+				}
+			}
+			for waited := frozen; waited > 0; waited -= pace {
+				for _, name := range names {
+					require.Zero(t, c.Hear(now+frozen, name, noon.Add(now+frozen-waited)))
+				}
+			}
+			now += frozen
+			require.Equal(t, noon.Add(now), c.At(now))
+		}
+	}
+}
+
+// A clock that others had agreed with is still set right if they go on disagreeing.
+func TestLastingDisagreementSetsAClockRight(t *testing.T) {
+	c := New(noon, 0)
+	hear := func(at, off time.Duration) (set time.Duration) {
+		for _, name := range []string{"a", "b", "c"} {
+			set += c.Hear(at, name, noon.Add(at+off))
+		}
+		return set
+	}
+	require.Zero(t, hear(time.Second, 0))
+	set := time.Duration(0)
+	for at := 2 * time.Second; at < 4*time.Second; at += 200 * time.Millisecond {
+		set += hear(at, 40*time.Second-set)
+		if set != 0 {
+			break
+		}
+	}
+	require.Equal(t, 40*time.Second, set)
+}
