gateway: test of several deadly requests at once

Change: four deadly requests are sent 40 times each, at once and over three gateways; each may end three upstreams and three more.

--- a/gateway/deadly_test.go
+++ b/gateway/deadly_test.go
@@ -188,3 +188,41 @@
 	}
 	require.LessOrEqual(t, crashes(upstreams), mostEnds)
 }
+
+// Several deadly requests at once end the same upstreams under each other; each is
+// bounded by itself.
+func TestSeveralDeadlyRequestsAtOnceEndUpstreamsWithoutBound(t *testing.T) {
+	const bodies = 4
+	d := newDeployment(t)
+	d.configure()
+	upstreams := d.deadlyUpstreams(12, counter)
+	entries := []*entry{d.startEntry("entry-1"), d.startEntry("entry-2"), d.startEntry("entry-3")}
+	knowEachOther(t, entries...)
+	done := make(chan struct{}, bodies)
+	for n := range bodies {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			pace := time.NewTicker(repeatPause)
+			defer pace.Stop()
+			for i := range repeats {
+				<-pace.C
+				call := plain("order", fmt.Sprintf("deadly-%d-%d", n, i))
+				call.Body = fmt.Sprintf("%s %d", deadlyBody, n)
+				entries[(i+n)%len(entries)].send(t, call)
+			}
+		}()
+	}
+	for range bodies {
+		<-done
+	}
+	ends := map[string]int{}
+	for _, s := range upstreams {
+		for _, r := range s.Runs() {
+			ends[r.Body]++
+		}
+	}
+	t.Logf("ended by each: %v", ends)
+	for body, n := range ends {
+		require.LessOrEqual(t, n, mostEnds, body)
+	}
+}
