--- a/decision/scaling/scaling.go
+++ b/decision/scaling/scaling.go
@@ -52,8 +52,7 @@
 	// to the boot time before the next.
 	riseFactor = 0.4
 	riseSlack  = time.Second
-	// repeatTime is when an order that has not arrived is sent again, in case it was
-	// lost.
+	// repeatTime is when an order is sent again, in case it was lost.
 	repeatTime = 5 * time.Second
 	// dryTime is how long a zone is not asked again for reclaimable upstreams
 	// after it had none.
@@ -187,7 +186,7 @@
 	s.noteReclaims(now, in)
 	plan := s.plan(now, in)
 	s.limitGivingBack(now, plan, in)
-	return s.changed(now, plan, in)
+	return s.changed(now, plan)
 }
 
 // limitGivingBack raises a plan so that upstreams are given back in steps.
@@ -195,7 +194,7 @@
 	may := now.Sub(s.since) >= measureTime && now.Sub(s.gaveBack) >= giveBackTime && now.Sub(s.reclaimedAt) >= waveTime
 	for i := range plan {
 		o := &plan[i]
-		have := in.there(o.Zone, false)
+		have := onDemandIn(in, o.Zone)
 		if o.Spot || o.Count >= have {
 			continue
 		}
@@ -220,14 +219,9 @@
 	}
 }
 
-// there returns the upstreams of a kind in a zone.
-func (in Input) there(zone string, spot bool) int {
+func onDemandIn(in Input, zone string) int {
 	for _, z := range in.Zones {
-		switch {
-		case z.Name != zone:
-		case spot:
-			return z.Spot
-		default:
+		if z.Name == zone {
 			return z.OnDemand
 		}
 	}
@@ -349,15 +343,13 @@
 	return out
 }
 
-// changed returns the orders that differ from the last ones, or that were sent a while
-// ago and have not arrived.
-func (s *Service) changed(now time.Time, plan []Order, in Input) []Order {
+// changed returns the orders that differ from the last ones, or that are old.
+func (s *Service) changed(now time.Time, plan []Order) []Order {
 	var out []Order
 	for _, o := range plan {
 		k := key{o.Zone, o.Spot}
 		last, ok := s.orders[k]
-		arrived := in.there(o.Zone, o.Spot) == o.Count
-		if ok && last.count == o.Count && (arrived || now.Sub(last.at) < repeatTime) {
+		if ok && last.count == o.Count && now.Sub(last.at) < repeatTime {
 			continue
 		}
 		out = append(out, o)
