placement, scaling: a prompt alone on its engine orders no more engines

Each took most of a second to read by itself, counted as prompts that wait, and upstreams were ordered that could not help it.

Change: only prompts that share their upstream with other requests count.

TestPromptAloneOnItsEngineOrdersMoreEngines fails on the code before.

--- a/decision/placement/placement_test.go
+++ b/decision/placement/placement_test.go
@@ -258,3 +258,14 @@
 		tb.Pick(start, r)
 	}
 }
+
+// Load pattern: a calm day of sff-jaylink. A prompt of 50,000 tokens that is alone on its
+// engine is not read sooner by more engines; prompts that wait for each other are.
+func TestPromptAloneOnItsEngineOrdersMoreEngines(t *testing.T) {
+	tb := newTestTable(upstreams("lm", "a1", "a2", "b1"))
+	tb.Hear("e", map[string]Load{"u0": {Running: 1, Unread: 50_000}})
+	require.Zero(t, tb.ReadingTime("lm"))
+	tb.Hear("e", map[string]Load{"u0": {Running: 1, Unread: 50_000}, "u1": {Running: 3, Unread: 30_000}})
+	want := float64(30_000) / tb.TokensPerMs("lm")
+	require.InDelta(t, want, float64(tb.ReadingTime("lm"))/float64(time.Millisecond), 1)
+}
--- a/decision/placement/progress.go
+++ b/decision/placement/progress.go
@@ -176,10 +176,17 @@
 // as learned so far.
 func (t *Table) TokensPerMs(service string) float64 { return t.speed(service).tokensPerMs }
 
-// ReadingTime returns how long one upstream of a service would take to read all prompts
-// that wait on its upstreams.
+// ReadingTime returns how long one upstream of a service would take to read the prompts
+// that share theirs with other requests. One that is alone would not be read sooner by
+// more upstreams.
 func (t *Table) ReadingTime(service string) time.Duration {
-	return millis(float64(t.Total(service).Unread) / t.speed(service).tokensPerMs)
+	unread := 0
+	for _, p := range t.services[service] {
+		if p.own.Running+p.peers.Running > 1 {
+			unread += p.own.Unread + p.peers.Unread
+		}
+	}
+	return millis(float64(unread) / t.speed(service).tokensPerMs)
 }
 
 // Total returns the work of all entries on the upstreams of a service.
--- a/decision/scaling/scaling.go
+++ b/decision/scaling/scaling.go
@@ -148,8 +148,8 @@
 type Load struct {
 	// Running is the number of requests on all of them, Slots what one runs at once.
 	Running, Slots int
-	// Reading is the time that one upstream would take to read all prompts that wait.
-	// An engine with many slots is at its limit long before they are in use.
+	// Reading is the time that one upstream would take to read the prompts that wait for
+	// each other. An engine with many slots is at its limit long before they are in use.
 	Reading time.Duration
 	// Objective is the tightest one for a first event; 0 if there is none.
 	Objective time.Duration
