--- a/decision/quota/quota.go
+++ b/decision/quota/quota.go
@@ -73,8 +73,6 @@
 	// creditPart is the part of the platform's slack that entries which go by parts
 	// may use together for small work.
 	creditPart = 0.5
-	// knownTotals is how many totals of an entry make its demand known.
-	knownTotals = 2
 	// idleDemand is the part of the rate that entries without demand are taken
 	// to ask for, so that the first request there is not refused.
 	idleDemand = 0.01
@@ -102,9 +100,7 @@
 	incarnation int64
 	heard       time.Time
 	totals      map[string]Total
-	// told is how often it has told totals; its demand is known from knownTotals on.
-	told    int
-	demands map[string]*meter.Meter
+	demands     map[string]*meter.Meter
 	// charged is what was charged for each customer while the peer was silent.
 	charged map[string]float64
 	// latest is the work admitted between the last two totals.
@@ -229,10 +225,6 @@
 	idle := idleDemand * b.Rate
 	demand = b.demand.Rate + v.demand[customer]
 	sum := demand + idle*float64(v.speaking+1)
-	if q.partsOnly {
-		// Of those who have not told enough it is only known that they are there.
-		sum += b.demand.Rate * float64(v.unknown)
-	}
 	demand += b.Rate * float64(len(v.silent)) / float64(len(q.peers)+1)
 	if sum <= 0 {
 		return 1, demand
@@ -382,7 +374,6 @@
 	}
 	clear(p.charged)
 	p.totals = totals
-	p.told++
 }
 
 // chargeEnded charges what a process that has ended may have admitted after its
--- a/decision/quota/view.go
+++ b/decision/quota/view.go
@@ -17,9 +17,7 @@
 	// speaking is the number of the others, demand what they are asked for per
 	// second by customer.
 	speaking int
-	// unknown is the number of those whose demand is not known yet.
-	unknown int
-	demand  map[string]float64
+	demand   map[string]float64
 	// ample has the customers whose allowance is not scarce, as far as others know.
 	ample map[string]bool
 }
@@ -30,7 +28,7 @@
 	if now.Sub(v.at) < max(viewLife, q.totals/viewPart) {
 		return v
 	}
-	v.at, v.silent, v.speaking, v.unknown = now, v.silent[:0], 0, 0
+	v.at, v.silent, v.speaking = now, v.silent[:0], 0
 	clear(v.demand)
 	clear(v.ample)
 	for _, p := range q.peers {
@@ -39,9 +37,6 @@
 			continue
 		}
 		v.speaking++
-		if p.told < knownTotals {
-			v.unknown++
-		}
 		for name, d := range p.demands {
 			v.demand[name] += d.Rate
 		}
