poison, gateway: ask whether there is news without putting it together

Found by reading the change again: two callers built, sorted and threw away all reports and verdicts, one of them each turn of a large fleet and one for each process that starts, only to see whether there were any; what is told was put together once more for the word. HasNews answers that with the same condition. The soak's check of a prefix is strings.HasPrefix.

--- a/decision/poison/verdict.go
+++ b/decision/poison/verdict.go
@@ -150,10 +150,21 @@
 	return t.reports(now), t.verdicts()
 }
 
+// HasNews reports whether there is any, without putting it together.
+func (t *Tracker) HasNews(now time.Time) bool {
+	t.expire(now)
+	return len(t.poisoned)+len(t.sound) > 0 || slices.ContainsFunc(t.crashes, func(c *crash) bool { return c.isTold(now) })
+}
+
+// isTold reports whether other entries are told of a crash.
+func (c *crash) isTold(now time.Time) bool {
+	return !c.explained && len(c.requests) > 0 && now.Sub(c.at) < toldTime
+}
+
 func (t *Tracker) reports(now time.Time) []Report {
 	var list []Report
 	for _, c := range t.crashes {
-		if c.explained || len(c.requests) == 0 || now.Sub(c.at) >= toldTime {
+		if !c.isTold(now) {
 			continue
 		}
 		requests := slices.Clone(c.requests)
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -354,10 +354,7 @@
 // greet tells a process that has just started what is known of crashes. In a large
 // fleet some entries do so. The caller holds mu.
 func (g *Gateway) greet(to *net.UDPAddr) {
-	if rand.IntN(len(g.peers)+1) >= smallFleet {
-		return
-	}
-	if reports, verdicts := g.poison.News(g.trueTime()); len(reports)+len(verdicts) == 0 {
+	if rand.IntN(len(g.peers)+1) >= smallFleet || !g.poison.HasNews(g.trueTime()) {
 		return
 	}
 	select {
--- a/gateway/poison.go
+++ b/gateway/poison.go
@@ -67,8 +67,7 @@
 func (g *Gateway) knowsOfCrashes() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	reports, verdicts := g.poison.News(g.trueTime())
-	return len(reports)+len(verdicts) > 0
+	return g.poison.HasNews(g.trueTime())
 }
 
 // hearCrashes takes what another entry knows of crashes and tells on what is new.
--- a/internal/soak/notices.go
+++ b/internal/soak/notices.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"jaylink/standin/upstream"
@@ -69,7 +70,7 @@
 	arrivals := map[string][]time.Time{}
 	for _, b := range f.all() {
 		for _, r := range b.Arrivals() {
-			if len(r.Body) > len(deadlyMark) && r.Body[:len(deadlyMark)] == deadlyMark {
+			if strings.HasPrefix(r.Body, deadlyMark) {
 				arrivals[r.Body] = append(arrivals[r.Body], r.At)
 			}
 		}
