gateway: log and count the limits that upstreams state

Lines of requests and failed attempts have upstream_limit, and upstream.limited_attempts counts attempts on upstreams known to be limited. Nothing acts on the limit yet.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"jaylink/decision/placement"
@@ -68,6 +69,9 @@
 	// unreadTokens and running are the prompt tokens that the chosen upstream had yet
 	// to process, and the requests that it was running, before this one was sent.
 	unreadTokens, running int
+	// limit is the limit of the latest attempt's upstream, as known when the attempt
+	// was sent, or nil.
+	limit *float64
 	// firstEvent is the time from the request's arrival until an upstream began to
 	// answer.
 	firstEvent time.Duration
@@ -277,6 +281,11 @@
 	if load := head.Load; load != nil {
 		g.table.ReportRequests(now, u.ID, load.Running+load.Waiting)
 	}
+	var previous *float64
+	limitChanged := false
+	if head.Limit != nil || head.InvalidLimit == "" {
+		previous, limitChanged = g.table.SetLimit(u, head.Limit)
+	}
 	leaving := head.Leaving && g.table.MarkLeaving(u)
 	backsOff := head.RetryAfter > 0 && g.table.Pause(now, u, head.RetryAfter)
 	g.mu.Unlock()
@@ -288,6 +297,23 @@
 		g.metrics.changed[upstreamRests].Inc(1)
 		g.log.Info("upstream asked for a pause", "upstream", u.ID, "for", head.RetryAfter)
 	}
+	if limitChanged {
+		g.metrics.changed[upstreamLimit].Inc(1)
+		g.log.Info("upstream changed its limit", "upstream", u.ID, "address", u.Address, "born", u.StartMillis,
+			"limit", limitText(head.Limit), "previous", limitText(previous))
+	}
+	if head.InvalidLimit != "" {
+		g.metrics.invalidLimits.Inc(1)
+		g.log.Warn("upstream stated an invalid limit", "upstream", u.ID, "value", head.InvalidLimit)
+	}
+}
+
+// limitText returns a limit in requests per second for the log, or "none".
+func limitText(limit *float64) string {
+	if limit == nil {
+		return "none"
+	}
+	return strconv.FormatFloat(*limit, 'g', -1, 64)
 }
 
 // startAttempt records an attempt that is about to be sent.
@@ -296,6 +322,10 @@
 	g.gossipLargePrompt(choice.Load.PrefillTokens)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	r.progress.limit = g.table.Limit(choice.Upstream)
+	if r.progress.limit != nil {
+		g.metrics.limitedAttempts.Inc(1)
+	}
 	if r.progress.attempts == 0 && r.progress.declined == 0 {
 		g.retryBudget(r.service.Name).RecordFirstAttempt(now)
 	}
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -32,6 +32,9 @@
 	if r.config != nil {
 		attrs = append(attrs, "configuration", r.config.Version)
 	}
+	if p.limit != nil {
+		attrs = append(attrs, "upstream_limit", *p.limit)
+	}
 	if p.detail != "" {
 		attrs = append(attrs, "detail", p.detail)
 	}
@@ -46,5 +49,5 @@
 	}
 	g.log.Info(message, "request_id", r.RequestID, "upstream", p.upstream.ID, "reason", string(p.reason),
 		"attempts", p.attempts, "declined", p.declined, "ms", time.Since(r.arrived).Milliseconds(),
-		"last_event", p.lastEvent, "detail", p.detail)
+		"last_event", p.lastEvent, "upstream_limit", limitText(p.limit), "detail", p.detail)
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -21,6 +21,7 @@
 	upstreamGone       stateChange = "upstream_gone"
 	upstreamLeaving    stateChange = "upstream_leaving"
 	upstreamRests      stateChange = "upstream_rests"
+	upstreamLimit      stateChange = "upstream_limit"
 	peerFound          stateChange = "peer"
 	peerGone           stateChange = "peer_gone"
 	dependencyLost     stateChange = "dependency_lost"
@@ -32,7 +33,7 @@
 
 // stateChanges lists all state changes.
 var stateChanges = []stateChange{
-	newConfiguration, upstreamChanged, upstreamGone, upstreamLeaving, upstreamRests, peerFound, peerGone,
+	newConfiguration, upstreamChanged, upstreamGone, upstreamLeaving, upstreamRests, upstreamLimit, peerFound, peerGone,
 	dependencyLost, dependencyRegained, clockSet, dutiesTaken, dutyRefused,
 }
 
@@ -56,6 +57,10 @@
 	storeErrors metrics.Counter
 	// panics counts the panics that withRecover caught.
 	panics metrics.Counter
+	// limitedAttempts counts attempts on upstreams that had stated a limit on their
+	// requests, and invalidLimits the answers with a limit that can't be decoded.
+	limitedAttempts metrics.Counter
+	invalidLimits   metrics.Counter
 	// crashes counts upstream crashes that this entry detected itself.
 	crashes metrics.Counter
 	// logLimited and logDropped are the numbers of log lines suppressed by the rate
@@ -92,6 +97,7 @@
 		answered: counter("request.answered"), failed: counter("request.failed"), abandoned: counter("request.abandoned"),
 		connections: counter("upstream.connections"), storeCalls: counter("store.calls"), storeErrors: counter("store.errors"),
 		panics: counter("message.panics"), crashes: counter("upstream.crashes"),
+		limitedAttempts: counter("upstream.limited_attempts"), invalidLimits: counter("upstream.invalid_limits"),
 		logLimited: gauge("log.limited"), logDropped: gauge("log.dropped"),
 		inFlight: gauge("request.in_flight"), version: gauge("configuration.version"),
 		peers: gauge("peer.live"), upstreams: gauge("upstream.known"),
