gateway: add failing tests of upstreams that name a limit

Cause: an upstream that names a limit on the requests that it takes from all entries together gets as many as before. The stand-in upstream names limits and checks the platform's rule: from contact-ms after the first naming, at most 1.5 times the limit and 5 more in any 4 s from entries that were told half a second before.

--- /dev/null
+++ b/gateway/limit_test.go
@@ -0,0 +1,132 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jaylink/standin/caller"
+	"jaylink/standin/upstream"
+)
+
+const (
+	// contactTime is the platform's bound contact-ms: from then on after an upstream
+	// first named a limit, the limit is checked.
+	contactTime = 3 * time.Second
+	// limitTestTime is long enough for a whole window of the rule after contactTime.
+	limitTestTime = contactTime + 5*time.Second
+	// limitCallers is the number of callers at each entry, and limitPause the pause of
+	// a caller after an answer.
+	limitCallers = 3
+	limitPause   = 30 * time.Millisecond
+)
+
+// entryOfCall returns the entry that a request of sendSteadily was sent to.
+func entryOfCall(requestID string) string {
+	name, _, _ := strings.Cut(requestID, "/")
+	return name
+}
+
+// sendSteadily sends requests to all entries for some time. It returns how many were
+// answered with 200 and how many with another status.
+func sendSteadily(t *testing.T, entries []*entry, span time.Duration, call func(id string) caller.Call) (answered, refused int64) {
+	t.Helper()
+	var yes, no atomic.Int64
+	var callers sync.WaitGroup
+	end := time.Now().Add(span)
+	for _, e := range entries {
+		for n := range limitCallers {
+			callers.Go(func() {
+				for i := 0; time.Now().Before(end); i++ {
+					a := e.send(t, call(fmt.Sprintf("%s/%d-%d-%d", e.settings.Name, end.UnixNano(), n, i)))
+					if a.err == nil && a.status == http.StatusOK {
+						yes.Add(1)
+					} else {
+						no.Add(1)
+					}
+					time.Sleep(limitPause)
+				}
+			})
+		}
+	}
+	callers.Wait()
+	return yes.Load(), no.Load()
+}
+
+// requireWithinLimits checks the platform's rule on limits.
+func requireWithinLimits(t *testing.T, upstreams ...*upstream.Server) {
+	t.Helper()
+	for _, s := range upstreams {
+		for _, excess := range s.CheckLimits(contactTime, entryOfCall, nil) {
+			t.Errorf("%s: %v", s.ID, excess)
+		}
+	}
+}
+
+// An upstream names a limit on the requests that it takes from all entries together. The
+// entries must keep it in sum, on each kind of route, and serve the callers by others.
+func TestUpstreamThatNamesALimitGetsMoreThanThat(t *testing.T) {
+	cases := map[string]struct {
+		limit   float64
+		service string
+		call    func(id string) caller.Call
+	}{
+		"idempotent":         {1, counterService, func(id string) caller.Call { return plainCall("status", id) }},
+		"single attempt":     {0.4, counterService, func(id string) caller.Call { return plainCall("order", id) }},
+		"stream":             {4, engineService, func(id string) caller.Call { return streamCall("stream", id) }},
+		"unresumable stream": {1, engineService, func(id string) caller.Call { return streamCall("once", id) }},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			d.configure()
+			limited := d.upstream("i-limited", c.service)
+			limited.SetLimit(c.limit)
+			for i := range 2 {
+				d.upstreamIn([]string{"zone-a", "zone-b"}[i], fmt.Sprintf("i-%d", i), c.service)
+			}
+			var entries []*entry
+			for i := range 5 {
+				entries = append(entries, d.startEntry(fmt.Sprintf("entry-%d", i)))
+			}
+			awaitPeers(t, entries...)
+			answered, refused := sendSteadily(t, entries, limitTestTime, c.call)
+			t.Logf("%d requests answered, %d refused; the limited upstream got %d", answered, refused, len(limited.Arrivals()))
+			require.Zero(t, refused)
+			requireWithinLimits(t, limited)
+		})
+	}
+}
+
+// All upstreams of a service name a limit. Each gets no more than that, and what exceeds
+// the limits is refused at once with a time to come back.
+func TestLimitsOfAllUpstreamsAreKept(t *testing.T) {
+	d := newDeployment(t)
+	d.configure()
+	var upstreams []*upstream.Server
+	for i := range 3 {
+		s := d.upstreamIn([]string{"zone-a", "zone-b"}[i%2], fmt.Sprintf("i-%d", i), counterService)
+		s.SetLimit(8)
+		upstreams = append(upstreams, s)
+	}
+	var entries []*entry
+	for i := range 6 {
+		entries = append(entries, d.startEntry(fmt.Sprintf("entry-%d", i)))
+	}
+	awaitPeers(t, entries...)
+	answered, refused := sendSteadily(t, entries, limitTestTime, func(id string) caller.Call { return plainCall("status", id) })
+	t.Logf("%d requests answered, %d refused", answered, refused)
+	requireWithinLimits(t, upstreams...)
+	var a answer
+	eventually(t, func() bool {
+		a = entries[0].send(t, plainCall("status", fmt.Sprintf("last-%d", time.Now().UnixNano())))
+		return a.status == http.StatusServiceUnavailable
+	})
+	require.NotEmpty(t, a.header.Get("Retry-After"))
+}
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -109,7 +109,11 @@
 	fault    Fault
 	runs     []Run
 	arrivals []Arrival
-	crashes  int
+	// limits lists the changes of the limit in order, and named the answers that
+	// stated one.
+	limits  []limitChange
+	named   []naming
+	crashes int
 	// closedByCaller counts connections that the caller closed before the answer
 	// was complete.
 	closedByCaller int
@@ -284,9 +288,9 @@
 	case req.Header.Get("Target-Instance") != s.ID:
 		return writeResponse(c, "421 Misdirected Request", id, "Instance-Id: "+s.ID+"\r\n", "")
 	case fault == Decline:
-		return writeResponse(c, "503 Service Unavailable", id, "Not-Executed: 1\r\n", "")
+		return writeResponse(c, "503 Service Unavailable", id, "Not-Executed: 1\r\n"+s.limitHeader(id), "")
 	case fault == Rest:
-		return writeResponse(c, "503 Service Unavailable", id, fmt.Sprintf("Not-Executed: 1\r\nRetry-After: %.3f\r\n", s.RestTime.Seconds()), "")
+		return writeResponse(c, "503 Service Unavailable", id, fmt.Sprintf("Not-Executed: 1\r\nRetry-After: %.3f\r\n%s", s.RestTime.Seconds(), s.limitHeader(id)), "")
 	}
 	resumed := -1
 	if n, err := strconv.Atoi(req.Header.Get("Last-Event-Id")); err == nil {
@@ -301,7 +305,7 @@
 	}
 	switch fault {
 	case Fail:
-		return writeResponse(c, "500 Internal Server Error", id, s.sealHeader(), "failed")
+		return writeResponse(c, "500 Internal Server Error", id, s.sealHeader()+s.limitHeader(id), "failed")
 	case CloseUnanswered:
 		return false
 	case Silent:
@@ -372,8 +376,8 @@
 }
 
 func (s *Server) servePlain(c net.Conn, req *http.Request, id string, fault Fault) bool {
-	headers := s.answerHeaders(fault)
 	time.Sleep(s.Pace)
+	headers := s.answerHeaders(fault) + s.limitHeader(id)
 	body := "answer to " + req.RequestURI
 	if fault == CutAnswer {
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", id, headers, 2*len(body), body)
@@ -390,7 +394,7 @@
 func Event(n int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n) }
 
 func (s *Server) serveStream(c net.Conn, id string, fault Fault, resumed int) bool {
-	headers := s.answerHeaders(fault)
+	headers := s.answerHeaders(fault) + s.limitHeader(id)
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, headers)
 	if _, err := io.WriteString(c, head); err != nil {
 		return false
