gateway: keep the limits that upstreams name, in sum over all entries

Change: statements on limits go to some peers at once, from there on, and with the regular gossip; entries tell their demand by service. Placement takes limited upstreams only with a permit, counts them as more expensive for ten seconds after a statement, and prefers others as homes of prefixes. If all upstreams of a service are limited or paused, the rest is refused at once (upstreams_limited) with a time from the limits.

--- a/decision/placement/announcements.go
+++ b/decision/placement/announcements.go
@@ -31,9 +31,6 @@
 	// pausedUntil is the time before which this entry must send the instance no
 	// requests.
 	pausedUntil time.Time
-	// limit is the requests per second that the instance takes from all entries
-	// together, or nil if it has not stated one.
-	limit *float64
 }
 
 // MarkLeaving records that an upstream has announced that it is leaving. It reports whether
@@ -44,13 +41,17 @@
 		return false
 	}
 	a.leaving = true
+	t.rebuild()
+	return true
+}
+
+// rebuild recomputes the counts and the home candidates.
+func (t *Table) rebuild() {
 	list := make([]serving.Upstream, 0, len(t.states))
 	for _, s := range t.states {
 		list = append(list, s.Upstream)
 	}
-	// Recompute the counts and the home candidates without the upstream.
 	t.SetUpstreams(list)
-	return true
 }
 
 // Leaving reports whether an upstream has itself announced that it is leaving.
@@ -74,26 +75,6 @@
 	return true
 }
 
-// SetLimit records the limit that an upstream has stated in its latest answer, nil for
-// none. It returns the previous limit and reports whether this changes it.
-func (t *Table) SetLimit(u serving.Upstream, limit *float64) (previous *float64, changed bool) {
-	if limit == nil && t.announcements[instanceKeyOf(&u)] == nil {
-		return nil, false
-	}
-	a := t.announcement(u)
-	previous = a.limit
-	a.limit = limit
-	return previous, (previous == nil) != (limit == nil) || limit != nil && *limit != *previous
-}
-
-// Limit returns the limit that an upstream has stated, or nil.
-func (t *Table) Limit(u serving.Upstream) *float64 {
-	if a := t.announcements[instanceKeyOf(&u)]; a != nil {
-		return a.limit
-	}
-	return nil
-}
-
 // announcement returns the announcement of an instance and creates it if necessary.
 func (t *Table) announcement(u serving.Upstream) *announcement {
 	key := instanceKeyOf(&u)
--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -26,6 +26,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"jaylink/decision/upstreamlimit"
 	"jaylink/serving"
 )
 
@@ -77,6 +78,15 @@
 	// MaxRunning bounds the number of this entry's requests on one upstream, because
 	// each takes a connection; 0 means no bound.
 	MaxRunning int
+	// TrueTime is the time that all entries agree on, by which they divide the limits of
+	// upstreams.
+	TrueTime time.Time
+	// ServiceKey identifies the service in messages between entries. Priority and
+	// Customer decide who uses the limits if all upstreams of the service are limited; 0
+	// is the most urgent priority.
+	ServiceKey uint32
+	Priority   int
+	Customer   string
 }
 
 // Load is the work on an upstream.
@@ -116,6 +126,8 @@
 	cache    prefixCache
 	// announced is nil if the upstream has announced nothing in its answers.
 	announced *announcement
+	// limit is nil if the upstream has stated no limit.
+	limit *upstreamlimit.Limit
 	// reported is the number of requests that the upstream itself reported at
 	// reportedAt.
 	reported   int
@@ -140,7 +152,11 @@
 	// pausedStates lists the upstreams of each service that have asked for a pause.
 	// Paused removes those whose pause has ended.
 	pausedStates map[string][]*upstreamState
-	// homeCandidates lists the upstreams counted in readyCount by service and region.
+	limits       *upstreamlimit.Limits
+	// limitedStates lists the upstreams counted in readyCount that are limited.
+	limitedStates map[string][]*upstreamState
+	// homeCandidates lists the upstreams counted in readyCount by service and region,
+	// without limited ones where there are others.
 	homeCandidates map[homesKey][]homeCandidate
 	// peerReports holds the latest loads reported by each of the other entries.
 	peerReports map[string][]peerReport
@@ -156,7 +172,7 @@
 func NewTable(regions map[string]string) *Table {
 	return &Table{
 		regions: regions, states: map[string]*upstreamState{}, byService: map[string][]*upstreamState{}, readyCount: map[string]int{},
-		announcements: map[instanceKey]*announcement{}, pausedStates: map[string][]*upstreamState{},
+		announcements: map[instanceKey]*announcement{}, pausedStates: map[string][]*upstreamState{}, limitedStates: map[string][]*upstreamState{},
 		homeCandidates: map[homesKey][]homeCandidate{}, peerReports: map[string][]peerReport{}, estimates: map[string]*speedEstimate{},
 	}
 }
@@ -179,12 +195,15 @@
 	clear(t.readyCount)
 	clear(t.homeCandidates)
 	clear(t.pausedStates)
+	clear(t.limitedStates)
+	limitedHomes := map[homesKey][]homeCandidate{}
 	for _, u := range list {
 		s := t.states[u.ID]
 		if s == nil || s.StartMillis != u.StartMillis || s.Address != u.Address {
 			s = &upstreamState{hash: xxhash.Sum64String(u.ID)}
 		}
 		s.Upstream, s.region, s.announced = u, t.regions[u.Zone], t.announcements[instanceKeyOf(&u)]
+		s.limit = t.limitOf(s)
 		next[u.ID] = s
 		t.byService[u.Service] = append(t.byService[u.Service], s)
 		if s.announced != nil && !s.announced.pausedUntil.IsZero() {
@@ -193,9 +212,19 @@
 		if !s.leaving() {
 			t.readyCount[u.Service]++
 			key := homesKey{u.Service, s.region}
+			if s.limit != nil {
+				t.limitedStates[u.Service] = append(t.limitedStates[u.Service], s)
+				limitedHomes[key] = append(limitedHomes[key], homeCandidate{s.hash, s})
+				continue
+			}
 			t.homeCandidates[key] = append(t.homeCandidates[key], homeCandidate{s.hash, s})
 		}
 	}
+	for key, candidates := range limitedHomes {
+		if t.homeCandidates[key] == nil {
+			t.homeCandidates[key] = candidates
+		}
+	}
 	t.states = next
 }
 
@@ -215,6 +244,10 @@
 	Load Load
 	// Running is the number of requests already on the upstream.
 	Running int
+	// Limited is set if the upstream has stated a limit, and Limit is that limit in
+	// requests per second.
+	Limited bool
+	Limit   float64
 	// cachedTokens is the number of prompt tokens that are probably in the
 	// upstream's prefix cache.
 	cachedTokens int
@@ -251,14 +284,16 @@
 // take the request.
 func (t *Table) cheapest(now time.Time, r *Request, list []*upstreamState, home *upstreamState) (Choice, bool) {
 	est := t.estimate(r.Service.Name)
+	level := t.urgencyLevel(now, r)
 	best, bestCost := Choice{}, math.Inf(1)
 	for _, s := range list {
-		if s.leaving() || s.paused(now) || slices.Contains(r.Tried, s.ID) || r.MaxRunning > 0 && s.ownLoad.Running >= r.MaxRunning {
+		if s.leaving() || s.paused(now) || slices.Contains(r.Tried, s.ID) || r.MaxRunning > 0 && s.ownLoad.Running >= r.MaxRunning ||
+			!t.permitted(r, s, level) {
 			continue
 		}
 		load, cached, recomputed := s.addedLoad(r, s == home)
 		wait := s.predictWaitMs(now, r, load, est)
-		cost := wait + recomputeWeight*float64(recomputed)/est.tokensPerMs + t.networkCost(r.Zone, s) + s.decayedFailureRate(now)*failureCost
+		cost := wait + recomputeWeight*float64(recomputed)/est.tokensPerMs + t.networkCost(r.Zone, s) + s.decayedFailureRate(now)*failureCost + t.limitCost(r, s)
 		if now.Before(s.avoidUntil) {
 			cost += failureCost
 		}
@@ -268,6 +303,9 @@
 				Upstream: s.Upstream, Load: load, cachedTokens: cached, Running: s.running(now),
 				Predicted: millis(wait), PredictedIdle: millis(est.baseMs + float64(load.PrefillTokens)/est.tokensPerMs),
 			}
+			if s.limit != nil {
+				best.Limited, best.Limit = true, s.limit.PerSecond
+			}
 		}
 	}
 	return best, !math.IsInf(bestCost, 1)
--- a/decision/reason/describe.go
+++ b/decision/reason/describe.go
@@ -31,6 +31,7 @@
 	QueueFull:        {"Too many requests of the service wait already.", retryLater},
 	NoUpstream:       {"No upstream would take the request.", retryLater},
 	UpstreamsPaused:  {"All upstreams of the service have asked for no requests for a while.", retryLater},
+	UpstreamsLimited: {"All upstreams of the service take only so many requests a second, and others use them.", retryLater},
 	TimedOut:         {"The deadline passed before the answer was complete.", retryIfNotRun},
 	AttemptsUsedUp:   {"Every attempt that max_attempts allows has failed.", retryIfNotRun},
 	NotRepeatable:    {"An attempt failed and the work may not be repeated.", retryIfNotRun},
--- a/decision/reason/reason.go
+++ b/decision/reason/reason.go
@@ -23,7 +23,10 @@
 	NoUpstream      Reason = "no_upstream"
 	// UpstreamsPaused means that every upstream of the service has asked not to
 	// be sent requests until some later time.
-	UpstreamsPaused  Reason = "upstreams_rest"
+	UpstreamsPaused Reason = "upstreams_rest"
+	// UpstreamsLimited means that the limits that the upstreams of the service have
+	// stated allow no more requests now.
+	UpstreamsLimited Reason = "upstreams_limited"
 	TimedOut         Reason = "timed_out"
 	AttemptsUsedUp   Reason = "attempts_used_up"
 	NotRepeatable    Reason = "not_repeatable"
@@ -48,7 +51,7 @@
 // Refusals lists every refusal reason.
 var Refusals = []Reason{
 	BadRequest, BodyTooLarge, BodyTooSlow, HeaderTooLarge, WrongMethod, UnknownService, UnknownCustomer, UnknownRequest,
-	WrongCustomer, Draining, CustomerLimit, QueueFull, NoUpstream, UpstreamsPaused, TimedOut,
+	WrongCustomer, Draining, CustomerLimit, QueueFull, NoUpstream, UpstreamsPaused, UpstreamsLimited, TimedOut,
 	AttemptsUsedUp, NotRepeatable, RetryBudget, KeyReused, KeyInProgress,
 	ClaimUnavailable, OutcomeUnknown, OutcomeNotKept, Poison, AnswerTooLarge,
 	OwnerUnreachable,
--- a/entry/problem.go
+++ b/entry/problem.go
@@ -32,6 +32,7 @@
 	reason.QueueFull:        http.StatusTooManyRequests,
 	reason.NoUpstream:       http.StatusServiceUnavailable,
 	reason.UpstreamsPaused:  http.StatusServiceUnavailable,
+	reason.UpstreamsLimited: http.StatusServiceUnavailable,
 	reason.TimedOut:         http.StatusGatewayTimeout,
 	reason.AttemptsUsedUp:   http.StatusBadGateway,
 	reason.NotRepeatable:    http.StatusBadGateway,
--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -121,6 +121,7 @@
 	if g.isPoison(r) {
 		return refusePoison(r)
 	}
+	g.countDemand(r)
 	return g.admitWork(r)
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"jaylink/decision/placement"
@@ -69,9 +68,10 @@
 	// unreadTokens and running are the prompt tokens that the chosen upstream had yet
 	// to process, and the requests that it was running, before this one was sent.
 	unreadTokens, running int
-	// limit is the limit of the latest attempt's upstream, as known when the attempt
-	// was sent, or nil.
-	limit *float64
+	// limited is set if the latest attempt's upstream had stated a limit when the attempt
+	// was sent, and limit is that limit.
+	limited bool
+	limit   float64
 	// firstEvent is the time from the request's arrival until an upstream began to
 	// answer.
 	firstEvent time.Duration
@@ -142,10 +142,8 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	choice, ok := g.table.Pick(now, &placement.Request{
-		Service: r.service, Prompt: r.Prompt, Zone: g.settings.Zone, Tried: p.tried,
-		MaxRunning: connectionShare(r.service, g.entryCount()),
-	})
+	wanted := g.placementRequest(r)
+	choice, ok := g.table.Pick(now, wanted)
 	if !ok {
 		return choice, g.noUpstreamRefusal(now, r)
 	}
@@ -155,9 +153,25 @@
 			return choice, refused
 		}
 	}
+	p.limited, p.limit = choice.Limited, choice.Limit
+	if choice.Limited {
+		g.table.UsePermit(wanted, choice)
+		g.metrics.limitedAttempts.Inc(1)
+	}
 	return choice, nil
 }
 
+// placementRequest returns what placement has to know about a request. The caller holds
+// mu.
+func (g *Gateway) placementRequest(r *request) *placement.Request {
+	return &placement.Request{
+		Service: r.service, Prompt: r.Prompt, Zone: g.settings.Zone, Tried: r.progress.tried,
+		MaxRunning: connectionShare(r.service, g.entryCount()),
+		TrueTime:   g.trueTime(), ServiceKey: hashKey(r.service.Name),
+		Priority: priorityOf(r.route, r.customer), Customer: customerName(r),
+	}
+}
+
 // connectionShare returns this entry's share of the connections that an upstream
 // accepts from all entries together; 0 means no limit.
 func connectionShare(s *serving.Service, entries int) int {
@@ -181,15 +195,26 @@
 	return newRefusal(http.StatusServiceUnavailable, code, noUpstreamRetryAfter, "upstreams", ready)
 }
 
-// backoffRefusal returns a refusal if all upstreams of the request's service have asked
-// for a pause (503 with Retry-After), and nil otherwise. The refusal's Retry-After is
-// the time until the first of these pauses ends. The caller holds mu.
+// backoffRefusal returns a refusal if each upstream of the request's service has asked
+// for a pause (503 with Retry-After) or is limited and takes nothing more from this entry
+// now, and nil otherwise. Its Retry-After is the time until the first of the pauses ends,
+// or until the limits allow the request, if that is earlier. The caller holds mu.
 func (g *Gateway) backoffRefusal(now time.Time, r *request) *refusal {
-	resting, until := g.table.Paused(now, r.service.Name)
-	if resting == 0 || resting < g.table.Count(r.service.Name) {
+	wanted := g.placementRequest(r)
+	blocked := g.table.Blocked(now, wanted)
+	if blocked.Paused+blocked.Limited == 0 || blocked.Paused+blocked.Limited < g.table.Count(r.service.Name) {
 		return nil
 	}
-	return newRefusal(http.StatusServiceUnavailable, reason.UpstreamsPaused, until.Sub(now), "resting", resting)
+	pauseLeft := blocked.PausedUntil.Sub(now)
+	if blocked.Limited == 0 {
+		return newRefusal(http.StatusServiceUnavailable, reason.UpstreamsPaused, pauseLeft, "resting", blocked.Paused)
+	}
+	wait := max(g.limits.Wait(wanted.TrueTime, wanted.ServiceKey, blocked.Rate), minRetryAfter)
+	if blocked.Paused > 0 {
+		wait = min(wait, pauseLeft)
+	}
+	return newRefusal(http.StatusServiceUnavailable, reason.UpstreamsLimited, wait,
+		"resting", blocked.Paused, "limited", blocked.Limited, "limit_rate", blocked.Rate)
 }
 
 // deadlineRefusal returns a refusal if the predicted time to the first event exceeds
@@ -256,12 +281,14 @@
 	ticket := g.startAttempt(r, choice)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	sent := time.Now()
 	answer, head, err := g.send(ctx, r, choice)
 	if err != nil {
 		return g.handleSendError(ctx, r, ticket, err), nil
 	}
 	defer answer.Close()
 	g.applyUpstreamState(choice.Upstream, head)
+	g.applyLimit(choice.Upstream, head, sent)
 	if head.NotRun {
 		return g.handleDeclined(r, ticket, answer), nil
 	}
@@ -281,11 +308,6 @@
 	if load := head.Load; load != nil {
 		g.table.ReportRequests(now, u.ID, load.Running+load.Waiting)
 	}
-	var previous *float64
-	limitChanged := false
-	if head.Limit != nil || head.InvalidLimit == "" {
-		previous, limitChanged = g.table.SetLimit(u, head.Limit)
-	}
 	leaving := head.Leaving && g.table.MarkLeaving(u)
 	backsOff := head.RetryAfter > 0 && g.table.Pause(now, u, head.RetryAfter)
 	g.mu.Unlock()
@@ -297,23 +319,6 @@
 		g.metrics.changed[upstreamRests].Inc(1)
 		g.log.Info("upstream asked for a pause", "upstream", u.ID, "for", head.RetryAfter)
 	}
-	if limitChanged {
-		g.metrics.changed[upstreamLimit].Inc(1)
-		g.log.Info("upstream changed its limit", "upstream", u.ID, "address", u.Address, "born", u.StartMillis,
-			"limit", limitText(head.Limit), "previous", limitText(previous))
-	}
-	if head.InvalidLimit != "" {
-		g.metrics.invalidLimits.Inc(1)
-		g.log.Warn("upstream stated an invalid limit", "upstream", u.ID, "value", head.InvalidLimit)
-	}
-}
-
-// limitText returns a limit in requests per second for the log, or "none".
-func limitText(limit *float64) string {
-	if limit == nil {
-		return "none"
-	}
-	return strconv.FormatFloat(*limit, 'g', -1, 64)
 }
 
 // startAttempt records an attempt that is about to be sent.
@@ -322,10 +327,6 @@
 	g.gossipLargePrompt(choice.Load.PrefillTokens)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r.progress.limit = g.table.Limit(choice.Upstream)
-	if r.progress.limit != nil {
-		g.metrics.limitedAttempts.Inc(1)
-	}
 	if r.progress.attempts == 0 && r.progress.declined == 0 {
 		g.retryBudget(r.service.Name).RecordFirstAttempt(now)
 	}
@@ -392,8 +393,8 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	resting, _ := g.table.Paused(time.Now(), r.service.Name)
-	return g.table.Count(r.service.Name)-resting > len(r.progress.tried)
+	blocked := g.table.Blocked(time.Now(), g.placementRequest(r))
+	return g.table.Count(r.service.Name)-blocked.Paused-blocked.Limited > len(r.progress.tried)
 }
 
 // handleSendError records and classifies an attempt that got no answer.
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -72,7 +72,7 @@
 	heard := map[*net.UDPAddr]bool{}
 	for _, a := range f.entries() {
 		if f.informed[a] {
-			f.send(a, f.peers.sample(f.rng, crashFanout), heard)
+			f.send(a, f.peers.sample(f.rng, newsFanout), heard)
 		}
 		if reports, verdicts := f.trackers[a].Updates(f.now); inRound && len(reports)+len(verdicts) > 0 {
 			f.send(a, f.peers.sample(f.rng, 1), heard)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"jaylink/decision/quota"
 	"jaylink/decision/scaling"
 	"jaylink/decision/truetime"
+	"jaylink/decision/upstreamlimit"
 	"jaylink/decision/usage"
 	"jaylink/internal/metricstext"
 	"jaylink/platform"
@@ -77,6 +78,7 @@
 	clock        *truetime.Clock
 	lease        *lease.Lease
 	scalers      map[string]*scaling.Scaler
+	limits       *upstreamlimit.Limits
 	// suspicions and poison track requests that crash the upstreams that run them.
 	suspicions *poison.CrashSuspicions
 	poison     *poison.Tracker
@@ -103,10 +105,11 @@
 	logLosses func() (limited, dropped int64)
 	// sendLoads triggers a gossip message with loads before the next round.
 	sendLoads chan struct{}
-	// sendCrashes triggers a gossip message about crashes before the next round.
-	sendCrashes chan struct{}
-	// sendCrashesTo queues newly started peers that are to be sent the known crashes.
-	sendCrashesTo chan *net.UDPAddr
+	// sendNews triggers a gossip message about crashes and limits before the next round.
+	sendNews chan struct{}
+	// sendNewsTo queues newly started peers that are to be sent the known crashes and
+	// limits.
+	sendNewsTo chan *net.UDPAddr
 }
 
 // New returns a gateway that has not been started.
@@ -122,6 +125,7 @@
 		table:        placement.NewTable(settings.Regions),
 		quota:        quota.New(),
 		retryBudgets: map[string]*budget.Budget{},
+		limits:       upstreamlimit.New(settings.Name),
 		usage:        usage.NewCounter(bounds.UsageWindow),
 		clock:        truetime.New(time.Now(), monotonic()),
 		lease:        lease.New(settings.Name, lease.Options{Duration: bounds.Lease, OrderTimeout: dutyTimeout}),
@@ -133,8 +137,8 @@
 		customerNames:    map[uint32]string{},
 		lostDependencies: map[string]time.Time{},
 		sendLoads:        make(chan struct{}, 1),
-		sendCrashes:      make(chan struct{}, 1),
-		sendCrashesTo:    make(chan *net.UDPAddr, smallFleet),
+		sendNews:         make(chan struct{}, 1),
+		sendNewsTo:       make(chan *net.UDPAddr, smallFleet),
 	}
 	if settings.Cloud != "" {
 		g.duties = platform.NewCloudClient(settings.Cloud, settings.Name, dutyTimeout)
@@ -142,6 +146,7 @@
 	// The number of entries is unknown yet; assume a large fleet.
 	g.quota.SetDelays(totalsInterval, 0)
 	g.quota.SetSlack(bounds.QuotaSlack)
+	g.table.SetLimits(g.limits)
 	g.objects.Called = g.metrics.recordStoreCall
 	g.pool.Opened = func() { g.metrics.connections.Inc(1) }
 	return g
@@ -248,6 +253,8 @@
 		cycle := g.gossipCycleTime(g.listPeersLocked())
 		g.quota.Expire(now)
 		g.expirePeers(now, cycle)
+		g.tickLimits()
+		g.expireLimits()
 		g.updateGauges(now)
 		g.mu.Unlock()
 	}
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -75,6 +75,7 @@
 			delete(g.peers, name)
 			g.peerNames = nil
 			g.quota.Leave(name)
+			g.limits.RemovePeer(name)
 			g.quota.SetPeerCount(len(g.peers))
 			g.metrics.changed[peerGone].Inc(1)
 			g.log.Info("peer removed", "peer", name, "silent", silent, "leaving", p.leaving)
@@ -126,11 +127,11 @@
 			if sleep(ctx, earlyGossipDelay) {
 				g.sendMessage(g.buildMessage(messageParts{loads: true}), schedule.near.next(g.listPeers().near, gossipFanout))
 			}
-		case to := <-g.sendCrashesTo:
-			g.sendMessage(g.buildMessage(messageParts{crashes: true}), []*net.UDPAddr{to})
-		case <-g.sendCrashes:
+		case to := <-g.sendNewsTo:
+			g.sendMessage(g.buildMessage(messageParts{news: true}), []*net.UDPAddr{to})
+		case <-g.sendNews:
 			if sleep(ctx, earlyGossipDelay) {
-				g.sendMessage(g.buildMessage(messageParts{crashes: true}), g.listPeers().sample(schedule.rng, crashFanout))
+				g.sendMessage(g.buildMessage(messageParts{news: true}), g.listPeers().sample(schedule.rng, newsFanout))
 			}
 		}
 	}
@@ -154,15 +155,16 @@
 			schedule.totalsBytes = size
 		}
 	}
-	if peers.count() > smallFleet && g.hasCrashNews() {
+	if peers.count() > smallFleet && g.hasNews() {
 		// This resends what was lost when it was first sent, and informs entries that
 		// have just started.
-		g.sendMessage(g.buildMessage(messageParts{crashes: true}), peers.sample(schedule.rng, 1))
+		g.sendMessage(g.buildMessage(messageParts{news: true}), peers.sample(schedule.rng, 1))
 	}
 	wait := g.roundInterval(loadTargets*schedule.loadsBytes, len(peers.near))
 	g.gossipInterval.Store(int64(wait))
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.tickLimits()
 	g.quota.SetDelays(schedule.totalsCycleTime(peers), g.gossipCycleTime(peers))
 	return wait
 }
@@ -268,9 +270,11 @@
 			m.Totals[hashKey(name)] = total
 		}
 	}
-	if parts.crashes {
+	if parts.news {
 		m.Crashes, m.Verdicts = g.poison.Updates(g.trueTime())
+		m.Limits = g.limits.News(g.trueTime())
 	}
+	m.Demand = g.limits.Demand(g.trueTime())
 	if parts.usage {
 		m.Usage = g.usage.Newest(g.trueTime())
 	}
@@ -313,6 +317,7 @@
 	m.Sender = from
 	g.applyMessage(m)
 	g.applyCrashReports(m)
+	g.applyLimitStatements(m)
 	if m.WatchesStore && !g.behindConfiguration(m) {
 		g.confirmedAt.Store(int64(monotonic()))
 	}
@@ -347,7 +352,7 @@
 		return
 	}
 	if m.Incarnation > p.incarnation {
-		g.sendCrashesToNewPeer(m.Sender)
+		g.sendNewsToNewPeer(m.Sender)
 	}
 	p.address, p.incarnation, p.lastHeard = m.Sender, m.Incarnation, now
 	p.region, p.holdsLease, p.watchesStore, p.leaving = m.Region, m.HoldsLease, m.WatchesStore, m.Leaving
@@ -355,6 +360,7 @@
 		g.table.SetPeerLoads(m.Entry, g.loadsByUpstream(m))
 	}
 	g.quota.UpdatePeer(now, m.Entry, m.Incarnation, g.totalsByCustomer(m))
+	g.limits.UpdatePeer(g.trueTime(), m.Entry, m.Demand)
 	g.usage.Merge(processName(m), m.Usage)
 	if shift := g.clock.AddSample(monotonic(), m.Entry, time.UnixMilli(m.SentAt)); shift != 0 {
 		g.metrics.changed[clockSet].Inc(1)
@@ -362,14 +368,15 @@
 	}
 }
 
-// sendCrashesToNewPeer has the known crashes sent to a peer that has just started. In a
-// large fleet only a random part of the entries does so. The caller holds mu.
-func (g *Gateway) sendCrashesToNewPeer(to *net.UDPAddr) {
-	if rand.IntN(len(g.peers)+1) >= smallFleet || !g.poison.HasUpdates(g.trueTime()) {
+// sendNewsToNewPeer has the known crashes and limits sent to a peer that has just
+// started. In a large fleet only a random part of the entries does so. The caller holds
+// mu.
+func (g *Gateway) sendNewsToNewPeer(to *net.UDPAddr) {
+	if rand.IntN(len(g.peers)+1) >= smallFleet || !g.hasNewsLocked() {
 		return
 	}
 	select {
-	case g.sendCrashesTo <- to:
+	case g.sendNewsTo <- to:
 	default:
 		// So many peers are starting at once that the queue is full; regular rounds will
 		// inform them.
--- a/gateway/gossipcodec.go
+++ b/gateway/gossipcodec.go
@@ -30,6 +30,8 @@
 	fieldScarce        protowire.Number = 12 // bytes: keys of scarce allowances in four bytes
 	fieldCrash         protowire.Number = 13 // message, repeated, see appendCrash
 	fieldVerdict       protowire.Number = 14 // message, repeated, see appendVerdict
+	fieldLimit         protowire.Number = 15 // message, repeated, see appendLimit
+	fieldDemand        protowire.Number = 16 // bytes, see appendLimits
 )
 
 // Field numbers of the customer message within a gossip message.
@@ -111,6 +113,7 @@
 		b = protowire.AppendBytes(b, scarce)
 	}
 	b = m.appendCrashes(b)
+	b = m.appendLimits(b)
 	windows := m.windows()
 	if len(windows) > 0 {
 		b = appendVarint(b, fieldWindow, uint64(windows[0]))
@@ -273,6 +276,10 @@
 			return m.decodeCrash(v.bytes)
 		case fieldVerdict:
 			return m.decodeVerdict(v.bytes)
+		case fieldLimit:
+			return m.decodeLimit(v.bytes)
+		case fieldDemand:
+			return m.decodeDemand(v.bytes)
 		}
 		return nil
 	})
--- a/gateway/gossipcodec_test.go
+++ b/gateway/gossipcodec_test.go
@@ -12,6 +12,7 @@
 	"jaylink/decision/placement"
 	"jaylink/decision/poison"
 	"jaylink/decision/quota"
+	"jaylink/decision/upstreamlimit"
 	"jaylink/decision/usage"
 	"jaylink/internal/schedule"
 )
@@ -84,6 +85,22 @@
 	m.Verdicts = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) poison.Verdict {
 		return poison.Verdict{Fingerprint: rapid.Uint64().Draw(t, "request"), At: moment.Draw(t, "at"), Cleared: rapid.Bool().Draw(t, "sound")}
 	}), -1, 3).Draw(t, "verdicts")
+	m.Limits = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) upstreamlimit.Statement {
+		s := upstreamlimit.Statement{Instance: rapid.Uint64().Draw(t, "instance"), Limited: rapid.Bool().Draw(t, "limited"), At: moment.Draw(t, "at")}
+		if s.Limited {
+			s.PerSecond = rapid.Float64Min(0).Draw(t, "per second")
+		}
+		return s
+	}), -1, 3).Draw(t, "limits")
+	if len(m.Limits) == 0 {
+		m.Limits = nil
+	}
+	if rapid.Bool().Draw(t, "with demand") {
+		m.Demand = map[uint32]float64{}
+		for key, tenths := range rapid.MapOfN(rapid.Uint32(), rapid.IntRange(0, 1<<31-1), -1, 4).Draw(t, "demand") {
+			m.Demand[key] = float64(tenths) * demandUnit
+		}
+	}
 	if len(m.Crashes) == 0 {
 		m.Crashes = nil
 	}
--- a/gateway/gossipmessage.go
+++ b/gateway/gossipmessage.go
@@ -11,6 +11,7 @@
 	"jaylink/decision/placement"
 	"jaylink/decision/poison"
 	"jaylink/decision/quota"
+	"jaylink/decision/upstreamlimit"
 	"jaylink/decision/usage"
 )
 
@@ -45,6 +46,11 @@
 	// Crashes and Verdicts are what the sender knows of requests that crash upstreams.
 	Crashes  []poison.Report
 	Verdicts []poison.Verdict
+	// Limits is what the sender knows of the limits that upstreams have stated.
+	Limits []upstreamlimit.Statement
+	// Demand is the requests per second that the sender's callers send, by service key;
+	// nil if the sender does not tell.
+	Demand map[uint32]float64
 	// Usage is the number of requests that began to run, by window and customer, for the
 	// newest windows.
 	Usage usage.Windows
--- a/gateway/gossipschedule.go
+++ b/gateway/gossipschedule.go
@@ -31,9 +31,9 @@
 	totalsInterval    = 1200 * time.Millisecond
 	freshTotalsBudget = 25_000
 	lateTotalsBudget  = 4_000
-	// crashFanout is the number of random peers that are sent new crash information at
+	// newsFanout is the number of random peers that are sent news of crashes and limits at
 	// once. They forward it, so that all entries have it within a few hops.
-	crashFanout = 6
+	newsFanout = 6
 	// usageInterval is how often usage is sent in a large fleet.
 	usageInterval = 800 * time.Millisecond
 )
@@ -71,10 +71,10 @@
 }
 
 // messageParts says which optional parts of an entry's state a message carries.
-type messageParts struct{ loads, totals, usage, crashes bool }
+type messageParts struct{ loads, totals, usage, news bool }
 
 // allParts is what each message carries in a small fleet.
-var allParts = messageParts{loads: true, totals: true, usage: true, crashes: true}
+var allParts = messageParts{loads: true, totals: true, usage: true, news: true}
 
 // gossipSend is a message to be sent to a set of peers.
 type gossipSend struct {
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"math"
 	"net/http"
 	"strings"
 	"sync"
@@ -130,3 +132,94 @@
 	})
 	require.NotEmpty(t, a.header.Get("Retry-After"))
 }
+
+// metricsPage returns the metrics page of an entry.
+func (e *entry) metricsPage(t *testing.T) string {
+	t.Helper()
+	resp, err := e.client.Get(fmt.Sprintf("http://%s:%d/metrics", e.settings.IP, e.settings.PortLast-1))
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	page, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return string(page)
+}
+
+// awaitLimitChanges waits until each entry has noticed a number of changes of limits.
+func awaitLimitChanges(t *testing.T, count int, entries ...*entry) {
+	t.Helper()
+	for _, e := range entries {
+		eventually(t, func() bool {
+			return strings.Contains(e.metricsPage(t), fmt.Sprintf(`jaylink_belief_changed_total{reason="upstream_limit"} %d`, count))
+		})
+	}
+}
+
+// An entry that knows a limit from another entry alone keeps it, and so does one that
+// starts later.
+func TestLimitIsKeptByEntriesThatTheUpstreamHasNotTold(t *testing.T) {
+	d := newDeployment(t)
+	d.configure()
+	limited := d.upstream("i-limited", counterService)
+	limited.SetLimit(0)
+	one, two := d.startEntry("entry-1"), d.startEntry("entry-2")
+	awaitPeers(t, one, two)
+	require.Equal(t, http.StatusOK, one.send(t, plainCall("status", "first")).status)
+	awaitLimitChanges(t, 1, one, two)
+	three := d.startEntry("entry-3")
+	awaitLimitChanges(t, 1, three)
+	before := len(limited.Arrivals())
+	sent := 0
+	for begun := time.Now(); time.Since(begun) < time.Second; sent++ {
+		for _, e := range []*entry{two, three} {
+			e.send(t, plainCall("status", fmt.Sprintf("%s-%d", e.settings.Name, sent)))
+		}
+	}
+	require.LessOrEqual(t, len(limited.Arrivals())-before, 1, "one request in five seconds shows whether the limit holds")
+	require.Greater(t, sent, 10)
+}
+
+// A limit that an upstream no longer states ends for all entries.
+func TestLimitThatHasEndedIsNotKept(t *testing.T) {
+	d := newDeployment(t)
+	d.configure()
+	limited := d.upstream("i-limited", counterService)
+	limited.SetLimit(2)
+	one, two := d.startEntry("entry-1"), d.startEntry("entry-2")
+	awaitPeers(t, one, two)
+	one.send(t, plainCall("status", "first"))
+	awaitLimitChanges(t, 1, one, two)
+	limited.ClearLimit()
+	n := 0
+	eventually(t, func() bool {
+		n++
+		answered := 0
+		for i := range 20 {
+			for _, e := range []*entry{one, two} {
+				if e.send(t, plainCall("status", fmt.Sprintf("%s-%d-%d", e.settings.Name, n, i))).status == http.StatusOK {
+					answered++
+				}
+			}
+		}
+		return answered == 40
+	})
+}
+
+// A limit that can't be decoded changes nothing.
+func TestInvalidLimitLeavesTheOneBefore(t *testing.T) {
+	d := newDeployment(t)
+	d.configure()
+	limited := d.upstream("i-limited", counterService)
+	limited.SetLimit(0)
+	e := d.startEntry("entry-1")
+	require.Equal(t, http.StatusOK, e.send(t, plainCall("status", "first")).status)
+	awaitLimitChanges(t, 1, e)
+	limited.SetLimit(math.NaN())
+	eventually(t, func() bool {
+		e.send(t, plainCall("status", fmt.Sprintf("r-%d", time.Now().UnixNano())))
+		return strings.Contains(e.metricsPage(t), "jaylink_upstream_invalid_limits_total 1")
+	})
+	awaitLimitChanges(t, 1, e)
+	refused := e.send(t, plainCall("status", "second"))
+	require.Equal(t, http.StatusServiceUnavailable, refused.status)
+	require.Contains(t, refused.body, "upstreams_limited")
+}
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -32,8 +32,8 @@
 	if r.config != nil {
 		attrs = append(attrs, "configuration", r.config.Version)
 	}
-	if p.limit != nil {
-		attrs = append(attrs, "upstream_limit", *p.limit)
+	if p.limited {
+		attrs = append(attrs, "upstream_limit", p.limit)
 	}
 	if p.detail != "" {
 		attrs = append(attrs, "detail", p.detail)
@@ -47,7 +47,13 @@
 	if c := g.metrics.unanswered[p.reason]; c != nil {
 		c.Inc(1)
 	}
-	g.log.Info(message, "request_id", r.RequestID, "upstream", p.upstream.ID, "reason", string(p.reason),
+	attrs := []any{
+		"request_id", r.RequestID, "upstream", p.upstream.ID, "reason", string(p.reason),
 		"attempts", p.attempts, "declined", p.declined, "ms", time.Since(r.arrived).Milliseconds(),
-		"last_event", p.lastEvent, "upstream_limit", limitText(p.limit), "detail", p.detail)
+		"last_event", p.lastEvent, "detail", p.detail,
+	}
+	if p.limited {
+		attrs = append(attrs, "upstream_limit", p.limit)
+	}
+	g.log.Info(message, attrs...)
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -61,6 +61,8 @@
 	// requests, and invalidLimits the answers with a limit that can't be decoded.
 	limitedAttempts metrics.Counter
 	invalidLimits   metrics.Counter
+	// limitedUpstreams is the number of upstreams with a limit.
+	limitedUpstreams metrics.Gauge
 	// crashes counts upstream crashes that this entry detected itself.
 	crashes metrics.Counter
 	// logLimited and logDropped are the numbers of log lines suppressed by the rate
@@ -98,7 +100,8 @@
 		connections: counter("upstream.connections"), storeCalls: counter("store.calls"), storeErrors: counter("store.errors"),
 		panics: counter("message.panics"), crashes: counter("upstream.crashes"),
 		limitedAttempts: counter("upstream.limited_attempts"), invalidLimits: counter("upstream.invalid_limits"),
-		logLimited: gauge("log.limited"), logDropped: gauge("log.dropped"),
+		limitedUpstreams: gauge("upstream.limited"),
+		logLimited:       gauge("log.limited"), logDropped: gauge("log.dropped"),
 		inFlight: gauge("request.in_flight"), version: gauge("configuration.version"),
 		peers: gauge("peer.live"), upstreams: gauge("upstream.known"),
 		configurationAge: gauge("configuration.age_ms"), peerSilence: gauge("peer.silence_ms"), dutiesHeld: gauge("duties.held"),
--- a/gateway/poison.go
+++ b/gateway/poison.go
@@ -38,7 +38,7 @@
 	}
 	if added > 0 {
 		g.log.Warn("upstream crashed", "upstream", crashes[0].Upstream, "requests", added, "source", source)
-		g.triggerCrashGossip()
+		g.triggerNews()
 	}
 }
 
@@ -55,19 +55,24 @@
 	return isNew
 }
 
-// triggerCrashGossip triggers an early message about the known crashes to some peers.
-func (g *Gateway) triggerCrashGossip() {
+// triggerNews triggers an early message about the known crashes and limits to some peers.
+func (g *Gateway) triggerNews() {
 	select {
-	case g.sendCrashes <- struct{}{}:
+	case g.sendNews <- struct{}{}:
 	default:
 	}
 }
 
-// hasCrashNews reports whether there are crashes or verdicts to send.
-func (g *Gateway) hasCrashNews() bool {
+// hasNews reports whether there are crashes, verdicts or limits to send.
+func (g *Gateway) hasNews() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.poison.HasUpdates(g.trueTime())
+	return g.hasNewsLocked()
+}
+
+// hasNewsLocked is hasNews for callers that hold mu.
+func (g *Gateway) hasNewsLocked() bool {
+	return g.poison.HasUpdates(g.trueTime()) || g.limits.Count() > 0 || g.limits.HasNews(g.trueTime())
 }
 
 // applyCrashReports records the crashes and verdicts of a message, and sends on what is
@@ -86,7 +91,7 @@
 		g.mu.Unlock()
 		if isNew {
 			g.log.Warn("verdict on a request", "fingerprint", v.Fingerprint, "poison", !v.Cleared, "source", m.Entry)
-			g.triggerCrashGossip()
+			g.triggerNews()
 		}
 	}
 }
@@ -122,6 +127,6 @@
 	g.mu.Unlock()
 	if cleared {
 		g.log.Warn("verdict on a request", "fingerprint", f, "poison", false, "request_id", r.RequestID)
-		g.triggerCrashGossip()
+		g.triggerNews()
 	}
 }
--- a/serving/upstream.go
+++ b/serving/upstream.go
@@ -1,5 +1,11 @@
 package serving
 
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
 // Upstream is one instance of a service, as listed in the upstream list.
 type Upstream struct {
 	// ID identifies the instance. An address may later be used by another
@@ -18,3 +24,9 @@
 	// If it changes for an ID, the instance was replaced and its state is lost.
 	StartMillis int64
 }
+
+// Instance identifies this run of the upstream by a hash of its ID, address and start
+// time. A later run with the same ID or address is another instance.
+func (u Upstream) Instance() uint64 {
+	return xxhash.Sum64String(u.ID + " " + u.Address + " " + strconv.FormatInt(u.StartMillis, 10))
+}
