soak, timeline: play upstreams that state limits, and explain refusals by them

Change: a third series of faults makes one upstream, or all of a service, state a limit, change it and end it, overlapping the other series; the checker counts as the platform's rule does and excuses entries that were started, paused or resumed. A refusal because of limits is explained by the limits in force at its entry.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -66,6 +66,7 @@
 // callWith is like call but sets the last path element (subject) and the body.
 func (c *client) callWith(ctx context.Context, e *entry, route, id, key, subject, body string) observation {
 	v := observation{id: id, route: route, entry: e.name, started: time.Now()}
+	c.fleet.recordSender(id, e)
 	defer func() { v.ended = time.Now() }()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -54,6 +54,8 @@
 	keys          []acceptedKey
 	upstreamCount int
 	starts        int
+	// senders holds the entry that each request was sent to, by request ID.
+	senders map[string]*entry
 }
 
 // backend is an upstream behind a proxy.
@@ -101,7 +103,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, binary: binary, store: metastore.New(), address: l.Addr().String(), version: 1, keys: []acceptedKey{{name: "key-0"}}}
+	f := &fleet{dir: dir, binary: binary, store: metastore.New(), address: l.Addr().String(), version: 1, keys: []acceptedKey{{name: "key-0"}}, senders: map[string]*entry{}}
 	f.http = &http.Server{Handler: f.store, ReadHeaderTimeout: time.Minute}
 	// Serve returns when stop closes the server.
 	go func() { _ = f.http.Serve(l) }()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -56,10 +56,11 @@
 	// maxFaultGap bounds the pause between the starts of two faults.
 	maxFaultGap  = 600 * time.Millisecond
 	pollInterval = 50 * time.Millisecond
-	// faultStream and noticeStream select the random streams of the two series of
-	// faults. The callers use the streams between them.
+	// faultStream, noticeStream and limitStream select the random streams of the series
+	// of faults. The callers use the streams between the first two.
 	faultStream  = 0
 	noticeStream = 1 << 32
+	limitStream  = 1 << 33
 )
 
 // Run runs the load and the fault schedule of one seed.
@@ -128,6 +129,7 @@
 	var series sync.WaitGroup
 	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, faultStream)), faults, log) })
 	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, noticeStream)), notices, log) })
+	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, limitStream)), limits, log) })
 	series.Wait()
 	callers.Wait()
 	slices.Sort(log.lines)
@@ -233,6 +235,7 @@
 	}
 	checkNotices(f, observations, report)
 	checkDeadly(f, report)
+	checkLimits(f, report)
 	r.checkDuties(f, report)
 }
 
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -103,7 +103,9 @@
 		}
 	})
 	if q.RequestID != "" && len(out) > 0 {
-		out = append(out, surroundingLines(lines, out, q)...)
+		surrounding := surroundingLines(lines, out, q)
+		out = append(out, limitsInForce(lines, out, surrounding)...)
+		out = append(out, surrounding...)
 	}
 	slices.SortStableFunc(out, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	return out
@@ -153,6 +155,38 @@
 	return out
 }
 
+// limitMessage is the log message of a change of an upstream's limit, and limitedReason
+// the reason of a refusal because all upstreams are limited.
+const (
+	limitMessage  = "upstream changed its limit"
+	limitedReason = "upstreams_limited"
+)
+
+// limitsInForce returns, if a request was refused because of the limits of upstreams, the
+// line with which each limit came into force at the request's entry. That may be long
+// before the request. Lines that are already among the surrounding ones are left out.
+func limitsInForce(all, about, surrounding []Line) []Line {
+	var out []Line
+	for _, refused := range about {
+		if refused.Fields["reason"] != limitedReason {
+			continue
+		}
+		latest := map[any]Line{}
+		for _, l := range all {
+			if l.Message == limitMessage && l.Entry == refused.Entry && !l.Time.After(refused.Time) && !l.Time.Before(latest[l.Fields["upstream"]].Time) {
+				latest[l.Fields["upstream"]] = l
+			}
+		}
+		for _, l := range latest {
+			known := slices.ContainsFunc(surrounding, func(o Line) bool { return o.Time.Equal(l.Time) && o.String() == l.String() })
+			if l.Fields["limit"] != "none" && !known {
+				out = append(out, l)
+			}
+		}
+	}
+	return out
+}
+
 // String returns the line as text: time, entry, message and fields.
 func (l Line) String() string {
 	var b strings.Builder
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -52,3 +52,24 @@
 	}
 	require.Equal(t, `10:00:05.000 e1 stream broken reason=stream_broken request_id=r1 upstream=u1`, Explain(lines, Query{RequestID: "r1"})[1].String())
 }
+
+const limitLogs = `{"time":"2026-01-01T10:00:00Z","level":"INFO","msg":"upstream changed its limit","entry":"e1","upstream":"u1","limit":"4"}
+{"time":"2026-01-01T10:00:00.5Z","level":"INFO","msg":"upstream changed its limit","entry":"e1","upstream":"u2","limit":"2"}
+{"time":"2026-01-01T10:00:01Z","level":"INFO","msg":"upstream changed its limit","entry":"e1","upstream":"u1","limit":"1"}
+{"time":"2026-01-01T10:00:02Z","level":"INFO","msg":"upstream changed its limit","entry":"e1","upstream":"u2","limit":"none"}
+{"time":"2026-01-01T10:00:02Z","level":"INFO","msg":"upstream changed its limit","entry":"e2","upstream":"u1","limit":"1"}
+{"time":"2026-01-01T10:01:00Z","level":"INFO","msg":"request","entry":"e1","request_id":"r1","outcome":"refused","reason":"upstreams_limited"}
+{"time":"2026-01-01T10:01:00Z","level":"INFO","msg":"request","entry":"e1","request_id":"r2","outcome":"refused","reason":"queue_full"}
+{"time":"2026-01-01T10:01:30Z","level":"INFO","msg":"upstream changed its limit","entry":"e1","upstream":"u1","limit":"9"}
+`
+
+// A refusal because of limits is explained by the limits in force at its entry then,
+// however long before they were stated.
+func TestExplainNamesTheLimitsThatRefused(t *testing.T) {
+	lines, _, err := Read(strings.NewReader(limitLogs))
+	require.NoError(t, err)
+	explained := Explain(lines, Query{RequestID: "r1"})
+	require.Equal(t, []string{"e1 upstream changed its limit", "e1 request"}, messages(explained))
+	require.Equal(t, "1", explained[0].Fields["limit"])
+	require.Equal(t, []string{"e1 request"}, messages(Explain(lines, Query{RequestID: "r2"})))
+}
