scaling, upstreamlimit: count a limited upstream for what it takes

Cause: an upstream that takes a request a second counted as a whole one, so nothing was ordered in its place. At 295 entries a division of the limits sorted and hashed all names each 200 ms, a third of the model's time.

Change: what limits take away is summed up by zone and ordered in addition, up to the zone's maximum, and given back when the limits end. Members are kept sorted.

--- a/decision/scaling/scaling.go
+++ b/decision/scaling/scaling.go
@@ -81,6 +81,9 @@
 	Price float64
 	// OnDemand and Spot are the numbers of upstreams that currently take requests.
 	OnDemand, Spot int
+	// Limited is the number of on-demand upstreams that the limits stated by upstreams
+	// make up for: two upstreams that take half of their usual requests count as one.
+	Limited int
 	// Share is the share of the service's callers that connect in this zone.
 	Share float64
 }
@@ -208,11 +211,36 @@
 		return nil
 	}
 	s.detectReclaims(now, in)
-	plan := s.plan(now, in)
-	s.limitScaleDown(now, plan, in)
+	usable := in.withoutLimited()
+	plan := s.plan(now, usable)
+	s.limitScaleDown(now, plan, usable)
+	in.addLimited(plan)
 	return s.ordersToSend(now, plan)
 }
 
+// withoutLimited returns the input without the upstreams that limits make up for.
+func (in Input) withoutLimited() Input {
+	in.Zones = slices.Clone(in.Zones)
+	for i := range in.Zones {
+		z := &in.Zones[i]
+		z.Limited = min(z.Limited, z.OnDemand)
+		z.OnDemand -= z.Limited
+	}
+	return in
+}
+
+// addLimited adds the upstreams that limits make up for to the orders of a plan, which
+// are total numbers.
+func (in Input) addLimited(plan []Order) {
+	for i := range plan {
+		for _, z := range in.Zones {
+			if o := &plan[i]; z.Name == o.Zone && !o.Spot {
+				o.Count = min(o.Count+min(z.Limited, z.OnDemand), max(in.Scaling.Max, o.Count))
+			}
+		}
+	}
+}
+
 // limitScaleDown raises the counts in a plan so that on-demand upstreams are given
 // back in steps.
 func (s *Scaler) limitScaleDown(now time.Time, plan []Order, in Input) {
--- a/decision/scaling/scaling_test.go
+++ b/decision/scaling/scaling_test.go
@@ -17,8 +17,10 @@
 	ready           map[orderKey]int
 	booting         []bootingUpstream
 	spotUnavailable bool
-	cost            float64
-	orders          int
+	// limited is the number of on-demand upstreams that limits make up for, by zone.
+	limited map[string]int
+	cost    float64
+	orders  int
 }
 
 type bootingUpstream struct {
@@ -57,7 +59,7 @@
 	for _, zone := range []string{"a", "b", "c"} {
 		in.Zones = append(in.Zones, Zone{
 			Name: zone, Price: f.scaling.ZonePrices[zone], Share: 1.0 / 3,
-			OnDemand: f.ready[orderKey{zone, false}], Spot: f.ready[orderKey{zone, true}],
+			OnDemand: f.ready[orderKey{zone, false}], Spot: f.ready[orderKey{zone, true}], Limited: f.limited[zone],
 		})
 	}
 	return in
@@ -309,3 +311,24 @@
 		require.LessOrEqual(t, f.ready[orderKey{zone, false}]+f.ready[orderKey{zone, true}], f.scaling.Max)
 	}
 }
+
+// Load pattern: steady traffic while upstreams state limits for some time. They count for
+// what they take: others are ordered, and given back when the limits have ended.
+func TestLimitedUpstreamsAreMadeUpFor(t *testing.T) {
+	f := newFleet()
+	f.spotUnavailable = true
+	for range 40 {
+		f.step(36)
+	}
+	usual := f.count(false)
+	f.limited = map[string]int{"a": 1, "b": 1}
+	for range 20 {
+		f.step(36)
+	}
+	require.Equal(t, usual+2, f.count(false))
+	f.limited = nil
+	for range 20 {
+		f.step(36)
+	}
+	require.Equal(t, usual, f.count(false))
+}
--- a/decision/upstreamlimit/division.go
+++ b/decision/upstreamlimit/division.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -76,6 +77,8 @@
 
 // member is another entry.
 type member struct {
+	// position is the hash of the name.
+	position  uint64
 	lastHeard time.Time
 	// demand is the requests per second that the entry has received for each service, by
 	// the service's key. It is nil if the entry does not tell.
@@ -87,9 +90,9 @@
 func (l *Limits) UpdatePeer(now time.Time, name string, demand map[uint32]float64) {
 	m := l.members[name]
 	if m == nil {
-		m = &member{}
+		m = &member{position: xxhash.Sum64String(name)}
 		l.members[name] = m
-		clear(l.divisions)
+		l.orderMembers()
 	}
 	m.lastHeard = now
 	if demand != nil {
@@ -100,31 +103,37 @@
 // RemovePeer removes an entry that has left the fleet.
 func (l *Limits) RemovePeer(name string) {
 	delete(l.members, name)
+	l.orderMembers()
+}
+
+// orderMembers sorts the members by position after one was added or removed.
+func (l *Limits) orderMembers() {
 	clear(l.divisions)
+	l.ordered = slices.SortedFunc(maps.Values(l.members), func(a, b *member) int { return cmp.Compare(a.position, b.position) })
 }
 
 // SetFleet sets the number of other entries that are known to exist, and the time in
 // which a message of each of them reaches all others.
 func (l *Limits) SetFleet(peers int, cycle time.Duration) { l.expected, l.cycle = peers, cycle }
 
-// activeMembers returns the other entries that have a share.
-func (l *Limits) activeMembers(now time.Time) []string {
+// activeMembers returns the other entries that have a share, by position.
+func (l *Limits) activeMembers(now time.Time) []*member {
 	limit := max(silentTime, silentCycles*l.cycle)
-	names := l.heardWithin(now, limit)
-	if 2*len(names) < len(l.members) {
+	active := l.heardWithin(now, limit)
+	if 2*len(active) < len(l.members) {
 		return l.heardWithin(now, max(isolatedTime, limit))
 	}
-	return names
+	return active
 }
 
-func (l *Limits) heardWithin(now time.Time, limit time.Duration) []string {
-	var names []string
-	for name, m := range l.members {
+func (l *Limits) heardWithin(now time.Time, limit time.Duration) []*member {
+	list := make([]*member, 0, len(l.ordered))
+	for _, m := range l.ordered {
 		if now.Sub(m.lastHeard) <= limit {
-			names = append(names, name)
+			list = append(list, m)
 		}
 	}
-	return names
+	return list
 }
 
 // division returns how the limits of a service's upstreams are divided now.
@@ -132,35 +141,43 @@
 	if d := l.divisions[service]; d != nil && now.Sub(d.at).Abs() < divisionLifetime {
 		return d
 	}
-	names := l.activeMembers(now)
-	d := &division{at: now, ring: make([]slot, 0, len(names)+1)}
-	mean := l.meanDemand(names, service)
-	add := func(name string, demand float64, own bool) float64 {
+	active := l.activeMembers(now)
+	d := &division{at: now, ring: make([]slot, 0, len(active)+1)}
+	mean := l.meanDemand(active, service)
+	total, ownWeight := 0.0, 0.0
+	add := func(position uint64, demand float64, own bool) {
 		weight := demand + idleWeight*mean + minWeight
-		d.ring = append(d.ring, slot{xxhash.Sum64String(name), weight, own})
-		return weight
+		if total += weight; own {
+			ownWeight = weight
+		}
+		d.ring = append(d.ring, slot{position, weight, own})
 	}
-	total := 0.0
-	for _, name := range names {
-		demand, told := l.members[name].demandFor(service)
+	self, added := xxhash.Sum64String(l.self), false
+	for _, m := range active {
+		if !added && self < m.position {
+			add(self, l.announcedDemand(service), true)
+			added = true
+		}
+		demand, told := m.demandFor(service)
 		if !told {
 			demand = mean
 		}
-		total += add(name, demand, false)
+		add(m.position, demand, false)
+	}
+	if !added {
+		add(self, l.announcedDemand(service), true)
 	}
-	own := add(l.self, l.announcedDemand(service), true)
-	d.share = own / (total + own)
-	slices.SortFunc(d.ring, func(a, b slot) int { return cmp.Compare(a.position, b.position) })
+	d.share = ownWeight / total
 	l.divisions[service] = d
 	return d
 }
 
-// meanDemand returns the mean demand of this entry and the named members for a service,
-// without the members that don't tell it.
-func (l *Limits) meanDemand(names []string, service uint32) float64 {
+// meanDemand returns the mean demand of this entry and the members for a service, without
+// the members that don't tell it.
+func (l *Limits) meanDemand(members []*member, service uint32) float64 {
 	sum, told := l.announcedDemand(service), 1
-	for _, name := range names {
-		if demand, ok := l.members[name].demandFor(service); ok {
+	for _, m := range members {
+		if demand, ok := m.demandFor(service); ok {
 			sum += demand
 			told++
 		}
--- a/decision/upstreamlimit/fleet_test.go
+++ b/decision/upstreamlimit/fleet_test.go
@@ -54,19 +54,14 @@
 	counted []time.Time
 }
 
-// modelEvent is a message or an answer under way.
-type modelEvent struct {
-	at  time.Time
-	run func()
-}
-
 // model is a fleet in virtual time.
 type model struct {
 	rng       *rand.Rand
 	now       time.Time
 	entries   []*modelEntry
 	upstreams []*modelUpstream
-	events    []modelEvent
+	// events are the messages and answers under way, by the time at which they arrive.
+	events map[time.Time][]func()
 	// interval is the time between two gossip rounds of an entry, and fanout the number
 	// of entries that a round reaches.
 	interval time.Duration
@@ -76,7 +71,7 @@
 }
 
 func newModel(seed uint64, entries, upstreams int, limit, rate float64) *model {
-	m := &model{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_790_000_000, 0), interval: 200 * time.Millisecond, fanout: 16, size: entries}
+	m := &model{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_790_000_000, 0), interval: 200 * time.Millisecond, fanout: 16, size: entries, events: map[time.Time][]func(){}}
 	for i := range entries {
 		e := &modelEntry{name: fmt.Sprintf("entry-%03d", i), rate: rate / float64(entries)}
 		m.start(e)
@@ -113,15 +108,17 @@
 	}
 }
 
+// after schedules an event.
+func (m *model) after(delay time.Duration, run func()) {
+	at := m.now.Add(delay)
+	m.events[at] = append(m.events[at], run)
+}
+
 func (m *model) deliver() {
-	pending := m.events
-	m.events = nil
-	for _, ev := range pending {
-		if ev.at.After(m.now) {
-			m.events = append(m.events, ev)
-			continue
-		}
-		ev.run()
+	due := m.events[m.now]
+	delete(m.events, m.now)
+	for _, run := range due {
+		run()
 	}
 }
 
@@ -148,13 +145,13 @@
 		if e.cut || to.cut {
 			continue
 		}
-		m.events = append(m.events, modelEvent{m.now.Add(modelDelay), func() {
+		m.after(modelDelay, func() {
 			if to.frozen || to.down {
 				return
 			}
 			to.limits.UpdatePeer(m.now, e.name, demand)
 			m.merge(to, news)
-		}})
+		})
 	}
 }
 
@@ -177,11 +174,11 @@
 		if to == e || e.cut || to.cut {
 			continue
 		}
-		m.events = append(m.events, modelEvent{m.now.Add(modelDelay), func() {
+		m.after(modelDelay, func() {
 			if !to.frozen && !to.down {
 				m.merge(to, news)
 			}
-		}})
+		})
 	}
 }
 
@@ -218,7 +215,7 @@
 		u.counted = append(u.counted, m.now)
 	}
 	sent, process := m.now, e.limits
-	m.events = append(m.events, modelEvent{m.now.Add(modelLatency), func() {
+	m.after(modelLatency, func() {
 		if process == e.limits && !e.frozen && !e.down {
 			if _, ok := u.told[process]; !ok && u.limit != nil {
 				u.told[process] = m.now
@@ -227,7 +224,7 @@
 				m.spread(e)
 			}
 		}
-	}})
+	})
 }
 
 // worstWindow returns the most requests of a list in any window of the rule from a time on.
--- a/decision/upstreamlimit/limits.go
+++ b/decision/upstreamlimit/limits.go
@@ -51,6 +51,8 @@
 	// next.
 	rotation int
 	members  map[string]*member
+	// ordered lists the members by position.
+	ordered []*member
 	// divisions caches the divisions by service.
 	divisions map[uint32]*division
 	cycle     time.Duration
@@ -277,6 +279,17 @@
 	return out
 }
 
+// FleetDemand returns the requests per second that the callers of all entries send for a
+// service, as far as the entries tell.
+func (l *Limits) FleetDemand(now time.Time, service uint32) float64 {
+	sum := l.announcedDemand(service)
+	for _, m := range l.activeMembers(now) {
+		demand, _ := m.demandFor(service)
+		sum += demand
+	}
+	return sum
+}
+
 // HasNews reports whether a statement has changed a short time ago.
 func (l *Limits) HasNews(now time.Time) bool {
 	for _, at := range l.changed {
