--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -38,6 +38,8 @@
 	nonRepeatableMaxIdle = time.Second
 	// maxDeclinedBody is how many bytes of a declining answer's body are read.
 	maxDeclinedBody = 16 << 10
+	// maxUnknownHeaders limits the unknown headers that are remembered.
+	maxUnknownHeaders = 32
 	// lowestUrgency is the highest value of the urgency header that model engines
 	// accept; higher values are less urgent.
 	lowestUrgency = 9
@@ -289,6 +291,7 @@
 	defer answer.Close()
 	g.applyUpstreamState(choice.Upstream, head)
 	g.applyLimit(choice.Upstream, head, sent)
+	g.reportUnknownHeader(choice.Upstream, head)
 	if head.NotRun {
 		return g.handleDeclined(r, ticket, answer), nil
 	}
@@ -321,6 +324,24 @@
 	}
 }
 
+// reportUnknownHeader counts answers in which an upstream tells something about its state
+// that this version can't read, and logs the first one of each header.
+func (g *Gateway) reportUnknownHeader(u serving.Upstream, head platform.UpstreamHeaders) {
+	if head.Unknown == "" {
+		return
+	}
+	g.metrics.unknownHeaders.Inc(1)
+	g.mu.Lock()
+	isNew := !g.unknownHeaders[head.Unknown] && len(g.unknownHeaders) < maxUnknownHeaders
+	if isNew {
+		g.unknownHeaders[head.Unknown] = true
+	}
+	g.mu.Unlock()
+	if isNew {
+		g.log.Warn("upstream sent an unknown header", "upstream", u.ID, "header", head.Unknown)
+	}
+}
+
 // startAttempt records an attempt that is about to be sent.
 func (g *Gateway) startAttempt(r *request, choice placement.Choice) *placement.Ticket {
 	now := time.Now()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,6 +91,8 @@
 	// customerNames maps the hashed keys used in gossip messages to the names of all
 	// customers seen so far.
 	customerNames map[uint32]string
+	// unknownHeaders holds the headers of upstreams that were reported as unknown.
+	unknownHeaders map[string]bool
 
 	// lostDependencies maps the name of each unreachable dependency to the time at
 	// which it became unreachable.
@@ -135,6 +137,7 @@
 		poison:       poison.NewTracker(),
 
 		customerNames:    map[uint32]string{},
+		unknownHeaders:   map[string]bool{},
 		lostDependencies: map[string]time.Time{},
 		sendLoads:        make(chan struct{}, 1),
 		sendNews:         make(chan struct{}, 1),
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -61,6 +61,9 @@
 	// requests, and invalidLimits the answers with a limit that can't be decoded.
 	limitedAttempts metrics.Counter
 	invalidLimits   metrics.Counter
+	// unknownHeaders counts answers with a header about the upstream's state that this
+	// version can't read.
+	unknownHeaders metrics.Counter
 	// limitedUpstreams is the number of upstreams with a limit.
 	limitedUpstreams metrics.Gauge
 	// crashes counts upstream crashes that this entry detected itself.
@@ -100,8 +103,8 @@
 		connections: counter("upstream.connections"), storeCalls: counter("store.calls"), storeErrors: counter("store.errors"),
 		panics: counter("message.panics"), crashes: counter("upstream.crashes"),
 		limitedAttempts: counter("upstream.limited_attempts"), invalidLimits: counter("upstream.invalid_limits"),
-		limitedUpstreams: gauge("upstream.limited"),
-		logLimited:       gauge("log.limited"), logDropped: gauge("log.dropped"),
+		unknownHeaders: counter("upstream.unknown_headers"), limitedUpstreams: gauge("upstream.limited"),
+		logLimited: gauge("log.limited"), logDropped: gauge("log.dropped"),
 		inFlight: gauge("request.in_flight"), version: gauge("configuration.version"),
 		peers: gauge("peer.live"), upstreams: gauge("upstream.known"),
 		configurationAge: gauge("configuration.age_ms"), peerSilence: gauge("peer.silence_ms"), dutiesHeld: gauge("duties.held"),
--- a/gateway/scale.go
+++ b/gateway/scale.go
@@ -109,6 +109,8 @@
 	for i := range in.Zones {
 		zones[in.Zones[i].Name] = &in.Zones[i]
 	}
+	lost := map[string]float64{}
+	usual := g.limits.FleetDemand(g.trueTime(), hashKey(s.Name)) / float64(max(g.table.Count(s.Name), 1))
 	for _, u := range g.upstreams.Load().upstreams {
 		z := zones[u.Zone]
 		if u.Service != s.Name || u.Draining || z == nil {
@@ -116,10 +118,16 @@
 		}
 		if u.Spot {
 			z.Spot++
-		} else {
-			z.OnDemand++
+			continue
+		}
+		z.OnDemand++
+		if limit := g.limits.Of(u.Instance()); limit != nil && limit.Rate() < usual {
+			lost[u.Zone] += 1 - limit.Rate()/usual
 		}
 	}
+	for i := range in.Zones {
+		in.Zones[i].Limited = int(lost[in.Zones[i].Name])
+	}
 	return in
 }
 
