rendezvous: share the hash finalizer of placement and upstreamlimit

Two packages had a finalizer each. No behaviour of placement changes; which entry owns a permit does, which the tests of upstreamlimit do not depend on.

--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -26,6 +26,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"jaylink/decision/rendezvous"
 	"jaylink/decision/upstreamlimit"
 	"jaylink/serving"
 )
@@ -324,22 +325,13 @@
 	var home *upstreamState
 	var weight uint64
 	for _, c := range t.homeCandidates[homesKey{r.Service.Name, t.regions[r.Zone]}] {
-		if w := mix(key ^ c.hash); home == nil || w > weight {
+		if w := rendezvous.Mix(key ^ c.hash); home == nil || w > weight {
 			home, weight = c.state, w
 		}
 	}
 	return home
 }
 
-// mix distributes the bits of a key. It is the 64-bit finalizer of MurmurHash3.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
 // addedLoad returns the load that a request adds to an upstream, the number of its
 // prompt tokens that are probably cached there, and the number of tokens in shared
 // parts that are not and have to be recomputed. On the home of the prefix, shared
--- a/decision/rendezvous/rendezvous.go
+++ b/decision/rendezvous/rendezvous.go
@@ -44,3 +44,13 @@
 	}
 	return out
 }
+
+// Mix distributes the bits of a key, so that the weights of numeric keys and members can
+// be computed without allocation. It is the 64-bit finalizer of MurmurHash3.
+func Mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
--- a/decision/upstreamlimit/division.go
+++ b/decision/upstreamlimit/division.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"jaylink/decision/rendezvous"
 )
 
 const (
@@ -58,7 +60,7 @@
 	own, lowest := false, math.Inf(1)
 	for i := range min(maxCandidates, len(d.ring)) {
 		s := &d.ring[(first+i)%len(d.ring)]
-		if score := -math.Log(fraction(mix(permit^s.position))) / s.weight; score < lowest {
+		if score := -math.Log(fraction(rendezvous.Mix(permit^s.position))) / s.weight; score < lowest {
 			own, lowest = s.own, score
 		}
 	}
@@ -68,13 +70,6 @@
 // fraction maps a hash to the open interval from 0 to 1.
 func fraction(hash uint64) float64 { return (float64(hash>>11) + 0.5) / (1 << 53) }
 
-// mix distributes the bits of a hash. It is the finalizer of SplitMix64.
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // member is another entry.
 type member struct {
 	// position is the hash of the name.
--- a/decision/upstreamlimit/permit.go
+++ b/decision/upstreamlimit/permit.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"jaylink/decision/rendezvous"
 )
 
 const (
@@ -56,7 +58,7 @@
 	last := l.number(now)
 	for k := max(l.nextPermit, l.number(expired)+1); k <= last; k++ {
 		l.nextPermit = k + 1
-		if d.owns(mix(mix(k) ^ l.Instance)) {
+		if d.owns(rendezvous.Mix(rendezvous.Mix(k) ^ l.Instance)) {
 			l.held = time.Unix(0, int64(float64(k)*l.interval()*float64(time.Second)))
 			return
 		}
