--- a/standin/upstream/limit.go
+++ b/standin/upstream/limit.go
@@ -70,8 +70,9 @@
 // CheckLimits returns, for each period in which the upstream named limits without a
 // break, the window with the most requests beyond what the platform allows. contact is
 // the platform's bound contact-ms. entryOf returns the entry that sent a request, by the
-// request's ID. excused reports whether a disturbance of an entry between two times
-// excuses it; it may be nil.
+// request's ID. excused reports whether an entry was disturbed between two times: a
+// request counts if its entry was undisturbed for the contact time and since it was last
+// told the limit. It may be nil.
 func (s *Server) CheckLimits(contact time.Duration, entryOf func(requestID string) string, excused func(entry string, from, to time.Time) bool) []LimitExcess {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -109,11 +110,14 @@
 	var counted []time.Time
 	for _, a := range s.arrivals {
 		entry := entryOf(a.RequestID)
-		at, ok := told[entry]
-		if !ok || a.At.Before(at.Add(tellTime)) || a.At.Before(first.Add(contact)) || !a.At.Before(end) {
+		last, ok := latestBefore(told[entry], a.At.Add(-tellTime))
+		if !ok || a.At.Before(first.Add(contact)) || !a.At.Before(end) {
 			continue
 		}
-		if excused == nil || !excused(entry, at, a.At) {
+		if since := a.At.Add(-contact); since.Before(last) {
+			last = since
+		}
+		if excused == nil || !excused(entry, last, a.At) {
 			counted = append(counted, a.At)
 		}
 	}
@@ -133,10 +137,25 @@
 	return worst
 }
 
-// tellingTimes returns when a limit was first named between two times, and when to each
-// entry.
-func (s *Server) tellingTimes(from, to time.Time, entryOf func(string) string) (first time.Time, told map[string]time.Time) {
-	told = map[string]time.Time{}
+// latestBefore returns the latest of the times in ascending order that is not after a
+// limit, and false if there is none.
+func latestBefore(times []time.Time, limit time.Time) (time.Time, bool) {
+	n, _ := slices.BinarySearchFunc(times, limit, func(t, limit time.Time) int {
+		if t.After(limit) {
+			return 1
+		}
+		return -1
+	})
+	if n == 0 {
+		return time.Time{}, false
+	}
+	return times[n-1], true
+}
+
+// tellingTimes returns when a limit was first named between two times, and when it was
+// named to each entry.
+func (s *Server) tellingTimes(from, to time.Time, entryOf func(string) string) (first time.Time, told map[string][]time.Time) {
+	told = map[string][]time.Time{}
 	for _, n := range s.named {
 		if n.at.Before(from) || !n.at.Before(to) {
 			continue
@@ -144,9 +163,8 @@
 		if first.IsZero() {
 			first = n.at
 		}
-		if entry := entryOf(n.requestID); told[entry].IsZero() {
-			told[entry] = n.at
-		}
+		entry := entryOf(n.requestID)
+		told[entry] = append(told[entry], n.at)
 	}
 	return first, told
 }
