gateway: reject statements on limits that have no time

Cause: a statement of a peer without a time decoded to the year 1, which a process without a statement on that instance would have taken.

Change: such a message is malformed.

--- a/gateway/gossipcodec_test.go
+++ b/gateway/gossipcodec_test.go
@@ -172,6 +172,10 @@
 	crashes.Crashes = []poison.Report{{Upstream: "i-1", At: time.UnixMilli(1788699736267), Requests: []uint64{1, 2}}}
 	crashes.Verdicts = []poison.Verdict{{Fingerprint: 1, At: time.UnixMilli(1788699736267), Cleared: true}}
 	f.Add(crashes.encode())
+	limits := testMessage(0, 0, false)
+	limits.Limits = []upstreamlimit.Statement{{Instance: 1, Limited: true, PerSecond: 0.4, At: time.UnixMilli(1788699736267)}, {Instance: 2, At: time.UnixMilli(1)}}
+	limits.Demand = map[uint32]float64{7: 12.5}
+	f.Add(limits.encode())
 	f.Fuzz(func(t *testing.T, data []byte) {
 		m, err := decodeMessage(data)
 		if err != nil {
@@ -181,5 +185,7 @@
 		require.NoError(t, err)
 		require.Equal(t, len(m.Loads), len(again.Loads))
 		require.Equal(t, m.Totals, again.Totals)
+		require.Equal(t, m.Limits, again.Limits)
+		require.Equal(t, m.Demand, again.Demand)
 	})
 }
--- a/gateway/limitcodec.go
+++ b/gateway/limitcodec.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	if s.Limited && !(s.PerSecond >= 0) {
+	if s.At.UnixMilli() <= 0 || s.Limited && !(s.PerSecond >= 0) {
 		return errMalformedField
 	}
 	if len(m.Limits) < maxMessageLimits {
