--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -15,16 +15,8 @@
 )
 
 const (
-	// noUpstreamRetryAfter is the Retry-After if a service has no usable upstream.
-	noUpstreamRetryAfter = 400 * time.Millisecond
-	// minRetryAfter is the lower limit of the Retry-After values that are computed from
-	// predictions and allowances. It keeps callers from retrying immediately.
-	minRetryAfter = 100 * time.Millisecond
 	// maxDeclined is how many upstreams may decline a request before it is refused.
 	maxDeclined = 3
-	// lateFactor times the route's latency objective is the longest predicted time to
-	// the first event with which a request is started.
-	lateFactor = 1.3
 	// minRemaining is the least remaining time with which an attempt is started.
 	minRemaining = 20 * time.Millisecond
 	// The head timeout of a request that another upstream could take is its route's
@@ -138,119 +130,6 @@
 	}
 }
 
-// pickUpstream picks the upstream for the next attempt, or returns a refusal.
-func (g *Gateway) pickUpstream(r *request) (placement.Choice, *refusal) {
-	p := &r.progress
-	now := time.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	wanted := g.placementRequest(r)
-	choice, ok := g.table.Pick(now, wanted)
-	if !ok {
-		return choice, g.noUpstreamRefusal(now, r)
-	}
-	p.predicted, p.unreadTokens, p.running = choice.Predicted, choice.Load.PrefillTokens, choice.Running
-	if p.attempts == 0 && p.declined == 0 {
-		if refused := deadlineRefusal(now, r, choice); refused != nil {
-			return choice, refused
-		}
-	}
-	p.limited, p.limit = choice.Limited, choice.Limit
-	if choice.Limited {
-		g.table.UsePermit(wanted, choice)
-		g.metrics.limitedAttempts.Inc(1)
-	}
-	return choice, nil
-}
-
-// placementRequest returns what placement has to know about a request. The caller holds
-// mu.
-func (g *Gateway) placementRequest(r *request) *placement.Request {
-	return &placement.Request{
-		Service: r.service, Prompt: r.Prompt, Zone: g.settings.Zone, Tried: r.progress.tried,
-		MaxRunning: connectionShare(r.service, g.entryCount()),
-		TrueTime:   g.trueTime(), ServiceKey: hashKey(r.service.Name),
-		Priority: priorityOf(r.route, r.customer), Customer: customerName(r),
-	}
-}
-
-// connectionShare returns this entry's share of the connections that an upstream
-// accepts from all entries together; 0 means no limit.
-func connectionShare(s *serving.Service, entries int) int {
-	if s.MaxConnections <= 0 {
-		return 0
-	}
-	return max(s.MaxConnections/entries, 1)
-}
-
-// noUpstreamRefusal returns the refusal of a request for which no upstream could be
-// picked. The caller holds mu.
-func (g *Gateway) noUpstreamRefusal(now time.Time, r *request) *refusal {
-	ready := g.table.Count(r.service.Name)
-	if refused := g.backoffRefusal(now, r); refused != nil {
-		return refused
-	}
-	code := reason.NoUpstream
-	if ready > len(r.progress.tried) {
-		code = reason.QueueFull
-	}
-	return newRefusal(http.StatusServiceUnavailable, code, noUpstreamRetryAfter, "upstreams", ready)
-}
-
-// backoffRefusal returns a refusal if each upstream of the request's service has asked
-// for a pause (503 with Retry-After) or is limited and takes nothing more from this entry
-// now, and nil otherwise. Its Retry-After is the time until the first of the pauses ends,
-// or until the limits allow the request, if that is earlier. The caller holds mu.
-func (g *Gateway) backoffRefusal(now time.Time, r *request) *refusal {
-	wanted := g.placementRequest(r)
-	blocked := g.table.Blocked(now, wanted)
-	if blocked.Paused+blocked.Limited == 0 || blocked.Paused+blocked.Limited < g.table.Count(r.service.Name) {
-		return nil
-	}
-	pauseLeft := blocked.PausedUntil.Sub(now)
-	if blocked.Limited == 0 {
-		return newRefusal(http.StatusServiceUnavailable, reason.UpstreamsPaused, pauseLeft, "resting", blocked.Paused)
-	}
-	wait := max(g.limits.Wait(wanted.TrueTime, wanted.ServiceKey, blocked.Rate), minRetryAfter)
-	if blocked.Paused > 0 {
-		wait = min(wait, pauseLeft)
-	}
-	return newRefusal(http.StatusServiceUnavailable, reason.UpstreamsLimited, wait,
-		"resting", blocked.Paused, "limited", blocked.Limited, "limit_rate", blocked.Rate)
-}
-
-// deadlineRefusal returns a refusal if the predicted time to the first event exceeds
-// the deadline or, by too much, the route's objective. A long prompt that would miss the
-// objective even on an idle upstream is not refused for its length: its bound is the
-// time that it takes there plus half of the usual bound.
-func deadlineRefusal(now time.Time, r *request, c placement.Choice) *refusal {
-	remaining := r.deadline.Sub(now)
-	bound := remaining
-	if o := time.Duration(lateFactor * float64(r.route.Objective)); o > 0 {
-		bound = min(bound, max(o, c.PredictedIdle+o/2))
-	}
-	if c.Predicted <= bound && remaining >= minRemaining {
-		return nil
-	}
-	wait := max(c.Predicted-bound, minRetryAfter)
-	return newRefusal(http.StatusServiceUnavailable, reason.DeadlineUnmet, wait, "bound_ms", bound.Milliseconds(), "own_ms", c.PredictedIdle.Milliseconds())
-}
-
-// unservedRefusal returns the refusal for a request that has failed and may not be
-// retried. It is sent if none of the upstreams can have run the request.
-func (g *Gateway) unservedRefusal(r *request) *refusal {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if refused := g.backoffRefusal(time.Now(), r); refused != nil {
-		return refused
-	}
-	code := reason.NoUpstream
-	if r.progress.reason == reason.UpstreamBusy {
-		code = reason.QueueFull
-	}
-	return newRefusal(http.StatusServiceUnavailable, code, max(r.progress.predicted, minRetryAfter))
-}
-
 // mayRetry decides whether a request may be sent to another upstream. If so, it takes a
 // retry from the service's budget.
 func (g *Gateway) mayRetry(r *request, result attemptResult) bool {
--- /dev/null
+++ b/standin/upstream/crash.go
@@ -0,0 +1,60 @@
+package upstream
+
+import (
+	"net"
+	"time"
+)
+
+// Crash closes the listener and all connections at once; the upstream listens again
+// after Down.
+func (s *Server) Crash() {
+	s.mu.Lock()
+	s.crashes++
+	s.mu.Unlock()
+	if s.Crashed != nil {
+		s.Crashed()
+	}
+	s.closeConnections()
+	s.tasks.Add(1)
+	go s.restart()
+}
+
+// relistenDelay is the delay between two attempts to listen again.
+const relistenDelay = 10 * time.Millisecond
+
+func (s *Server) restart() {
+	defer s.tasks.Done()
+	for wait := s.Down; ; wait = relistenDelay {
+		select {
+		case <-s.closed:
+			return
+		case <-time.After(wait):
+		}
+		l, err := net.Listen("tcp", s.address)
+		if err != nil {
+			continue
+		}
+		s.mu.Lock()
+		s.listener = l
+		s.mu.Unlock()
+		select {
+		case <-s.closed:
+			_ = l.Close()
+			return
+		default:
+		}
+		s.tasks.Add(1)
+		go s.accept(l)
+		if s.Restarted != nil {
+			s.Restarted()
+		}
+		return
+	}
+}
+
+// Crashes returns how often the upstream crashed.
+func (s *Server) Crashes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashes
+}
