gateway: count only admitted requests in the demand for limited upstreams

Cause: requests beyond a customer's allowance, which no upstream gets, counted in the demand by which the entries divide limits, so that an entry with a hot customer would have taken permits from the others.

Change: demand is counted after the allowance.

Measured: go test ./gateway -run 'LimitsOfAll|Refus|Allow|Quota' passes.

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -121,8 +121,11 @@
 	if g.isPoison(r) {
 		return refusePoison(r)
 	}
+	if refused := g.admitWork(r); refused != nil {
+		return refused
+	}
 	g.countDemand(r)
-	return g.admitWork(r)
+	return nil
 }
 
 // headerSize returns the size in bytes of a request's first line and headers, not
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -88,7 +88,7 @@
 	return strconv.FormatFloat(*limit, 'g', -1, 64)
 }
 
-// countDemand counts a request in the demand by which the entries divide the limits of
+// countDemand counts an admitted request in the demand by which the entries divide the limits of
 // the service's upstreams.
 func (g *Gateway) countDemand(r *request) {
 	g.mu.Lock()
