--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -23,10 +23,10 @@
 	contactTime = 3 * time.Second
 	// limitTestTime is long enough for a whole window of the rule after contactTime.
 	limitTestTime = contactTime + 5*time.Second
-	// limitCallers is the number of callers at each entry, and limitPause the pause of
-	// a caller after an answer.
+	// limitCallers is the number of callers at each entry, and limitPace the time between
+	// two requests of a caller.
 	limitCallers = 3
-	limitPause   = 30 * time.Millisecond
+	limitPace    = 30 * time.Millisecond
 )
 
 // entryOfCall returns the entry that a request of sendSteadily was sent to.
@@ -45,6 +45,8 @@
 	for _, e := range entries {
 		for n := range limitCallers {
 			callers.Go(func() {
+				pace := time.NewTicker(limitPace)
+				defer pace.Stop()
 				for i := 0; time.Now().Before(end); i++ {
 					a := e.send(t, call(fmt.Sprintf("%s/%d-%d-%d", e.settings.Name, end.UnixNano(), n, i)))
 					if a.err == nil && a.status == http.StatusOK {
@@ -52,7 +54,7 @@
 					} else {
 						no.Add(1)
 					}
-					time.Sleep(limitPause)
+					<-pace.C
 				}
 			})
 		}
