gateway: log what a request shares with others when its upstream's connection breaks

'upstream crashed' names neither the requests nor their parts, so the logs could not tell a common cause of many crashes from many causes. The new line 'connection to upstream lost' has the request, its route, customer and fingerprint, its shared parts and how long the upstream had been sending its answer.

--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -349,7 +349,7 @@
 		cached += part.Tokens
 	}
 	shared := 0
-	for _, part := range parts[:max(len(parts)-1, 0)] {
+	for _, part := range r.Prompt.Shared() {
 		shared += part.Tokens
 	}
 	unread := max(r.Prompt.Input-cached, 0)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -69,6 +69,9 @@
 	// firstEvent is the time from the request's arrival until an upstream began to
 	// answer.
 	firstEvent time.Duration
+	// writingSince is when the latest attempt's upstream began to send the body of its
+	// answer; zero if it has not.
+	writingSince time.Time
 	// longestPause is the longest time between two relayed events, and lastEventAt the
 	// time of the latest one.
 	longestPause time.Duration
@@ -157,7 +160,7 @@
 // nil unless it was buffered.
 func (g *Gateway) attempt(ctx context.Context, r *request, choice placement.Choice) (attemptResult, *bufferedAnswer) {
 	p := &r.progress
-	p.upstream = choice.Upstream
+	p.upstream, p.writingSince = choice.Upstream, time.Time{}
 	p.tried = append(p.tried, choice.Upstream.ID)
 	ticket := g.startAttempt(r, choice)
 	ctx, cancel := context.WithCancel(ctx)
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -48,6 +48,7 @@
 	now := g.trueTime()
 	probe, crashed := g.suspicions.ConnectionBroken(now, u.ID, f)
 	g.mu.Unlock()
+	g.logLostConnection(r, f)
 	switch {
 	case probe:
 		go g.withRecover("crash probe", func() { g.probeUpstream(u) })
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"jaylink/decision/reason"
+	"jaylink/serving"
 )
 
 // logRequest writes the log line of a finished request and, for answered requests, its
@@ -57,3 +60,31 @@
 	}
 	g.log.Info(message, attrs...)
 }
+
+// logLostConnection logs a connection that broke under a request, with what the request
+// shares with others, so that crashes with a common cause can be found.
+func (g *Gateway) logLostConnection(r *request, fingerprint uint64) {
+	writing := time.Duration(0)
+	if at := r.progress.writingSince; !at.IsZero() {
+		writing = time.Since(at)
+	}
+	g.log.Info("connection to upstream lost", "request_id", r.RequestID, "upstream", r.progress.upstream.ID,
+		"route", r.route.Name, "customer", customerName(r), "fingerprint", fingerprint,
+		"parts", partsText(r.Prompt), "writing_ms", writing.Milliseconds())
+}
+
+// partsText returns the shared parts of a prompt as callers write them, without their
+// lengths.
+func partsText(p *serving.Prompt) string {
+	if p == nil {
+		return ""
+	}
+	var ids []string
+	for _, part := range p.Shared() {
+		ids = append(ids, partText(part.Hash))
+	}
+	return strings.Join(ids, ",")
+}
+
+// partText returns the identifier of a part as callers write it.
+func partText(hash uint64) string { return fmt.Sprintf("%08x", hash) }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -129,6 +129,9 @@
 // and the customer's usage are counted only once per request.
 func (g *Gateway) markStarted(r *request, t *placement.Ticket) {
 	now := time.Now()
+	if r.progress.writingSince.IsZero() {
+		r.progress.writingSince = now
+	}
 	if r.progress.firstEvent == 0 {
 		r.progress.firstEvent = now.Sub(r.arrived)
 		g.metrics.recordLatency("first_event_ms", r, r.progress.firstEvent)
--- a/serving/prompt.go
+++ b/serving/prompt.go
@@ -11,6 +11,9 @@
 	Parts []Part
 }
 
+// Shared returns the parts that may also occur in other requests: all but the last.
+func (p *Prompt) Shared() []Part { return p.Parts[:max(len(p.Parts)-1, 0)] }
+
 // Part is a section of a prompt that engines cache for later prompts.
 type Part struct {
 	// Hash identifies the text of the part.
