--- a/standin/upstream/crash.go
+++ b/standin/upstream/crash.go
@@ -2,9 +2,26 @@
 
 import (
 	"net"
+	"slices"
+	"strings"
 	"time"
 )
 
+// SharedParts returns the identifiers of the parts of a prompt that other requests may
+// share: all but the last. The prefix is the value of the header Prefix-Hash.
+func SharedParts(prefix string) []string {
+	var ids []string
+	for _, part := range strings.Split(prefix, ",") {
+		id, _, _ := strings.Cut(part, ":")
+		ids = append(ids, id)
+	}
+	return ids[:len(ids)-1]
+}
+
+func (s *Server) hasDeadlyPart(prefix string) bool {
+	return slices.ContainsFunc(SharedParts(prefix), func(id string) bool { return slices.Contains(s.DeadlyParts, id) })
+}
+
 // Crash closes the listener and all connections at once; the upstream listens again
 // after Down.
 func (s *Server) Crash() {
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -77,7 +77,9 @@
 type Arrival struct {
 	RequestID string
 	Body      string
-	At        time.Time
+	// Prefix is the request's header Prefix-Hash.
+	Prefix string
+	At     time.Time
 	// Under is the fault that was injected at that time.
 	Under Fault
 }
@@ -90,10 +92,12 @@
 	// before the first request.
 	Pace time.Duration
 	// Deadly is a text in a request's body at which the upstream crashes when it
-	// runs the request; "" disables it. Down is how long the upstream stays down
-	// after a crash. Crashed and Restarted, if set, are called before and after that
-	// time. All must be set before the first request.
+	// runs the request; "" disables it. DeadlyParts are parts of prompts at which it
+	// crashes when it begins to write the answer, unless they come last. Down is how
+	// long the upstream stays down after a crash. Crashed and Restarted, if set, are
+	// called before and after that time. All must be set before the first request.
 	Deadly             string
+	DeadlyParts        []string
 	Down               time.Duration
 	Crashed, Restarted func()
 	// RestTime is the Retry-After that Rest sends. It must be set before the first
@@ -228,7 +232,7 @@
 	id := req.Header.Get("Request-Id")
 	s.mu.Lock()
 	fault := s.fault
-	s.arrivals = append(s.arrivals, Arrival{id, body, time.Now(), fault})
+	s.arrivals = append(s.arrivals, Arrival{id, body, req.Header.Get("Prefix-Hash"), time.Now(), fault})
 	s.mu.Unlock()
 	switch {
 	case req.Header.Get("Target-Instance") != s.ID:
@@ -268,7 +272,7 @@
 		return false
 	}
 	if req.Header.Get("Token-Count") != "" {
-		return s.serveStream(c, id, fault, resumed)
+		return s.serveStream(c, id, fault, resumed, s.hasDeadlyPart(req.Header.Get("Prefix-Hash")))
 	}
 	return s.servePlain(c, req, id, fault)
 }
@@ -339,7 +343,7 @@
 // Event returns the bytes of one event of a stream.
 func Event(n int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n) }
 
-func (s *Server) serveStream(c net.Conn, id string, fault Fault, resumed int) bool {
+func (s *Server) serveStream(c net.Conn, id string, fault Fault, resumed int, deadly bool) bool {
 	headers := s.answerHeaders(fault) + s.limitHeader(id)
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, headers)
 	if _, err := io.WriteString(c, head); err != nil {
@@ -347,6 +351,10 @@
 	}
 	for n := resumed + 1; n < Events; n++ {
 		time.Sleep(s.Pace)
+		if deadly {
+			s.Crash()
+			return false
+		}
 		data := Event(n)
 		if fault == CutInEvent && n == 2 {
 			_ = writeChunk(c, data[:len(data)/2])
