--- /dev/null
+++ b/decision/poison/parts.go
@@ -0,0 +1,379 @@
+package poison
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// A part of a prompt can crash every upstream that begins to write an answer to a request
+// with it. Such requests differ in everything else, so that counting crashes by request
+// does not find them. The tracker therefore also counts crashes by the shared parts of the
+// prompts that were involved in them.
+//
+// Sound requests have most of these parts too. They are told apart by three things: an
+// attempt that was sent after a crash and is being answered clears its parts of that
+// crash; a part is refused only if it explains crashes that no narrower suspect explains,
+// which is a single request or a part that fewer requests have; and of parts that came
+// together in all crashes, all must be in a request for it to be refused.
+const (
+	// minOwnCrashes is the number of a part's crashes in which no single narrower suspect
+	// was involved. With fewer, that suspect may be the cause.
+	minOwnCrashes = 2
+	// partRoundWindow groups the crashes of a part. Upstreams that crash together for
+	// another reason are one group; a part must be involved in minPartRounds of them.
+	partRoundWindow = 300 * time.Millisecond
+	minPartRounds   = 2
+	// settleTime is the age from which a crash counts against a part. Until then, entries
+	// tell each other which requests were involved, and which of their parts were
+	// answered before. For a broad part, which sound requests have too, it is
+	// lateSettleTime, so that one of these may be answered first.
+	settleTime     = 150 * time.Millisecond
+	lateSettleTime = time.Second
+	// judgeInterval is the least time between two judgements of all parts.
+	judgeInterval = 50 * time.Millisecond
+	// MaxRunParts limits the shared parts that are recorded for a request, and
+	// maxCrashRuns the requests with parts for a crash. maxPartCrashes limits the crashes
+	// that count against parts; the oldest are dropped first.
+	MaxRunParts    = 8
+	maxCrashRuns   = 64
+	maxPartCrashes = 128
+	// maxSoundParts is the number of answered parts that are remembered.
+	maxSoundParts = 8192
+)
+
+// run is a request that was on an upstream when it crashed, with the shared parts of its
+// prompt in their order. Parts that are cleared of the crash are removed.
+type run struct {
+	request uint64
+	parts   []uint64
+}
+
+// deadlyPart is a part that crashes upstreams.
+type deadlyPart struct {
+	// at is the time of the last crash that was counted against the part.
+	at time.Time
+	// with are parts that a request must have too to be refused: those that were in the
+	// same requests in all crashes, so that either may be the cause.
+	with []uint64
+	// crashes and upstreams are what the judgement is based on. They are known to the
+	// entry that has judged.
+	crashes   int
+	upstreams []string
+}
+
+// partTracker is the part of Tracker that deals with shared parts of prompts.
+type partTracker struct {
+	deadly map[uint64]deadlyPart
+	// suspects counts the runs in recorded crashes by part.
+	suspects map[uint64]int
+	sound    *soundParts
+	// soundNews holds the parts whose answers other entries have to know of, with the
+	// time at which that became known.
+	soundNews map[uint64]time.Time
+	judgedAt  time.Time
+	// dropped counts the runs and parts that were not recorded because of the limits.
+	dropped int64
+}
+
+func newPartTracker() partTracker {
+	return partTracker{deadly: map[uint64]deadlyPart{}, suspects: map[uint64]int{}, sound: newSoundParts(), soundNews: map[uint64]time.Time{}}
+}
+
+// soundParts holds, for the most recently answered parts, when the latest attempt that was
+// answered had been sent.
+type soundParts struct {
+	sent   map[uint64]time.Time
+	ring   []uint64
+	oldest int
+}
+
+func newSoundParts() *soundParts { return &soundParts{sent: map[uint64]time.Time{}} }
+
+// add records an answered attempt and reports whether it is the latest of the part.
+func (s *soundParts) add(part uint64, sent time.Time) bool {
+	known, ok := s.sent[part]
+	switch {
+	case ok && !sent.After(known):
+		return false
+	case ok:
+	case len(s.ring) < maxSoundParts:
+		s.ring = append(s.ring, part)
+	default:
+		delete(s.sent, s.ring[s.oldest])
+		s.ring[s.oldest] = part
+		s.oldest = (s.oldest + 1) % maxSoundParts
+	}
+	s.sent[part] = sent
+	return true
+}
+
+func (s *soundParts) knows(part uint64) bool {
+	_, ok := s.sent[part]
+	return ok
+}
+
+// addRun records the parts of a request that was involved in a crash and reports whether
+// any of them is a new suspect.
+func (t *Tracker) addRun(now time.Time, c *crash, report Crash) bool {
+	p := &t.parts
+	if len(report.Parts) == 0 || slices.ContainsFunc(c.runs, func(r run) bool { return r.request == report.Fingerprint }) {
+		return false
+	}
+	if len(c.runs) >= maxCrashRuns {
+		p.dropped++
+		return false
+	}
+	if len(report.Parts) > MaxRunParts {
+		p.dropped += int64(len(report.Parts) - MaxRunParts)
+	}
+	parts := make([]uint64, 0, min(len(report.Parts), MaxRunParts))
+	for _, part := range report.Parts[:min(len(report.Parts), MaxRunParts)] {
+		sent, known := p.sound.sent[part]
+		if known {
+			p.soundNews[part] = now
+		}
+		if !known || report.At.After(sent) {
+			parts = append(parts, part)
+		}
+	}
+	c.runs = append(c.runs, run{report.Fingerprint, parts})
+	t.limitPartCrashes()
+	for _, part := range parts {
+		p.suspects[part]++
+		if d, ok := p.deadly[part]; ok && d.covers(parts) {
+			t.attributeToPart(c, part)
+		}
+	}
+	return len(parts) > 0
+}
+
+// limitPartCrashes drops the parts of the oldest crash if there are too many crashes.
+func (t *Tracker) limitPartCrashes() {
+	n := 0
+	for i := len(t.crashes) - 1; i >= 0; i-- {
+		if len(t.crashes[i].runs) == 0 {
+			continue
+		}
+		if n++; n > maxPartCrashes {
+			t.parts.dropped += int64(len(t.crashes[i].runs))
+			t.dropRuns(t.crashes[i])
+		}
+	}
+}
+
+// dropRuns removes the requests of a crash that count against parts.
+func (t *Tracker) dropRuns(c *crash) {
+	for _, r := range c.runs {
+		for _, part := range r.parts {
+			t.forgetSuspect(part)
+		}
+	}
+	c.runs = nil
+}
+
+func (t *Tracker) forgetSuspect(part uint64) {
+	if t.parts.suspects[part]--; t.parts.suspects[part] <= 0 {
+		delete(t.parts.suspects, part)
+	}
+}
+
+// SoundParts records that an attempt that was sent at a time, with the given parts, is
+// being answered. It clears the parts of crashes before that time, and reports whether
+// other entries need to know.
+func (t *Tracker) SoundParts(now, sent time.Time, parts []uint64) bool {
+	news := false
+	for _, part := range parts {
+		if t.parts.sound.add(part, sent) && t.clearPart(part, sent) {
+			t.parts.soundNews[part] = now
+			news = true
+		}
+	}
+	return news
+}
+
+// clearPart clears a part of the crashes up to a time, and of a verdict that is based on
+// them. It reports whether there were any.
+func (t *Tracker) clearPart(part uint64, until time.Time) bool {
+	cleared := false
+	if d, ok := t.parts.deadly[part]; ok && !d.at.After(until) {
+		delete(t.parts.deadly, part)
+		cleared = true
+		for _, c := range t.crashes {
+			c.hasCause = c.hasCause && c.cause != part
+		}
+	}
+	if t.parts.suspects[part] == 0 {
+		return cleared
+	}
+	for _, c := range t.crashes {
+		if c.at.After(until) {
+			continue
+		}
+		for i := range c.runs {
+			r := &c.runs[i]
+			if at := slices.Index(r.parts, part); at >= 0 {
+				r.parts = slices.Delete(r.parts, at, at+1)
+				t.forgetSuspect(part)
+				cleared = true
+			}
+		}
+	}
+	return cleared
+}
+
+// DeadlyPart returns the part of a prompt because of which a request must not be sent to
+// any upstream.
+func (t *Tracker) DeadlyPart(now time.Time, parts []uint64) (uint64, bool) {
+	if len(t.parts.deadly) == 0 {
+		return 0, false
+	}
+	for _, part := range parts {
+		if d, ok := t.parts.deadly[part]; ok && now.Sub(d.at) < retention && d.covers(parts) {
+			return part, true
+		}
+	}
+	return 0, false
+}
+
+// covers reports whether a request with the given parts is refused.
+func (d deadlyPart) covers(parts []uint64) bool {
+	return !slices.ContainsFunc(d.with, func(w uint64) bool { return !slices.Contains(parts, w) })
+}
+
+// DeadlyParts returns the number of parts that crash upstreams.
+func (t *Tracker) DeadlyParts() int { return len(t.parts.deadly) }
+
+// DroppedEvidence returns how many requests and parts that were involved in crashes were
+// not recorded because of the limits.
+func (t *Tracker) DroppedEvidence() int64 { return t.parts.dropped }
+
+// JudgeParts decides which parts crash upstreams and returns the new verdicts. It is cheap
+// if there is nothing to judge.
+func (t *Tracker) JudgeParts(now time.Time) []Verdict {
+	if len(t.parts.suspects) == 0 || now.Sub(t.parts.judgedAt).Abs() < judgeInterval {
+		return nil
+	}
+	t.parts.judgedAt = now
+	t.expire(now)
+	var verdicts []Verdict
+	for _, part := range t.suspectedParts() {
+		if d, isNew := t.judge(now, part); isNew {
+			t.markDeadly(part, d)
+			verdicts = append(verdicts, d.verdict(part))
+		}
+	}
+	return verdicts
+}
+
+// judge decides about one part. It reports whether there is a new verdict.
+func (t *Tracker) judge(now time.Time, part uint64) (deadlyPart, bool) {
+	if d, ok := t.parts.deadly[part]; ok {
+		return d, len(d.with) > 0 && t.widen(part, &d)
+	}
+	e := t.evidence(now, part, settleTime)
+	if e.isBroad() {
+		e = t.evidence(now, part, lateSettleTime)
+	}
+	d := deadlyPart{at: e.last, with: e.companions(), crashes: len(e.times), upstreams: e.upstreams}
+	return d, e.isDeadly() && !t.isExplainedByBroader(e, part)
+}
+
+// isExplainedByBroader reports whether another part was involved in all crashes of a part
+// and in several without it, so that the part is hardly the cause.
+func (t *Tracker) isExplainedByBroader(e *evidence, part uint64) bool {
+	for other, n := range e.anywhere {
+		if n == len(e.times) && t.crashesWithout(other, part) >= minOwnCrashes {
+			return true
+		}
+	}
+	return false
+}
+
+// crashesWithout returns the number of crashes that count against a part and involve no
+// request with another one.
+func (t *Tracker) crashesWithout(part, other uint64) int {
+	n := 0
+	for _, c := range t.crashes {
+		if anyHas(c.runs, part) && !anyHas(c.runs, other) {
+			n++
+		}
+	}
+	return n
+}
+
+func (d deadlyPart) verdict(part uint64) Verdict {
+	return Verdict{Kind: PartVerdict, Fingerprint: part, At: d.at, With: d.with, Crashes: d.crashes, Upstreams: d.upstreams}
+}
+
+// suspectedParts returns the parts that were involved in at least Limit crashes, those
+// with the most crashes first and then the deeper ones.
+func (t *Tracker) suspectedParts() []uint64 {
+	counts, depths := map[uint64]int{}, map[uint64]int{}
+	for _, c := range t.crashes {
+		seen := map[uint64]bool{}
+		for _, r := range c.runs {
+			for i, part := range r.parts {
+				if t.parts.suspects[part] < Limit {
+					continue
+				}
+				depths[part] = max(depths[part], i)
+				if !seen[part] {
+					seen[part] = true
+					counts[part]++
+				}
+			}
+		}
+	}
+	maps.DeleteFunc(counts, func(_ uint64, n int) bool { return n < Limit })
+	return slices.SortedFunc(maps.Keys(counts), func(a, b uint64) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(depths[b], depths[a]), cmp.Compare(a, b))
+	})
+}
+
+// markDeadly records that a part crashes upstreams. The crashes with it count against no
+// request, and against other parts only if they came with it.
+func (t *Tracker) markDeadly(part uint64, d deadlyPart) {
+	t.parts.deadly[part] = d
+	for _, c := range t.crashes {
+		if slices.ContainsFunc(c.runs, func(r run) bool { return slices.Contains(r.parts, part) && d.covers(r.parts) }) {
+			t.attributeToPart(c, part)
+		}
+	}
+}
+
+func (t *Tracker) attributeToPart(c *crash, part uint64) {
+	if !c.hasCause {
+		c.cause, c.hasCause = part, true
+	}
+	t.attribute(c)
+}
+
+// widen removes from a verdict the parts without which the part has crashed upstreams as
+// well. It reports whether the verdict has changed.
+func (t *Tracker) widen(part uint64, d *deadlyPart) bool {
+	without := map[uint64]int{}
+	last := d.at
+	for _, c := range t.crashes {
+		for _, w := range d.with {
+			if slices.ContainsFunc(c.runs, func(r run) bool { return slices.Contains(r.parts, part) && !slices.Contains(r.parts, w) }) {
+				without[w]++
+				last = maxTime(last, c.at)
+			}
+		}
+	}
+	with := slices.DeleteFunc(slices.Clone(d.with), func(w uint64) bool { return without[w] >= minOwnCrashes })
+	if len(with) == len(d.with) {
+		return false
+	}
+	d.with, d.at = with, last
+	return true
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/decision/poison/poison.go
+++ b/decision/poison/poison.go
@@ -10,6 +10,7 @@
 package poison
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -23,6 +24,8 @@
 	HardLimit = 5
 	// retention is how long crashes and verdicts are remembered.
 	retention = 15 * time.Minute
+	// expiryInterval is the time between two searches for what has expired.
+	expiryInterval = 250 * time.Millisecond
 	// crashMergeWindow is the time within which crash reports for one upstream
 	// describe the same crash: several entries, or several retries, see the
 	// same one. An upstream that crashed takes longer than that to run its next
@@ -40,6 +43,9 @@
 	Fingerprint uint64
 	Upstream    string
 	At          time.Time
+	// Parts are the shared parts of the request's prompt, in order. It is empty if the
+	// upstream had been writing the answer, which shows that the parts are not the cause.
+	Parts []uint64
 }
 
 // Tracker counts crashes per request fingerprint. It is not safe for concurrent
@@ -52,7 +58,9 @@
 	// crashes to the time of the answer.
 	cleared map[uint64]time.Time
 	// answered holds the requests that were recently answered in full.
-	answered *recentSet
+	answered  *recentSet
+	parts     partTracker
+	expiredAt time.Time
 }
 
 // crash is one crash of an upstream and the requests involved in it.
@@ -64,6 +72,11 @@
 	// poison. The crash then counts against no other request, even one reported
 	// later.
 	attributed bool
+	// runs are the involved requests that have shared parts. If hasCause is set, cause is
+	// the part that the crash is attributed to.
+	runs     []run
+	cause    uint64
+	hasCause bool
 }
 
 func (c *crash) involves(fingerprint uint64) bool { return slices.Contains(c.requests, fingerprint) }
@@ -72,6 +85,7 @@
 func NewTracker() *Tracker {
 	return &Tracker{
 		counts: map[uint64]int{}, poisoned: map[uint64]time.Time{}, cleared: map[uint64]time.Time{}, answered: newRecentSet(),
+		parts: newPartTracker(),
 	}
 }
 
@@ -79,10 +93,20 @@
 // was new.
 func (t *Tracker) Add(now time.Time, report Crash) bool {
 	t.expire(now)
-	if now.Sub(report.At) >= retention || !report.At.After(t.cleared[report.Fingerprint]) {
+	if now.Sub(report.At) >= retention {
+		return false
+	}
+	isCleared := !report.At.After(t.cleared[report.Fingerprint])
+	if isCleared && len(report.Parts) == 0 {
 		return false
 	}
 	c := t.findOrCreate(report)
+	isNew := t.addRun(now, c, report)
+	return !isCleared && t.addRequest(now, c, report) || isNew
+}
+
+// addRequest records a request as involved in a crash and reports whether that was new.
+func (t *Tracker) addRequest(now time.Time, c *crash, report Crash) bool {
 	if t.Poisoned(now, report.Fingerprint) {
 		t.attribute(c)
 		return false
@@ -107,6 +131,7 @@
 	}
 	if len(t.crashes) >= maxCrashes {
 		t.removeFromCounts(t.crashes[0])
+		t.dropRuns(t.crashes[0])
 		t.crashes = t.crashes[1:]
 	}
 	c := &crash{upstream: report.Upstream, at: report.At}
@@ -123,7 +148,7 @@
 	if crashCount < Limit || crashCount >= HardLimit {
 		return crashCount >= HardLimit
 	}
-	shared := map[uint64]int{}
+	shared, sharedParts := map[uint64]int{}, map[uint64]int{}
 	for _, c := range t.crashes {
 		if c.attributed || !c.involves(fingerprint) {
 			continue
@@ -134,8 +159,28 @@
 				return false
 			}
 		}
+		count(sharedParts, c.partsBeside(fingerprint))
 	}
-	return true
+	return highest(sharedParts) < crashCount-1
+}
+
+// partsBeside returns the suspected parts that are not in a request, of those that were
+// involved in a crash.
+func (c *crash) partsBeside(fingerprint uint64) map[uint64]bool {
+	parts := map[uint64]bool{}
+	for _, r := range c.runs {
+		for _, part := range r.parts {
+			parts[part] = true
+		}
+	}
+	for _, r := range c.runs {
+		if r.request == fingerprint {
+			for _, part := range r.parts {
+				delete(parts, part)
+			}
+		}
+	}
+	return parts
 }
 
 // markPoisoned records a request as poison. The crashes it was involved in no
@@ -167,12 +212,19 @@
 	}
 }
 
+// expire drops what is older than its retention. It does so at most once in
+// expiryInterval, as it looks at everything.
 func (t *Tracker) expire(now time.Time) {
+	if now.Sub(t.expiredAt).Abs() < expiryInterval {
+		return
+	}
+	t.expiredAt = now
 	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool {
 		if now.Sub(c.at) < retention {
 			return false
 		}
 		t.removeFromCounts(c)
+		t.dropRuns(c)
 		return true
 	})
 	for _, expiring := range []map[uint64]time.Time{t.poisoned, t.cleared} {
@@ -182,6 +234,8 @@
 			}
 		}
 	}
+	maps.DeleteFunc(t.parts.deadly, func(_ uint64, d deadlyPart) bool { return now.Sub(d.at) >= retention })
+	maps.DeleteFunc(t.parts.soundNews, func(_ uint64, at time.Time) bool { return now.Sub(at) >= soundReportTime })
 }
 
 // Crashes returns the number of crashes that a request may have caused.
--- a/decision/poison/suspicion.go
+++ b/decision/poison/suspicion.go
@@ -13,7 +13,7 @@
 // about the same time, and the result of the probe.
 type suspectedCrash struct {
 	at       time.Time
-	requests []uint64
+	requests []Crash
 	probed   bool
 	crashed  bool
 }
@@ -26,19 +26,20 @@
 // ConnectionBroken records that a connection to an upstream broke while a request ran. If
 // probe is set, the caller probes the upstream and reports the result to
 // ProbeFinished. If an earlier probe has already shown a crash, the request was
-// involved in it and crashed is set.
-func (s *CrashSuspicions) ConnectionBroken(now time.Time, upstream string, fingerprint uint64) (probe, crashed bool) {
-	s.expire(now)
-	suspect := s.byUpstream[upstream]
+// involved in it and crashed is set. The crash has the request, the upstream and the
+// current time.
+func (s *CrashSuspicions) ConnectionBroken(c Crash) (probe, crashed bool) {
+	s.expire(c.At)
+	suspect := s.byUpstream[c.Upstream]
 	if suspect == nil {
-		s.byUpstream[upstream] = &suspectedCrash{at: now, requests: []uint64{fingerprint}}
+		s.byUpstream[c.Upstream] = &suspectedCrash{at: c.At, requests: []Crash{c}}
 		return true, false
 	}
 	if suspect.probed {
 		return false, suspect.crashed
 	}
 	if len(suspect.requests) < maxCrashRequests {
-		suspect.requests = append(suspect.requests, fingerprint)
+		suspect.requests = append(suspect.requests, c)
 	}
 	return false, false
 }
@@ -55,8 +56,9 @@
 		return nil
 	}
 	out := make([]Crash, 0, len(suspect.requests))
-	for _, f := range suspect.requests {
-		out = append(out, Crash{Fingerprint: f, Upstream: upstream, At: suspect.at})
+	for _, c := range suspect.requests {
+		c.At = suspect.at
+		out = append(out, c)
 	}
 	return out
 }
--- a/decision/poison/verdict.go
+++ b/decision/poison/verdict.go
@@ -14,9 +14,11 @@
 	// maxAnswered is the number of answered requests that are remembered: some
 	// two minutes of an entry's traffic at 32 requests per second.
 	maxAnswered = 4096
-	// reportTime is how long a crash is reported to other entries. Entries that
-	// start later only receive the verdict.
-	reportTime = 10 * time.Second
+	// reportTime is how long a crash is reported to other entries, and soundReportTime
+	// how long it is that a suspected part was answered. Entries that start later only
+	// receive the verdict.
+	reportTime      = 10 * time.Second
+	soundReportTime = 2 * time.Second
 	// maxReports, maxReportRequests and maxReportVerdicts bound the size of one
 	// update to other entries.
 	maxReports        = 16
@@ -24,12 +26,32 @@
 	maxReportVerdicts = 32
 )
 
-// Verdict is what an entry tells the others about a request: that it is poison
-// or, if Cleared is set, that it was answered in full and is cleared.
+// VerdictKind says what a verdict is about.
+type VerdictKind uint8
+
+const (
+	// RequestVerdict is about a whole request.
+	RequestVerdict VerdictKind = iota
+	// PartVerdict is about a part of prompts.
+	PartVerdict
+)
+
+// Verdict is what an entry tells the others about a request or a part: that it is
+// poison or, if Cleared is set, that it was answered and is cleared.
 type Verdict struct {
+	Kind VerdictKind
+	// Fingerprint is that of the request, or the part.
 	Fingerprint uint64
-	At          time.Time
-	Cleared     bool
+	// At is when the verdict was passed. For a part it is the time of the last crash that
+	// counts against it or, if Cleared is set, when the answered attempt was sent.
+	At      time.Time
+	Cleared bool
+	// With are parts that a request must have too to be refused.
+	With []uint64
+	// Crashes and Upstreams are what a verdict of this entry on a part is based on. They
+	// are not sent to other entries.
+	Crashes   int
+	Upstreams []string
 }
 
 // Report is a crash with the requests involved in it, as sent to other entries.
@@ -37,6 +59,8 @@
 	Upstream string
 	At       time.Time
 	Requests []uint64
+	// Parts are the suspected parts of each of the requests.
+	Parts [][]uint64
 }
 
 // recentSet holds the most recently added fingerprints, at most maxAnswered.
@@ -129,7 +153,13 @@
 // its crashes by roundWindow, and the other entry may count each of them.
 func (t *Tracker) ApplyVerdict(now time.Time, v Verdict) bool {
 	t.expire(now)
-	if now.Sub(v.At) >= retention || !v.At.After(t.cleared[v.Fingerprint]) {
+	if now.Sub(v.At) >= retention {
+		return false
+	}
+	if v.Kind == PartVerdict {
+		return t.applyPartVerdict(now, v)
+	}
+	if !v.At.After(t.cleared[v.Fingerprint]) {
 		return false
 	}
 	if v.Cleared {
@@ -145,6 +175,23 @@
 	return true
 }
 
+// applyPartVerdict is ApplyVerdict for parts.
+func (t *Tracker) applyPartVerdict(now time.Time, v Verdict) bool {
+	if v.Cleared {
+		if !t.parts.sound.add(v.Fingerprint, v.At) || !t.clearPart(v.Fingerprint, v.At) {
+			return false
+		}
+		t.parts.soundNews[v.Fingerprint] = now
+		return true
+	}
+	known, ok := t.parts.deadly[v.Fingerprint]
+	if sent, answered := t.parts.sound.sent[v.Fingerprint]; answered && !v.At.After(sent) || ok && !v.At.After(known.at) {
+		return false
+	}
+	t.markDeadly(v.Fingerprint, deadlyPart{at: v.At, with: v.With})
+	return true
+}
+
 // AnyPoison reports whether any request is poison.
 func (t *Tracker) AnyPoison() bool { return len(t.poisoned) > 0 }
 
@@ -159,39 +206,72 @@
 // lists.
 func (t *Tracker) HasUpdates(now time.Time) bool {
 	t.expire(now)
-	return len(t.poisoned)+len(t.cleared) > 0 || slices.ContainsFunc(t.crashes, func(c *crash) bool { return c.isReportable(now) })
+	return len(t.poisoned)+len(t.cleared)+len(t.parts.deadly)+len(t.parts.soundNews) > 0 || slices.ContainsFunc(t.crashes, func(c *crash) bool { return c.isReportable(now) })
 }
 
 // isReportable reports whether a crash is still sent to other entries.
 func (c *crash) isReportable(now time.Time) bool {
-	return !c.attributed && len(c.requests) > 0 && now.Sub(c.at) < reportTime
+	return now.Sub(c.at) < reportTime && (!c.attributed && len(c.requests) > 0 || c.hasSuspectedParts())
+}
+
+// hasSuspectedParts reports whether a crash counts against any part.
+func (c *crash) hasSuspectedParts() bool {
+	return !c.hasCause && slices.ContainsFunc(c.runs, func(r run) bool { return len(r.parts) > 0 })
 }
 
 func (t *Tracker) reports(now time.Time) []Report {
 	var list []Report
 	for _, c := range t.crashes {
-		if !c.isReportable(now) {
-			continue
+		if c.isReportable(now) {
+			list = append(list, t.report(c))
 		}
-		requests := slices.Clone(c.requests)
-		// Requests involved in the most crashes come first.
-		slices.SortStableFunc(requests, func(a, b uint64) int { return cmp.Compare(t.counts[b], t.counts[a]) })
-		list = append(list, Report{c.upstream, c.at, requests[:min(len(requests), maxReportRequests)]})
 	}
 	slices.SortStableFunc(list, func(a, b Report) int { return b.At.Compare(a.At) })
 	return list[:min(len(list), maxReports)]
 }
 
+// report returns the report of one crash. Requests with suspected parts come first, and
+// then those involved in the most crashes.
+func (t *Tracker) report(c *crash) Report {
+	parts := map[uint64][]uint64{}
+	requests := slices.Clone(c.requests)
+	for _, r := range c.runs {
+		parts[r.request] = r.parts
+		if !c.involves(r.request) && len(r.parts) > 0 {
+			requests = append(requests, r.request)
+		}
+	}
+	slices.SortStableFunc(requests, func(a, b uint64) int {
+		return cmp.Or(cmp.Compare(min(len(parts[b]), 1), min(len(parts[a]), 1)), cmp.Compare(t.counts[b], t.counts[a]))
+	})
+	r := Report{Upstream: c.upstream, At: c.at, Requests: requests[:min(len(requests), maxReportRequests)]}
+	for _, request := range r.Requests {
+		r.Parts = append(r.Parts, slices.Clone(parts[request]))
+	}
+	return r
+}
+
+// verdicts returns the newest verdicts: those on requests and parts that must be refused,
+// then those that have been cleared.
 func (t *Tracker) verdicts() []Verdict {
-	var list []Verdict
+	var poison, cleared []Verdict
+	for part, d := range t.parts.deadly {
+		poison = append(poison, Verdict{Kind: PartVerdict, Fingerprint: part, At: d.at, With: d.with})
+	}
 	for f, at := range t.poisoned {
-		list = append(list, Verdict{Fingerprint: f, At: at})
+		poison = append(poison, Verdict{Fingerprint: f, At: at})
+	}
+	for part := range t.parts.soundNews {
+		cleared = append(cleared, Verdict{Kind: PartVerdict, Fingerprint: part, At: t.parts.sound.sent[part], Cleared: true})
 	}
 	for f, at := range t.cleared {
-		list = append(list, Verdict{Fingerprint: f, At: at, Cleared: true})
+		cleared = append(cleared, Verdict{Fingerprint: f, At: at, Cleared: true})
 	}
-	slices.SortFunc(list, func(a, b Verdict) int {
-		return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.Fingerprint, b.Fingerprint))
-	})
+	for _, list := range [][]Verdict{poison, cleared} {
+		slices.SortFunc(list, func(a, b Verdict) int {
+			return cmp.Or(cmp.Compare(b.Kind, a.Kind), b.At.Compare(a.At), cmp.Compare(a.Fingerprint, b.Fingerprint))
+		})
+	}
+	list := append(poison, cleared...)
 	return list[:min(len(list), maxReportVerdicts)]
 }
--- a/decision/reason/describe.go
+++ b/decision/reason/describe.go
@@ -42,6 +42,7 @@
 	OutcomeUnknown:   {"The work may have run under this key, but its outcome was lost.", lookUpOutcome},
 	OutcomeNotKept:   {"The work ran under this key before; its answer was too large to keep.", lookUpOutcome},
 	Poison:           {"The request has crashed too many upstreams.", retryNever},
+	PoisonPart:       {"A part of the prompt has crashed too many upstreams.", retryNever},
 	OwnerUnreachable: {"An entry that may have the request can't be reached now.", retryLater},
 	DeadlineUnmet:    {"The request would wait longer than it has time; it was not run.", retryLater},
 	NotReady:         {"The entry has just started and knows no configuration yet.", retryLater},
--- a/decision/reason/reason.go
+++ b/decision/reason/reason.go
@@ -37,6 +37,7 @@
 	OutcomeUnknown   Reason = "outcome_unknown"
 	OutcomeNotKept   Reason = "outcome_not_kept"
 	Poison           Reason = "poison"
+	PoisonPart       Reason = "poison_part"
 	AnswerTooLarge   Reason = "answer_too_large"
 	// OwnerUnreachable means that an entry that may own the request could not
 	// be reached.
@@ -53,7 +54,7 @@
 	BadRequest, BodyTooLarge, BodyTooSlow, HeaderTooLarge, WrongMethod, UnknownService, UnknownCustomer, UnknownRequest,
 	WrongCustomer, Draining, CustomerLimit, QueueFull, NoUpstream, UpstreamsPaused, UpstreamsLimited, TimedOut,
 	AttemptsUsedUp, NotRepeatable, RetryBudget, KeyReused, KeyInProgress,
-	ClaimUnavailable, OutcomeUnknown, OutcomeNotKept, Poison, AnswerTooLarge,
+	ClaimUnavailable, OutcomeUnknown, OutcomeNotKept, Poison, PoisonPart, AnswerTooLarge,
 	OwnerUnreachable,
 	DeadlineUnmet, NotReady,
 }
--- a/entry/problem.go
+++ b/entry/problem.go
@@ -43,6 +43,7 @@
 	reason.OutcomeUnknown:   http.StatusConflict,
 	reason.OutcomeNotKept:   http.StatusConflict,
 	reason.Poison:           http.StatusUnprocessableEntity,
+	reason.PoisonPart:       http.StatusUnprocessableEntity,
 	reason.AnswerTooLarge:   http.StatusBadGateway,
 	reason.OwnerUnreachable: http.StatusServiceUnavailable,
 	reason.DeadlineUnmet:    http.StatusServiceUnavailable,
--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -118,8 +118,8 @@
 	if refused := readBody(r); refused != nil {
 		return refused
 	}
-	if g.isPoison(r) {
-		return refusePoison(r)
+	if refused := g.poisonRefusal(r); refused != nil {
+		return refused
 	}
 	if refused := g.admitWork(r); refused != nil {
 		return refused
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -70,8 +70,15 @@
 	// answer.
 	firstEvent time.Duration
 	// writingSince is when the latest attempt's upstream began to send the body of its
-	// answer; zero if it has not.
+	// answer; zero if it has not. It is written under the gateway's mu.
 	writingSince time.Time
+	// sentAt is when the latest attempt was sent, in true time. partsRecorded is set once
+	// that attempt has cleared the parts of the prompt.
+	sentAt        time.Time
+	partsRecorded bool
+	// crashProbe is closed at the end of the probe of the latest attempt's upstream, or
+	// nil if none is under way.
+	crashProbe chan struct{}
 	// longestPause is the longest time between two relayed events, and lastEventAt the
 	// time of the latest one.
 	longestPause time.Duration
@@ -122,10 +129,14 @@
 		case result == callerGone || ctx.Err() != nil:
 			g.abandon(r, buffered)
 			return
-		case g.isPoison(r):
-			g.finish(r, buffered, refusePoison(r))
+		case result == broken:
+			g.awaitCrashProbe(ctx, r)
+		}
+		if refused := g.poisonRefusal(r); refused != nil {
+			g.finish(r, buffered, refused)
 			return
-		case !g.mayRetry(r, result):
+		}
+		if !g.mayRetry(r, result) {
 			g.finish(r, buffered, g.unservedRefusal(r))
 			return
 		}
@@ -160,11 +171,22 @@
 // nil unless it was buffered.
 func (g *Gateway) attempt(ctx context.Context, r *request, choice placement.Choice) (attemptResult, *bufferedAnswer) {
 	p := &r.progress
-	p.upstream, p.writingSince = choice.Upstream, time.Time{}
+	p.upstream = choice.Upstream
 	p.tried = append(p.tried, choice.Upstream.ID)
-	ticket := g.startAttempt(r, choice)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	ticket := g.startAttempt(r, choice, cancel)
+	defer g.forgetAttempt(r)
+	result, answer := g.runAttempt(ctx, r, choice, ticket)
+	if result == callerGone && errors.Is(context.Cause(ctx), errDeadlyPart) {
+		return broken, answer
+	}
+	return result, answer
+}
+
+// runAttempt is attempt after its start has been recorded.
+func (g *Gateway) runAttempt(ctx context.Context, r *request, choice placement.Choice, ticket *placement.Ticket) (attemptResult, *bufferedAnswer) {
+	p := &r.progress
 	sent := time.Now()
 	answer, head, err := g.send(ctx, r, choice)
 	if err != nil {
@@ -224,18 +246,29 @@
 	}
 }
 
-// startAttempt records an attempt that is about to be sent.
-func (g *Gateway) startAttempt(r *request, choice placement.Choice) *placement.Ticket {
+// startAttempt records an attempt that is about to be sent and that cancel ends.
+func (g *Gateway) startAttempt(r *request, choice placement.Choice, cancel context.CancelCauseFunc) *placement.Ticket {
 	now := time.Now()
 	g.gossipLargePrompt(choice.Load.PrefillTokens)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	r.progress.writingSince, r.progress.partsRecorded, r.progress.sentAt = time.Time{}, false, g.trueTime()
+	if r.Prompt != nil {
+		g.promptAttempts[r] = cancel
+	}
 	if r.progress.attempts == 0 && r.progress.declined == 0 {
 		g.retryBudget(r.service.Name).RecordFirstAttempt(now)
 	}
 	return g.table.Start(now, choice, r.Prompt)
 }
 
+// forgetAttempt removes an attempt from those that can be canceled.
+func (g *Gateway) forgetAttempt(r *request) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.promptAttempts, r)
+}
+
 // endAttempt records the outcome of an attempt.
 func (g *Gateway) endAttempt(t *placement.Ticket, outcome placement.Outcome) {
 	g.mu.Lock()
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -33,7 +33,7 @@
 }
 
 // suspectCrash checks in the background whether the upstream of a failed attempt has
-// crashed. It does nothing if the upstream was leaving.
+// crashed; awaitCrashProbe waits for that. It does nothing if the upstream was leaving.
 func (g *Gateway) suspectCrash(r *request, err error) {
 	u := r.progress.upstream
 	if !connectionLost(err) || !g.listedReady(u) {
@@ -45,15 +45,36 @@
 		g.mu.Unlock()
 		return
 	}
-	now := g.trueTime()
-	probe, crashed := g.suspicions.ConnectionBroken(now, u.ID, f)
+	crash := poison.Crash{Fingerprint: f, Upstream: u.ID, At: g.trueTime()}
+	if !r.progress.provesParts(time.Now()) {
+		crash.Parts = r.sharedParts()
+	}
+	probe, crashed := g.suspicions.ConnectionBroken(crash)
+	if probe {
+		g.crashProbes[u.ID] = make(chan struct{})
+	}
+	r.progress.crashProbe = g.crashProbes[u.ID]
 	g.mu.Unlock()
 	g.logLostConnection(r, f)
 	switch {
 	case probe:
 		go g.withRecover("crash probe", func() { g.probeUpstream(u) })
 	case crashed:
-		g.recordCrashes(g.settings.Name, []poison.Crash{{Fingerprint: f, Upstream: u.ID, At: now}})
+		g.recordCrashes(g.settings.Name, []poison.Crash{crash})
+	}
+}
+
+// awaitCrashProbe waits until it is known whether the upstream of a failed attempt has
+// crashed, if the request may be sent to another one.
+func (g *Gateway) awaitCrashProbe(ctx context.Context, r *request) {
+	probe := r.progress.crashProbe
+	r.progress.crashProbe = nil
+	if probe == nil || !r.route.Repeatable() || r.progress.attempts >= r.route.MaxAttempts {
+		return
+	}
+	select {
+	case <-probe:
+	case <-ctx.Done():
 	}
 }
 
@@ -71,6 +92,7 @@
 // connections. A timeout proves nothing, as the network to its availability zone may be
 // partitioned.
 func (g *Gateway) probeUpstream(u serving.Upstream) {
+	defer g.endCrashProbe(u.ID)
 	crashed := refusesConnections(u.Address)
 	g.mu.Lock()
 	crashes := g.suspicions.ProbeFinished(u.ID, crashed)
@@ -81,6 +103,14 @@
 	g.recordCrashes(g.settings.Name, crashes)
 }
 
+// endCrashProbe releases the requests that wait for a probe.
+func (g *Gateway) endCrashProbe(upstream string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	close(g.crashProbes[upstream])
+	delete(g.crashProbes, upstream)
+}
+
 func refusesConnections(address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 	defer cancel()
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -131,6 +131,6 @@
 	r := &request{target: "/a/1"}
 	r.progress.upstream = u
 	g.suspectCrash(r, io.EOF)
-	probe, _ := g.suspicions.ConnectionBroken(g.trueTime(), "i", r.fingerprint())
+	probe, _ := g.suspicions.ConnectionBroken(poison.Crash{Fingerprint: r.fingerprint(), Upstream: "i", At: g.trueTime()})
 	require.True(t, probe, "the upstream was not suspected before")
 }
--- a/gateway/crashcodec.go
+++ b/gateway/crashcodec.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protowire"
@@ -13,9 +14,12 @@
 	fieldCrashUpstream  protowire.Number = 1 // string
 	fieldCrashAt        protowire.Number = 2 // varint, Unix milliseconds of true time
 	fieldCrashRequests  protowire.Number = 3 // bytes: fingerprints in eight bytes
-	fieldVerdictRequest protowire.Number = 1 // fixed64, a fingerprint
+	fieldCrashParts     protowire.Number = 4 // bytes, see appendParts
+	fieldVerdictRequest protowire.Number = 1 // fixed64, a fingerprint or a part
 	fieldVerdictAt      protowire.Number = 2 // varint, Unix milliseconds of true time
-	fieldVerdictSound   protowire.Number = 3 // varint, 1 if the request was answered in full
+	fieldVerdictSound   protowire.Number = 3 // varint, 1 if the request or part was answered
+	fieldVerdictKind    protowire.Number = 4 // varint, 0 for a request, 1 for a part
+	fieldVerdictWith    protowire.Number = 5 // bytes: parts in eight bytes
 )
 
 // maxMessageCrashes limits the crashes, and the verdicts, that are decoded from one
@@ -42,54 +46,102 @@
 func appendCrash(b []byte, c poison.Report) []byte {
 	b = appendString(b, fieldCrashUpstream, c.Upstream)
 	b = appendVarint(b, fieldCrashAt, uint64(c.At.UnixMilli()))
-	var requests []byte
-	for _, f := range c.Requests {
-		requests = protowire.AppendFixed64(requests, f)
+	b = appendHashes(b, fieldCrashRequests, c.Requests)
+	if slices.ContainsFunc(c.Parts, func(parts []uint64) bool { return len(parts) > 0 }) {
+		b = protowire.AppendTag(b, fieldCrashParts, protowire.BytesType)
+		b = protowire.AppendBytes(b, appendParts(nil, c.Parts))
 	}
-	b = protowire.AppendTag(b, fieldCrashRequests, protowire.BytesType)
-	return protowire.AppendBytes(b, requests)
+	return b
+}
+
+// appendParts encodes the parts of each request of a crash, in the order of the requests,
+// as their number in a varint and then eight bytes each.
+func appendParts(b []byte, requests [][]uint64) []byte {
+	for _, parts := range requests {
+		b = protowire.AppendVarint(b, uint64(len(parts)))
+		for _, part := range parts {
+			b = protowire.AppendFixed64(b, part)
+		}
+	}
+	return b
+}
+
+// appendHashes appends a field with fingerprints or parts in eight bytes each.
+func appendHashes(b []byte, field protowire.Number, hashes []uint64) []byte {
+	var data []byte
+	for _, h := range hashes {
+		data = protowire.AppendFixed64(data, h)
+	}
+	return protowire.AppendBytes(protowire.AppendTag(b, field, protowire.BytesType), data)
 }
 
 func appendVerdict(b []byte, v poison.Verdict) []byte {
 	b = protowire.AppendTag(b, fieldVerdictRequest, protowire.Fixed64Type)
 	b = protowire.AppendFixed64(b, v.Fingerprint)
 	b = appendVarint(b, fieldVerdictAt, uint64(v.At.UnixMilli()))
-	return appendVarint(b, fieldVerdictSound, flagIf(v.Cleared, 1))
+	b = appendVarint(b, fieldVerdictSound, flagIf(v.Cleared, 1))
+	b = appendVarint(b, fieldVerdictKind, uint64(v.Kind))
+	if len(v.With) > 0 {
+		b = appendHashes(b, fieldVerdictWith, v.With)
+	}
+	return b
 }
 
 func (m *gossipMessage) decodeCrash(b []byte) error {
 	var c poison.Report
-	err := eachField(b, func(field protowire.Number, v fieldValue) error {
+	err := eachField(b, func(field protowire.Number, v fieldValue) (err error) {
 		switch field {
 		case fieldCrashUpstream:
 			c.Upstream = string(v.bytes)
 		case fieldCrashAt:
 			c.At = time.UnixMilli(int64(v.number))
 		case fieldCrashRequests:
-			return decodeRequests(&c, v.bytes)
+			c.Requests, err = decodeHashes(v.bytes, maxCrashRequests)
+		case fieldCrashParts:
+			c.Parts, err = decodeParts(v.bytes)
 		}
-		return nil
+		return err
 	})
+	c.Parts = c.Parts[:min(len(c.Parts), len(c.Requests))]
 	if err == nil && len(m.Crashes) < maxMessageCrashes {
 		m.Crashes = append(m.Crashes, c)
 	}
 	return err
 }
 
-func decodeRequests(c *poison.Report, b []byte) error {
-	for len(b) > 0 && len(c.Requests) < maxCrashRequests {
-		f, n := protowire.ConsumeFixed64(b)
+// decodeHashes decodes at most limit fingerprints or parts.
+func decodeHashes(b []byte, limit int) ([]uint64, error) {
+	var hashes []uint64
+	for len(b) > 0 && len(hashes) < limit {
+		h, n := protowire.ConsumeFixed64(b)
 		if n < 0 {
-			return errMalformedField
+			return nil, errMalformedField
 		}
-		c.Requests, b = append(c.Requests, f), b[n:]
+		hashes, b = append(hashes, h), b[n:]
 	}
-	return nil
+	return hashes, nil
+}
+
+// decodeParts decodes the parts of the requests of a crash.
+func decodeParts(b []byte) ([][]uint64, error) {
+	var requests [][]uint64
+	for len(b) > 0 && len(requests) < maxCrashRequests {
+		count, n := protowire.ConsumeVarint(b)
+		if n < 0 || count > poison.MaxRunParts {
+			return nil, errMalformedField
+		}
+		parts, err := decodeHashes(b[n:], int(count))
+		if err != nil || len(parts) < int(count) {
+			return nil, errMalformedField
+		}
+		requests, b = append(requests, parts), b[n+len(parts)*8:]
+	}
+	return requests, nil
 }
 
 func (m *gossipMessage) decodeVerdict(b []byte) error {
 	var verdict poison.Verdict
-	err := eachField(b, func(field protowire.Number, v fieldValue) error {
+	err := eachField(b, func(field protowire.Number, v fieldValue) (err error) {
 		switch field {
 		case fieldVerdictRequest:
 			verdict.Fingerprint = v.number
@@ -97,11 +149,23 @@
 			verdict.At = time.UnixMilli(int64(v.number))
 		case fieldVerdictSound:
 			verdict.Cleared = v.number != 0
+		case fieldVerdictKind:
+			verdict.Kind, err = decodeVerdictKind(v.number)
+		case fieldVerdictWith:
+			verdict.With, err = decodeHashes(v.bytes, poison.MaxRunParts)
 		}
-		return nil
+		return err
 	})
 	if err == nil && len(m.Verdicts) < maxMessageCrashes {
 		m.Verdicts = append(m.Verdicts, verdict)
 	}
 	return err
 }
+
+// decodeVerdictKind decodes what a verdict is about.
+func decodeVerdictKind(n uint64) (poison.VerdictKind, error) {
+	if n > uint64(poison.PartVerdict) {
+		return 0, errMalformedField
+	}
+	return poison.VerdictKind(n), nil
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,7 +82,12 @@
 	// suspicions and poison track requests that crash the upstreams that run them.
 	suspicions *poison.CrashSuspicions
 	poison     *poison.Tracker
-	peers      map[string]*peer
+	// crashProbes holds, by upstream ID, a channel that is closed when the probe under
+	// way ends. promptAttempts holds the functions that cancel the attempts under way of
+	// requests with a prompt.
+	crashProbes    map[string]chan struct{}
+	promptAttempts map[*request]context.CancelCauseFunc
+	peers          map[string]*peer
 	// peerNames caches the sorted keys of peers. It is rebuilt when its length differs
 	// from that of peers, and is cleared when a peer is removed.
 	peerNames []string
@@ -136,6 +141,9 @@
 		suspicions:   poison.NewCrashSuspicions(),
 		poison:       poison.NewTracker(),
 
+		crashProbes:    map[string]chan struct{}{},
+		promptAttempts: map[*request]context.CancelCauseFunc{},
+
 		customerNames:    map[uint32]string{},
 		unknownHeaders:   map[string]bool{},
 		lostDependencies: map[string]time.Time{},
@@ -268,6 +276,8 @@
 	m := g.metrics
 	m.inFlight.Update(g.inFlight.Load())
 	m.peers.Update(int64(len(g.peers)))
+	m.deadlyParts.Update(int64(g.poison.DeadlyParts()))
+	m.droppedEvidence.Update(g.poison.DroppedEvidence())
 	if at := g.confirmedAt.Load(); at > 0 {
 		m.configurationAge.Update((monotonic() - time.Duration(at)).Milliseconds())
 	}
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -140,6 +140,7 @@
 // gossipRound sends the regular messages of a round and returns the time until the next
 // one.
 func (g *Gateway) gossipRound(schedule *gossipSchedule) time.Duration {
+	g.judgeParts()
 	peers := g.listPeers()
 	fanout := gossipFanout
 	if g.watches() {
--- a/gateway/gossipcodec_test.go
+++ b/gateway/gossipcodec_test.go
@@ -77,13 +77,22 @@
 	}
 	moment := rapid.Custom(func(t *rapid.T) time.Time { return time.UnixMilli(rapid.Int64Range(1, 1<<45).Draw(t, "moment")) })
 	m.Crashes = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) poison.Report {
-		return poison.Report{
+		r := poison.Report{
 			Upstream: rapid.String().Draw(t, "upstream"), At: moment.Draw(t, "at"),
 			Requests: rapid.SliceOfN(rapid.Uint64(), 1, maxCrashRequests).Draw(t, "requests"),
 		}
+		if rapid.Bool().Draw(t, "with parts") {
+			// Without any part the field is left out.
+			r.Parts = [][]uint64{rapid.SliceOfN(rapid.Uint64(), 1, poison.MaxRunParts).Draw(t, "parts")}
+		}
+		return r
 	}), -1, 3).Draw(t, "crashes")
 	m.Verdicts = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) poison.Verdict {
-		return poison.Verdict{Fingerprint: rapid.Uint64().Draw(t, "request"), At: moment.Draw(t, "at"), Cleared: rapid.Bool().Draw(t, "sound")}
+		v := poison.Verdict{Fingerprint: rapid.Uint64().Draw(t, "request"), At: moment.Draw(t, "at"), Cleared: rapid.Bool().Draw(t, "sound")}
+		if rapid.Bool().Draw(t, "on a part") {
+			v.Kind, v.With = poison.PartVerdict, rapid.SliceOfN(rapid.Uint64(), 1, poison.MaxRunParts).Draw(t, "with")
+		}
+		return v
 	}), -1, 3).Draw(t, "verdicts")
 	m.Limits = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) upstreamlimit.Statement {
 		s := upstreamlimit.Statement{Instance: rapid.Uint64().Draw(t, "instance"), Limited: rapid.Bool().Draw(t, "limited"), At: moment.Draw(t, "at")}
@@ -169,8 +178,8 @@
 	f.Add(testMessage(0, 0, false).encode())
 	f.Add([]byte(`{"entry":"frontend-1"}`))
 	crashes := testMessage(0, 0, false)
-	crashes.Crashes = []poison.Report{{Upstream: "i-1", At: time.UnixMilli(1788699736267), Requests: []uint64{1, 2}}}
-	crashes.Verdicts = []poison.Verdict{{Fingerprint: 1, At: time.UnixMilli(1788699736267), Cleared: true}}
+	crashes.Crashes = []poison.Report{{Upstream: "i-1", At: time.UnixMilli(1788699736267), Requests: []uint64{1, 2}, Parts: [][]uint64{{3, 4}, nil}}}
+	crashes.Verdicts = []poison.Verdict{{Fingerprint: 1, At: time.UnixMilli(1788699736267), Cleared: true}, {Kind: poison.PartVerdict, Fingerprint: 3, At: time.UnixMilli(1), With: []uint64{4}}}
 	f.Add(crashes.encode())
 	limits := testMessage(0, 0, false)
 	limits.Limits = []upstreamlimit.Statement{{Instance: 1, Limited: true, PerSecond: 0.4, At: time.UnixMilli(1788699736267)}, {Instance: 2, At: time.UnixMilli(1)}}
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"jaylink/decision/reason"
-	"jaylink/serving"
 )
 
 // logRequest writes the log line of a finished request and, for answered requests, its
@@ -70,18 +69,14 @@
 	}
 	g.log.Info("connection to upstream lost", "request_id", r.RequestID, "upstream", r.progress.upstream.ID,
 		"route", r.route.Name, "customer", customerName(r), "fingerprint", fingerprint,
-		"parts", partsText(r.Prompt), "writing_ms", writing.Milliseconds())
+		"parts", hashesText(r.sharedParts()), "writing_ms", writing.Milliseconds())
 }
 
-// partsText returns the shared parts of a prompt as callers write them, without their
-// lengths.
-func partsText(p *serving.Prompt) string {
-	if p == nil {
-		return ""
-	}
-	var ids []string
-	for _, part := range p.Shared() {
-		ids = append(ids, partText(part.Hash))
+// hashesText returns parts of prompts as callers write them, without their lengths.
+func hashesText(parts []uint64) string {
+	ids := make([]string, 0, len(parts))
+	for _, part := range parts {
+		ids = append(ids, partText(part))
 	}
 	return strings.Join(ids, ",")
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -68,6 +68,11 @@
 	limitedUpstreams metrics.Gauge
 	// crashes counts upstream crashes that this entry detected itself.
 	crashes metrics.Counter
+	// deadlyParts is the number of parts of prompts that are known to crash upstreams, and
+	// droppedEvidence the requests and parts that were involved in crashes and not
+	// recorded because of the limits.
+	deadlyParts     metrics.Gauge
+	droppedEvidence metrics.Gauge
 	// logLimited and logDropped are the numbers of log lines suppressed by the rate
 	// limit of their message and dropped because the buffer was full.
 	logLimited metrics.Gauge
@@ -104,6 +109,7 @@
 		panics: counter("message.panics"), crashes: counter("upstream.crashes"),
 		limitedAttempts: counter("upstream.limited_attempts"), invalidLimits: counter("upstream.invalid_limits"),
 		unknownHeaders: counter("upstream.unknown_headers"), limitedUpstreams: gauge("upstream.limited"),
+		deadlyParts: gauge("poison.parts"), droppedEvidence: gauge("poison.evidence_dropped"),
 		logLimited: gauge("log.limited"), logDropped: gauge("log.dropped"),
 		inFlight: gauge("request.in_flight"), version: gauge("configuration.version"),
 		peers: gauge("peer.live"), upstreams: gauge("upstream.known"),
--- a/gateway/poison.go
+++ b/gateway/poison.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -80,51 +82,163 @@
 func (g *Gateway) applyCrashReports(m gossipMessage) {
 	for _, c := range m.Crashes {
 		crashes := make([]poison.Crash, 0, len(c.Requests))
-		for _, f := range c.Requests {
-			crashes = append(crashes, poison.Crash{Fingerprint: f, Upstream: c.Upstream, At: c.At})
+		for i, f := range c.Requests {
+			crash := poison.Crash{Fingerprint: f, Upstream: c.Upstream, At: c.At}
+			if i < len(c.Parts) {
+				crash.Parts = c.Parts[i]
+			}
+			crashes = append(crashes, crash)
 		}
 		g.recordCrashes(m.Entry, crashes)
 	}
 	for _, v := range m.Verdicts {
 		g.mu.Lock()
 		isNew := g.poison.ApplyVerdict(g.trueTime(), v)
+		if isNew && v.Kind == poison.PartVerdict && !v.Cleared {
+			g.cancelDeadlyAttempts()
+		}
 		g.mu.Unlock()
 		if isNew {
-			g.log.Warn("verdict on a request", "fingerprint", v.Fingerprint, "poison", !v.Cleared, "source", m.Entry)
+			g.logVerdict(v, m.Entry)
 			g.triggerNews()
 		}
 	}
 }
 
-// isPoison reports whether a request has crashed so many upstreams that it must be
-// refused.
-func (g *Gateway) isPoison(r *request) bool {
+// logVerdict logs a new verdict and the entry that it is from.
+func (g *Gateway) logVerdict(v poison.Verdict, source string) {
+	if v.Kind == poison.RequestVerdict {
+		g.log.Warn("verdict on a request", "fingerprint", v.Fingerprint, "poison", !v.Cleared, "source", source)
+		return
+	}
+	if v.Cleared {
+		g.log.Info("suspected part was answered", "part", partText(v.Fingerprint), "sent_at", v.At, "source", source)
+		return
+	}
+	g.log.Warn("verdict on a part", "part", partText(v.Fingerprint), "with", hashesText(v.With), "poison", true,
+		"last_crash", v.At, "crashes", v.Crashes, "upstreams", v.Upstreams, "source", source)
+}
+
+// sharedParts returns the identifiers of the parts of the request's prompt that other
+// requests may have too.
+func (r *request) sharedParts() []uint64 {
+	if r.Prompt == nil {
+		return nil
+	}
+	shared := r.Prompt.Shared()
+	parts := make([]uint64, 0, len(shared))
+	for _, part := range shared {
+		parts = append(parts, part.Hash)
+	}
+	return parts
+}
+
+// judgeParts decides which parts of prompts crash upstreams, and tells the other entries
+// of new verdicts.
+func (g *Gateway) judgeParts() {
+	g.mu.Lock()
+	verdicts := g.poison.JudgeParts(g.trueTime())
+	if len(verdicts) > 0 {
+		g.cancelDeadlyAttempts()
+	}
+	g.mu.Unlock()
+	for _, v := range verdicts {
+		g.logVerdict(v, g.settings.Name)
+	}
+	if len(verdicts) > 0 {
+		g.triggerNews()
+	}
+}
+
+// errDeadlyPart cancels attempts of requests with a part that crashes upstreams.
+var errDeadlyPart = errors.New("a part of the prompt crashes upstreams")
+
+// cancelDeadlyAttempts cancels the attempts that would crash their upstreams when these
+// begin to answer. The caller holds mu.
+func (g *Gateway) cancelDeadlyAttempts() {
+	now := g.trueTime()
+	for r, cancel := range g.promptAttempts {
+		if !r.progress.writingSince.IsZero() {
+			continue
+		}
+		if _, deadly := g.poison.DeadlyPart(now, r.sharedParts()); deadly {
+			cancel(errDeadlyPart)
+		}
+	}
+}
+
+// poisonRefusal returns the refusal of a request that crashes upstreams, by itself or
+// because of a part of its prompt, or nil. A retry would be refused again, so the refusal
+// has no Retry-After.
+func (g *Gateway) poisonRefusal(r *request) *refusal {
+	parts := r.sharedParts()
+	if len(parts) > 0 {
+		g.judgeParts()
+	}
 	g.mu.Lock()
+	now := g.trueTime()
+	part, deadly := g.poison.DeadlyPart(now, parts)
 	some := g.poison.AnyPoison()
 	g.mu.Unlock()
-	if !some {
-		return false
+	switch {
+	case deadly:
+		return newRefusal(http.StatusBadRequest, reason.PoisonPart, 0, "part", partText(part))
+	case !some:
+		return nil
 	}
 	f := r.fingerprint()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.poison.Poisoned(g.trueTime(), f)
+	if !g.poison.Poisoned(now, f) {
+		return nil
+	}
+	return newRefusal(http.StatusBadRequest, reason.Poison, 0, "fingerprint", f)
+}
+
+// isPoison reports whether a refusal is one of poisonRefusal.
+func (f *refusal) isPoison() bool {
+	return slices.Contains([]reason.Reason{reason.Poison, reason.PoisonPart}, f.reason)
 }
 
-// refusePoison returns the refusal of a request that crashes upstreams. A retry would be
-// refused again, so it has no Retry-After.
-func refusePoison(r *request) *refusal {
-	return newRefusal(http.StatusBadRequest, reason.Poison, 0, "fingerprint", r.fingerprint())
+// provenWritingTime is how long an upstream has to write an answer to show that none of
+// the parts of its prompt crash upstreams: those that do crash it when it begins.
+const provenWritingTime = 250 * time.Millisecond
+
+// provesParts reports whether the current attempt has shown that the parts of its prompt
+// do not crash upstreams.
+func (p *progress) provesParts(now time.Time) bool {
+	return !p.writingSince.IsZero() && now.Sub(p.writingSince) >= provenWritingTime
+}
+
+// recordSoundParts clears the parts of a request's prompt after its attempt has shown that
+// they do not crash upstreams.
+func (g *Gateway) recordSoundParts(r *request) {
+	parts := r.sharedParts()
+	if r.progress.partsRecorded || len(parts) == 0 {
+		return
+	}
+	r.progress.partsRecorded = true
+	g.mu.Lock()
+	news := g.poison.SoundParts(g.trueTime(), r.progress.sentAt, parts)
+	g.mu.Unlock()
+	if news {
+		g.log.Info("suspected part was answered", "parts", hashesText(parts), "request_id", r.RequestID, "source", g.settings.Name)
+		g.triggerNews()
+	}
 }
 
 // recordAnswer ends an attempt that got a complete answer, which shows that the request
-// does not crash upstreams.
-func (g *Gateway) recordAnswer(r *request, t *placement.Ticket) {
+// does not crash upstreams. Only an answer of success shows that the upstream has written
+// one to the prompt.
+func (g *Gateway) recordAnswer(r *request, t *placement.Ticket, status int) {
 	f := r.fingerprint()
 	g.mu.Lock()
 	g.table.End(time.Now(), t, placement.Answered)
 	cleared := g.poison.Answered(g.trueTime(), f)
 	g.mu.Unlock()
+	if status < http.StatusMultipleChoices && !r.progress.writingSince.IsZero() {
+		g.recordSoundParts(r)
+	}
 	if cleared {
 		g.log.Warn("verdict on a request", "fingerprint", f, "poison", false, "request_id", r.RequestID)
 		g.triggerNews()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -72,7 +72,7 @@
 		g.logFailedAttempt(r, "upstream failed")
 		return serverError, buffered
 	}
-	g.recordAnswer(r, t)
+	g.recordAnswer(r, t, answer.Status)
 	g.writeAnswer(r, buffered)
 	return delivered, buffered
 }
@@ -101,7 +101,7 @@
 		}
 		return g.handleBrokenAnswer(r, t, err)
 	}
-	g.recordAnswer(r, t)
+	g.recordAnswer(r, t, answer.Status)
 	return delivered
 }
 
@@ -129,15 +129,18 @@
 // and the customer's usage are counted only once per request.
 func (g *Gateway) markStarted(r *request, t *placement.Ticket) {
 	now := time.Now()
-	if r.progress.writingSince.IsZero() {
-		r.progress.writingSince = now
-	}
 	if r.progress.firstEvent == 0 {
 		r.progress.firstEvent = now.Sub(r.arrived)
 		g.metrics.recordLatency("first_event_ms", r, r.progress.firstEvent)
 	}
+	if r.progress.provesParts(now) {
+		g.recordSoundParts(r)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if r.progress.writingSince.IsZero() {
+		r.progress.writingSince = now
+	}
 	g.table.FirstEvent(now, t)
 	if r.customer != nil && !r.progress.usageCounted {
 		r.progress.usageCounted = true
@@ -167,7 +170,7 @@
 		g.logRequest(r, "upstream failed", buffered.status, p.reason)
 	case !p.mayHaveRun:
 		g.refuse(r, refused)
-	case refused.reason == reason.Poison:
+	case refused.isPoison():
 		g.answerFailure(r, refused.status, refused.reason)
 	default:
 		g.answerFailure(r, http.StatusBadGateway, p.reason)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -159,7 +159,7 @@
 // handleStreamEnd ends an attempt whose stream is complete.
 func (g *Gateway) handleStreamEnd(r *request, t *placement.Ticket, answer *exchange.Answer) attemptResult {
 	g.sendHead(r, answer)
-	g.recordAnswer(r, t)
+	g.recordAnswer(r, t, answer.Status)
 	return delivered
 }
 
