poison: tell narrow parts from broad ones by the requests that had them

Causes: a popular part behind the deadly one was taken for the narrower one by its place in the prompt; parts of requests that herds of crashes had cut off twice; a part that comes with parts of its own was explained away by the repeats of single requests; and the list of answered parts was cut at 32. Now a part is narrower if fewer of the requests in crashes had it, crashes at times at which others crash without a recurring part need five and three groups, narrow parts are judged before broad ones, and 64 answered parts are told apart from the verdicts.

--- a/decision/poison/evidence.go
+++ b/decision/poison/evidence.go
@@ -6,62 +6,99 @@
 	"time"
 )
 
+// tally counts crashes by a request or part.
+type tally map[uint64]int
+
+// add adds one to the count of each member of a set.
+func (t tally) add(set map[uint64]bool) {
+	for key := range set {
+		t[key]++
+	}
+}
+
+// highest returns the highest of the counts, or 0.
+func (t tally) highest() int {
+	top := 0
+	for _, n := range t {
+		top = max(top, n)
+	}
+	return top
+}
+
 // evidence is what the crashes say about one part.
 type evidence struct {
-	// times, last and upstreams describe the crashes that count against the part.
+	sound *soundParts
+	// suspects counts the runs in all crashes by part.
+	suspects map[uint64]int
+	part     uint64
+	// answered is set if the part was answered before the crashes.
+	answered bool
+	// times, last and upstreams describe the crashes that count against the part. crowd is
+	// the number of crashes at about the same times in which no recurring part was
+	// involved.
 	times     []time.Time
 	last      time.Time
 	upstreams []string
-	// answered is set if the part was answered before the crashes.
-	answered bool
-	// requests and narrower count the crashes by the requests with the part, and by the
-	// parts in these requests that fewer requests have. narrowerSets has the latter for
+	crowd     int
+	// requests counts the crashes by the requests with the part.
+	requests tally
+	// narrower counts the crashes by the parts in these requests that fewer requests
+	// have, and narrowerRequests has the requests of each. narrowerSets has the parts of
 	// each crash that is not attributed.
-	requests, narrower map[uint64]int
-	narrowerSets       []map[uint64]bool
+	narrower         tally
+	narrowerRequests map[uint64]map[uint64]bool
+	narrowerSets     []map[uint64]bool
 	// attributed is the number of crashes that have been attributed to a narrower part.
 	attributed int
 	// joint holds the narrower parts that are refused only together with the part.
 	joint map[uint64]bool
 	// together counts the crashes in which another part was in all requests with the
-	// part, if it was never answered.
-	together map[uint64]int
-	// anywhere counts the crashes by the other parts that were on the upstream and were
+	// part, and anywhere those in which it was on the upstream; both only if that part was
 	// never answered.
-	anywhere map[uint64]int
+	together, anywhere tally
 	// otherRequests and otherParts count the crashes by what was on the upstream besides
 	// the requests with the part.
-	otherRequests, otherParts map[uint64]int
+	otherRequests, otherParts tally
 }
 
 // evidence collects what counts against a part: crashes from an age on that are not
 // attributed to a part of other requests.
 func (t *Tracker) evidence(now time.Time, part uint64, settle time.Duration) *evidence {
 	e := &evidence{
-		answered: t.parts.sound.knows(part),
-		requests: map[uint64]int{}, narrower: map[uint64]int{}, joint: map[uint64]bool{}, together: map[uint64]int{}, anywhere: map[uint64]int{}, otherRequests: map[uint64]int{}, otherParts: map[uint64]int{},
+		sound: t.parts.sound, suspects: t.parts.suspects, part: part, answered: t.parts.sound.knows(part),
+		requests: tally{}, narrower: tally{}, narrowerRequests: map[uint64]map[uint64]bool{}, joint: map[uint64]bool{},
+		together: tally{}, anywhere: tally{}, otherRequests: tally{}, otherParts: tally{},
 	}
+	var others []time.Time
 	for _, c := range t.crashes {
 		if now.Sub(c.at) < settle {
 			continue
 		}
 		with, without := c.split(part)
-		if len(with) == 0 || c.hasCause && c.cause != part && !anyHas(with, c.cause) {
-			continue
-		}
-		e.times = append(e.times, c.at)
-		e.last = maxTime(e.last, c.at)
-		e.upstreams = append(e.upstreams, c.upstream)
-		beside := e.addRequests(t, part, with)
-		e.addOthers(t, c, with, without, beside)
-		if c.hasCause && c.cause != part && !e.joint[c.cause] {
-			e.attributed++
-			e.narrowerSets = e.narrowerSets[:len(e.narrowerSets)-1]
+		switch {
+		case c.hasCause && c.cause != part && !anyHas(with, c.cause):
+		case len(with) == 0:
+			if !t.hasRecurringPart(c) {
+				others = append(others, c.at)
+			}
+		default:
+			e.add(t, c, with, without)
 		}
 	}
+	e.crowd = len(slices.DeleteFunc(others, func(at time.Time) bool {
+		return !slices.ContainsFunc(e.times, func(own time.Time) bool { return own.Sub(at).Abs() < partRoundWindow })
+	}))
 	return e
 }
 
+// hasRecurringPart reports whether a part was involved in a crash that was never answered
+// and was involved in others.
+func (t *Tracker) hasRecurringPart(c *crash) bool {
+	return slices.ContainsFunc(c.runs, func(r run) bool {
+		return slices.ContainsFunc(r.parts, func(part uint64) bool { return t.parts.suspects[part] >= Limit && !t.parts.sound.knows(part) })
+	})
+}
+
 // split divides the requests of a crash into those with a part and the others.
 func (c *crash) split(part uint64) (with, without []run) {
 	for _, r := range c.runs {
@@ -78,38 +115,64 @@
 	return slices.ContainsFunc(list, func(r run) bool { return slices.Contains(r.parts, part) })
 }
 
-// addRequests counts the requests of a crash that have the part. It returns the other
-// parts of these requests.
-func (e *evidence) addRequests(t *Tracker, part uint64, with []run) map[uint64]bool {
-	narrower, beside := map[uint64]bool{}, map[uint64]bool{}
+// add counts a crash of an upstream with requests with and without the part.
+func (e *evidence) add(t *Tracker, c *crash, with, without []run) {
+	e.times = append(e.times, c.at)
+	e.last = maxTime(e.last, c.at)
+	e.upstreams = append(e.upstreams, c.upstream)
+	beside, narrower := map[uint64]bool{}, map[uint64]bool{}
 	for _, r := range with {
 		e.requests[r.request]++
-		own := slices.Index(r.parts, part)
+		own := slices.Index(r.parts, e.part)
 		for i, other := range r.parts {
-			if other == part {
+			if other == e.part {
 				continue
 			}
 			beside[other] = true
-			answered := t.parts.sound.knows(other)
-			if answered == e.answered && i > own || e.answered && !answered {
+			if e.isNarrower(other, i > own) {
 				narrower[other] = true
-				e.joint[other] = slices.Contains(t.parts.deadly[other].with, part)
+				e.joint[other] = slices.Contains(t.parts.deadly[other].with, e.part)
+				e.addNarrowerRequest(other, r.request)
 			}
 		}
 	}
-	count(e.narrower, narrower)
-	e.narrowerSets = append(e.narrowerSets, narrower)
+	e.narrower.add(narrower)
+	if c.hasCause && c.cause != e.part && !e.joint[c.cause] {
+		e.attributed++
+	} else {
+		e.narrowerSets = append(e.narrowerSets, narrower)
+	}
 	for other := range beside {
-		if !t.parts.sound.knows(other) && !slices.ContainsFunc(with, func(r run) bool { return !slices.Contains(r.parts, other) }) {
+		if !e.sound.knows(other) && !slices.ContainsFunc(with, func(r run) bool { return !slices.Contains(r.parts, other) }) {
 			e.together[other]++
 		}
 	}
-	return beside
+	e.addOthers(c, with, without, beside)
+}
+
+// isNarrower reports whether fewer requests are likely to have another part of a prompt:
+// one that was never answered, that fewer requests in crashes had, or that is deeper in the
+// prompt.
+func (e *evidence) isNarrower(other uint64, isDeeper bool) bool {
+	if answered := e.sound.knows(other); answered != e.answered {
+		return e.answered
+	}
+	if e.suspects[other] != e.suspects[e.part] {
+		return e.suspects[other] < e.suspects[e.part]
+	}
+	return isDeeper
+}
+
+func (e *evidence) addNarrowerRequest(part, request uint64) {
+	if e.narrowerRequests[part] == nil {
+		e.narrowerRequests[part] = map[uint64]bool{}
+	}
+	e.narrowerRequests[part][request] = true
 }
 
 // addOthers counts what was involved in a crash besides the requests with the part and
 // the parts in them.
-func (e *evidence) addOthers(t *Tracker, c *crash, with, without []run, beside map[uint64]bool) {
+func (e *evidence) addOthers(c *crash, with, without []run, beside map[uint64]bool) {
 	others := map[uint64]bool{}
 	for _, r := range without {
 		for _, other := range r.parts {
@@ -118,10 +181,10 @@
 			}
 		}
 	}
-	count(e.otherParts, others)
+	e.otherParts.add(others)
 	for _, set := range []map[uint64]bool{beside, others} {
 		for other := range set {
-			if !t.parts.sound.knows(other) {
+			if !e.sound.knows(other) {
 				e.anywhere[other]++
 			}
 		}
@@ -133,29 +196,16 @@
 	}
 }
 
-// count adds one to the count of each member of a set.
-func count(counts map[uint64]int, set map[uint64]bool) {
-	for key := range set {
-		counts[key]++
-	}
-}
-
-// highest returns the highest of the counts, or 0.
-func highest(counts map[uint64]int) int {
-	top := 0
-	for _, n := range counts {
-		top = max(top, n)
-	}
-	return top
-}
-
 // isBroad reports whether sound requests are likely to have the part too: it was answered
 // before, or came with several narrower parts.
 func (e *evidence) isBroad() bool { return e.answered || len(e.narrower) > 1 }
 
 // isDeadly reports whether the part is the cause of the crashes.
 func (e *evidence) isDeadly() bool {
-	n, limit := len(e.times), Limit
+	n, limit, rounds := len(e.times), Limit, minPartRounds
+	if e.crowd >= n {
+		limit, rounds = HardLimit, minPartRounds+1
+	}
 	if e.isBroad() {
 		limit = HardLimit
 		n -= e.attributed
@@ -163,11 +213,11 @@
 			n -= e.explained()
 		}
 	}
-	own := len(e.times) - max(highest(e.requests), highest(e.narrower))
-	if n < limit || own < minOwnCrashes || countRounds(e.times, partRoundWindow) < minPartRounds {
+	own := len(e.times) - max(e.requests.highest(), e.narrower.highest())
+	if n < limit || own < minOwnCrashes || countRounds(e.times, partRoundWindow) < rounds {
 		return false
 	}
-	rival := max(highest(e.otherRequests), highest(e.otherParts))
+	rival := max(e.otherRequests.highest(), e.otherParts.highest())
 	switch {
 	case n < HardLimit:
 		return rival < n-1
@@ -177,13 +227,13 @@
 	return true
 }
 
-// explained returns the number of crashes in which a narrower part was involved that was
-// involved in others as well.
+// explained returns the number of crashes in which a narrower part was involved that
+// several requests have.
 func (e *evidence) explained() int {
 	n := 0
 	for _, set := range e.narrowerSets {
 		for part := range set {
-			if e.narrower[part] > 1 && !e.joint[part] {
+			if len(e.narrowerRequests[part]) > 1 && !e.joint[part] {
 				n++
 				break
 			}
--- a/decision/poison/fleet_test.go
+++ b/decision/poison/fleet_test.go
@@ -58,10 +58,10 @@
 	downTill [simUpstream]time.Time
 	kinds    []simTraffic
 	count    []int
-	// arrivals are the times at which requests of each kind reached upstreams, and
-	// refused counts those that were refused.
-	arrivals [][]time.Time
-	refused  []int
+	// arrivals are the times at which requests of each kind reached upstreams, crashes
+	// those at which they crashed one, and refused counts those that were refused.
+	arrivals, crashes [][]time.Time
+	refused           []int
 	// herd is the share of upstreams that crash together every five seconds.
 	herd float64
 }
@@ -139,7 +139,10 @@
 		}
 	}
 	for u := range f.running {
-		if slices.ContainsFunc(f.running[u], func(r *simRequest) bool { return f.kinds[r.kind].deadly && f.now.Sub(r.sent) >= simFirst }) {
+		cause := slices.IndexFunc(f.running[u], func(r *simRequest) bool { return f.kinds[r.kind].deadly && f.now.Sub(r.sent) >= simFirst })
+		if cause >= 0 {
+			kind := f.running[u][cause].kind
+			f.crashes[kind] = append(f.crashes[kind], f.now)
 			f.crash(u)
 			continue
 		}
@@ -166,14 +169,14 @@
 	}
 }
 
-// lateArrivals returns how many arrivals came later than simContact after the fifth crash;
-// each arrival is a crash.
-func lateArrivals(times []time.Time) int {
-	if len(times) < 5 {
+// lateArrivals returns how many requests of a kind reached upstreams later than simContact
+// after the fifth crash.
+func (f *simFleet) lateArrivals(kind int) int {
+	if len(f.crashes[kind]) < 5 {
 		return 0
 	}
-	bound, late := times[4].Add(simFirst+simContact), 0
-	for _, at := range times {
+	bound, late := f.crashes[kind][4].Add(simContact), 0
+	for _, at := range f.arrivals[kind] {
 		if at.After(bound) {
 			late++
 		}
@@ -227,7 +230,8 @@
 				t.Run(fmt.Sprintf("%s/%d entries, cold %t", name, entries, cold), func(t *testing.T) {
 					for seed := range simSeeds {
 						f := &simFleet{rng: rand.New(rand.NewPCG(seed, 1)), now: start, kinds: tc.kinds, herd: tc.herd}
-						f.count, f.refused, f.arrivals = make([]int, len(tc.kinds)), make([]int, len(tc.kinds)), make([][]time.Time, len(tc.kinds))
+						f.count, f.refused = make([]int, len(tc.kinds)), make([]int, len(tc.kinds))
+						f.arrivals, f.crashes = make([][]time.Time, len(tc.kinds)), make([][]time.Time, len(tc.kinds))
 						for range entries {
 							f.trackers = append(f.trackers, NewTracker())
 						}
@@ -243,7 +247,7 @@
 						}
 						for k, kind := range f.kinds {
 							if kind.deadly {
-								require.LessOrEqual(t, lateArrivals(f.arrivals[k]), simLate, "seed %d: %d arrivals of kind %d", seed, len(f.arrivals[k]), k)
+								require.LessOrEqual(t, f.lateArrivals(k), simLate, "seed %d: %d arrivals of kind %d", seed, len(f.arrivals[k]), k)
 							} else {
 								require.Zero(t, f.refused[k], "seed %d: sound requests of kind %d refused", seed, k)
 							}
--- a/decision/poison/parts.go
+++ b/decision/poison/parts.go
@@ -258,22 +258,30 @@
 	t.parts.judgedAt = now
 	t.expire(now)
 	var verdicts []Verdict
-	for _, part := range t.suspectedParts() {
-		if d, isNew := t.judge(now, part); isNew {
-			t.markDeadly(part, d)
-			verdicts = append(verdicts, d.verdict(part))
+	parts := t.suspectedParts()
+	// A verdict on a narrow part explains crashes in which broad ones were involved.
+	for _, broad := range []bool{false, true} {
+		for _, part := range parts {
+			if d, isNew := t.judge(now, part, broad); isNew {
+				t.markDeadly(part, d)
+				verdicts = append(verdicts, d.verdict(part))
+			}
 		}
 	}
 	return verdicts
 }
 
-// judge decides about one part. It reports whether there is a new verdict.
-func (t *Tracker) judge(now time.Time, part uint64) (deadlyPart, bool) {
+// judge decides about one part if it is a broad or a narrow one, as asked for. It reports
+// whether there is a new verdict.
+func (t *Tracker) judge(now time.Time, part uint64, broad bool) (deadlyPart, bool) {
 	if d, ok := t.parts.deadly[part]; ok {
 		return d, len(d.with) > 0 && t.widen(part, &d)
 	}
 	e := t.evidence(now, part, settleTime)
-	if e.isBroad() {
+	if e.isBroad() != broad {
+		return deadlyPart{}, false
+	}
+	if broad {
 		e = t.evidence(now, part, lateSettleTime)
 	}
 	d := deadlyPart{at: e.last, with: e.companions(), crashes: len(e.times), upstreams: e.upstreams}
--- a/decision/poison/poison.go
+++ b/decision/poison/poison.go
@@ -148,7 +148,7 @@
 	if crashCount < Limit || crashCount >= HardLimit {
 		return crashCount >= HardLimit
 	}
-	shared, sharedParts := map[uint64]int{}, map[uint64]int{}
+	shared, sharedParts := tally{}, tally{}
 	for _, c := range t.crashes {
 		if c.attributed || !c.involves(fingerprint) {
 			continue
@@ -159,9 +159,9 @@
 				return false
 			}
 		}
-		count(sharedParts, c.partsBeside(fingerprint))
+		sharedParts.add(c.partsBeside(fingerprint))
 	}
-	return highest(sharedParts) < crashCount-1
+	return sharedParts.highest() < crashCount-1
 }
 
 // partsBeside returns the suspected parts that are not in a request, of those that were
--- a/decision/poison/verdict.go
+++ b/decision/poison/verdict.go
@@ -19,11 +19,13 @@
 	// receive the verdict.
 	reportTime      = 10 * time.Second
 	soundReportTime = 2 * time.Second
-	// maxReports, maxReportRequests and maxReportVerdicts bound the size of one
-	// update to other entries.
+	// maxReports, maxReportRequests, maxReportVerdicts and maxReportAnswers bound the size
+	// of one update to other entries: crashes, the requests of each, verdicts, and
+	// suspected parts that were answered.
 	maxReports        = 16
 	maxReportRequests = 16
 	maxReportVerdicts = 32
+	maxReportAnswers  = 64
 )
 
 // VerdictKind says what a verdict is about.
@@ -251,10 +253,10 @@
 	return r
 }
 
-// verdicts returns the newest verdicts: those on requests and parts that must be refused,
-// then those that have been cleared.
+// verdicts returns the newest verdicts: those on parts and requests that must be refused,
+// then those on requests that have been cleared, and then the parts that were answered.
 func (t *Tracker) verdicts() []Verdict {
-	var poison, cleared []Verdict
+	var poison, cleared, answers []Verdict
 	for part, d := range t.parts.deadly {
 		poison = append(poison, Verdict{Kind: PartVerdict, Fingerprint: part, At: d.at, With: d.with})
 	}
@@ -262,16 +264,16 @@
 		poison = append(poison, Verdict{Fingerprint: f, At: at})
 	}
 	for part := range t.parts.soundNews {
-		cleared = append(cleared, Verdict{Kind: PartVerdict, Fingerprint: part, At: t.parts.sound.sent[part], Cleared: true})
+		answers = append(answers, Verdict{Kind: PartVerdict, Fingerprint: part, At: t.parts.sound.sent[part], Cleared: true})
 	}
 	for f, at := range t.cleared {
 		cleared = append(cleared, Verdict{Fingerprint: f, At: at, Cleared: true})
 	}
-	for _, list := range [][]Verdict{poison, cleared} {
+	for _, list := range [][]Verdict{poison, cleared, answers} {
 		slices.SortFunc(list, func(a, b Verdict) int {
 			return cmp.Or(cmp.Compare(b.Kind, a.Kind), b.At.Compare(a.At), cmp.Compare(a.Fingerprint, b.Fingerprint))
 		})
 	}
 	list := append(poison, cleared...)
-	return list[:min(len(list), maxReportVerdicts)]
+	return append(list[:min(len(list), maxReportVerdicts)], answers[:min(len(answers), maxReportAnswers)]...)
 }
--- a/gateway/crashcodec.go
+++ b/gateway/crashcodec.go
@@ -22,12 +22,13 @@
 	fieldVerdictWith    protowire.Number = 5 // bytes: parts in eight bytes
 )
 
-// maxMessageCrashes limits the crashes, and the verdicts, that are decoded from one
-// gossip message, and maxCrashRequests the requests of one crash. Entries send fewer than
-// that.
+// maxMessageCrashes and maxMessageVerdicts limit the crashes and the verdicts that are
+// decoded from one gossip message, and maxCrashRequests the requests of one crash. Entries
+// send fewer than that.
 const (
-	maxMessageCrashes = 64
-	maxCrashRequests  = 64
+	maxMessageCrashes  = 64
+	maxMessageVerdicts = 128
+	maxCrashRequests   = 64
 )
 
 // appendCrashes encodes the crashes and verdicts of a gossip message.
@@ -156,7 +157,7 @@
 		}
 		return err
 	})
-	if err == nil && len(m.Verdicts) < maxMessageCrashes {
+	if err == nil && len(m.Verdicts) < maxMessageVerdicts {
 		m.Verdicts = append(m.Verdicts, verdict)
 	}
 	return err
