--- a/gateway/log.go
+++ b/gateway/log.go
@@ -1,7 +1,7 @@
 package gateway
 
 import (
-	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -72,7 +72,7 @@
 		"parts", hashesText(r.sharedParts()), "writing_ms", writing.Milliseconds())
 }
 
-// hashesText returns parts of prompts as callers write them, without their lengths.
+// hashesText returns the identifiers of parts.
 func hashesText(parts []uint64) string {
 	ids := make([]string, 0, len(parts))
 	for _, part := range parts {
@@ -81,5 +81,5 @@
 	return strings.Join(ids, ",")
 }
 
-// partText returns the identifier of a part as callers write it.
-func partText(hash uint64) string { return fmt.Sprintf("%08x", hash) }
+// partText returns the identifier of a part as callers write it, without leading zeros.
+func partText(hash uint64) string { return strconv.FormatUint(hash, 16) }
