gateway: notice that an answer without length or chunks was cut by a crash

What callers saw: an upstream that crashes closes its connections. A stream without chunks that ends so between two events, or before the first, was passed on as complete, and its request was cleared of crashes.

Cause: the end of the connection was taken for the end of the answer whenever no event was cut. Change: a stream that ends with its connection has at least one event, and at the end of an answer without length or chunks the entry looks whether the upstream refuses connections. If so, the answer is broken off: a stream is resumed elsewhere or its connection closed.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -4,27 +4,18 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"syscall"
 	"time"
 
 	"jaylink/decision/poison"
 	"jaylink/serving"
-)
-
-const (
-	// crashProbeTimeout limits the probe of an upstream whose connection broke.
-	// crashProbePause is the pause between two connection attempts of a probe; more than
-	// one may be needed, because a process that is just exiting resets new connections
-	// before it refuses them.
-	crashProbeTimeout = 250 * time.Millisecond
-	crashProbePause   = 20 * time.Millisecond
+	"jaylink/upstream/exchange"
 )
 
 // connectionLost reports whether an exchange failed because its connection broke, as
 // opposed to a timeout or limit of this entry.
 func connectionLost(err error) bool {
-	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, errTruncatedEvent, syscall.ECONNRESET, syscall.EPIPE} {
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, errTruncatedEvent, errNoEvent, errCrashedAtEnd, syscall.ECONNRESET, syscall.EPIPE} {
 		if errors.Is(err, cause) {
 			return true
 		}
@@ -93,7 +84,7 @@
 // partitioned.
 func (g *Gateway) probeUpstream(u serving.Upstream) {
 	defer g.endCrashProbe(u.ID)
-	crashed := refusesConnections(u.Address)
+	crashed := exchange.RefusesConnections(context.Background(), u.Address)
 	g.mu.Lock()
 	crashes := g.suspicions.ProbeFinished(u.ID, crashed)
 	g.mu.Unlock()
@@ -111,21 +102,25 @@
 	delete(g.crashProbes, upstream)
 }
 
-func refusesConnections(address string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
-	defer cancel()
-	var dialer net.Dialer
-	for ctx.Err() == nil {
-		c, err := dialer.DialContext(ctx, "tcp", address)
-		switch {
-		case err == nil:
-			// Nothing was sent on the connection, so an error on close does not matter.
-			_ = c.Close()
-			return false
-		case errors.Is(err, syscall.ECONNREFUSED):
-			return true
-		}
-		sleep(ctx, crashProbePause)
+// Errors of answers without a length or chunks, which end with their connection.
+var (
+	errNoEvent      = errors.New("stream ended before its first event")
+	errCrashedAtEnd = errors.New("upstream crashed at the end of its answer")
+)
+
+// checkEnd returns an error if an answer that has been read to its end is likely to be
+// incomplete. Only the upstream's state can show that if the answer ends with its
+// connection: the kernel closes the connections of a process that crashes.
+func (g *Gateway) checkEnd(ctx context.Context, r *request, answer *exchange.Answer) error {
+	u := r.progress.upstream
+	if answer.Delimited || !g.listedReady(u) {
+		return nil
 	}
-	return false
+	g.mu.Lock()
+	leaving := g.table.Leaving(u)
+	g.mu.Unlock()
+	if !leaving && exchange.RefusesConnections(ctx, u.Address) {
+		return errCrashedAtEnd
+	}
+	return nil
 }
--- a/gateway/deadlypart_test.go
+++ b/gateway/deadlypart_test.go
@@ -132,13 +132,24 @@
 func TestRequestsThatShareADeadlyPartCrashUpstreamsWithoutBound(t *testing.T) {
 	const first, deadly = "aa", "dd"
 	for _, tc := range []struct {
-		route    string
-		interval time.Duration
-	}{{"stream", 500 * time.Millisecond}, {"once", 500 * time.Millisecond}, {"stream", 125 * time.Millisecond}} {
-		t.Run(fmt.Sprintf("%s every %s", tc.route, tc.interval), func(t *testing.T) {
+		route       string
+		interval    time.Duration
+		undelimited bool
+	}{
+		{"stream", 500 * time.Millisecond, false}, {"once", 500 * time.Millisecond, false}, {"stream", 125 * time.Millisecond, false},
+		{"stream", 500 * time.Millisecond, true},
+	} {
+		name := fmt.Sprintf("%s every %s", tc.route, tc.interval)
+		if tc.undelimited {
+			name += " without a length"
+		}
+		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t)
 			d.configure()
 			upstreams := d.partUpstreams(12, deadly)
+			for _, s := range upstreams {
+				s.Undelimited = tc.undelimited
+			}
 			entries := []*entry{d.startEntry("entry-1"), d.startEntry("entry-2"), d.startEntry("entry-3")}
 			awaitPeers(t, entries...)
 			sound := partTraffic{tc.route, soundInterval, func(n int) []string { return []string{first, fmt.Sprintf("b%d", n%40)} }}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -55,6 +55,9 @@
 	if err == nil && len(body) == maxBufferedAnswer {
 		return g.relayUnbuffered(ctx, r, t, answer, body), nil
 	}
+	if err == nil {
+		err = g.checkEnd(ctx, r, answer)
+	}
 	switch {
 	case ctx.Err() != nil:
 		g.endAttempt(t, placement.Abandoned)
@@ -91,8 +94,11 @@
 	maps.Copy(r.w.Header(), platform.CallerAnswer(answer.Header))
 	r.w.WriteHeader(answer.Status)
 	n, err := io.Copy(r.w, io.MultiReader(bytes.NewReader(read), io.LimitReader(answer, maxAnswerBytes)))
-	if err == nil && n > maxAnswerBytes {
+	switch {
+	case err == nil && n > maxAnswerBytes:
 		err = exchange.ErrTooLong
+	case err == nil:
+		err = g.checkEnd(ctx, r, answer)
 	}
 	if err != nil {
 		if ctx.Err() != nil {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -100,7 +100,9 @@
 		var err error
 		ev, err = events.next()
 		if errors.Is(err, io.EOF) {
-			return g.handleStreamEnd(r, t, answer), nil
+			if err = g.checkStreamEnd(ctx, r, answer); err == nil {
+				return g.handleStreamEnd(r, t, answer), nil
+			}
 		}
 		if err != nil {
 			return g.handleBrokenStream(ctx, r, t, err), nil
@@ -156,6 +158,15 @@
 	r.w.WriteHeader(answer.Status)
 }
 
+// checkStreamEnd is checkEnd for streams. One that ends with its connection has at least
+// one event.
+func (g *Gateway) checkStreamEnd(ctx context.Context, r *request, answer *exchange.Answer) error {
+	if !answer.Delimited && r.progress.writingSince.IsZero() {
+		return errNoEvent
+	}
+	return g.checkEnd(ctx, r, answer)
+}
+
 // handleStreamEnd ends an attempt whose stream is complete.
 func (g *Gateway) handleStreamEnd(r *request, t *placement.Ticket, answer *exchange.Answer) attemptResult {
 	g.sendHead(r, answer)
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -54,6 +54,10 @@
 	// Rest answers 503 to every request without running it, with a Retry-After of
 	// RestTime.
 	Rest
+	// CloseAfterHead closes the connection after the status and headers of a stream.
+	CloseAfterHead
+	// CrashInStream crashes between the second and the third event.
+	CrashInStream
 	// Leave sends complete answers with the header Server-Leaving, which announces
 	// that the upstream is shutting down.
 	Leave
@@ -100,6 +104,9 @@
 	DeadlyParts        []string
 	Down               time.Duration
 	Crashed, Restarted func()
+	// Undelimited sends answers with neither a length nor chunks, which end with their
+	// connection. It must be set before the first request.
+	Undelimited bool
 	// RestTime is the Retry-After that Rest sends. It must be set before the first
 	// request.
 	RestTime time.Duration
@@ -329,6 +336,10 @@
 	time.Sleep(s.Pace)
 	headers := s.answerHeaders(fault) + s.limitHeader(id)
 	body := "answer to " + req.RequestURI
+	if s.Undelimited {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s\r\n%s", id, headers, body)
+		return false
+	}
 	if fault == CutAnswer {
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", id, headers, 2*len(body), body)
 		return false
@@ -345,8 +356,15 @@
 
 func (s *Server) serveStream(c net.Conn, id string, fault Fault, resumed int, deadly bool) bool {
 	headers := s.answerHeaders(fault) + s.limitHeader(id)
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, headers)
-	if _, err := io.WriteString(c, head); err != nil {
+	write, framing := writeChunk, "Transfer-Encoding: chunked\r\n"
+	if s.Undelimited {
+		write, framing = writeText, ""
+	}
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%sContent-Type: text/event-stream\r\n%s\r\n", id, headers, framing)
+	if writeText(c, head) != nil {
+		return false
+	}
+	if fault == CloseAfterHead {
 		return false
 	}
 	for n := resumed + 1; n < Events; n++ {
@@ -357,18 +375,21 @@
 		}
 		data := Event(n)
 		if fault == CutInEvent && n == 2 {
-			_ = writeChunk(c, data[:len(data)/2])
+			_ = write(c, data[:len(data)/2])
 			return false
 		}
-		if err := writeChunk(c, data); err != nil {
+		if fault == CrashInStream && n == 2 {
+			s.Crash()
+			return false
+		}
+		if write(c, data) != nil {
 			return false
 		}
 		if fault == Hold && n == resumed+1 && !s.waitForRelease(c) {
 			return false
 		}
 	}
-	_, err := io.WriteString(c, "0\r\n\r\n")
-	return err == nil
+	return !s.Undelimited && writeText(c, "0\r\n\r\n") == nil
 }
 
 // waitForRelease blocks until Release is called. It returns false if the caller
@@ -408,7 +429,9 @@
 // encodeChunk encodes data as one chunk of a chunked body.
 func encodeChunk(data string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(data), data) }
 
-func writeChunk(c net.Conn, data string) error {
-	_, err := io.WriteString(c, encodeChunk(data))
+func writeChunk(c net.Conn, data string) error { return writeText(c, encodeChunk(data)) }
+
+func writeText(c net.Conn, text string) error {
+	_, err := io.WriteString(c, text)
 	return err
 }
--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -85,6 +86,9 @@
 type Answer struct {
 	Status int
 	Header http.Header
+	// Delimited reports whether the end of the body can be told from a broken connection.
+	// If not, the body ends with its connection.
+	Delimited bool
 
 	pool      *Pool
 	address   string
@@ -147,7 +151,7 @@
 	}
 	_ = c.SetReadDeadline(time.Time{})
 	a := &Answer{
-		Status: resp.StatusCode, Header: resp.Header,
+		Status: resp.StatusCode, Header: resp.Header, Delimited: Delimited(resp),
 		pool: p, address: address, conn: c, body: resp.Body, write: &w,
 		reusable: !resp.Close && strays == 0, keepAlive: verdict.KeepAlive,
 	}
@@ -214,6 +218,12 @@
 	return nil, verdict, skipped, errors.New("received only responses to other requests")
 }
 
+// Delimited reports whether a response has a length or chunks, so that the end of its body
+// can be told from a broken connection.
+func Delimited(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked")
+}
+
 // IsEventStream reports whether the body is a stream of server-sent events.
 func (a *Answer) IsEventStream() bool {
 	return strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream")
