upstream: accept answers that end with their connection

The users' pages allow answers with neither a length nor chunks. The gateway relays them; jaylink entry refused each of them as broken (errUndelimited), so that a plain service with such answers served nobody.

Such an answer is now complete unless the upstream refuses connections at its end; both paths use the same probe. TestAnswerThatEndsWithItsConnection/complete failed before (outcome broken). Streams of engines have an end marker and are not concerned.

--- a/upstream/failure_test.go
+++ b/upstream/failure_test.go
@@ -120,6 +120,33 @@
 	}
 }
 
+// An answer may have neither a length nor chunks. It is complete unless its upstream has
+// crashed.
+func TestAnswerThatEndsWithItsConnection(t *testing.T) {
+	for name, crashes := range map[string]bool{"complete": false, "crash": true} {
+		t.Run(name, func(t *testing.T) {
+			p := newTCPUpstream(t, func(p *tcpUpstream, c net.Conn, r *bufio.Reader) {
+				if !p.readRequest(r) {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nanswer")
+				if crashes {
+					_ = p.Close()
+				}
+			})
+			client := New(nil)
+			defer client.Close()
+			answer, res := client.Forward(t.Context(), newCall(p.Addr().String(), false))
+			if crashes {
+				require.Equal(t, decision.OutcomeBroken, res.Outcome)
+				return
+			}
+			require.Equal(t, decision.OutcomeDone, res.Outcome, "%v", res.Err)
+			require.Equal(t, "answer", string(answer.Body))
+		})
+	}
+}
+
 func TestRefusedConnectionMeansNotRun(t *testing.T) {
 	p := newTCPUpstream(t, func(*tcpUpstream, net.Conn, *bufio.Reader) {})
 	require.NoError(t, p.Close())
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -7,12 +7,12 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 
 	"github.com/samber/oops"
 
 	"jaylink/decision"
 	"jaylink/decision/reason"
+	"jaylink/upstream/exchange"
 )
 
 // ServiceCall is one attempt at a request to a plain HTTP service.
@@ -62,10 +62,10 @@
 	if echo := resp.Header.Get(HeaderRequestID); echoesOtherAttempt(echo, call.RequestID) {
 		return nil, transportFailure(ctx, "read", call.Address, true, fmt.Errorf("answer is for request %q", echo))
 	}
-	if !delimited(resp) {
-		return nil, transportFailure(ctx, "read", call.Address, true, errUndelimited)
-	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, call.MaxAnswer+1))
+	if err == nil && !exchange.Delimited(resp) && exchange.RefusesConnections(ctx, call.Address) {
+		err = errCrashedAtEnd
+	}
 	if err != nil {
 		return nil, truncatedAnswer(ctx, call.Address, resp.StatusCode, err)
 	}
@@ -80,15 +80,9 @@
 	return answer, Result{Outcome: decision.OutcomeDone, Ran: reason.RanYes}
 }
 
-// errUndelimited means that a complete response can't be distinguished from a
-// truncated one.
-var errUndelimited = errors.New("response has neither a Content-Length nor chunked encoding")
-
-// delimited reports whether the end of the response body can be distinguished from
-// a broken connection.
-func delimited(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked")
-}
+// errCrashedAtEnd means that an answer with neither a length nor chunks, which ends with
+// its connection, is likely to be incomplete: its upstream has crashed.
+var errCrashedAtEnd = errors.New("upstream crashed at the end of its answer")
 
 // truncatedAnswer returns the Result of a response whose body could not be read
 // completely. A 2xx status proves that the request ran.
