--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -36,8 +36,10 @@
 
 // client sends requests in a loop over persistent connections.
 type client struct {
-	fleet        *fleet
-	name         string
+	fleet *fleet
+	name  string
+	// part is a shared part of all prompts that the client sends, or "".
+	part         string
 	rng          *rand.Rand
 	http         *http.Client
 	mu           *sync.Mutex
@@ -80,7 +82,11 @@
 	streams := route == "stream" || route == "once"
 	if streams {
 		call.Tokens = "500,100"
-		call.Prefix = fmt.Sprintf("%x:300,%x:200", c.rng.IntN(5)+1, c.rng.Uint64())
+		call.Prefix = fmt.Sprintf("%x:300,", c.rng.IntN(5)+1)
+		if c.part != "" {
+			call.Prefix += c.part + ":100,"
+		}
+		call.Prefix += fmt.Sprintf("%x:200", c.rng.Uint64())
 	}
 	req, err := call.Request(ctx, e.callerAddress())
 	if err != nil {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -215,7 +215,7 @@
 	if err != nil {
 		return err
 	}
-	s.Deadly, s.Down, s.RestTime = deadlyMark, downTime, restTime
+	s.Deadly, s.DeadlyParts, s.Down, s.RestTime = deadlyMark, deadlyParts, downTime, restTime
 	s.Crashed, s.Restarted = p.down, p.up
 	b := &backend{Server: s, proxy: p, service: service, zone: zoneName(zone)}
 	f.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -56,11 +56,12 @@
 	// maxFaultGap bounds the pause between the starts of two faults.
 	maxFaultGap  = 600 * time.Millisecond
 	pollInterval = 50 * time.Millisecond
-	// faultStream, noticeStream and limitStream select the random streams of the series
+	// faultStream, noticeStream, limitStream and partStream select the random streams of the series
 	// of faults. The callers use the streams between the first two.
 	faultStream  = 0
 	noticeStream = 1 << 32
 	limitStream  = 1 << 33
+	partStream   = 1 << 34
 )
 
 // Run runs the load and the fault schedule of one seed.
@@ -130,6 +131,7 @@
 	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, faultStream)), faults, log) })
 	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, noticeStream)), notices, log) })
 	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, limitStream)), limits, log) })
+	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, partStream)), parts, log) })
 	series.Wait()
 	callers.Wait()
 	slices.Sort(log.lines)
@@ -236,6 +238,7 @@
 	checkNotices(f, observations, report)
 	checkDeadly(f, report)
 	checkLimits(f, report)
+	checkDeadlyParts(f, report)
 	r.checkDuties(f, report)
 }
 
--- a/standin/upstream/crash.go
+++ b/standin/upstream/crash.go
@@ -18,8 +18,34 @@
 	return ids[:len(ids)-1]
 }
 
-func (s *Server) hasDeadlyPart(prefix string) bool {
-	return slices.ContainsFunc(SharedParts(prefix), func(id string) bool { return slices.Contains(s.DeadlyParts, id) })
+// deadlyPart returns the first deadly part of a prompt, or "".
+func (s *Server) deadlyPart(prefix string) string {
+	for _, id := range SharedParts(prefix) {
+		if slices.Contains(s.DeadlyParts, id) {
+			return id
+		}
+	}
+	return ""
+}
+
+// PartCrash is a crash that a deadly part of a prompt caused.
+type PartCrash struct {
+	Part string
+	At   time.Time
+}
+
+func (s *Server) crashBy(part string) {
+	s.mu.Lock()
+	s.crashedBy = append(s.crashedBy, PartCrash{part, time.Now()})
+	s.mu.Unlock()
+	s.Crash()
+}
+
+// PartCrashes returns the crashes that deadly parts caused, in order.
+func (s *Server) PartCrashes() []PartCrash {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]PartCrash(nil), s.crashedBy...)
 }
 
 // Crash closes the listener and all connections at once; the upstream listens again
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -125,6 +125,8 @@
 	limits  []limitChange
 	named   []naming
 	crashes int
+	// crashedBy lists the crashes that deadly parts caused.
+	crashedBy []PartCrash
 	// closedByCaller counts connections that the caller closed before the answer
 	// was complete.
 	closedByCaller int
@@ -279,7 +281,7 @@
 		return false
 	}
 	if req.Header.Get("Token-Count") != "" {
-		return s.serveStream(c, id, fault, resumed, s.hasDeadlyPart(req.Header.Get("Prefix-Hash")))
+		return s.serveStream(c, id, fault, resumed, s.deadlyPart(req.Header.Get("Prefix-Hash")))
 	}
 	return s.servePlain(c, req, id, fault)
 }
@@ -354,7 +356,7 @@
 // Event returns the bytes of one event of a stream.
 func Event(n int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n) }
 
-func (s *Server) serveStream(c net.Conn, id string, fault Fault, resumed int, deadly bool) bool {
+func (s *Server) serveStream(c net.Conn, id string, fault Fault, resumed int, deadlyPart string) bool {
 	headers := s.answerHeaders(fault) + s.limitHeader(id)
 	write, framing := writeChunk, "Transfer-Encoding: chunked\r\n"
 	if s.Undelimited {
@@ -369,8 +371,8 @@
 	}
 	for n := resumed + 1; n < Events; n++ {
 		time.Sleep(s.Pace)
-		if deadly {
-			s.Crash()
+		if deadlyPart != "" {
+			s.crashBy(deadlyPart)
 			return false
 		}
 		data := Event(n)
