--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -51,8 +51,8 @@
 	for _, a := range to {
 		f.sent++
 		for _, r := range reports {
-			for _, request := range r.Requests {
-				if f.trackers[a].Add(f.now, poison.Crash{Fingerprint: request, Upstream: r.Upstream, At: r.At}) {
+			for i, request := range r.Requests {
+				if f.trackers[a].Add(f.now, poison.Crash{Fingerprint: request, Upstream: r.Upstream, At: r.At, Parts: r.Parts[i]}) {
 					heard[a] = true
 				}
 			}
@@ -120,6 +120,60 @@
 	}
 }
 
+// judge has every entry judge the parts, which it does at least once in a round.
+func (f *crashFleet) judge() {
+	for _, a := range f.entries() {
+		if len(f.trackers[a].JudgeParts(f.now)) > 0 {
+			f.informed[a] = true
+		}
+	}
+}
+
+// maySend counts the entries that would send a request with a part.
+func (f *crashFleet) maySend(part uint64) int {
+	n := 0
+	for _, tr := range f.trackers {
+		if _, deadly := tr.DeadlyPart(f.now, []uint64{part}); !deadly {
+			n++
+		}
+	}
+	return n
+}
+
+// Five entries have seen one crash each of requests that share a part. All entries must
+// refuse requests with it within the contact bound of the platform, whatever the size of
+// the fleet, and so must an entry that starts later.
+func TestDeadlyPartIsKnownEverywhereInTime(t *testing.T) {
+	const contactBound, part = 3 * time.Second, 7
+	for _, entries := range []int{8, 60, 295, 1000} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			f := newCrashFleet(t, entries)
+			for i, a := range f.entries()[:5] {
+				for range int(200 * time.Millisecond / earlyGossipDelay) {
+					f.step(false)
+				}
+				f.trackers[a].Add(f.now, poison.Crash{Fingerprint: uint64(i), Upstream: fmt.Sprint(i), At: f.now, Parts: []uint64{part}})
+				f.informed[a] = true
+			}
+			await := func() time.Duration {
+				began := f.now
+				for i := 1; f.maySend(part) > 0 && f.now.Sub(began) < contactBound; i++ {
+					inRound := i%int(slowGossipInterval/earlyGossipDelay) == 0
+					f.step(inRound)
+					if inRound {
+						f.judge()
+					}
+				}
+				require.Zero(t, f.maySend(part))
+				return f.now.Sub(began)
+			}
+			t.Logf("all %d entries know after %s, with %d datagrams per entry", entries, await(), f.sent/entries)
+			f.trackers[f.entries()[entries-1]] = poison.NewTracker()
+			t.Logf("an entry that starts knows after %s", await())
+		})
+	}
+}
+
 // An upstream announces in its answers that it is leaving, and exits while the store,
 // which has that information too, is unavailable. This must not count as a crash.
 func TestPlannedEndOfAnUpstreamBlamesItsRequests(t *testing.T) {
