gateway: count crashes of upstreams that are back before the probe

A probe that finds an upstream running proves nothing if it restarts faster than that: the connections broke in a crash that nobody counted. When the list shows the same upstream as another process soon after, or another one at its address, without a shutdown that was announced, what was on it is counted as involved.

--- a/decision/poison/suspicion.go
+++ b/decision/poison/suspicion.go
@@ -31,7 +31,7 @@
 func (s *CrashSuspicions) ConnectionBroken(c Crash) (probe, crashed bool) {
 	s.expire(c.At)
 	suspect := s.byUpstream[c.Upstream]
-	if suspect == nil {
+	if suspect == nil || suspect.probed && c.At.Sub(suspect.at) >= crashMergeWindow {
 		s.byUpstream[c.Upstream] = &suspectedCrash{at: c.At, requests: []Crash{c}}
 		return true, false
 	}
@@ -63,11 +63,26 @@
 	return out
 }
 
-// expire drops probed upstreams once a further broken connection belongs to
-// another event.
+// Restarted records that an upstream is another process than before without having been
+// shut down. If connections to it broke shortly before, it has crashed even if the probe
+// found it running again. Restarted returns the crashes that were not known yet.
+func (s *CrashSuspicions) Restarted(now time.Time, upstream string) []Crash {
+	suspect := s.byUpstream[upstream]
+	if suspect == nil || !suspect.probed || suspect.crashed || now.Sub(suspect.at) >= restartNoticeTime {
+		return nil
+	}
+	suspect.probed = false
+	return s.ProbeFinished(upstream, true)
+}
+
+// restartNoticeTime is how long after its connections broke an upstream may be listed as
+// a new process.
+const restartNoticeTime = 10 * time.Second
+
+// expire drops upstreams that can't be noticed to have crashed any more.
 func (s *CrashSuspicions) expire(now time.Time) {
 	for upstream, suspect := range s.byUpstream {
-		if suspect.probed && now.Sub(suspect.at) >= crashMergeWindow {
+		if suspect.probed && now.Sub(suspect.at) >= restartNoticeTime {
 			delete(s.byUpstream, upstream)
 		}
 	}
--- a/decision/poison/suspicion_test.go
+++ b/decision/poison/suspicion_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -24,6 +25,21 @@
 	require.True(t, probe, "a connection that breaks later belongs to another event")
 }
 
+// An upstream may be running again before the probe. That it is another process shows the
+// crash.
+func TestUpstreamThatIsBackBeforeTheProbeHasCrashed(t *testing.T) {
+	s := NewCrashSuspicions()
+	require.Empty(t, s.Restarted(start, "u"), "no connection broke")
+	s.ConnectionBroken(report(1, "u", 0))
+	require.Empty(t, s.Restarted(start, "u"), "the probe will tell")
+	require.Empty(t, s.ProbeFinished("u", false))
+	require.Equal(t, []Crash{report(1, "u", 0)}, s.Restarted(start.Add(2*time.Second), "u"))
+	require.Empty(t, s.Restarted(start.Add(3*time.Second), "u"))
+	s.ConnectionBroken(report(2, "v", 0))
+	s.ProbeFinished("v", false)
+	require.Empty(t, s.Restarted(start.Add(restartNoticeTime), "v"), "the restart has another cause")
+}
+
 func TestLiveUpstreamYieldsNoCrash(t *testing.T) {
 	s := NewCrashSuspicions()
 	s.ConnectionBroken(report(1, "u", 0))
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -174,6 +174,21 @@
 	}
 }
 
+func TestRestartedUpstreamsAreNoticed(t *testing.T) {
+	u := func(address string, start int64, draining bool) serving.Upstream {
+		return serving.Upstream{Service: "s", Address: address, StartMillis: start, Draining: draining}
+	}
+	other := u("a5", 2, false)
+	other.Service = "another"
+	before := map[string]serving.Upstream{
+		"same": u("a1", 1, false), "restarted": u("a2", 1, false), "drained": u("a3", 1, true), "replaced": u("a4", 1, false), "reused": u("a5", 1, false), "gone": u("a6", 1, false),
+	}
+	next := map[string]serving.Upstream{
+		"same": u("a1", 1, false), "restarted": u("a2", 2, false), "drained": u("a3", 2, false), "replacement": u("a4", 2, false), "other": other,
+	}
+	require.ElementsMatch(t, []string{"restarted", "replaced"}, restartedUpstreams(before, next))
+}
+
 // An upstream announces in its answers that it is leaving, and exits while the store,
 // which has that information too, is unavailable. This must not count as a crash.
 func TestPlannedEndOfAnUpstreamBlamesItsRequests(t *testing.T) {
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"jaylink/decision/poison"
 	"jaylink/decision/quota"
 	"jaylink/objects"
 	"jaylink/platform"
@@ -187,11 +188,19 @@
 
 // applyUpstreams merges changes into the upstream list.
 func (g *Gateway) applyUpstreams(ctx context.Context, c objectChanges, source string) {
+	for _, crashes := range g.mergeIntoUpstreams(ctx, c, source) {
+		g.recordCrashes(g.settings.Name, crashes)
+	}
+}
+
+// mergeIntoUpstreams is applyUpstreams without what needs other locks. It returns the
+// crashes that the changes have shown, by upstream.
+func (g *Gateway) mergeIntoUpstreams(ctx context.Context, c objectChanges, source string) [][]poison.Crash {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	before := g.upstreams.Load()
 	if before != nil && (c.Revision < before.revision || (len(c.Items) == 0 && !c.complete)) {
-		return
+		return nil
 	}
 	next := mergeUpstreams(before, c, g.log.Warn)
 	next.keepMissing(before, time.Now(), g.missingGrace())
@@ -205,7 +214,36 @@
 	}
 	if before == nil {
 		g.log.Info("upstream list loaded", "count", len(next.upstreams), "source", source, "revision", next.revision)
+		return nil
+	}
+	var crashes [][]poison.Crash
+	for _, id := range restartedUpstreams(before.upstreams, next.upstreams) {
+		if list := g.suspicions.Restarted(g.trueTime(), id); len(list) > 0 {
+			g.metrics.crashes.Inc(1)
+			crashes = append(crashes, list)
+		}
+	}
+	return crashes
+}
+
+// restartedUpstreams returns the IDs of upstreams that were not draining and are another
+// process now, under the same ID or under another one at the same address.
+func restartedUpstreams(before, next map[string]serving.Upstream) []string {
+	added := map[string]string{}
+	for id, u := range next {
+		if _, known := before[id]; !known {
+			added[u.Address] = u.Service
+		}
+	}
+	var ids []string
+	for id, old := range before {
+		u, listed := next[id]
+		isNewProcess := listed && u.StartMillis != old.StartMillis || !listed && added[old.Address] == old.Service
+		if isNewProcess && !old.Draining {
+			ids = append(ids, id)
+		}
 	}
+	return ids
 }
 
 // setUpstreams makes a list the active one. The caller holds mu.
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -103,9 +103,9 @@
 		}
 	})
 	if q.RequestID != "" && len(out) > 0 {
-		surrounding := surroundingLines(lines, out, q)
-		out = append(out, limitsInForce(lines, out, surrounding)...)
-		out = append(out, surrounding...)
+		about := out
+		surrounding := surroundingLines(lines, about, q)
+		out = slices.Concat(about, limitsInForce(lines, about, surrounding), partVerdicts(lines, about), surrounding)
 	}
 	slices.SortStableFunc(out, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	return out
@@ -187,6 +187,31 @@
 	return out
 }
 
+// partMessage is the log message of a verdict on a part of prompts, and partReason the
+// reason of a refusal because of one.
+const (
+	partMessage = "verdict on a part"
+	partReason  = "poison_part"
+)
+
+// partVerdicts returns, if a request was refused because of a part of its prompt, the
+// verdicts on that part until then at all entries. The entry that passed the verdict names
+// the crashes.
+func partVerdicts(all, about []Line) []Line {
+	var out []Line
+	for _, refused := range about {
+		if refused.Fields["reason"] != partReason {
+			continue
+		}
+		for _, l := range all {
+			if l.Message == partMessage && l.Fields["part"] == refused.Fields["part"] && !l.Time.After(refused.Time) {
+				out = append(out, l)
+			}
+		}
+	}
+	return out
+}
+
 // String returns the line as text: time, entry, message and fields.
 func (l Line) String() string {
 	var b strings.Builder
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -73,3 +73,19 @@
 	require.Equal(t, "1", explained[0].Fields["limit"])
 	require.Equal(t, []string{"e1 request"}, messages(Explain(lines, Query{RequestID: "r2"})))
 }
+
+const partLogs = `{"time":"2026-01-01T10:00:00Z","level":"WARN","msg":"verdict on a part","entry":"e2","part":"dd","crashes":4,"upstreams":["u1","u2"],"source":"e2"}
+{"time":"2026-01-01T10:00:00.1Z","level":"WARN","msg":"verdict on a part","entry":"e1","part":"dd","source":"e2"}
+{"time":"2026-01-01T10:00:01Z","level":"WARN","msg":"verdict on a part","entry":"e1","part":"ee","source":"e1"}
+{"time":"2026-01-01T10:05:00Z","level":"INFO","msg":"request","entry":"e1","request_id":"r1","outcome":"refused","reason":"poison_part","part":"dd"}
+`
+
+// A refusal because of a part of the prompt is explained by the verdicts on it, at the
+// entry that passed it too.
+func TestExplainNamesTheCrashesOfAPart(t *testing.T) {
+	lines, _, err := Read(strings.NewReader(partLogs))
+	require.NoError(t, err)
+	explained := Explain(lines, Query{RequestID: "r1"})
+	require.Equal(t, []string{"e2 verdict on a part", "e1 verdict on a part", "e1 request"}, messages(explained))
+	require.EqualValues(t, 4, explained[0].Fields["crashes"])
+}
