--- a/decision/poison/parts.go
+++ b/decision/poison/parts.go
@@ -39,6 +39,9 @@
 	MaxRunParts    = 8
 	maxCrashRuns   = 64
 	maxPartCrashes = 128
+	// relapseTime is how long after its last crash a part is remembered. From retention on
+	// its requests are sent, and the next crash renews the verdict.
+	relapseTime = 8 * retention
 	// maxSoundParts is the number of answered parts that are remembered.
 	maxSoundParts = 8192
 )
@@ -143,12 +146,22 @@
 	for _, part := range parts {
 		p.suspects[part]++
 		if d, ok := p.deadly[part]; ok && d.covers(parts) {
+			t.renew(part, d, report.At)
 			t.attributeToPart(c, part)
 		}
 	}
 	return len(parts) > 0
 }
 
+// renew puts a verdict that has ended into force again if the part was involved in another
+// crash: one suffices for a part that was never answered since.
+func (t *Tracker) renew(part uint64, d deadlyPart, crashAt time.Time) {
+	if crashAt.Sub(d.at) >= retention {
+		d.at = crashAt
+		t.parts.deadly[part] = d
+	}
+}
+
 // limitPartCrashes drops the parts of the oldest crash if there are too many crashes.
 func (t *Tracker) limitPartCrashes() {
 	n := 0
@@ -242,8 +255,16 @@
 	return !slices.ContainsFunc(d.with, func(w uint64) bool { return !slices.Contains(parts, w) })
 }
 
-// DeadlyParts returns the number of parts that crash upstreams.
-func (t *Tracker) DeadlyParts() int { return len(t.parts.deadly) }
+// DeadlyParts returns the number of parts because of which requests are refused.
+func (t *Tracker) DeadlyParts(now time.Time) int {
+	n := 0
+	for _, d := range t.parts.deadly {
+		if now.Sub(d.at) < retention {
+			n++
+		}
+	}
+	return n
+}
 
 // DroppedEvidence returns how many requests and parts that were involved in crashes were
 // not recorded because of the limits.
--- a/decision/poison/parts_test.go
+++ b/decision/poison/parts_test.go
@@ -55,6 +55,31 @@
 	require.Empty(t, judged(tr, 3*time.Second), "a verdict is passed once")
 }
 
+// A deadly part whose requests still come after the retention would crash as many upstreams
+// as at first each time.
+func TestOneCrashRenewsAVerdictThatHasEnded(t *testing.T) {
+	tr := NewTracker()
+	for i := range Limit {
+		at := time.Duration(i) * 400 * time.Millisecond
+		tr.Add(start.Add(at), crashOf(uint64(i), at, deadlyOne))
+	}
+	require.Equal(t, []uint64{deadlyOne}, judged(tr, 2*time.Second))
+	refuses := func(after time.Duration) bool {
+		_, deadly := tr.DeadlyPart(start.Add(after), []uint64{deadlyOne})
+		return deadly
+	}
+	later := retention + time.Minute
+	require.False(t, refuses(later))
+	require.Zero(t, tr.DeadlyParts(start.Add(later)))
+	tr.Add(start.Add(later), crashOf(50, later, deadlyOne))
+	require.True(t, refuses(later))
+	_, verdicts := tr.Updates(start.Add(later))
+	require.Len(t, verdicts, 1)
+	require.False(t, refuses(later+relapseTime))
+	tr.expire(start.Add(later + relapseTime))
+	require.Empty(t, tr.parts.deadly)
+}
+
 func TestPartsThatAreNotTheCause(t *testing.T) {
 	const ms = time.Millisecond
 	cases := map[string]func(tr *Tracker){
@@ -193,7 +218,7 @@
 	require.False(t, deadly)
 	_, answers := two.Updates(later)
 	require.True(t, slices.ContainsFunc(answers, func(v Verdict) bool { return v.Kind == PartVerdict && v.Cleared && one.ApplyVerdict(later, v) }))
-	require.Zero(t, one.DeadlyParts())
+	require.Zero(t, one.DeadlyParts(later))
 }
 
 func TestEvidenceOnPartsIsBounded(t *testing.T) {
--- a/decision/poison/poison.go
+++ b/decision/poison/poison.go
@@ -234,7 +234,7 @@
 			}
 		}
 	}
-	maps.DeleteFunc(t.parts.deadly, func(_ uint64, d deadlyPart) bool { return now.Sub(d.at) >= retention })
+	maps.DeleteFunc(t.parts.deadly, func(_ uint64, d deadlyPart) bool { return now.Sub(d.at) >= relapseTime })
 	maps.DeleteFunc(t.parts.soundNews, func(_ uint64, at time.Time) bool { return now.Sub(at) >= soundReportTime })
 }
 
--- a/decision/poison/verdict.go
+++ b/decision/poison/verdict.go
@@ -201,7 +201,7 @@
 // cause, newest first, and all verdicts, up to the size limits.
 func (t *Tracker) Updates(now time.Time) ([]Report, []Verdict) {
 	t.expire(now)
-	return t.reports(now), t.verdicts()
+	return t.reports(now), t.verdicts(now)
 }
 
 // HasUpdates reports whether Updates would return anything, without building the
@@ -255,9 +255,12 @@
 
 // verdicts returns the newest verdicts: those on parts and requests that must be refused,
 // then those on requests that have been cleared, and then the parts that were answered.
-func (t *Tracker) verdicts() []Verdict {
+func (t *Tracker) verdicts(now time.Time) []Verdict {
 	var poison, cleared, answers []Verdict
 	for part, d := range t.parts.deadly {
+		if now.Sub(d.at) >= retention {
+			continue
+		}
 		poison = append(poison, Verdict{Kind: PartVerdict, Fingerprint: part, At: d.at, With: d.with})
 	}
 	for f, at := range t.poisoned {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -276,7 +276,7 @@
 	m := g.metrics
 	m.inFlight.Update(g.inFlight.Load())
 	m.peers.Update(int64(len(g.peers)))
-	m.deadlyParts.Update(int64(g.poison.DeadlyParts()))
+	m.deadlyParts.Update(int64(g.poison.DeadlyParts(g.trueTime())))
 	m.droppedEvidence.Update(g.poison.DroppedEvidence())
 	if at := g.confirmedAt.Load(); at > 0 {
 		m.configurationAge.Update((monotonic() - time.Duration(at)).Milliseconds())
