gateway: test that a verdict on a part ends requests under way

The attempts are canceled with the verdict on a part; the test failed without that (it waits for the silent upstream). Requests with other parts and those that are being answered go on. The stand-in upstream drops a deadly request whose caller has closed the connection, as real ones do.

--- a/decision/poison/verdict.go
+++ b/decision/poison/verdict.go
@@ -208,7 +208,7 @@
 // lists.
 func (t *Tracker) HasUpdates(now time.Time) bool {
 	t.expire(now)
-	return len(t.poisoned)+len(t.cleared)+len(t.parts.deadly)+len(t.parts.soundNews) > 0 || slices.ContainsFunc(t.crashes, func(c *crash) bool { return c.isReportable(now) })
+	return len(t.poisoned)+len(t.cleared)+t.DeadlyParts(now)+len(t.parts.soundNews) > 0 || slices.ContainsFunc(t.crashes, func(c *crash) bool { return c.isReportable(now) })
 }
 
 // isReportable reports whether a crash is still sent to other entries.
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -6,11 +6,14 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"jaylink/decision/placement"
 	"jaylink/decision/poison"
 	"jaylink/platform"
 	"jaylink/serving"
@@ -174,6 +177,46 @@
 	}
 }
 
+// With the verdict on a part, requests that have not begun to be answered must not go on
+// to crash the upstreams that they are on: the caller gets the final refusal at once.
+func TestVerdictOnAPartEndsRequestsUnderWay(t *testing.T) {
+	const part = 7
+	requestWith := func(part uint64) *request {
+		r := &request{http: httptest.NewRequest(http.MethodPost, "/a/1", nil), route: &serving.Route{MaxAttempts: 2}, service: &serving.Service{Name: "s"}, deadline: time.Now().Add(time.Minute)}
+		r.Prompt = &serving.Prompt{Parts: []serving.Part{{Hash: part}, {Hash: 1}}}
+		return r
+	}
+	retryBounds := bounds()
+	retryBounds.RetryWindow = 10 * time.Second
+	// The upstream accepts connections and never answers.
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer silent.Close()
+	g := New(platform.Settings{Name: "e", Bounds: retryBounds}, slog.New(slog.DiscardHandler))
+	u := serving.Upstream{ID: "i", Service: "s", Address: silent.Addr().String()}
+	g.table.SetUpstreams([]serving.Upstream{u})
+	deadly, other, begun := requestWith(part), requestWith(part+1), requestWith(part)
+	begun.progress.writingSince = time.Now()
+	ended := map[*request]bool{}
+	for _, r := range []*request{other, begun} {
+		g.promptAttempts[r] = func(error) { ended[r] = true }
+	}
+	result := make(chan attemptResult)
+	go func() {
+		got, _ := g.attempt(t.Context(), deadly, placement.Choice{Upstream: u})
+		result <- got
+	}()
+	conn, err := silent.Accept()
+	require.NoError(t, err)
+	defer conn.Close()
+	g.applyCrashReports(gossipMessage{Entry: "peer", Verdicts: []poison.Verdict{{Kind: poison.PartVerdict, Fingerprint: part, At: g.clock.At(monotonic())}}})
+	require.Equal(t, broken, <-result)
+	refused := g.poisonRefusal(deadly)
+	require.NotNil(t, refused)
+	require.Equal(t, http.StatusBadRequest, refused.status)
+	require.Empty(t, ended)
+}
+
 func TestRestartedUpstreamsAreNoticed(t *testing.T) {
 	u := func(address string, start int64, draining bool) serving.Upstream {
 		return serving.Upstream{Service: "s", Address: address, StartMillis: start, Draining: draining}
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -370,11 +371,13 @@
 		return false
 	}
 	for n := resumed + 1; n < Events; n++ {
-		time.Sleep(s.Pace)
 		if deadlyPart != "" {
-			s.crashBy(deadlyPart)
+			if !s.closedWithin(c, s.Pace) {
+				s.crashBy(deadlyPart)
+			}
 			return false
 		}
+		time.Sleep(s.Pace)
 		data := Event(n)
 		if fault == CutInEvent && n == 2 {
 			_ = write(c, data[:len(data)/2])
@@ -423,6 +426,23 @@
 	}
 }
 
+// closedWithin waits for a time and reports whether the caller closed the connection in it.
+func (s *Server) closedWithin(c net.Conn, wait time.Duration) bool {
+	// An error means that the connection is closed, which the read shows.
+	_ = c.SetReadDeadline(time.Now().Add(wait))
+	var buf [1]byte
+	_, err := c.Read(buf[:])
+	if err == nil || isTimeout(err) {
+		return false
+	}
+	if !errors.Is(err, net.ErrClosed) {
+		s.mu.Lock()
+		s.closedByCaller++
+		s.mu.Unlock()
+	}
+	return true
+}
+
 func isTimeout(err error) bool {
 	timeout, ok := err.(net.Error)
 	return ok && timeout.Timeout()
