gateway, poison: a head alone clears no part

Found in the review of the change: an answer that is not a stream counted as being written from its head on. An upstream that sends the head first and crashes when it begins to write would have cleared the deadly part. Now only events and complete answers count (TestHeadOfAnAnswerClearsNoPart failed before).

A verdict from an entry that does not know of a newer answer is answered with that, and the widening of a verdict no longer depends on the order in which results are evaluated.

--- a/decision/poison/parts.go
+++ b/decision/poison/parts.go
@@ -296,7 +296,7 @@
 // whether there is a new verdict.
 func (t *Tracker) judge(now time.Time, part uint64, broad bool) (deadlyPart, bool) {
 	if d, ok := t.parts.deadly[part]; ok {
-		return d, len(d.with) > 0 && t.widen(part, &d)
+		return t.widen(part, d)
 	}
 	e := t.evidence(now, part, settleTime)
 	if e.isBroad() != broad {
@@ -379,9 +379,12 @@
 	t.attribute(c)
 }
 
-// widen removes from a verdict the parts without which the part has crashed upstreams as
-// well. It reports whether the verdict has changed.
-func (t *Tracker) widen(part uint64, d *deadlyPart) bool {
+// widen returns the verdict on a part without the other parts without which it has crashed
+// upstreams as well, and reports whether there are any.
+func (t *Tracker) widen(part uint64, d deadlyPart) (deadlyPart, bool) {
+	if len(d.with) == 0 {
+		return d, false
+	}
 	without := map[uint64]int{}
 	last := d.at
 	for _, c := range t.crashes {
@@ -394,10 +397,10 @@
 	}
 	with := slices.DeleteFunc(slices.Clone(d.with), func(w uint64) bool { return without[w] >= minOwnCrashes })
 	if len(with) == len(d.with) {
-		return false
+		return d, false
 	}
 	d.with, d.at = with, last
-	return true
+	return d, true
 }
 
 func maxTime(a, b time.Time) time.Time {
--- a/decision/poison/verdict.go
+++ b/decision/poison/verdict.go
@@ -187,7 +187,12 @@
 		return true
 	}
 	known, ok := t.parts.deadly[v.Fingerprint]
-	if sent, answered := t.parts.sound.sent[v.Fingerprint]; answered && !v.At.After(sent) || ok && !v.At.After(known.at) {
+	if sent, answered := t.parts.sound.sent[v.Fingerprint]; answered && !v.At.After(sent) {
+		// The sender does not know of the answer.
+		t.parts.soundNews[v.Fingerprint] = now
+		return false
+	}
+	if ok && !v.At.After(known.at) {
 		return false
 	}
 	t.markDeadly(v.Fingerprint, deadlyPart{at: v.At, with: v.With})
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -69,8 +69,8 @@
 	// firstEvent is the time from the request's arrival until an upstream began to
 	// answer.
 	firstEvent time.Duration
-	// writingSince is when the latest attempt's upstream began to send the body of its
-	// answer; zero if it has not. It is written under the gateway's mu.
+	// writingSince is when the first event of the latest attempt arrived; zero if none has.
+	// It is written under the gateway's mu.
 	writingSince time.Time
 	// sentAt is when the latest attempt was sent, in true time. partsRecorded is set once
 	// that attempt has cleared the parts of the prompt.
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -217,6 +217,19 @@
 	require.Empty(t, ended)
 }
 
+// The status and headers of an answer may come before the upstream begins to write it, and
+// must not clear the parts of its prompt.
+func TestHeadOfAnAnswerClearsNoPart(t *testing.T) {
+	g := New(platform.Settings{Name: "e", Bounds: bounds()}, slog.New(slog.DiscardHandler))
+	u := serving.Upstream{ID: "i", Service: "s"}
+	g.table.SetUpstreams([]serving.Upstream{u})
+	r := &request{route: &serving.Route{}, service: &serving.Service{Name: "s"}}
+	g.markStarted(r, g.table.Start(time.Now(), placement.Choice{Upstream: u}, nil))
+	require.False(t, r.progress.provesParts(time.Now().Add(time.Minute)))
+	g.recordWriting(r)
+	require.True(t, r.progress.provesParts(time.Now().Add(time.Minute)))
+}
+
 func TestRestartedUpstreamsAreNoticed(t *testing.T) {
 	u := func(address string, start int64, draining bool) serving.Upstream {
 		return serving.Upstream{Service: "s", Address: address, StartMillis: start, Draining: draining}
--- a/gateway/poison.go
+++ b/gateway/poison.go
@@ -200,7 +200,7 @@
 	return slices.Contains([]reason.Reason{reason.Poison, reason.PoisonPart}, f.reason)
 }
 
-// provenWritingTime is how long an upstream has to write an answer to show that none of
+// provenWritingTime is how long an upstream has to send events of an answer to show that none of
 // the parts of its prompt crash upstreams: those that do crash it when it begins.
 const provenWritingTime = 250 * time.Millisecond
 
@@ -210,6 +210,19 @@
 	return !p.writingSince.IsZero() && now.Sub(p.writingSince) >= provenWritingTime
 }
 
+// recordWriting records that an event has arrived.
+func (g *Gateway) recordWriting(r *request) {
+	now := time.Now()
+	if r.progress.writingSince.IsZero() {
+		g.mu.Lock()
+		r.progress.writingSince = now
+		g.mu.Unlock()
+	}
+	if r.progress.provesParts(now) {
+		g.recordSoundParts(r)
+	}
+}
+
 // recordSoundParts clears the parts of a request's prompt after its attempt has shown that
 // they do not crash upstreams.
 func (g *Gateway) recordSoundParts(r *request) {
@@ -228,15 +241,15 @@
 }
 
 // recordAnswer ends an attempt that got a complete answer, which shows that the request
-// does not crash upstreams. Only an answer of success shows that the upstream has written
-// one to the prompt.
-func (g *Gateway) recordAnswer(r *request, t *placement.Ticket, status int) {
+// does not crash upstreams. isWritten says that the upstream has written an answer to the
+// prompt, as opposed to an error or an empty stream.
+func (g *Gateway) recordAnswer(r *request, t *placement.Ticket, isWritten bool) {
 	f := r.fingerprint()
 	g.mu.Lock()
 	g.table.End(time.Now(), t, placement.Answered)
 	cleared := g.poison.Answered(g.trueTime(), f)
 	g.mu.Unlock()
-	if status < http.StatusMultipleChoices && !r.progress.writingSince.IsZero() {
+	if isWritten {
 		g.recordSoundParts(r)
 	}
 	if cleared {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -75,7 +75,7 @@
 		g.logFailedAttempt(r, "upstream failed")
 		return serverError, buffered
 	}
-	g.recordAnswer(r, t, answer.Status)
+	g.recordAnswer(r, t, answer.Status < http.StatusMultipleChoices)
 	g.writeAnswer(r, buffered)
 	return delivered, buffered
 }
@@ -107,7 +107,7 @@
 		}
 		return g.handleBrokenAnswer(r, t, err)
 	}
-	g.recordAnswer(r, t, answer.Status)
+	g.recordAnswer(r, t, answer.Status < http.StatusMultipleChoices)
 	return delivered
 }
 
@@ -139,14 +139,8 @@
 		r.progress.firstEvent = now.Sub(r.arrived)
 		g.metrics.recordLatency("first_event_ms", r, r.progress.firstEvent)
 	}
-	if r.progress.provesParts(now) {
-		g.recordSoundParts(r)
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if r.progress.writingSince.IsZero() {
-		r.progress.writingSince = now
-	}
 	g.table.FirstEvent(now, t)
 	if r.customer != nil && !r.progress.usageCounted {
 		r.progress.usageCounted = true
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -108,6 +108,7 @@
 			return g.handleBrokenStream(ctx, r, t, err), nil
 		}
 		g.markStarted(r, t)
+		g.recordWriting(r)
 		if ev.id >= 0 && ev.id <= r.progress.lastEvent {
 			continue
 		}
@@ -170,7 +171,7 @@
 // handleStreamEnd ends an attempt whose stream is complete.
 func (g *Gateway) handleStreamEnd(r *request, t *placement.Ticket, answer *exchange.Answer) attemptResult {
 	g.sendHead(r, answer)
-	g.recordAnswer(r, t, answer.Status)
+	g.recordAnswer(r, t, !r.progress.writingSince.IsZero())
 	return delivered
 }
 
