--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -5,6 +5,7 @@
 //   - accept.go, attempt.go, relay.go, stream.go: the path of a request;
 //   - sources.go, peersync.go: the configuration and the upstream list, read from
 //     the store or from other entries;
+//   - poison.go, crash.go: requests and parts of prompts that crash upstreams;
 //   - discovery.go: registration of this entry and lookup of the others;
 //   - gossip.go: state exchange between entries;
 //   - duties.go, usage.go, scale.go: tasks that one entry does for all of them;
