poison: do not take a first part for the cause before anything was answered

After a cold start in which deadly parts crash all three engines, one of five first parts was on fewer requests in crashes than the deadly parts that came with it, so it passed for the narrower one, and its crashes could not be told from theirs.

Now crashes that are attributed to another part no longer count for any part; a part is not the cause if parts with more crashes were involved in nearly all of its own; and a part that came before one that was never answered is a broad one, which waits for a second. TestFirstPartOfFewRequestsIsNotTheCauseBeforeTheFirstAnswer failed before (it blamed two first parts).

--- a/decision/poison/evidence.go
+++ b/decision/poison/evidence.go
@@ -48,14 +48,18 @@
 	narrower         tally
 	narrowerRequests map[uint64]map[uint64]bool
 	narrowerSets     []map[uint64]bool
+	// isAncestor is set if the part came before one that was never answered.
+	isAncestor bool
 	// attributed is the number of crashes that have been attributed to a narrower part.
 	attributed int
 	// joint holds the narrower parts that are refused only together with the part.
 	joint map[uint64]bool
-	// together counts the crashes in which another part was in all requests with the
-	// part, and anywhere those in which it was on the upstream; both only if that part was
-	// never answered.
-	together, anywhere tally
+	// together counts the crashes in which another part that was never answered was in all
+	// requests with the part.
+	together tally
+	// suspectSets has the other parts that were never answered and were on the upstream,
+	// for each crash that is not attributed.
+	suspectSets []map[uint64]bool
 	// otherRequests and otherParts count the crashes by what was on the upstream besides
 	// the requests with the part.
 	otherRequests, otherParts tally
@@ -67,7 +71,7 @@
 	e := &evidence{
 		sound: t.parts.sound, suspects: t.parts.suspects, part: part, answered: t.parts.sound.knows(part),
 		requests: tally{}, narrower: tally{}, narrowerRequests: map[uint64]map[uint64]bool{}, joint: map[uint64]bool{},
-		together: tally{}, anywhere: tally{}, otherRequests: tally{}, otherParts: tally{},
+		together: tally{}, otherRequests: tally{}, otherParts: tally{},
 	}
 	var others []time.Time
 	for _, c := range t.crashes {
@@ -129,6 +133,7 @@
 				continue
 			}
 			beside[other] = true
+			e.isAncestor = e.isAncestor || i > own && !e.sound.knows(other)
 			if e.isNarrower(other, i > own) {
 				narrower[other] = true
 				e.joint[other] = slices.Contains(t.parts.deadly[other].with, e.part)
@@ -137,7 +142,8 @@
 		}
 	}
 	e.narrower.add(narrower)
-	if c.hasCause && c.cause != e.part && !e.joint[c.cause] {
+	isAttributed := c.hasCause && c.cause != e.part && !e.joint[c.cause]
+	if isAttributed {
 		e.attributed++
 	} else {
 		e.narrowerSets = append(e.narrowerSets, narrower)
@@ -147,7 +153,23 @@
 			e.together[other]++
 		}
 	}
-	e.addOthers(c, with, without, beside)
+	others := e.addOthers(c, with, without, beside)
+	if !isAttributed {
+		e.suspectSets = append(e.suspectSets, e.neverAnswered(beside, others))
+	}
+}
+
+// neverAnswered returns the members of sets of parts that were never answered.
+func (e *evidence) neverAnswered(sets ...map[uint64]bool) map[uint64]bool {
+	list := map[uint64]bool{}
+	for _, set := range sets {
+		for part := range set {
+			if !e.sound.knows(part) {
+				list[part] = true
+			}
+		}
+	}
+	return list
 }
 
 // isNarrower reports whether fewer requests are likely to have another part of a prompt:
@@ -171,8 +193,8 @@
 }
 
 // addOthers counts what was involved in a crash besides the requests with the part and
-// the parts in them.
-func (e *evidence) addOthers(c *crash, with, without []run, beside map[uint64]bool) {
+// the parts in them, and returns these other parts.
+func (e *evidence) addOthers(c *crash, with, without []run, beside map[uint64]bool) map[uint64]bool {
 	others := map[uint64]bool{}
 	for _, r := range without {
 		for _, other := range r.parts {
@@ -182,33 +204,26 @@
 		}
 	}
 	e.otherParts.add(others)
-	for _, set := range []map[uint64]bool{beside, others} {
-		for other := range set {
-			if !e.sound.knows(other) {
-				e.anywhere[other]++
-			}
-		}
-	}
 	for _, request := range c.requests {
 		if !slices.ContainsFunc(with, func(r run) bool { return r.request == request }) {
 			e.otherRequests[request]++
 		}
 	}
+	return others
 }
 
 // isBroad reports whether sound requests are likely to have the part too: it was answered
-// before, or came with several narrower parts.
-func (e *evidence) isBroad() bool { return e.answered || len(e.narrower) > 1 }
+// before, came with several narrower parts, or before one that was never answered.
+func (e *evidence) isBroad() bool { return e.answered || len(e.narrower) > 1 || e.isAncestor }
 
 // isDeadly reports whether the part is the cause of the crashes.
 func (e *evidence) isDeadly() bool {
-	n, limit, rounds := len(e.times), Limit, minPartRounds
+	n, limit, rounds := len(e.times)-e.attributed, Limit, minPartRounds
 	if e.crowd >= n {
 		limit, rounds = HardLimit, minPartRounds+1
 	}
 	if e.isBroad() {
 		limit = HardLimit
-		n -= e.attributed
 		if n < 2*HardLimit {
 			n -= e.explained()
 		}
--- a/decision/poison/parts.go
+++ b/decision/poison/parts.go
@@ -306,28 +306,34 @@
 		e = t.evidence(now, part, lateSettleTime)
 	}
 	d := deadlyPart{at: e.last, with: e.companions(), crashes: len(e.times), upstreams: e.upstreams}
-	return d, e.isDeadly() && !t.isExplainedByBroader(e, part)
+	return d, e.isDeadly() && !t.isExplainedByOthers(e)
 }
 
-// isExplainedByBroader reports whether another part was involved in all crashes of a part
-// and in several without it, so that the part is hardly the cause.
-func (t *Tracker) isExplainedByBroader(e *evidence, part uint64) bool {
-	for other, n := range e.anywhere {
-		if n == len(e.times) && t.crashesWithout(other, part) >= minOwnCrashes {
-			return true
+// isExplainedByOthers reports whether parts that crashed more upstreams were involved in
+// nearly all crashes of a part, so that it is hardly the cause.
+func (t *Tracker) isExplainedByOthers(e *evidence) bool {
+	total, own := t.crashesWith(e.part, nil), 0
+	for _, suspects := range e.suspectSets {
+		isExplained := false
+		for other := range suspects {
+			isExplained = isExplained || t.crashesWith(other, nil) > total && t.crashesWith(other, &e.part) >= minOwnCrashes
+		}
+		if !isExplained {
+			own++
 		}
 	}
-	return false
+	return own < minOwnCrashes
 }
 
-// crashesWithout returns the number of crashes that count against a part and involve no
-// request with another one.
-func (t *Tracker) crashesWithout(part, other uint64) int {
+// crashesWith returns the number of crashes that count against a part, and if without is
+// given, of those that involve no request with that other part.
+func (t *Tracker) crashesWith(part uint64, without *uint64) int {
 	n := 0
 	for _, c := range t.crashes {
-		if anyHas(c.runs, part) && !anyHas(c.runs, other) {
-			n++
+		if c.hasCause && c.cause != part || !anyHas(c.runs, part) || without != nil && anyHas(c.runs, *without) {
+			continue
 		}
+		n++
 	}
 	return n
 }
--- a/decision/poison/parts_test.go
+++ b/decision/poison/parts_test.go
@@ -247,3 +247,18 @@
 	tr.expire(start.Add(retention + time.Hour))
 	require.Empty(t, tr.parts.suspects)
 }
+
+// Right after a cold start nothing has been answered. Deadly parts come with each of a few
+// first parts, so that these are on fewer requests than they are.
+func TestFirstPartOfFewRequestsIsNotTheCauseBeforeTheFirstAnswer(t *testing.T) {
+	const firstParts = 5
+	tr := NewTracker()
+	for i := range 24 {
+		at := time.Duration(i+1) * 150 * time.Millisecond
+		tr.Add(start, crashOf(uint64(i), at, customPart+uint64(i/2%firstParts), deadlyOne+uint64(i%2)))
+		beside := crashOf(uint64(50+i), at, customPart+uint64(i%firstParts))
+		beside.Upstream = crashOf(uint64(i), at).Upstream
+		tr.Add(start, beside)
+	}
+	require.ElementsMatch(t, []uint64{deadlyOne, deadlyTwo}, judged(tr, 10*time.Second))
+}
