gateway: a late probe ends its own wait and not that of the next one

Found in the last review of the change. Requests wait for the probe of their upstream on a channel that was looked up by the upstream when the probe ended. A process that is paused between the result of a probe and its end can find the channel of the next probe there: it closed that one, left its own requests waiting until their deadline, and the next probe then closed a nil channel. Each probe now closes the channel that it was started with (TestProbeThatEndsLateLeavesTheNextOneAlone, a test of the new function; there is no failing run of the old one).

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -44,12 +44,13 @@
 	if probe {
 		g.crashProbes[u.ID] = make(chan struct{})
 	}
-	r.progress.crashProbe = g.crashProbes[u.ID]
+	done := g.crashProbes[u.ID]
+	r.progress.crashProbe = done
 	g.mu.Unlock()
 	g.logLostConnection(r, f)
 	switch {
 	case probe:
-		go g.withRecover("crash probe", func() { g.probeUpstream(u) })
+		go g.withRecover("crash probe", func() { g.probeUpstream(u, done) })
 	case crashed:
 		g.recordCrashes(g.settings.Name, []poison.Crash{crash})
 	}
@@ -81,9 +82,9 @@
 
 // probeUpstream checks whether an upstream has crashed, which is the case if it refuses
 // connections. A timeout proves nothing, as the network to its availability zone may be
-// partitioned.
-func (g *Gateway) probeUpstream(u serving.Upstream) {
-	defer g.endCrashProbe(u.ID)
+// partitioned. At the end done is closed.
+func (g *Gateway) probeUpstream(u serving.Upstream, done chan struct{}) {
+	defer g.endCrashProbe(u.ID, done)
 	crashed := exchange.RefusesConnections(context.Background(), u.Address)
 	g.mu.Lock()
 	crashes := g.suspicions.ProbeFinished(u.ID, crashed)
@@ -94,12 +95,15 @@
 	g.recordCrashes(g.settings.Name, crashes)
 }
 
-// endCrashProbe releases the requests that wait for a probe.
-func (g *Gateway) endCrashProbe(upstream string) {
+// endCrashProbe releases the requests that wait for a probe. The next probe of the upstream
+// may have begun by then.
+func (g *Gateway) endCrashProbe(upstream string, done chan struct{}) {
+	close(done)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	close(g.crashProbes[upstream])
-	delete(g.crashProbes, upstream)
+	if g.crashProbes[upstream] == done {
+		delete(g.crashProbes, upstream)
+	}
 }
 
 // Errors of answers without a length or chunks, which end with their connection.
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -217,6 +217,20 @@
 	require.Empty(t, ended)
 }
 
+// An entry that is paused between the result of a probe and its end may find that the next
+// probe of the upstream has begun. Each must release its own waiting requests.
+func TestProbeThatEndsLateLeavesTheNextOneAlone(t *testing.T) {
+	g := New(platform.Settings{Name: "e", Bounds: bounds()}, slog.New(slog.DiscardHandler))
+	late, next := make(chan struct{}), make(chan struct{})
+	g.crashProbes["i"] = next
+	g.endCrashProbe("i", late)
+	<-late
+	require.Contains(t, g.crashProbes, "i")
+	g.endCrashProbe("i", next)
+	<-next
+	require.Empty(t, g.crashProbes)
+}
+
 // The status and headers of an answer may come before the upstream begins to write it, and
 // must not clear the parts of its prompt.
 func TestHeadOfAnAnswerClearsNoPart(t *testing.T) {
