poison: one type for what was answered recently, one count of rounds

The part tracker had written two things again: the bounded ring of answered requests, with a time a member, and the loop that groups crash times into rounds. recentTimes now serves requests and parts, and effectiveCrashes calls countRounds. Restarted and ProbeFinished share confirm instead of one resetting a flag for the other. No change of behaviour: the tests of decision/poison pass, assertions unchanged (one names the renamed field).

--- a/decision/poison/evidence.go
+++ b/decision/poison/evidence.go
@@ -27,7 +27,7 @@
 
 // evidence is what the crashes say about one part.
 type evidence struct {
-	sound *soundParts
+	sound *recentTimes
 	// suspects counts the runs in all crashes by part.
 	suspects map[uint64]int
 	part     uint64
@@ -69,7 +69,7 @@
 // attributed to a part of other requests.
 func (t *Tracker) evidence(now time.Time, part uint64, settle time.Duration) *evidence {
 	e := &evidence{
-		sound: t.parts.sound, suspects: t.parts.suspects, part: part, answered: t.parts.sound.knows(part),
+		sound: t.parts.sound, suspects: t.parts.suspects, part: part, answered: t.parts.sound.has(part),
 		requests: tally{}, narrower: tally{}, narrowerRequests: map[uint64]map[uint64]bool{}, joint: map[uint64]bool{},
 		together: tally{}, otherRequests: tally{}, otherParts: tally{},
 	}
@@ -99,7 +99,7 @@
 // and was involved in others.
 func (t *Tracker) hasRecurringPart(c *crash) bool {
 	return slices.ContainsFunc(c.runs, func(r run) bool {
-		return slices.ContainsFunc(r.parts, func(part uint64) bool { return t.parts.suspects[part] >= Limit && !t.parts.sound.knows(part) })
+		return slices.ContainsFunc(r.parts, func(part uint64) bool { return t.parts.suspects[part] >= Limit && !t.parts.sound.has(part) })
 	})
 }
 
@@ -133,7 +133,7 @@
 				continue
 			}
 			beside[other] = true
-			e.isAncestor = e.isAncestor || i > own && !e.sound.knows(other)
+			e.isAncestor = e.isAncestor || i > own && !e.sound.has(other)
 			if e.isNarrower(other, i > own) {
 				narrower[other] = true
 				e.joint[other] = slices.Contains(t.parts.deadly[other].with, e.part)
@@ -149,7 +149,7 @@
 		e.narrowerSets = append(e.narrowerSets, narrower)
 	}
 	for other := range beside {
-		if !e.sound.knows(other) && !slices.ContainsFunc(with, func(r run) bool { return !slices.Contains(r.parts, other) }) {
+		if !e.sound.has(other) && !slices.ContainsFunc(with, func(r run) bool { return !slices.Contains(r.parts, other) }) {
 			e.together[other]++
 		}
 	}
@@ -164,7 +164,7 @@
 	list := map[uint64]bool{}
 	for _, set := range sets {
 		for part := range set {
-			if !e.sound.knows(part) {
+			if !e.sound.has(part) {
 				list[part] = true
 			}
 		}
@@ -176,7 +176,7 @@
 // one that was never answered, that fewer requests in crashes had, or that is deeper in the
 // prompt.
 func (e *evidence) isNarrower(other uint64, isDeeper bool) bool {
-	if answered := e.sound.knows(other); answered != e.answered {
+	if answered := e.sound.has(other); answered != e.answered {
 		return e.answered
 	}
 	if e.suspects[other] != e.suspects[e.part] {
--- a/decision/poison/parts.go
+++ b/decision/poison/parts.go
@@ -71,7 +71,9 @@
 	deadly map[uint64]deadlyPart
 	// suspects counts the runs in recorded crashes by part.
 	suspects map[uint64]int
-	sound    *soundParts
+	// sound holds, for the most recently answered parts, when the latest attempt that was
+	// answered had been sent.
+	sound *recentTimes
 	// soundNews holds the parts whose answers other entries have to know of, with the
 	// time at which that became known.
 	soundNews map[uint64]time.Time
@@ -81,40 +83,7 @@
 }
 
 func newPartTracker() partTracker {
-	return partTracker{deadly: map[uint64]deadlyPart{}, suspects: map[uint64]int{}, sound: newSoundParts(), soundNews: map[uint64]time.Time{}}
-}
-
-// soundParts holds, for the most recently answered parts, when the latest attempt that was
-// answered had been sent.
-type soundParts struct {
-	sent   map[uint64]time.Time
-	ring   []uint64
-	oldest int
-}
-
-func newSoundParts() *soundParts { return &soundParts{sent: map[uint64]time.Time{}} }
-
-// add records an answered attempt and reports whether it is the latest of the part.
-func (s *soundParts) add(part uint64, sent time.Time) bool {
-	known, ok := s.sent[part]
-	switch {
-	case ok && !sent.After(known):
-		return false
-	case ok:
-	case len(s.ring) < maxSoundParts:
-		s.ring = append(s.ring, part)
-	default:
-		delete(s.sent, s.ring[s.oldest])
-		s.ring[s.oldest] = part
-		s.oldest = (s.oldest + 1) % maxSoundParts
-	}
-	s.sent[part] = sent
-	return true
-}
-
-func (s *soundParts) knows(part uint64) bool {
-	_, ok := s.sent[part]
-	return ok
+	return partTracker{deadly: map[uint64]deadlyPart{}, suspects: map[uint64]int{}, sound: newRecentTimes(maxSoundParts), soundNews: map[uint64]time.Time{}}
 }
 
 // addRun records the parts of a request that was involved in a crash and reports whether
@@ -133,7 +102,7 @@
 	}
 	parts := make([]uint64, 0, min(len(report.Parts), MaxRunParts))
 	for _, part := range report.Parts[:min(len(report.Parts), MaxRunParts)] {
-		sent, known := p.sound.sent[part]
+		sent, known := p.sound.members[part]
 		if known {
 			p.soundNews[part] = now
 		}
--- a/decision/poison/parts_test.go
+++ b/decision/poison/parts_test.go
@@ -243,7 +243,7 @@
 	for i := range 2 * maxSoundParts {
 		tr.SoundParts(start, start, []uint64{uint64(i)})
 	}
-	require.Len(t, tr.parts.sound.sent, maxSoundParts)
+	require.Len(t, tr.parts.sound.members, maxSoundParts)
 	tr.expire(start.Add(retention + time.Hour))
 	require.Empty(t, tr.parts.suspects)
 }
--- a/decision/poison/poison.go
+++ b/decision/poison/poison.go
@@ -58,7 +58,7 @@
 	// crashes to the time of the answer.
 	cleared map[uint64]time.Time
 	// answered holds the requests that were recently answered in full.
-	answered  *recentSet
+	answered  *recentTimes
 	parts     partTracker
 	expiredAt time.Time
 }
@@ -84,7 +84,7 @@
 // NewTracker returns a tracker without any crashes.
 func NewTracker() *Tracker {
 	return &Tracker{
-		counts: map[uint64]int{}, poisoned: map[uint64]time.Time{}, cleared: map[uint64]time.Time{}, answered: newRecentSet(),
+		counts: map[uint64]int{}, poisoned: map[uint64]time.Time{}, cleared: map[uint64]time.Time{}, answered: newRecentTimes(maxAnswered),
 		parts: newPartTracker(),
 	}
 }
--- a/decision/poison/suspicion.go
+++ b/decision/poison/suspicion.go
@@ -51,13 +51,19 @@
 	if suspect == nil || suspect.probed {
 		return nil
 	}
-	suspect.probed, suspect.crashed = true, crashed
+	suspect.probed = true
 	if !crashed {
 		return nil
 	}
-	out := make([]Crash, 0, len(suspect.requests))
-	for _, c := range suspect.requests {
-		c.At = suspect.at
+	return suspect.confirm()
+}
+
+// confirm marks the upstream as crashed and returns a crash for each request.
+func (s *suspectedCrash) confirm() []Crash {
+	s.crashed = true
+	out := make([]Crash, 0, len(s.requests))
+	for _, c := range s.requests {
+		c.At = s.at
 		out = append(out, c)
 	}
 	return out
@@ -71,8 +77,7 @@
 	if suspect == nil || !suspect.probed || suspect.crashed || now.Sub(suspect.at) >= restartNoticeTime {
 		return nil
 	}
-	suspect.probed = false
-	return s.ProbeFinished(upstream, true)
+	return suspect.confirm()
 }
 
 // restartNoticeTime is how long after its connections broke an upstream may be listed as
--- a/decision/poison/verdict.go
+++ b/decision/poison/verdict.go
@@ -65,48 +65,17 @@
 	Parts [][]uint64
 }
 
-// recentSet holds the most recently added fingerprints, at most maxAnswered.
-type recentSet struct {
-	members map[uint64]bool
-	ring    []uint64
-	oldest  int
-}
-
-func newRecentSet() *recentSet { return &recentSet{members: map[uint64]bool{}} }
-
-func (s *recentSet) add(fingerprint uint64) {
-	switch {
-	case s.members[fingerprint]:
-		return
-	case len(s.ring) < maxAnswered:
-		s.ring = append(s.ring, fingerprint)
-	default:
-		delete(s.members, s.ring[s.oldest])
-		s.ring[s.oldest] = fingerprint
-		s.oldest = (s.oldest + 1) % maxAnswered
-	}
-	s.members[fingerprint] = true
-}
-
 // effectiveCrashes returns the number of crashes that count against a request.
 // A request that was answered before is the likely cause only if crashes follow
 // each time it is sent again, so its crashes are counted by roundWindow.
 func (t *Tracker) effectiveCrashes(fingerprint uint64) int {
-	if n := t.counts[fingerprint]; n < Limit || !t.answered.members[fingerprint] {
+	if n := t.counts[fingerprint]; n < Limit || !t.answered.has(fingerprint) {
 		return n
 	}
-	rounds := 0
-	var last time.Time
-	for _, at := range t.crashTimes(fingerprint) {
-		if rounds == 0 || at.Sub(last) >= roundWindow {
-			rounds, last = rounds+1, at
-		}
-	}
-	return rounds
+	return countRounds(t.crashTimes(fingerprint), roundWindow)
 }
 
-// crashTimes returns the times of the crashes that count against a request, in
-// ascending order.
+// crashTimes returns the times of the crashes that count against a request.
 func (t *Tracker) crashTimes(fingerprint uint64) []time.Time {
 	var list []time.Time
 	for _, c := range t.crashes {
@@ -114,7 +83,6 @@
 			list = append(list, c.at)
 		}
 	}
-	slices.SortFunc(list, time.Time.Compare)
 	return list
 }
 
@@ -122,7 +90,7 @@
 // other entries need to know, because crashes or a verdict counted against the
 // request.
 func (t *Tracker) Answered(now time.Time, fingerprint uint64) bool {
-	t.answered.add(fingerprint)
+	t.answered.add(fingerprint, now)
 	_, poisoned := t.poisoned[fingerprint]
 	if !poisoned && t.counts[fingerprint] == 0 {
 		return false
@@ -165,12 +133,12 @@
 		return false
 	}
 	if v.Cleared {
-		t.answered.add(v.Fingerprint)
+		t.answered.add(v.Fingerprint, v.At)
 		t.clearUntil(v.At, v.Fingerprint)
 		return true
 	}
 	_, known := t.poisoned[v.Fingerprint]
-	if known || t.answered.members[v.Fingerprint] && !t.isLikelyCause(v.Fingerprint) {
+	if known || t.answered.has(v.Fingerprint) && !t.isLikelyCause(v.Fingerprint) {
 		return false
 	}
 	t.markPoisoned(v.At, v.Fingerprint)
@@ -187,7 +155,7 @@
 		return true
 	}
 	known, ok := t.parts.deadly[v.Fingerprint]
-	if sent, answered := t.parts.sound.sent[v.Fingerprint]; answered && !v.At.After(sent) {
+	if sent, answered := t.parts.sound.members[v.Fingerprint]; answered && !v.At.After(sent) {
 		// The sender does not know of the answer.
 		t.parts.soundNews[v.Fingerprint] = now
 		return false
@@ -272,7 +240,7 @@
 		poison = append(poison, Verdict{Fingerprint: f, At: at})
 	}
 	for part := range t.parts.soundNews {
-		answers = append(answers, Verdict{Kind: PartVerdict, Fingerprint: part, At: t.parts.sound.sent[part], Cleared: true})
+		answers = append(answers, Verdict{Kind: PartVerdict, Fingerprint: part, At: t.parts.sound.members[part], Cleared: true})
 	}
 	for f, at := range t.cleared {
 		cleared = append(cleared, Verdict{Fingerprint: f, At: at, Cleared: true})
