gateway, upstream: share the error and the question at the end of an answer

errCrashedAtEnd stood in both serving paths, and suspectCrash and checkEnd each asked whether an upstream is listed, not draining and not leaving. Both have one place now (exchange.ErrCrashedAtEnd, expectedToRun). recordSoundParts built the list of parts for each event of a stream although it records once an attempt; it looks at that first. No change of behaviour.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -15,7 +15,7 @@
 // connectionLost reports whether an exchange failed because its connection broke, as
 // opposed to a timeout or limit of this entry.
 func connectionLost(err error) bool {
-	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, errTruncatedEvent, errNoEvent, errCrashedAtEnd, syscall.ECONNRESET, syscall.EPIPE} {
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, errTruncatedEvent, errNoEvent, exchange.ErrCrashedAtEnd, syscall.ECONNRESET, syscall.EPIPE} {
 		if errors.Is(err, cause) {
 			return true
 		}
@@ -27,15 +27,11 @@
 // crashed; awaitCrashProbe waits for that. It does nothing if the upstream was leaving.
 func (g *Gateway) suspectCrash(r *request, err error) {
 	u := r.progress.upstream
-	if !connectionLost(err) || !g.listedReady(u) {
+	if !connectionLost(err) || !g.expectedToRun(u) {
 		return
 	}
 	f := r.fingerprint()
 	g.mu.Lock()
-	if g.table.Leaving(u) {
-		g.mu.Unlock()
-		return
-	}
 	crash := poison.Crash{Fingerprint: f, Upstream: u.ID, At: g.trueTime()}
 	if !r.progress.provesParts(time.Now()) {
 		crash.Parts = r.sharedParts()
@@ -70,14 +66,19 @@
 	}
 }
 
-// listedReady reports whether an upstream is in the upstream list and not draining.
-func (g *Gateway) listedReady(u serving.Upstream) bool {
+// expectedToRun reports whether an upstream is in the upstream list and has not announced
+// that it is shutting down, neither there nor in its answers.
+func (g *Gateway) expectedToRun(u serving.Upstream) bool {
 	list := g.upstreams.Load()
 	if list == nil {
 		return false
 	}
-	listed, ok := list.upstreams[u.ID]
-	return ok && !listed.Draining
+	if listed, ok := list.upstreams[u.ID]; !ok || listed.Draining {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.table.Leaving(u)
 }
 
 // probeUpstream checks whether an upstream has crashed, which is the case if it refuses
@@ -106,25 +107,17 @@
 	}
 }
 
-// Errors of answers without a length or chunks, which end with their connection.
-var (
-	errNoEvent      = errors.New("stream ended before its first event")
-	errCrashedAtEnd = errors.New("upstream crashed at the end of its answer")
-)
+// errNoEvent means that a stream without a length or chunks, which ends with its
+// connection, had no event.
+var errNoEvent = errors.New("stream ended before its first event")
 
 // checkEnd returns an error if an answer that has been read to its end is likely to be
 // incomplete. Only the upstream's state can show that if the answer ends with its
 // connection: the kernel closes the connections of a process that crashes.
 func (g *Gateway) checkEnd(ctx context.Context, r *request, answer *exchange.Answer) error {
 	u := r.progress.upstream
-	if answer.Delimited || !g.listedReady(u) {
-		return nil
-	}
-	g.mu.Lock()
-	leaving := g.table.Leaving(u)
-	g.mu.Unlock()
-	if !leaving && exchange.RefusesConnections(ctx, u.Address) {
-		return errCrashedAtEnd
+	if !answer.Delimited && g.expectedToRun(u) && exchange.RefusesConnections(ctx, u.Address) {
+		return exchange.ErrCrashedAtEnd
 	}
 	return nil
 }
--- a/gateway/poison.go
+++ b/gateway/poison.go
@@ -200,8 +200,8 @@
 	return slices.Contains([]reason.Reason{reason.Poison, reason.PoisonPart}, f.reason)
 }
 
-// provenWritingTime is how long an upstream has to send events of an answer to show that none of
-// the parts of its prompt crash upstreams: those that do crash it when it begins.
+// provenWritingTime is how long an upstream has to send events of an answer to show that
+// none of the parts of its prompt crash upstreams: those that do crash it when it begins.
 const provenWritingTime = 250 * time.Millisecond
 
 // provesParts reports whether the current attempt has shown that the parts of its prompt
@@ -226,11 +226,14 @@
 // recordSoundParts clears the parts of a request's prompt after its attempt has shown that
 // they do not crash upstreams.
 func (g *Gateway) recordSoundParts(r *request) {
-	parts := r.sharedParts()
-	if r.progress.partsRecorded || len(parts) == 0 {
+	if r.progress.partsRecorded {
 		return
 	}
 	r.progress.partsRecorded = true
+	parts := r.sharedParts()
+	if len(parts) == 0 {
+		return
+	}
 	g.mu.Lock()
 	news := g.poison.SoundParts(g.trueTime(), r.progress.sentAt, parts)
 	g.mu.Unlock()
--- a/upstream/exchange/probe.go
+++ b/upstream/exchange/probe.go
@@ -16,6 +16,10 @@
 	probePause   = 20 * time.Millisecond
 )
 
+// ErrCrashedAtEnd means that an answer with neither a length nor chunks, which ends with
+// its connection, is likely to be incomplete: its upstream has crashed.
+var ErrCrashedAtEnd = errors.New("upstream crashed at the end of its answer")
+
 // RefusesConnections reports whether an upstream refuses connections, as that of a process
 // that has crashed does. A timeout proves nothing, as the network may be partitioned.
 func RefusesConnections(ctx context.Context, address string) bool {
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -64,7 +63,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, call.MaxAnswer+1))
 	if err == nil && !exchange.Delimited(resp) && exchange.RefusesConnections(ctx, call.Address) {
-		err = errCrashedAtEnd
+		err = exchange.ErrCrashedAtEnd
 	}
 	if err != nil {
 		return nil, truncatedAnswer(ctx, call.Address, resp.StatusCode, err)
@@ -80,10 +79,6 @@
 	return answer, Result{Outcome: decision.OutcomeDone, Ran: reason.RanYes}
 }
 
-// errCrashedAtEnd means that an answer with neither a length nor chunks, which ends with
-// its connection, is likely to be incomplete: its upstream has crashed.
-var errCrashedAtEnd = errors.New("upstream crashed at the end of its answer")
-
 // truncatedAnswer returns the Result of a response whose body could not be read
 // completely. A 2xx status proves that the request ran.
 func truncatedAnswer(ctx context.Context, peer string, status int, err error) Result {
