gateway, platform: show the store's era and the lists that are ignored

The client of the store now reads the era from each answer; entries log and count its changes and each upstream list that they ignore because of its revision. No behaviour changes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -159,6 +159,7 @@
 	g.quota.SetSlack(bounds.QuotaSlack)
 	g.table.SetLimits(g.limits)
 	g.objects.Called = g.metrics.recordStoreCall
+	g.objects.EraChanged = g.storeEraChanged
 	g.pool.Opened = func() { g.metrics.connections.Inc(1) }
 	return g
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -29,12 +29,13 @@
 	clockSet           stateChange = "clock"
 	dutiesTaken        stateChange = "duties"
 	dutyRefused        stateChange = "duty_refused"
+	storeEra           stateChange = "store_era"
 )
 
 // stateChanges lists all state changes.
 var stateChanges = []stateChange{
 	newConfiguration, upstreamChanged, upstreamGone, upstreamLeaving, upstreamRests, upstreamLimit, peerFound, peerGone,
-	dependencyLost, dependencyRegained, clockSet, dutiesTaken, dutyRefused,
+	dependencyLost, dependencyRegained, clockSet, dutiesTaken, dutyRefused, storeEra,
 }
 
 // counters holds the metrics of a gateway.
@@ -55,6 +56,11 @@
 	// that failed.
 	storeCalls  metrics.Counter
 	storeErrors metrics.Counter
+	// storeEra is the latest era of the store that an answer has shown.
+	storeEra metrics.Gauge
+	// olderLists counts upstream lists and changes that were ignored because they are
+	// older than the active list.
+	olderLists metrics.Counter
 	// panics counts the panics that withRecover caught.
 	panics metrics.Counter
 	// limitedAttempts counts attempts on upstreams that had stated a limit on their
@@ -106,6 +112,7 @@
 		unanswered: map[reason.Reason]metrics.Counter{}, changed: map[stateChange]metrics.Counter{},
 		answered: counter("request.answered"), failed: counter("request.failed"), abandoned: counter("request.abandoned"),
 		connections: counter("upstream.connections"), storeCalls: counter("store.calls"), storeErrors: counter("store.errors"),
+		storeEra: gauge("store.era"), olderLists: counter("store.older_lists"),
 		panics: counter("message.panics"), crashes: counter("upstream.crashes"),
 		limitedAttempts: counter("upstream.limited_attempts"), invalidLimits: counter("upstream.invalid_limits"),
 		unknownHeaders: counter("upstream.unknown_headers"), limitedUpstreams: gauge("upstream.limited"),
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -199,7 +199,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	before := g.upstreams.Load()
-	if before != nil && (c.Revision < before.revision || (len(c.Items) == 0 && !c.complete)) {
+	if before != nil && c.Revision < before.revision {
+		g.metrics.olderLists.Inc(1)
+		g.log.Info("older upstream list ignored", "source", source, "count", len(c.Items), "complete", c.complete,
+			"revision", c.Revision, "active", before.revision, "era", g.objects.Era())
+		return nil
+	}
+	if before != nil && len(c.Items) == 0 && !c.complete {
 		return nil
 	}
 	next := mergeUpstreams(before, c, g.log.Warn)
@@ -213,7 +219,7 @@
 		})
 	}
 	if before == nil {
-		g.log.Info("upstream list loaded", "count", len(next.upstreams), "source", source, "revision", next.revision)
+		g.log.Info("upstream list loaded", "count", len(next.upstreams), "source", source, "revision", next.revision, "era", g.objects.Era())
 		return nil
 	}
 	var crashes [][]poison.Crash
--- a/objects/call.go
+++ b/objects/call.go
@@ -27,6 +27,9 @@
 	// Conflict decodes the current record from the response to a conditional
 	// write that failed. If it is nil, the ConflictError has no record.
 	Conflict func(body []byte) (Record, error)
+	// Inspect, if set, is called with the header of each response, also of those that
+	// refuse the call. If it returns an error, the call fails with that error.
+	Inspect func(http.Header) error
 }
 
 // Do makes the call, without retries, and decodes the response body into out unless
@@ -46,6 +49,11 @@
 	if err != nil {
 		return errb.Code("unavailable").Wrap(errors.Join(ErrUnavailable, err))
 	}
+	if c.Inspect != nil {
+		if err := c.Inspect(resp.Header); err != nil {
+			return errb.With("status", resp.StatusCode).Wrap(err)
+		}
+	}
 	if err := c.statusError(resp.StatusCode, data); err != nil {
 		return errb.With("status", resp.StatusCode).Wrap(err)
 	}
