gateway: test that the restored store is followed, duties and peers survive (fails)

The stand-in store can be copied and restored; it tells its era in each answer and gives 410 to watches from a revision that it doesn't have.

It is stricter: tokens may not decrease either.

--- a/gateway/sources_test.go
+++ b/gateway/sources_test.go
@@ -171,21 +171,30 @@
 	before := len(d.reports())
 	d.startEntry("entry-2")
 	eventually(t, func() bool { return len(d.reports()) > before })
-	byWindow := map[int64]string{}
-	holders := map[uint64]string{}
+	holders := d.requireConsistentDuties()
+	require.Len(t, holders, 2)
+}
+
+// requireConsistentDuties checks that all reports of a window are alike, that no two holders
+// have used the same token and that tokens don't decrease. It returns the holders by token.
+func (d *deployment) requireConsistentDuties() map[uint64]string {
+	d.t.Helper()
+	byWindow, holders, highest := map[int64]string{}, map[uint64]string{}, uint64(0)
 	for _, r := range d.store.Duties() {
 		window, _, err := r.Usage()
-		require.NoError(t, err)
+		require.NoError(d.t, err)
 		if body, ok := byWindow[window]; ok {
-			require.JSONEq(t, body, r.Body)
+			require.JSONEq(d.t, body, r.Body, "window %d", window)
 		}
 		byWindow[window] = r.Body
 		if holder, ok := holders[r.Token]; ok {
-			require.Equal(t, holder, r.Holder)
+			require.Equal(d.t, holder, r.Holder, "token %d", r.Token)
 		}
 		holders[r.Token] = r.Holder
+		require.GreaterOrEqual(d.t, r.Token, highest)
+		highest = r.Token
 	}
-	require.Len(t, holders, 2)
+	return holders
 }
 
 func (d *deployment) reports() []metastore.DutyCall { return d.store.Duties() }
--- a/standin/metastore/metastore.go
+++ b/standin/metastore/metastore.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"jaylink/standin"
@@ -56,6 +57,8 @@
 	rev     uint64
 	objects map[string]map[string]Object
 	history []change
+	// era counts how often the data was replaced by an older copy.
+	era atomic.Uint64
 	// compacted is the revision up to which history was dropped.
 	compacted     uint64
 	changed       chan struct{}
@@ -68,6 +71,7 @@
 // New returns an empty store.
 func New() *Server {
 	s := &Server{rev: 1, objects: map[string]map[string]Object{}, changed: make(chan struct{}), highestTokens: map[string]uint64{}}
+	s.era.Store(firstEra)
 	s.mux = http.NewServeMux()
 	s.mux.HandleFunc("GET /v1/objects/{kind}", s.list)
 	s.mux.HandleFunc("POST /v1/objects/{kind}", s.create)
@@ -84,6 +88,7 @@
 	s.mu.Lock()
 	down := s.faults.Down
 	s.mu.Unlock()
+	w = eraWriter{w, s}
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -252,7 +257,7 @@
 			events = append(events, map[string]any{"object": c.object, "deleted": c.deleted})
 		}
 	}
-	return events, s.rev, after < s.compacted, s.faults.SilentWatches, s.changed
+	return events, s.rev, after < s.compacted || after > s.rev, s.faults.SilentWatches, s.changed
 }
 
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
