gateway, platform: follow a store that comes back from an older copy

Requests went to upstreams that had left (DRAIN), new ones got none.

Cause: a revision stood for a state of the store, though after a restore the same number stands for another one. mergeIntoUpstreams dropped lower revisions; peers compared and asked for changes by bare revisions.

Change: objects.Position is era and revision, ordered; the store's client is the only place that reads the era. Answers of an earlier era, lists whose pages are of two eras and watches across a restore are errors. Lists, watches, gossip (field 17) and fetches from peers use positions; without an era they mean the first, as entries of the version before send none. The first list of a new era: upstreams that it lacks are kept for up to 2 s, in which they register again; those that were draining or gone get nothing although the copy lists them as ready (departures.go), and what was gone without draining is used again if it is still listed after 5 s; records of an earlier process of an upstream are skipped.

Found on the way: upstreams that are kept for a while were passed on to peers as registered. Their removal changed no revision, so peers kept them for good. They are not passed on now.

--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -254,7 +254,7 @@
 		m.Configuration = config.Version
 	}
 	if u := g.upstreams.Load(); u != nil {
-		m.Upstreams = u.revision
+		m.Upstreams = u.position
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gateway/gossipcodec.go
+++ b/gateway/gossipcodec.go
@@ -12,6 +12,7 @@
 	"jaylink/decision/placement"
 	"jaylink/decision/quota"
 	"jaylink/decision/usage"
+	"jaylink/objects"
 )
 
 // Field numbers of a gossip message, which is encoded as a protobuf message.
@@ -32,6 +33,7 @@
 	fieldVerdict       protowire.Number = 14 // message, repeated, see appendVerdict
 	fieldLimit         protowire.Number = 15 // message, repeated, see appendLimit
 	fieldDemand        protowire.Number = 16 // bytes, see appendLimits
+	fieldEra           protowire.Number = 17 // varint, the era of fieldUpstreams; FirstEra if absent
 )
 
 // Field numbers of the customer message within a gossip message.
@@ -98,7 +100,10 @@
 	b = appendString(b, fieldRegion, m.Region)
 	b = appendVarint(b, fieldSent, uint64(m.SentAt))
 	b = appendVarint(b, fieldConfiguration, m.Configuration)
-	b = appendVarint(b, fieldUpstreams, m.Upstreams)
+	b = appendVarint(b, fieldUpstreams, m.Upstreams.Revision)
+	if m.Upstreams.Era > objects.FirstEra {
+		b = appendVarint(b, fieldEra, m.Upstreams.Era)
+	}
 	b = appendVarint(b, fieldFlags, m.flags())
 	if len(m.Loads) > 0 {
 		b = protowire.AppendTag(b, fieldLoads, protowire.BytesType)
@@ -259,7 +264,9 @@
 		case fieldConfiguration:
 			m.Configuration = v.number
 		case fieldUpstreams:
-			m.Upstreams = v.number
+			m.Upstreams.Revision = v.number
+		case fieldEra:
+			m.Upstreams.Era = v.number
 		case fieldFlags:
 			flags = v.number
 		case fieldLoads:
@@ -286,6 +293,7 @@
 	if err != nil {
 		return m, err
 	}
+	m.Upstreams.Era = max(m.Upstreams.Era, objects.FirstEra)
 	for _, c := range customers {
 		if err := m.decodeCustomer(c, newest); err != nil {
 			return m, fmt.Errorf("customer: %w", err)
--- a/gateway/gossipcodec_test.go
+++ b/gateway/gossipcodec_test.go
@@ -15,6 +15,7 @@
 	"jaylink/decision/upstreamlimit"
 	"jaylink/decision/usage"
 	"jaylink/internal/schedule"
+	"jaylink/objects"
 )
 
 // testMessage returns the message of a busy entry in a fleet of the size that the system
@@ -22,7 +23,7 @@
 func testMessage(loads, customers int, withTotals bool) gossipMessage {
 	m := gossipMessage{
 		Entry: "frontend-mehsana-a-14", Incarnation: 1788699736267823131, Region: "north-guj",
-		SentAt: 1788699736267, Configuration: 2400, Upstreams: 88123, Loads: map[uint32]placement.Load{},
+		SentAt: 1788699736267, Configuration: 2400, Upstreams: objects.Position{Era: 1, Revision: 88123}, Loads: map[uint32]placement.Load{},
 	}
 	for i := range loads {
 		m.Loads[hashKey(fmt.Sprintf("i-%010x", i))] = placement.Load{Running: 2, PrefillTokens: 12000, Memory: 24000}
@@ -70,7 +71,7 @@
 		SentAt:      rapid.Int64().Draw(t, "sent"),
 
 		Configuration: rapid.Uint64().Draw(t, "configuration"),
-		Upstreams:     rapid.Uint64().Draw(t, "upstreams"),
+		Upstreams:     objects.Position{Era: rapid.Uint64Min(1).Draw(t, "era"), Revision: rapid.Uint64().Draw(t, "upstreams")},
 		Leaving:       rapid.Bool().Draw(t, "leaving"),
 		WatchesStore:  rapid.Bool().Draw(t, "watches"),
 		HoldsLease:    rapid.Bool().Draw(t, "holder"),
--- a/gateway/gossipmessage.go
+++ b/gateway/gossipmessage.go
@@ -13,6 +13,7 @@
 	"jaylink/decision/quota"
 	"jaylink/decision/upstreamlimit"
 	"jaylink/decision/usage"
+	"jaylink/objects"
 )
 
 // gossipMessage carries an entry's state to its peers. It has absolute values, not
@@ -28,9 +29,9 @@
 	// SentAt is the sender's corrected time of day, in Unix milliseconds.
 	SentAt int64
 	// Configuration is the version of the active configuration, and Upstreams the
-	// revision of the upstream list.
+	// position of the upstream list.
 	Configuration uint64
-	Upstreams     uint64
+	Upstreams     objects.Position
 	// Leaving means that the process is shutting down.
 	Leaving bool
 	// WatchesStore means that the entry watches the store, and that the store answers.
--- a/gateway/peersync.go
+++ b/gateway/peersync.go
@@ -7,10 +7,13 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
 	"github.com/gorilla/mux"
+
+	"jaylink/objects"
 )
 
 // Offsets of the ports for peers from the first internal port.
@@ -52,15 +55,26 @@
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		// If the parameter is missing or invalid, after is 0.
-		after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-		if err := json.NewEncoder(w).Encode(u.delta(after)); err != nil {
+		if err := json.NewEncoder(w).Encode(u.delta(positionOf(r.URL.Query()))); err != nil {
 			g.log.Debug("sending the upstream list to a peer failed", "err", err)
 		}
 	}).Methods(http.MethodGet)
 	return gzipHandler(router)
 }
 
+// positionOf returns the position in the query of a peer. If a parameter is missing or
+// invalid, it is the first one.
+func positionOf(query url.Values) objects.Position {
+	era, _ := strconv.ParseUint(query.Get("era"), 10, 64)
+	revision, _ := strconv.ParseUint(query.Get("after"), 10, 64)
+	return objects.Position{Era: max(era, objects.FirstEra), Revision: revision}
+}
+
+// positionQuery is the inverse of positionOf.
+func positionQuery(p objects.Position) string {
+	return url.Values{"era": {strconv.FormatUint(p.Era, 10)}, "after": {strconv.FormatUint(p.Revision, 10)}}.Encode()
+}
+
 // syncClient is the HTTP client for fetches from other entries.
 var syncClient = &http.Client{Timeout: syncTimeout, Transport: &http.Transport{
 	DialContext:       (&net.Dialer{Timeout: syncTimeout / 2}).DialContext,
@@ -89,11 +103,11 @@
 // fetchUpstreams fetches a peer's changes to the upstream list since the revision that
 // this entry has, and applies them.
 func (g *Gateway) fetchUpstreams(ctx context.Context, peer, base string) {
-	after := uint64(0)
+	after := objects.Position{Era: objects.FirstEra}
 	if u := g.upstreams.Load(); u != nil {
-		after = u.revision
+		after = u.position
 	}
-	data := g.fetchFromPeer(ctx, peer, base+upstreamsPath+"?after="+strconv.FormatUint(after, 10))
+	data := g.fetchFromPeer(ctx, peer, base+upstreamsPath+"?"+positionQuery(after))
 	if data == nil {
 		return
 	}
@@ -102,7 +116,7 @@
 		g.log.Warn("peer sent an invalid upstream list", "peer", peer, "err", err)
 		return
 	}
-	g.applyUpstreams(ctx, objectChanges{RecordList: delta.RecordList, complete: delta.Complete}, peer)
+	g.applyUpstreams(ctx, objectChanges{RecordList: delta.RecordList, complete: delta.Complete, departed: delta.Departed}, peer)
 }
 
 // behindConfiguration reports whether a peer has a newer configuration.
@@ -112,15 +126,17 @@
 }
 
 // behindUpstreams reports whether a peer has a newer upstream list that this entry's own
-// watch won't deliver, because the entry does not watch the list or has lost the store.
+// watch won't deliver in time, because the entry does not watch the list, has lost the store
+// or has not noticed yet that it was restored.
 func (g *Gateway) behindUpstreams(m gossipMessage) bool {
 	u := g.upstreams.Load()
 	if u == nil {
-		return m.Upstreams > 0
+		return m.Upstreams.Revision > 0
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return u.revision < m.Upstreams && !(g.watchingUpstreams.Load() && g.storeReachable())
+	watched := g.watchingUpstreams.Load() && g.storeReachable() && u.position.Era == m.Upstreams.Era
+	return u.position.Before(m.Upstreams) && !watched
 }
 
 // fetchFromPeer returns the body that a URL of a peer serves, or nil on failure.
--- a/gateway/recover_test.go
+++ b/gateway/recover_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"jaylink/internal/schedule"
+	"jaylink/objects"
 	"jaylink/platform"
 	"jaylink/serving"
 )
@@ -37,7 +38,7 @@
 		limits.UsageWindow = time.Second
 		g := New(platform.Settings{Name: "e", Region: "r", Bounds: limits}, slog.New(slog.DiscardHandler))
 		g.config.Store(&acceptedConfiguration{Configuration: &serving.Configuration{Version: math.MaxUint64}})
-		g.upstreams.Store(&upstreamList{revision: math.MaxUint64})
+		g.upstreams.Store(&upstreamList{position: objects.Position{Era: math.MaxUint64, Revision: math.MaxUint64}})
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		for range rapid.IntRange(1, 8).Draw(t, "words") {
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -27,8 +27,6 @@
 	// upstreamBatchDelay is the pause between two watches of the upstream list, so that
 	// one response carries several changes.
 	upstreamBatchDelay = 250 * time.Millisecond
-	// maxRemoved limits the number of removed upstreams that are remembered.
-	maxRemoved = 256
 	// drainReserve is the part of the drain bound that is reserved for noticing a change
 	// and acting on it. The drain bound is the time after which a removed upstream must
 	// get no more requests.
@@ -46,26 +44,13 @@
 	raw []byte
 }
 
-// upstreamList is the state of the upstream list at a store revision.
-type upstreamList struct {
-	revision  uint64
-	records   map[string]objects.Record
-	upstreams map[string]serving.Upstream
-	// removed maps recently removed upstreams to the revisions at which they were
-	// removed.
-	removed map[string]uint64
-	// removedSince is the revision after which removed is complete.
-	removedSince uint64
-	// missing maps upstreams that are no longer registered but are kept for now to the
-	// time at which they disappeared.
-	missing map[string]time.Time
-}
-
 // objectChanges is a list or a set of changes read from the store or from a peer.
 type objectChanges struct {
 	objects.RecordList
 	// complete means that objects which are not in the list don't exist.
 	complete bool
+	// departed holds the upstreams that a peer knows to have been draining or gone.
+	departed map[string]departure
 }
 
 // watches reports whether this entry watches the store for both the configuration and the
@@ -76,30 +61,30 @@
 // is set while this entry does so; when other entries watch in its place, listAndWatch
 // waits. batchDelay is the pause after a response with changes.
 func (g *Gateway) listAndWatch(ctx context.Context, kind string, watching *atomic.Bool, batchDelay time.Duration, apply func(objectChanges)) {
-	var at uint64
+	var at objects.Position
 	listedOnce, failures := false, 0
 	for ctx.Err() == nil {
-		watch := at == 0 || g.shouldWatch()
+		watch := at == objects.Position{} || g.shouldWatch()
 		if watching.Swap(watch) != watch {
-			g.log.Info("store watch started or stopped", "kind", kind, "watches", watch, "after", at)
+			g.log.Info("store watch started or stopped", "kind", kind, "watches", watch, "era", at.Era, "after", at.Revision)
 		}
 		if !watch {
 			// Peers pass on what they see. A later watch begins with a list.
-			at = 0
+			at = objects.Position{}
 			g.awaitNeedToWatch(ctx)
 			continue
 		}
 		var c objectChanges
 		var err error
-		if at == 0 {
+		if (at == objects.Position{}) {
 			c.complete = true
 			c.RecordList, err = g.objects.List(ctx, kind)
 		} else {
 			c.RecordList, err = g.objects.Watch(ctx, kind, at, g.watchTimeout())
 		}
 		if errors.Is(err, objects.ErrCompacted) {
-			g.log.Info("store has compacted the revision; listing again", "kind", kind, "after", at)
-			at = 0
+			g.log.Info("store has compacted the revision; listing again", "kind", kind, "era", at.Era, "after", at.Revision, "err", err)
+			at = objects.Position{}
 			continue
 		}
 		if ctx.Err() != nil {
@@ -118,7 +103,7 @@
 			watching.Store(false)
 			g.awaitOtherWatchers(ctx)
 		}
-		at = c.Revision
+		at = c.Position()
 		if len(c.Items) > 0 && batchDelay > 0 {
 			sleep(ctx, batchDelay)
 		}
@@ -199,29 +184,29 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	before := g.upstreams.Load()
-	if before != nil && c.Revision < before.revision {
+	if before != nil && c.Position().Before(before.position) {
 		g.metrics.olderLists.Inc(1)
 		g.log.Info("older upstream list ignored", "source", source, "count", len(c.Items), "complete", c.complete,
-			"revision", c.Revision, "active", before.revision, "era", g.objects.Era())
+			"era", c.Position().Era, "revision", c.Revision, "active_era", before.position.Era, "active_revision", before.position.Revision)
 		return nil
 	}
 	if before != nil && len(c.Items) == 0 && !c.complete {
 		return nil
 	}
-	next := mergeUpstreams(before, c, g.log.Warn)
-	next.keepMissing(before, time.Now(), g.missingGrace())
+	next := mergeUpstreams(before, c, time.Now(), g.missingGrace(), g.log.Warn)
 	g.setUpstreams(next)
 	if len(next.missing) > 0 {
-		time.AfterFunc(g.missingGrace(), func() {
-			if ctx.Err() == nil {
-				g.dropMissing()
-			}
-		})
+		g.afterDelay(ctx, g.missingGrace(), g.dropMissing)
 	}
 	if before == nil {
-		g.log.Info("upstream list loaded", "count", len(next.upstreams), "source", source, "revision", next.revision, "era", g.objects.Era())
+		g.log.Info("upstream list loaded", "count", len(next.upstreams), "source", source, "era", next.position.Era, "revision", next.position.Revision)
 		return nil
 	}
+	if next.restored(before) {
+		g.log.Info("upstream list of the restored store loaded", "count", len(next.upstreams), "missing", len(next.missing),
+			"withheld", len(next.withheld()), "source", source, "era", next.position.Era, "revision", next.position.Revision)
+		g.afterDelay(ctx, withholdTime, g.releaseWithheld)
+	}
 	var crashes [][]poison.Crash
 	for _, id := range restartedUpstreams(before.upstreams, next.upstreams) {
 		if list := g.suspicions.Restarted(g.trueTime(), id); len(list) > 0 {
@@ -232,6 +217,15 @@
 	return crashes
 }
 
+// afterDelay calls f after a delay unless ctx has ended by then.
+func (g *Gateway) afterDelay(ctx context.Context, delay time.Duration, f func()) {
+	time.AfterFunc(delay, func() {
+		if ctx.Err() == nil {
+			f()
+		}
+	})
+}
+
 // restartedUpstreams returns the IDs of upstreams that were not draining and are another
 // process now, under the same ID or under another one at the same address.
 func restartedUpstreams(before, next map[string]serving.Upstream) []string {
@@ -270,115 +264,13 @@
 	for id, u := range next.upstreams {
 		if old, ok := before.upstreams[id]; !ok || old.Draining != u.Draining || old.StartMillis != u.StartMillis {
 			g.metrics.changed[upstreamChanged].Inc(1)
-			g.log.Info("upstream", "upstream", id, "address", u.Address, "zone", u.Zone, "draining", u.Draining, "revision", next.revision)
+			g.log.Info("upstream", "upstream", id, "address", u.Address, "zone", u.Zone, "draining", u.Draining, "era", next.position.Era, "revision", next.position.Revision)
 		}
 	}
 	for id := range before.upstreams {
 		if _, ok := next.upstreams[id]; !ok {
 			g.metrics.changed[upstreamGone].Inc(1)
-			g.log.Info("upstream gone", "upstream", id, "revision", next.revision)
-		}
-	}
-}
-
-func mergeUpstreams(before *upstreamList, c objectChanges, logWarn func(string, ...any)) *upstreamList {
-	next := &upstreamList{
-		revision: c.Revision, records: map[string]objects.Record{},
-		upstreams: map[string]serving.Upstream{}, missing: map[string]time.Time{},
-		removed: map[string]uint64{}, removedSince: c.Revision,
-	}
-	if before != nil && !c.complete {
-		maps.Copy(next.records, before.records)
-		maps.Copy(next.upstreams, before.upstreams)
-		maps.Copy(next.removed, before.removed)
-		maps.Copy(next.missing, before.missing)
-		next.removedSince = before.removedSince
-	}
-	for _, rec := range c.Items {
-		delete(next.records, rec.Name)
-		delete(next.upstreams, rec.Name)
-		delete(next.missing, rec.Name)
-		if rec.Deleted {
-			next.removed[rec.Name] = c.Revision
-			continue
-		}
-		delete(next.removed, rec.Name)
-		u, err := platform.DecodeUpstream(rec.Name, rec.Value)
-		if err != nil {
-			logWarn("upstream record can't be decoded", "upstream", rec.Name, "err", err)
-			continue
-		}
-		next.records[rec.Name], next.upstreams[rec.Name] = rec, u
-	}
-	next.trimRemoved()
-	return next
-}
-
-// trimRemoved drops the oldest entries of removed beyond maxRemoved.
-func (n *upstreamList) trimRemoved() {
-	for len(n.removed) > maxRemoved {
-		oldest := ""
-		for id, at := range n.removed {
-			if oldest == "" || at < n.removed[oldest] {
-				oldest = id
-			}
-		}
-		n.removedSince = n.removed[oldest]
-		delete(n.removed, oldest)
-	}
-}
-
-// delta returns the changes after a revision, or the whole list if the removals since
-// then are not all known.
-func (n *upstreamList) delta(after uint64) upstreamDelta {
-	delta := upstreamDelta{RecordList: objects.RecordList{Revision: n.revision}, Complete: after < n.removedSince}
-	for _, rec := range n.records {
-		if delta.Complete || rec.Version > after {
-			delta.Items = append(delta.Items, rec)
-		}
-	}
-	for id, at := range n.removed {
-		if !delta.Complete && at > after {
-			delta.Items = append(delta.Items, objects.Record{Kind: platform.KindUpstreams, Name: id, Version: at, Deleted: true})
-		}
-	}
-	return delta
-}
-
-// upstreamDelta is the answer to a peer that asks for changes to the upstream list.
-type upstreamDelta struct {
-	objects.RecordList
-	// Complete means that upstreams which are not in the list have been removed.
-	Complete bool `json:"whole,omitempty"`
-}
-
-// keepMissing keeps upstreams that disappeared without draining if their service lost
-// more than half of its upstreams at once. Their registrations may have expired because
-// the store was unavailable.
-func (n *upstreamList) keepMissing(before *upstreamList, now time.Time, grace time.Duration) {
-	if before == nil {
-		return
-	}
-	lost, had := map[string]int{}, map[string]int{}
-	for id, u := range before.upstreams {
-		if u.Draining {
-			continue
-		}
-		had[u.Service]++
-		if _, ok := n.upstreams[id]; !ok {
-			lost[u.Service]++
-		}
-	}
-	for id, u := range before.upstreams {
-		if _, ok := n.upstreams[id]; ok || u.Draining {
-			continue
-		}
-		since, waiting := before.missing[id]
-		if !waiting {
-			since = now
-		}
-		if lost[u.Service]*2 > had[u.Service] && now.Sub(since) < grace {
-			n.upstreams[id], n.records[id], n.missing[id] = u, before.records[id], since
+			g.log.Info("upstream gone", "upstream", id, "era", next.position.Era, "revision", next.position.Revision)
 		}
 	}
 }
@@ -396,19 +288,10 @@
 	g.setUpstreams(g.upstreams.Load().withoutExpired(time.Now(), g.missingGrace()))
 }
 
-// withoutExpired returns the list without the upstreams that have been missing for the
-// grace period.
-func (n *upstreamList) withoutExpired(now time.Time, grace time.Duration) *upstreamList {
-	next := &upstreamList{
-		revision: n.revision, removedSince: n.removedSince, removed: n.removed, records: maps.Clone(n.records),
-		upstreams: maps.Clone(n.upstreams), missing: maps.Clone(n.missing),
-	}
-	for id, since := range n.missing {
-		if now.Sub(since) >= grace {
-			delete(next.records, id)
-			delete(next.upstreams, id)
-			delete(next.missing, id)
-		}
-	}
-	return next
+// releaseWithheld uses upstreams again that are still listed although they were gone before
+// the store was restored.
+func (g *Gateway) releaseWithheld() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.setUpstreams(g.upstreams.Load().withoutWithheld(g.log.Warn))
 }
--- a/gateway/watchers_test.go
+++ b/gateway/watchers_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"jaylink/objects"
 	"jaylink/platform"
 	"jaylink/serving"
 )
@@ -19,16 +20,16 @@
 func TestUpstreamsAreHeardOfUnlessTheyAreWatched(t *testing.T) {
 	g := New(platform.Settings{Name: "e", Bounds: bounds()}, slog.New(slog.DiscardHandler))
 	g.config.Store(&acceptedConfiguration{Configuration: &serving.Configuration{Version: 1}})
-	g.upstreams.Store(&upstreamList{revision: 5})
+	g.upstreams.Store(&upstreamList{position: objects.Position{Era: 1, Revision: 5}})
 	g.watchingConfiguration.Store(true)
-	require.True(t, g.behindUpstreams(gossipMessage{Upstreams: 9}))
+	require.True(t, g.behindUpstreams(gossipMessage{Upstreams: objects.Position{Era: 1, Revision: 9}}))
 	require.False(t, g.watches())
 	g.watchingUpstreams.Store(true)
-	require.False(t, g.behindUpstreams(gossipMessage{Upstreams: 9}))
+	require.False(t, g.behindUpstreams(gossipMessage{Upstreams: objects.Position{Era: 1, Revision: 9}}))
 	require.True(t, g.watches())
 	// While the store does not answer, peers may have newer data.
 	g.setDependencyError("store."+platform.KindUpstreams, errors.New("down"))
-	require.True(t, g.behindUpstreams(gossipMessage{Upstreams: 9}))
+	require.True(t, g.behindUpstreams(gossipMessage{Upstreams: objects.Position{Era: 1, Revision: 9}}))
 }
 
 // Load pattern: all entries start at the same time. Only the targetWatchers entries of
--- a/objects/objects.go
+++ b/objects/objects.go
@@ -16,8 +16,10 @@
 type Record struct {
 	Kind string `json:"kind"`
 	Name string `json:"name"`
-	// Version is the store's revision at the last write of this object.
+	// Version is the store's revision at the last write of this object, and Era the era of
+	// the response that the record is from; 0 stands for FirstEra.
 	Version uint64 `json:"version"`
+	Era     uint64 `json:"era,omitempty"`
 	// Deleted marks a deletion reported by a watch.
 	Deleted bool `json:"deleted,omitempty"`
 	// Value is a JSON value of at most 1 MiB.
@@ -26,12 +28,17 @@
 
 // RecordList is the response to a list or watch call.
 type RecordList struct {
+	// Era is the era of Revision; 0 stands for FirstEra.
+	Era uint64 `json:"era,omitempty"`
 	// Revision is the store's revision at the time of the response. The next
 	// watch returns the changes after it.
 	Revision uint64   `json:"revision"`
 	Items    []Record `json:"items"`
 }
 
+// Position returns the store's position at the time of the response.
+func (l RecordList) Position() Position { return Position{max(l.Era, FirstEra), l.Revision} }
+
 // Sentinel errors. Callers test for them with errors.Is.
 var (
 	// ErrNotFound means that the object does not exist.
@@ -42,6 +49,9 @@
 	// ErrCompacted means that the store has discarded the changes after the
 	// revision that a watch asked for; the caller has to list the objects.
 	ErrCompacted = errors.New("revision is compacted")
+	// ErrSuperseded means that the response is from an earlier era than another one before
+	// it, or that the store was restored in the middle of a call.
+	ErrSuperseded = errors.New("response of an earlier era of the store")
 	// ErrRefused means that the platform rejected the call; it had no effect.
 	ErrRefused = errors.New("platform refused the call")
 )
