lease: never use a fencing token twice when the store is restored

Cause: the next generation followed from the stored record alone, which a restore takes back, and an entry that found no record took the lease at once while the holder of the lost one still had it.

Change: the lease knows the era. After the first era generations come from a range of that era and from the version that is replaced, so that no memory is needed and a late write of an earlier era can't take them back. Nobody takes a lease in a new era before it has seen this era for the whole duration; the holder goes on with a generation of the new era. A write that took effect in a later era than it was meant for grants nothing. entry's lease is as before, its store has no eras.

The property of before shares its check with the new one.

--- a/decision/lease/lease.go
+++ b/decision/lease/lease.go
@@ -13,10 +13,42 @@
 // which increases with each holder, as a fencing token. For engines that don't
 // check fencing tokens, a new holder waits until the last possible order of its
 // predecessor has timed out.
+//
+// A store may come back from an older copy and begin a new era. The lease in the copy may be
+// one of the past, or there may be none, while the holder of the last lease before still
+// holds it. No other entry therefore takes a lease in a new era before it has itself seen
+// this era for the whole duration. Generations of different eras are in different ranges,
+// so that none is used twice, even if no entry remembers those before.
 package lease
 
 import "time"
 
+// firstEra is the era of a store that was never restored, or does not tell.
+const firstEra = 1
+
+// generationsPerEra is the number of generations in the range of an era. Versions of the
+// object stay below it.
+const generationsPerEra = 1 << 32
+
+// Stored identifies a stored state of the lease.
+type Stored struct {
+	// Era counts how often the store came back from an older copy, from 1; 0 stands
+	// for 1.
+	Era uint64
+	// Version is the version of the object in that era, or 0 if there is none.
+	Version uint64
+}
+
+// generationsBefore returns the highest generation that may have been given out before this
+// state was stored. After the first era it follows from the version: what was written there
+// may be overwritten by a late write of an earlier era, with its lower generation.
+func (s Stored) generationsBefore() uint64 {
+	if s.Era <= firstEra {
+		return 0
+	}
+	return (s.Era-firstEra)*generationsPerEra + s.Version
+}
+
 // Record is the stored form of the lease.
 type Record struct {
 	Holder string `json:"holder"`
@@ -44,12 +76,19 @@
 	self string
 	opts Options
 
-	// current is the last record that was seen, and version its version, or 0
-	// if there is none. seenAt is when this version was first seen.
+	// current is the last record that was seen, and stored identifies it. seenAt is when
+	// this state was first seen.
 	current Record
-	version uint64
+	stored  Stored
 	seenAt  time.Time
 	known   bool
+	// highest is the highest generation that was seen.
+	highest uint64
+
+	// granted is the generation of the last lease of this entry, and grantEra the era in
+	// which it was written.
+	granted  uint64
+	grantEra uint64
 
 	// expiresAt is when the lease of this entry expires. uncheckedFrom is when
 	// this entry may start to order engines that don't check fencing tokens.
@@ -84,50 +123,67 @@
 	switch {
 	case !l.known || l.pending != nil:
 		return StepRead
-	case l.current.Holder == l.self && now.Before(l.expiresAt):
+	case l.holds(now):
 		return StepWrite
-	case l.version == 0 || now.Sub(l.seenAt) >= l.opts.Duration:
+	case l.stored.Version == 0 && l.stored.Era <= firstEra, now.Sub(l.seenAt) >= l.opts.Duration:
 		return StepWrite
 	}
 	return StepRead
 }
 
+// holds reports whether this entry has a lease that has not expired. After the store was
+// restored that may be another one than the stored lease.
+func (l *Lease) holds(now time.Time) bool {
+	return l.granted > 0 && !l.superseded() && now.Before(l.expiresAt)
+}
+
 // Write returns the record to write and the version that it replaces; version 0
 // means that the object must not exist. The caller provides a unique token.
 func (l *Lease) Write(now time.Time, token string) (Record, uint64) {
-	next := Record{Holder: l.self, Generation: l.current.Generation, Token: token}
-	if l.current.Holder != l.self || !now.Before(l.expiresAt) {
-		next.Generation++
+	next := Record{Holder: l.self, Generation: l.granted, Token: token}
+	if !l.holds(now) || l.grantEra != l.stored.Era {
+		next.Generation = max(l.highest, l.stored.generationsBefore()) + 1
 	}
 	l.writeStarted, l.pending = now, &next
-	return next, l.version
+	return next, l.stored.Version
 }
 
-// Observe processes the stored record; version 0 means that there is none. It
-// also determines whether a write whose answer was lost took effect.
-func (l *Lease) Observe(now time.Time, rec Record, version uint64) {
-	if !l.known || version != l.version {
-		l.current, l.version, l.seenAt, l.known = rec, version, now, true
+// Observe processes the stored record. It also determines whether a write whose answer
+// was lost took effect. A record of an earlier era than another one before it is ignored.
+func (l *Lease) Observe(now time.Time, rec Record, stored Stored) {
+	if l.known && stored.Era < l.stored.Era {
+		return
 	}
-	if l.pending != nil && rec.Token == l.pending.Token {
+	sameEra := !l.known || stored.Era == l.stored.Era
+	l.see(now, rec, stored)
+	if l.pending != nil && rec.Token == l.pending.Token && sameEra {
 		l.extend()
 	}
 	l.pending = nil
 }
 
-// WriteSucceeded processes the success of the pending write.
-func (l *Lease) WriteSucceeded(now time.Time, version uint64) {
+// WriteSucceeded processes the success of the pending write. A write that took effect in a
+// later era than that of the record it was to replace has replaced another one. It grants
+// nothing, because the holder of that one may not have seen it.
+func (l *Lease) WriteSucceeded(now time.Time, stored Stored) {
 	if l.pending == nil {
 		return
 	}
-	l.current, l.version, l.seenAt, l.known = *l.pending, version, now, true
-	l.extend()
-	l.pending = nil
+	l.Observe(now, *l.pending, stored)
+}
+
+// see records the stored state.
+func (l *Lease) see(now time.Time, rec Record, stored Stored) {
+	l.highest = max(l.highest, rec.Generation)
+	if !l.known || stored != l.stored {
+		l.current, l.stored, l.seenAt, l.known = rec, stored, now, true
+	}
 }
 
 // extend starts or extends the lease of this entry, counting from before the
 // write was sent.
 func (l *Lease) extend() {
+	l.granted, l.grantEra = l.pending.Generation, l.stored.Era
 	if !l.writeStarted.Before(l.expiresAt) {
 		l.uncheckedFrom = l.writeStarted.Add(l.opts.OrderTimeout)
 	}
@@ -151,11 +207,15 @@
 // refuses orders with an old fencing token.
 func (l *Lease) MayOrder(now time.Time, checked bool) (Grant, bool) {
 	left := l.expiresAt.Sub(now)
-	if l.current.Holder != l.self || left < l.opts.OrderTimeout {
+	if !l.holds(now) || left < l.opts.OrderTimeout {
 		return Grant{}, false
 	}
 	if !checked && now.Before(l.uncheckedFrom) {
 		return Grant{}, false
 	}
-	return Grant{Generation: l.current.Generation, Timeout: l.opts.OrderTimeout}, true
+	return Grant{Generation: l.granted, Timeout: l.opts.OrderTimeout}, true
 }
+
+// superseded reports whether another entry has taken the lease since this entry had it. A
+// copy from which the store was restored shows an earlier lease.
+func (l *Lease) superseded() bool { return l.current.Holder != l.self && l.stored.Era == l.grantEra }
--- a/decision/lease/lease_test.go
+++ b/decision/lease/lease_test.go
@@ -20,13 +20,23 @@
 type store struct {
 	rec     Record
 	version uint64
+	// revision counts all changes in the store, and era its restores.
+	revision, era uint64
+}
+
+func (s *store) stored() Stored { return Stored{s.era, s.version} }
+
+// restore brings the store back from an older copy.
+func (s *store) restore(older store) {
+	s.rec, s.version, s.revision, s.era = older.rec, older.version, older.revision, s.era+1
 }
 
 func (s *store) write(rec Record, version uint64) bool {
 	if s.version != version {
 		return false
 	}
-	s.rec, s.version = rec, s.version+1
+	s.revision++
+	s.rec, s.version = rec, s.revision
 	return true
 }
 
@@ -41,7 +51,7 @@
 // lost, the candidate does not learn whether it took effect.
 func (c *candidate) step(s *store, now time.Time, lost bool) {
 	if c.Next(now) == StepRead {
-		c.Observe(now, s.rec, s.version)
+		c.Observe(now, s.rec, s.stored())
 		return
 	}
 	c.tokens++
@@ -50,9 +60,9 @@
 	switch {
 	case lost:
 	case ok:
-		c.WriteSucceeded(now, s.version)
+		c.WriteSucceeded(now, s.stored())
 	default:
-		c.Observe(now, s.rec, s.version)
+		c.Observe(now, s.rec, s.stored())
 	}
 }
 
@@ -141,13 +151,133 @@
 				}
 			}
 		}
-		for i := 1; i < len(orders); i++ {
-			before, after := orders[i-1], orders[i]
-			require.LessOrEqual(t, before.generation, after.generation)
-			if before.who != after.who {
-				require.Less(t, before.generation, after.generation)
-				require.False(t, after.from.Before(before.to), "%+v overlaps %+v", before, after)
+		requireSeparateOrders(t, orders)
+	})
+}
+
+// requireSeparateOrders checks that orders of different holders don't overlap and that
+// generations never decrease or meet.
+func requireSeparateOrders(t require.TestingT, orders []window) {
+	for i := 1; i < len(orders); i++ {
+		before, after := orders[i-1], orders[i]
+		require.LessOrEqual(t, before.generation, after.generation)
+		if before.who != after.who {
+			require.Less(t, before.generation, after.generation)
+			require.False(t, after.from.Before(before.to), "%+v overlaps %+v", before, after)
+		}
+	}
+}
+
+// lateWrite is a write without an answer that the store may execute later, if its condition
+// still holds.
+type lateWrite struct {
+	rec     Record
+	version uint64
+}
+
+// The store comes back from older copies, in series, with writes of earlier eras executed
+// late, while entries are paused, restarted and lose answers.
+func TestOrdersOfDifferentHoldersNeverOverlapAfterRestores(t *testing.T) {
+	schedule.Property(t, func(t *rapid.T) {
+		s := &store{era: 1}
+		copies := []store{*s}
+		names := []string{"a", "b", "c"}
+		var all []*candidate
+		for _, name := range names {
+			all = append(all, &candidate{Lease: New(name, options)})
+		}
+		now, tokens := start, 0
+		var orders []window
+		var late []lateWrite
+		for range rapid.IntRange(1, 500).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2500).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, 2).Draw(t, "entry")
+			c := all[i]
+			switch what := rapid.IntRange(0, 23).Draw(t, "what"); what {
+			case 0:
+				c.paused = !c.paused
+			case 1:
+				if !c.paused {
+					c.step(s, now, true)
+				}
+			case 2:
+				if !c.paused && c.Next(now) == StepWrite {
+					tokens++
+					rec, version := c.Write(now, fmt.Sprint("late", tokens))
+					late = append(late, lateWrite{rec, version})
+				}
+			case 3:
+				if len(late) > 0 {
+					s.write(late[0].rec, late[0].version)
+					late = late[1:]
+				}
+			case 4:
+				copies = append(copies, *s)
+			case 5:
+				s.restore(copies[rapid.IntRange(0, len(copies)-1).Draw(t, "copy")])
+				copies = []store{*s}
+			case 6:
+				all[i] = &candidate{Lease: New(names[i], options), tokens: c.tokens}
+			case 7:
+				// Another object changes.
+				s.revision++
+			case 8, 9, 10, 11, 12, 13, 14, 15, 16:
+				if !c.paused {
+					c.step(s, now, false)
+				}
+			default:
+				if g, ok := c.MayOrder(now, false); ok && !c.paused {
+					orders = append(orders, window{c.self, g.Generation, now, now.Add(g.Timeout)})
+				}
 			}
 		}
+		requireSeparateOrders(t, orders)
 	})
 }
+
+// The holder goes on when the store is restored, with a generation of the new era.
+func TestHolderKeepsItsLeaseAcrossARestore(t *testing.T) {
+	s := &store{era: 1}
+	older := *s
+	a := &candidate{Lease: New("a", options)}
+	a.step(s, start, false)
+	a.step(s, start, false)
+	first, ok := a.MayOrder(start, true)
+	require.True(t, ok)
+	s.restore(older)
+	b := &candidate{Lease: New("b", options)}
+	now := start.Add(time.Second)
+	b.step(s, now, false)
+	require.Equal(t, StepRead, b.Next(now), "a holds a lease that is not in the copy")
+	a.step(s, now, false)
+	a.step(s, now, false)
+	second, ok := a.MayOrder(now, true)
+	require.True(t, ok)
+	require.Greater(t, second.Generation, first.Generation)
+	require.Equal(t, second.Generation, s.rec.Generation)
+}
+
+// A write that was meant to replace a record of an earlier era may replace another holder's.
+func TestWriteThatTookEffectAfterARestoreGrantsNothing(t *testing.T) {
+	a := New("a", options)
+	a.Observe(start, Record{}, Stored{1, 0})
+	rec, _ := a.Write(start, "t1")
+	a.WriteSucceeded(start, Stored{2, 1})
+	_, ok := a.MayOrder(start, true)
+	require.False(t, ok)
+	a.Observe(start, rec, Stored{2, 1})
+	_, ok = a.MayOrder(start, true)
+	require.False(t, ok)
+	// It is another entry's turn only after the duration, and so is this one's.
+	require.Equal(t, StepRead, a.Next(start.Add(options.Duration-1)))
+	require.Equal(t, StepWrite, a.Next(start.Add(options.Duration)))
+}
+
+func TestRecordOfAnEarlierEraIsIgnored(t *testing.T) {
+	a := New("a", options)
+	a.Observe(start, Record{Holder: "b", Generation: 3}, Stored{2, 7})
+	a.Observe(start, Record{Holder: "c", Generation: 9}, Stored{1, 90})
+	holder, generation := a.Holder()
+	require.Equal(t, "b", holder)
+	require.Equal(t, uint64(3), generation)
+}
--- a/entry/engine_reconciler.go
+++ b/entry/engine_reconciler.go
@@ -97,7 +97,7 @@
 func (o *engineReconciler) readLease(ctx context.Context) {
 	stored, err := o.entry.platform.Get(ctx, kindLease, leaseName)
 	if errors.Is(err, objects.ErrNotFound) {
-		o.lease.Observe(time.Now(), lease.Record{}, 0)
+		o.lease.Observe(time.Now(), lease.Record{}, lease.Stored{})
 		return
 	}
 	if err == nil {
@@ -111,7 +111,7 @@
 		o.entry.log.Error("lease can't be decoded", "version", stored.Version)
 		return
 	}
-	o.lease.Observe(time.Now(), rec, stored.Version)
+	o.lease.Observe(time.Now(), rec, lease.Stored{Version: stored.Version})
 }
 
 func (o *engineReconciler) writeLease(ctx context.Context, rec lease.Record, version uint64) {
@@ -131,7 +131,7 @@
 		o.entry.log.Warn("lease write failed", "step", "lease", "err", err)
 		return
 	}
-	o.lease.WriteSucceeded(time.Now(), stored.Version)
+	o.lease.WriteSucceeded(time.Now(), lease.Stored{Version: stored.Version})
 }
 
 // reconcile sends an order to an engine whose state differs from its labels. It
--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -95,6 +95,9 @@
 func (g *Gateway) isCandidate() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if _, holds := g.lease.MayOrder(monotonicTime(), true); holds {
+		return true
+	}
 	if holder, _ := g.lease.Holder(); holder == g.settings.Name {
 		return true
 	}
@@ -142,7 +145,12 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.lease.Observe(monotonicTime(), stored, rec.Version)
+	g.lease.Observe(monotonicTime(), stored, storedLease(rec))
+}
+
+// storedLease identifies the state of the lease in a record of the store.
+func storedLease(rec objects.Record) lease.Stored {
+	return lease.Stored{Era: rec.Era, Version: rec.Version}
 }
 
 func (g *Gateway) writeLease(ctx context.Context) {
@@ -160,10 +168,12 @@
 	switch {
 	case err == nil:
 		g.mu.Lock()
-		g.lease.WriteSucceeded(monotonicTime(), rec.Version)
+		g.lease.WriteSucceeded(monotonicTime(), storedLease(rec))
 		g.mu.Unlock()
 	case errors.As(err, &conflict) && conflict.Current.Version > 0:
 		g.observeLease(conflict.Current)
+	case errors.Is(err, objects.ErrNotFound):
+		g.observeLease(rec)
 	default:
 		// Whether the write took effect is unknown; the next step reads the lease.
 		g.setDependencyError("store."+platform.KindLeases, err)
