gateway: register again after the store is restored

What callers saw: an entry that starts after a restore never hears of entries that registered after the copy, nor they of it; it admits and places as if it were alone.

Cause: an entry registered once in its life and took the record for lasting.

Change: an entry remembers the era in which it registered and does so again, spread over a second, when the store's answers or a peer's list show a later one.

--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -25,6 +26,9 @@
 	// for a stale list to suffice. It is less than 1 because entries that have left
 	// may still be listed.
 	minHeardShare = 0.5
+	// registrationSpread is the time over which the entries register again after a restore
+	// of the store.
+	registrationSpread = time.Second
 )
 
 // entryRecord is the record with which an entry registers itself in the store.
@@ -33,13 +37,15 @@
 	Zone    string `json:"zone"`
 }
 
-// discoverPeers registers this entry in the store and looks up the others until ctx
-// ends. The first lookup reads a stale list, which is cheap, and the second a fresh one.
+// discoverPeers registers this entry in the store, again in each era of the store, and looks
+// up the others until ctx ends. The first lookup reads a stale list, which is cheap, and the second a fresh one.
 // Later lookups read a fresh list only if gossip arrives from few of the known entries.
 func (g *Gateway) discoverPeers(ctx context.Context) {
-	registered := false
+	registeredEra := uint64(0)
 	for lookups := 0; ctx.Err() == nil; lookups++ {
-		registered = registered || g.registerEntry(ctx)
+		if registeredEra < g.storeEra() {
+			registeredEra = g.registerEntry(ctx)
+		}
 		listEntries := g.objects.ListStale
 		if lookups == 1 || lookups > 1 && !g.heardFromMost() {
 			// Of two entries that start together, the one that registers later finds the
@@ -48,15 +54,28 @@
 		}
 		list, err := listEntries(ctx, platform.KindEntries)
 		g.setDependencyError("store."+platform.KindEntries, err)
-		if err != nil || !registered {
+		if err != nil || registeredEra == 0 {
 			sleep(ctx, lookupRetryDelay)
 			continue
 		}
 		g.addEntries(list.Items)
-		sleep(ctx, secondLookupDelay)
+		wait := secondLookupDelay
 		if lookups > 0 {
-			sleep(ctx, discoveryInterval)
+			wait += discoveryInterval
 		}
+		g.awaitRestore(ctx, wait)
+	}
+}
+
+// awaitRestore waits for d, or until the store has been restored.
+func (g *Gateway) awaitRestore(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-g.storeRestored:
+		sleep(ctx, rand.N(registrationSpread))
 	}
 }
 
@@ -82,18 +101,20 @@
 }
 
 // registerEntry writes this entry's record to the store, replacing one of an earlier
-// process, and reports whether it succeeded.
-func (g *Gateway) registerEntry(ctx context.Context) bool {
+// process. It returns the era of the store in which it did so, or 0 if it failed.
+func (g *Gateway) registerEntry(ctx context.Context) uint64 {
 	value := entryRecord{Address: g.gossip.LocalAddr().String(), Zone: g.settings.Zone}
-	_, err := g.objects.Create(ctx, platform.KindEntries, g.settings.Name, value)
+	rec, err := g.objects.Create(ctx, platform.KindEntries, g.settings.Name, value)
 	var conflict *objects.ConflictError
 	if errors.As(err, &conflict) {
-		_, err = g.objects.Replace(ctx, platform.KindEntries, g.settings.Name, 0, value)
+		rec, err = g.objects.Replace(ctx, platform.KindEntries, g.settings.Name, 0, value)
 	}
 	if err != nil {
 		g.log.Warn("entry registration failed", "err", err)
+		return 0
 	}
-	return err == nil
+	g.log.Info("entry registered", "era", rec.Era)
+	return rec.Era
 }
 
 // addPeer adds a peer, or updates the address of a known one. It ignores this entry
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -110,6 +110,8 @@
 	// message and how many were dropped because the buffer was full. It is nil if
 	// these are not counted.
 	logLosses func() (limited, dropped int64)
+	// storeRestored tells discoverPeers that the store has been restored.
+	storeRestored chan struct{}
 	// sendLoads triggers a gossip message with loads before the next round.
 	sendLoads chan struct{}
 	// sendNews triggers a gossip message about crashes and limits before the next round.
@@ -147,6 +149,7 @@
 		customerNames:    map[uint32]string{},
 		unknownHeaders:   map[string]bool{},
 		lostDependencies: map[string]time.Time{},
+		storeRestored:    make(chan struct{}, 1),
 		sendLoads:        make(chan struct{}, 1),
 		sendNews:         make(chan struct{}, 1),
 		sendNewsTo:       make(chan *net.UDPAddr, smallFleet),
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -206,6 +206,7 @@
 		g.log.Info("upstream list of the restored store loaded", "count", len(next.upstreams), "missing", len(next.missing),
 			"withheld", len(next.withheld()), "source", source, "era", next.position.Era, "revision", next.position.Revision)
 		g.afterDelay(ctx, withholdTime, g.releaseWithheld)
+		g.registerAgain()
 	}
 	var crashes [][]poison.Crash
 	for _, id := range restartedUpstreams(before.upstreams, next.upstreams) {
--- a/gateway/storeera.go
+++ b/gateway/storeera.go
@@ -1,5 +1,14 @@
 package gateway
 
+// storeEra returns the latest era of the store that its answers or peers have shown.
+func (g *Gateway) storeEra() uint64 {
+	era := g.objects.Era()
+	if u := g.upstreams.Load(); u != nil {
+		era = max(era, u.position.Era)
+	}
+	return era
+}
+
 // storeEraChanged records the era that the first answer of the store shows, in which case
 // from is 0, or that the store has come back from an older copy of its data.
 func (g *Gateway) storeEraChanged(from, to uint64) {
@@ -10,4 +19,14 @@
 	}
 	g.metrics.changed[storeEra].Inc(1)
 	g.log.Warn("store came back from an older copy", "era", to, "before", from)
+	g.registerAgain()
+}
+
+// registerAgain has this entry registered again, because the restored store may lack its
+// record.
+func (g *Gateway) registerAgain() {
+	select {
+	case g.storeRestored <- struct{}{}:
+	default:
+	}
 }
