gateway, usage: report no window differently after the store is restored

Cause: a report was fixed by its record in the store, which a restore takes back; a successor then fixed its own counts.

Change: the holder announces each window to the others before it stores and sends the report (gossip fields 18 and 19), and remembers its own reports. A successor leaves out a window that was announced in an earlier era, or was due before it started, unless the store has the report. The price is a missing report for such a window; in the first era nothing changes.

--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -51,6 +51,8 @@
 	refusedToken uint64
 	// reportedWindows holds the windows whose usage report has been accepted.
 	reportedWindows map[int64]bool
+	// reports holds the reports that this entry has fixed or read, by window.
+	reports map[int64]platform.UsageReport
 	// token is the fencing token of the last run, and heldSince is when this entry first
 	// used it.
 	token     uint64
@@ -59,7 +61,9 @@
 	lastScaling time.Time
 }
 
-func newDutyState() *dutyState { return &dutyState{reportedWindows: map[int64]bool{}} }
+func newDutyState() *dutyState {
+	return &dutyState{reportedWindows: map[int64]bool{}, reports: map[int64]platform.UsageReport{}}
+}
 
 // dutyToken returns the fencing token if this entry may perform the duties now.
 func (g *Gateway) dutyToken(d *dutyState) (uint64, bool) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"jaylink/decision/upstreamlimit"
 	"jaylink/decision/usage"
 	"jaylink/internal/metricstext"
+	"jaylink/objects"
 	"jaylink/platform"
 	"jaylink/serving"
 	"jaylink/upstream/exchange"
@@ -75,10 +76,12 @@
 	// retryBudgets holds one budget per service.
 	retryBudgets map[string]*budget.Budget
 	usage        *usage.Counter
-	clock        *truetime.Clock
-	lease        *lease.Lease
-	scalers      map[string]*scaling.Scaler
-	limits       *upstreamlimit.Limits
+	// reports tells which windows may have been reported by any entry.
+	reports *usage.Reports
+	clock   *truetime.Clock
+	lease   *lease.Lease
+	scalers map[string]*scaling.Scaler
+	limits  *upstreamlimit.Limits
 	// suspicions and poison track requests that crash the upstreams that run them.
 	suspicions *poison.CrashSuspicions
 	poison     *poison.Tracker
@@ -160,6 +163,7 @@
 	// The number of entries is unknown yet; assume a large fleet.
 	g.quota.SetDelays(totalsInterval, 0)
 	g.quota.SetSlack(bounds.QuotaSlack)
+	g.reports = usage.NewReports(objects.FirstEra, g.newestDueWindow(time.Now())+1)
 	g.table.SetLimits(g.limits)
 	g.objects.Called = g.metrics.recordStoreCall
 	g.objects.EraChanged = g.storeEraChanged
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -280,6 +280,7 @@
 		m.Usage = g.usage.Newest(g.trueTime())
 	}
 	m.WatchesStore = g.storeReachable() && g.watches()
+	m.ReportedWindow, m.ReportedEra = g.reports.Newest()
 	_, m.HoldsLease = g.lease.MayOrder(monotonicTime(), true)
 	return m
 }
@@ -363,6 +364,7 @@
 	g.quota.UpdatePeer(now, m.Entry, m.Incarnation, g.totalsByCustomer(m))
 	g.limits.UpdatePeer(g.trueTime(), m.Entry, m.Demand)
 	g.usage.Merge(processName(m), m.Usage)
+	g.applyReported(m)
 	if shift := g.clock.AddSample(monotonic(), m.Entry, time.UnixMilli(m.SentAt)); shift != 0 {
 		g.metrics.changed[clockSet].Inc(1)
 		g.log.Warn("clock set to that of most entries", "by", shift)
--- a/gateway/gossipcodec.go
+++ b/gateway/gossipcodec.go
@@ -34,6 +34,8 @@
 	fieldLimit         protowire.Number = 15 // message, repeated, see appendLimit
 	fieldDemand        protowire.Number = 16 // bytes, see appendLimits
 	fieldEra           protowire.Number = 17 // varint, the era of fieldUpstreams; FirstEra if absent
+	fieldReported      protowire.Number = 18 // varint, the newest reported usage window
+	fieldReportedEra   protowire.Number = 19 // varint, the era of fieldReported; FirstEra if absent
 )
 
 // Field numbers of the customer message within a gossip message.
@@ -101,9 +103,7 @@
 	b = appendVarint(b, fieldSent, uint64(m.SentAt))
 	b = appendVarint(b, fieldConfiguration, m.Configuration)
 	b = appendVarint(b, fieldUpstreams, m.Upstreams.Revision)
-	if m.Upstreams.Era > objects.FirstEra {
-		b = appendVarint(b, fieldEra, m.Upstreams.Era)
-	}
+	b = appendEra(b, fieldEra, m.Upstreams.Era)
 	b = appendVarint(b, fieldFlags, m.flags())
 	if len(m.Loads) > 0 {
 		b = protowire.AppendTag(b, fieldLoads, protowire.BytesType)
@@ -117,6 +117,10 @@
 		b = protowire.AppendTag(b, fieldScarce, protowire.BytesType)
 		b = protowire.AppendBytes(b, scarce)
 	}
+	if m.ReportedWindow > 0 {
+		b = appendVarint(b, fieldReported, uint64(m.ReportedWindow))
+		b = appendEra(b, fieldReportedEra, m.ReportedEra)
+	}
 	b = m.appendCrashes(b)
 	b = m.appendLimits(b)
 	windows := m.windows()
@@ -206,6 +210,14 @@
 	return protowire.AppendVarint(protowire.AppendTag(b, field, protowire.VarintType), v)
 }
 
+// appendEra appends an era, or nothing if it is the first.
+func appendEra(b []byte, field protowire.Number, era uint64) []byte {
+	if era <= objects.FirstEra {
+		return b
+	}
+	return appendVarint(b, field, era)
+}
+
 // fieldValue is the value of one field: number holds varint and fixed-size values, bytes
 // all others.
 type fieldValue struct {
@@ -267,6 +279,10 @@
 			m.Upstreams.Revision = v.number
 		case fieldEra:
 			m.Upstreams.Era = v.number
+		case fieldReported:
+			m.ReportedWindow = int64(v.number)
+		case fieldReportedEra:
+			m.ReportedEra = v.number
 		case fieldFlags:
 			flags = v.number
 		case fieldLoads:
@@ -294,6 +310,9 @@
 		return m, err
 	}
 	m.Upstreams.Era = max(m.Upstreams.Era, objects.FirstEra)
+	if m.ReportedWindow > 0 {
+		m.ReportedEra = max(m.ReportedEra, objects.FirstEra)
+	}
 	for _, c := range customers {
 		if err := m.decodeCustomer(c, newest); err != nil {
 			return m, fmt.Errorf("customer: %w", err)
--- a/gateway/gossipcodec_test.go
+++ b/gateway/gossipcodec_test.go
@@ -76,6 +76,9 @@
 		WatchesStore:  rapid.Bool().Draw(t, "watches"),
 		HoldsLease:    rapid.Bool().Draw(t, "holder"),
 	}
+	if rapid.Bool().Draw(t, "reported") {
+		m.ReportedWindow, m.ReportedEra = rapid.Int64Min(1).Draw(t, "window"), rapid.Uint64Min(1).Draw(t, "reported era")
+	}
 	moment := rapid.Custom(func(t *rapid.T) time.Time { return time.UnixMilli(rapid.Int64Range(1, 1<<45).Draw(t, "moment")) })
 	m.Crashes = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) poison.Report {
 		r := poison.Report{
--- a/gateway/gossipmessage.go
+++ b/gateway/gossipmessage.go
@@ -55,6 +55,10 @@
 	// Usage is the number of requests that began to run, by window and customer, for the
 	// newest windows.
 	Usage usage.Windows
+	// ReportedWindow is the newest usage window whose report may have been sent by any
+	// entry, or 0, and ReportedEra the era of the store then.
+	ReportedWindow int64
+	ReportedEra    uint64
 }
 
 // hashKey returns the key that stands for an upstream ID or a customer name in messages.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -30,12 +30,13 @@
 	dutiesTaken        stateChange = "duties"
 	dutyRefused        stateChange = "duty_refused"
 	storeEra           stateChange = "store_era"
+	usageLost          stateChange = "usage_lost"
 )
 
 // stateChanges lists all state changes.
 var stateChanges = []stateChange{
 	newConfiguration, upstreamChanged, upstreamGone, upstreamLeaving, upstreamRests, upstreamLimit, peerFound, peerGone,
-	dependencyLost, dependencyRegained, clockSet, dutiesTaken, dutyRefused, storeEra,
+	dependencyLost, dependencyRegained, clockSet, dutiesTaken, dutyRefused, storeEra, usageLost,
 }
 
 // counters holds the metrics of a gateway.
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -30,7 +30,7 @@
 	}
 	g.mu.Lock()
 	now := g.trueTime()
-	newest := g.usage.Window(now.Add(-usageDelay)) - 1
+	newest := g.newestDueWindow(now)
 	oldest := g.usage.Window(now.Add(-g.settings.Bounds.UsageLate))
 	g.mu.Unlock()
 	for w := oldest; w <= newest; w++ {
@@ -45,6 +45,22 @@
 	}
 }
 
+// newestDueWindow returns the newest window whose report is due, or 0 if usage is not counted.
+func (g *Gateway) newestDueWindow(now time.Time) int64 {
+	if g.settings.Bounds.UsageWindow <= 0 {
+		return 0
+	}
+	return g.usage.Window(now.Add(-usageDelay)) - 1
+}
+
+// applyReported remembers the newest reported window that a peer knows. One that has not ended
+// yet is the error of a clock. The caller holds mu.
+func (g *Gateway) applyReported(m gossipMessage) {
+	if m.ReportedWindow > 0 && m.ReportedWindow <= g.newestDueWindow(g.trueTime())+1 {
+		g.reports.Announce(m.ReportedWindow, m.ReportedEra)
+	}
+}
+
 // usageListenTime returns how long a new holder collects the usage of other entries
 // before its first report.
 func (g *Gateway) usageListenTime() time.Duration {
@@ -55,7 +71,12 @@
 }
 
 func (g *Gateway) reportWindow(ctx context.Context, d *dutyState, token uint64, window int64) bool {
-	report, err := g.storeUsageReport(ctx, window)
+	report, err := g.storeUsageReport(ctx, d, window)
+	if errors.Is(err, errReportLost) {
+		g.metrics.changed[usageLost].Inc(1)
+		g.log.Warn("usage not reported: the report may have been sent before the store was restored", "window", window, "era", g.objects.Era())
+		return true
+	}
 	if err != nil {
 		g.log.Warn("usage not fixed yet", "window", window, "err", err)
 		return false
@@ -80,12 +101,23 @@
 
 func usageName(window int64) string { return strconv.FormatInt(window, 10) }
 
+// errReportLost means that the report of a window may have been sent and that the store has
+// lost it.
+var errReportLost = errors.New("usage report is lost")
+
 // storeUsageReport returns the window's report as stored, and stores it first if there is
-// none.
-func (g *Gateway) storeUsageReport(ctx context.Context, window int64) (platform.UsageReport, error) {
-	g.mu.Lock()
-	report := platform.UsageReport{Window: window, Counts: g.usage.Report(window)}
-	g.mu.Unlock()
+// none. It fails with errReportLost if the report may have been sent as it was stored before
+// the store was restored, unless this entry remembers it.
+func (g *Gateway) storeUsageReport(ctx context.Context, d *dutyState, window int64) (platform.UsageReport, error) {
+	report, known := d.reports[window]
+	if !known {
+		var err error
+		if report, err = g.newUsageReport(ctx, window); err != nil {
+			return report, err
+		}
+		d.reports[window] = report
+		delete(d.reports, window-keptUsageWindows)
+	}
 	_, err := g.objects.Create(ctx, platform.KindUsage, usageName(window), report)
 	var conflict *objects.ConflictError
 	if !errors.As(err, &conflict) {
@@ -98,6 +130,30 @@
 		}
 	}
 	var stored platform.UsageReport
-	err = json.Unmarshal(rec.Value, &stored)
+	if err = json.Unmarshal(rec.Value, &stored); err == nil {
+		d.reports[window] = stored
+	}
 	return stored, err
 }
+
+// newUsageReport returns the report of a window by the counts of this entry, and announces it
+// to the entries that may succeed this one.
+func (g *Gateway) newUsageReport(ctx context.Context, window int64) (platform.UsageReport, error) {
+	era := g.objects.Era()
+	g.mu.Lock()
+	mayBeLost := g.reports.MayBeLost(window, era)
+	g.mu.Unlock()
+	if mayBeLost {
+		if _, err := g.objects.Get(ctx, platform.KindUsage, usageName(window)); errors.Is(err, objects.ErrNotFound) {
+			return platform.UsageReport{}, errReportLost
+		} else if err != nil {
+			return platform.UsageReport{}, err
+		}
+	}
+	g.mu.Lock()
+	g.reports.Announce(window, era)
+	report := platform.UsageReport{Window: window, Counts: g.usage.Report(window)}
+	g.mu.Unlock()
+	g.sendMessage(g.buildMessage(messageParts{}), g.listPeers().dutyCandidates)
+	return report, nil
+}
