--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -57,6 +57,8 @@
 	// that failed.
 	storeCalls  metrics.Counter
 	storeErrors metrics.Counter
+	// invalidConfigurations counts configurations that could not be decoded or served.
+	invalidConfigurations metrics.Counter
 	// storeEra is the latest era of the store that an answer has shown.
 	storeEra metrics.Gauge
 	// olderLists counts upstream lists and changes that were ignored because they are
@@ -113,7 +115,8 @@
 		unanswered: map[reason.Reason]metrics.Counter{}, changed: map[stateChange]metrics.Counter{},
 		answered: counter("request.answered"), failed: counter("request.failed"), abandoned: counter("request.abandoned"),
 		connections: counter("upstream.connections"), storeCalls: counter("store.calls"), storeErrors: counter("store.errors"),
-		storeEra: gauge("store.era"), olderLists: counter("store.older_lists"),
+		invalidConfigurations: counter("configuration.invalid"),
+		storeEra:              gauge("store.era"), olderLists: counter("store.older_lists"),
 		panics: counter("message.panics"), crashes: counter("upstream.crashes"),
 		limitedAttempts: counter("upstream.limited_attempts"), invalidLimits: counter("upstream.invalid_limits"),
 		unknownHeaders: counter("upstream.unknown_headers"), limitedUpstreams: gauge("upstream.limited"),
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -147,7 +147,8 @@
 func (g *Gateway) applyConfiguration(raw []byte, source string) {
 	next, err := platform.DecodeConfiguration(raw)
 	if err != nil {
-		g.log.Error("configuration can't be decoded; keeping the active one", "source", source, "err", err)
+		g.metrics.invalidConfigurations.Inc(1)
+		g.log.Error("configuration is invalid; keeping the active one", "source", source, "err", err)
 		return
 	}
 	g.mu.Lock()
