upstream: check whose refusal it is before believing it

jaylink entry told callers "ran: no" when an engine wrote the refusal of another request on the connection: the status was read before the echoed ID. The order is reversed. The two new cases of TestClientReadsEveryAnswerOfAnEngine failed before.

--- a/upstream/contract_test.go
+++ b/upstream/contract_test.go
@@ -58,6 +58,14 @@
 	return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(code) }
 }
 
+// refusal returns a handler that answers with a status and names a request.
+func refusal(code int, id string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(upstream.HeaderRequestID, id)
+		w.WriteHeader(code)
+	}
+}
+
 // abort returns a handler that sends a part of a response and aborts the connection.
 func abort(body string) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
@@ -74,6 +82,9 @@
 	{"complete, echoes the request ID", stream(events(chunk("a", "stop"), upstream.StreamEnd), upstream.HeaderRequestID, requestID), decision.OutcomeDone, reason.RanYes, "a"},
 	{"usage after the last text", stream(events(chunk("a", "stop"), `{"choices":[],"usage":{"completion_tokens":1}}`, upstream.StreamEnd)), decision.OutcomeDone, reason.RanYes, "a"},
 	{"response echoes another request ID", stream(events(chunk("x", "stop"), upstream.StreamEnd), upstream.HeaderRequestID, "other/1"), decision.OutcomeBroken, reason.RanUnknown, ""},
+	{"refusal of another request", refusal(503, "other/1"), decision.OutcomeBroken, reason.RanUnknown, ""},
+	{"rejection of another request", refusal(400, "other/1"), decision.OutcomeBroken, reason.RanUnknown, ""},
+	{"refusal that echoes the request ID", refusal(503, requestID), decision.OutcomeBusy, reason.RanNo, ""},
 	{"no end marker", stream(events(chunk("a", "length"))), decision.OutcomeBroken, reason.RanUnknown, "a"},
 	{"no finish reason", stream(events(chunk("a", ""), upstream.StreamEnd)), decision.OutcomeBroken, reason.RanUnknown, "a"},
 	{"empty stream", stream(""), decision.OutcomeBroken, reason.RanUnknown, ""},
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -59,13 +59,13 @@
 		return res
 	}
 	defer resp.Body.Close()
-	if res, failed := engineFailure(call.Address, resp); failed {
-		return res
-	}
 	if echo := resp.Header.Get(HeaderRequestID); echo != "" && echo != call.RequestID {
 		err := fmt.Errorf("answer is for request %q", echo)
 		return transportFailure(ctx, "read", call.Address, true, err)
 	}
+	if res, failed := engineFailure(call.Address, resp); failed {
+		return res
+	}
 	return readStream(ctx, call, resp, w)
 }
 
