exchange, gateway: don't take an earlier refusal for one of this request

A caller that repeats a request under its ID is told "not run" while it runs, and with refusals that name no request any caller is; many requests run twice.

Cause: an answer was matched by the request's ID, but both attempts have that ID; and a refusal without an ID was taken for that of whatever request was under way.

Change: a connection that has carried a request is not used for one of the same ID again. The IDs are remembered as hashes, so a connection carries at most 256 requests. A refusal without an ID ends its connection, and on a connection with an earlier refusal it promises nothing. Other refusals keep their connection, so overload costs no more connections than before.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -278,7 +278,8 @@
 
 // send sends a request to an upstream and waits for the status and headers of its
 // answer. It accepts an answer with the request's ID, or one without an ID that declines
-// the request; answers to other requests on the connection are skipped.
+// the request, unless that may be an earlier one once more; answers to other requests on the
+// connection are skipped.
 func (g *Gateway) send(ctx context.Context, r *request, choice placement.Choice) (*exchange.Answer, platform.UpstreamHeaders, error) {
 	header := platform.EncodeAttempt(r.http.Header, platform.Attempt{
 		Instance:  choice.Upstream.ID,
@@ -290,11 +291,13 @@
 	var head platform.UpstreamHeaders
 	answer, err := g.pool.Do(ctx, choice.Upstream.Address, &exchange.Request{
 		Method: r.http.Method, Target: r.target, Host: r.http.Host, Header: header,
-		Body: r.body, HasBody: r.http.ContentLength != 0 || r.body != nil,
+		Body: r.body, HasBody: r.http.ContentLength != 0 || r.body != nil, ID: r.RequestID,
 		CheckHead: func(status int, h http.Header) exchange.HeadCheck {
 			head = platform.DecodeAnswer(status, h)
-			matches := head.RequestID == r.RequestID || (head.RequestID == "" && head.NotRun)
-			return exchange.HeadCheck{Matches: matches, KeepAlive: head.KeepAlive}
+			anonymous := head.RequestID == "" && head.NotRun
+			return exchange.HeadCheck{
+				Matches: head.RequestID == r.RequestID || anonymous, NotRun: head.NotRun, Anonymous: anonymous, KeepAlive: head.KeepAlive,
+			}
 		},
 		MaxIdle:     maxConnectionIdle(r),
 		HeadTimeout: g.headTimeout(r, choice.Predicted),
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -61,6 +61,11 @@
 	// Leave sends complete answers with the header Server-Leaving, which announces
 	// that the upstream is shutting down.
 	Leave
+	// RepeatRefusal declines the first request on every second connection, and writes that
+	// refusal once more before each later answer on the connection. RepeatUnnamedRefusal
+	// does so without the request's ID.
+	RepeatRefusal
+	RepeatUnnamedRefusal
 )
 
 // Events is the number of events in a complete stream.
@@ -130,8 +135,10 @@
 	// closedByCaller counts connections that the caller closed before the answer
 	// was complete.
 	closedByCaller int
-	conns          map[net.Conn]bool
-	tasks          sync.WaitGroup
+	// conns holds the open connections, each with the refusal that is repeated on it.
+	conns    map[net.Conn]string
+	accepted int
+	tasks    sync.WaitGroup
 }
 
 // Start starts an upstream on a free port of an IP address.
@@ -141,7 +148,7 @@
 		return nil, err
 	}
 	s := &Server{
-		ID: id, listener: l, address: l.Addr().String(), release: make(chan struct{}), closed: make(chan struct{}), conns: map[net.Conn]bool{},
+		ID: id, listener: l, address: l.Addr().String(), release: make(chan struct{}), closed: make(chan struct{}), conns: map[net.Conn]string{},
 	}
 	s.tasks.Add(1)
 	go s.accept(l)
@@ -208,14 +215,17 @@
 			return
 		}
 		s.mu.Lock()
-		s.conns[c] = true
+		s.conns[c] = ""
+		s.accepted++
+		declinesFirst := s.accepted%2 == 1
 		s.mu.Unlock()
 		s.tasks.Add(1)
-		go s.serve(c)
+		go s.serve(c, declinesFirst)
 	}
 }
 
-func (s *Server) serve(c net.Conn) {
+// serve answers the requests on a connection. declinesFirst is for RepeatRefusal.
+func (s *Server) serve(c net.Conn, declinesFirst bool) {
 	defer s.tasks.Done()
 	defer func() {
 		_ = c.Close()
@@ -230,7 +240,14 @@
 			return
 		}
 		body, err := io.ReadAll(req.Body)
-		if err != nil || !s.answer(c, req, string(body)) {
+		if err != nil {
+			return
+		}
+		if declinesFirst && s.declineAndRemember(c, req) {
+			declinesFirst = false
+			continue
+		}
+		if !s.repeatRefusal(c) || !s.answer(c, req, string(body)) {
 			return
 		}
 	}
--- a/upstream/exchange/conn.go
+++ b/upstream/exchange/conn.go
@@ -5,9 +5,11 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 )
 
@@ -23,6 +25,8 @@
 	probeCount    = 2
 	// readBuffer is the size of a connection's read buffer in bytes.
 	readBuffer = 4096
+	// maxExchanges is the number of requests on a connection, whose IDs are remembered.
+	maxExchanges = 256
 )
 
 // conn is one connection to an upstream. At most one exchange uses it at a time.
@@ -32,6 +36,10 @@
 	// limited is true if reads are limited to remaining more bytes.
 	limited   bool
 	remaining int
+	// ids are the hashed IDs of the requests that were sent.
+	ids []uint64
+	// refused is true if the upstream has stated of a request that it did not run it.
+	refused bool
 	// idleSince is the end of the last exchange.
 	idleSince time.Time
 	// expires is the time after which the idle connection must not be used.
@@ -81,6 +89,17 @@
 // unlimitReads removes the limit of limitReads.
 func (c *conn) unlimitReads() { c.limited = false }
 
+// addID remembers the ID of a request that is about to be sent.
+func (c *conn) addID(id string) { c.ids = append(c.ids, xxhash.Sum64String(id)) }
+
+// hasCarried reports whether a request with the same ID was sent on the connection.
+func (c *conn) hasCarried(id string) bool {
+	return id != "" && slices.Contains(c.ids, xxhash.Sum64String(id))
+}
+
+// isWornOut reports whether the connection has carried as many requests as it may.
+func (c *conn) isWornOut() bool { return len(c.ids) >= maxExchanges }
+
 // isClean reports whether an idle connection is open and has no unread data. Unread
 // data would belong to no request.
 func (c *conn) isClean() bool {
--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -24,6 +24,10 @@
 	Body   []byte
 	// HasBody makes Do send a Content-Length even if Body is empty.
 	HasBody bool
+	// ID is the ID that upstreams echo in their responses; "" if they don't. The request is
+	// not sent on a connection that has carried one with the same ID: a late or repeated
+	// response to that one could not be told from the response to this one.
+	ID string
 	// CheckHead inspects the status and header of a response. If it is nil, every
 	// response counts as that of the request.
 	CheckHead func(status int, header http.Header) HeadCheck
@@ -41,11 +45,19 @@
 	// Matches is true if the response belongs to the request. Other responses are
 	// skipped.
 	Matches bool
+	// NotRun is true if the response states that the request was not run, and Anonymous if
+	// it does not name the request to which it belongs.
+	NotRun, Anonymous bool
 	// KeepAlive is how long the upstream keeps an idle connection open, or 0 if
 	// not stated.
 	KeepAlive time.Duration
 }
 
+// ErrAmbiguous means that a response which names no request states that the request was not
+// run, on a connection on which the upstream has refused another request before. It may be
+// that refusal once more.
+var ErrAmbiguous = errors.New("refusal that may belong to an earlier request")
+
 // ErrTooLong means that a response exceeds a size limit.
 var ErrTooLong = errors.New("response too long")
 
@@ -104,7 +116,7 @@
 // Do sends a request and returns its response, whose body is still to be read. When
 // ctx ends, the connection is closed, which also interrupts reads of the body.
 func (p *Pool) Do(ctx context.Context, address string, req *Request) (*Answer, error) {
-	c, err := p.acquire(ctx, address, req.MaxIdle)
+	c, err := p.acquire(ctx, address, req)
 	if err != nil {
 		return nil, &Error{Step: "connect", Err: err}
 	}
@@ -128,6 +140,7 @@
 	if err != nil {
 		return nil, &Error{Step: "write", Err: err}
 	}
+	c.addID(req.ID)
 	w := requestWrite{done: make(chan struct{})}
 	if len(data) <= inlineWriteSize {
 		w.run(c, data)
@@ -153,8 +166,9 @@
 	a := &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Delimited: Delimited(resp),
 		pool: p, address: address, conn: c, body: resp.Body, write: &w,
-		reusable: !resp.Close && strays == 0, keepAlive: verdict.KeepAlive,
+		reusable: !resp.Close && strays == 0 && !verdict.Anonymous && !c.isWornOut(), keepAlive: verdict.KeepAlive,
 	}
+	c.refused = c.refused || verdict.NotRun
 	return a, nil
 }
 
@@ -205,7 +219,11 @@
 		if req.CheckHead == nil {
 			return resp, verdict, skipped, nil
 		}
-		if verdict = req.CheckHead(resp.StatusCode, resp.Header); verdict.Matches {
+		verdict = req.CheckHead(resp.StatusCode, resp.Header)
+		switch {
+		case verdict.Matches && verdict.NotRun && verdict.Anonymous && c.refused:
+			return nil, verdict, skipped, ErrAmbiguous
+		case verdict.Matches:
 			return resp, verdict, skipped, nil
 		}
 		skipped++
--- a/upstream/exchange/pool.go
+++ b/upstream/exchange/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 )
@@ -34,11 +35,11 @@
 	return p.open[address]
 }
 
-// acquire returns a clean idle connection, or a new one. If maxIdle is positive, a
-// connection that has been idle for longer is not used, but stays in the pool.
-func (p *Pool) acquire(ctx context.Context, address string, maxIdle time.Duration) (*conn, error) {
+// acquire returns a clean idle connection that suits a request, or a new one. Connections
+// that don't suit it stay in the pool.
+func (p *Pool) acquire(ctx context.Context, address string, req *Request) (*conn, error) {
 	for {
-		c := p.popIdle(address, maxIdle)
+		c := p.popIdle(address, req)
 		if c == nil {
 			break
 		}
@@ -59,22 +60,22 @@
 	return c, nil
 }
 
-// popIdle removes the most recently used idle connection from the pool, so that
-// surplus connections can expire. It returns nil if there is none or if it has been
-// idle for longer than maxIdle.
-func (p *Pool) popIdle(address string, maxIdle time.Duration) *conn {
+// popIdle removes the most recently used idle connection that suits a request from the pool,
+// so that surplus connections can expire. It returns nil if there is none.
+func (p *Pool) popIdle(address string, req *Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
-	}
-	c := list[len(list)-1]
-	if maxIdle > 0 && time.Since(c.idleSince) > maxIdle {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if req.MaxIdle > 0 && time.Since(c.idleSince) > req.MaxIdle {
+			return nil
+		}
+		if !c.hasCarried(req.ID) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // addOpen changes the number of connections to an upstream by n.
