objects, platform: one odd record does not hide the others

Records with ports 99999, -7 and 0 were used and counted as upstreams.

Cause: one decoder for the whole answer, with one limit on depth; an address was checked for a colon only.

Change: answers of the store are split into records without decoding their values, with no stack; each record is decoded by itself, and one that can't be is logged and counted.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -167,6 +167,7 @@
 	g.table.SetLimits(g.limits)
 	g.objects.Called = g.metrics.recordStoreCall
 	g.objects.EraChanged = g.storeEraChanged
+	g.objects.Skipped = g.skipObject
 	g.pool.Opened = func() { g.metrics.connections.Inc(1) }
 	return g
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -61,6 +61,9 @@
 	invalidConfigurations metrics.Counter
 	// storeEra is the latest era of the store that an answer has shown.
 	storeEra metrics.Gauge
+	// skippedObjects counts objects in lists and changes of the store that could not be
+	// decoded.
+	skippedObjects metrics.Counter
 	// olderLists counts upstream lists and changes that were ignored because they are
 	// older than the active list.
 	olderLists metrics.Counter
@@ -116,7 +119,7 @@
 		answered: counter("request.answered"), failed: counter("request.failed"), abandoned: counter("request.abandoned"),
 		connections: counter("upstream.connections"), storeCalls: counter("store.calls"), storeErrors: counter("store.errors"),
 		invalidConfigurations: counter("configuration.invalid"),
-		storeEra:              gauge("store.era"), olderLists: counter("store.older_lists"),
+		storeEra:              gauge("store.era"), olderLists: counter("store.older_lists"), skippedObjects: counter("store.skipped_objects"),
 		panics: counter("message.panics"), crashes: counter("upstream.crashes"),
 		limitedAttempts: counter("upstream.limited_attempts"), invalidLimits: counter("upstream.invalid_limits"),
 		unknownHeaders: counter("upstream.unknown_headers"), limitedUpstreams: gauge("upstream.limited"),
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -110,6 +110,12 @@
 	}
 }
 
+// skipObject records that an object in the store can't be decoded.
+func (g *Gateway) skipObject(kind string, err error) {
+	g.metrics.skippedObjects.Inc(1)
+	g.log.Warn("object in the store can't be decoded", "kind", kind, "err", err)
+}
+
 // storeRetryDelay returns the pause before the next store call after one that failed;
 // failures is the number of consecutive failures before it.
 func storeRetryDelay(failures int) time.Duration {
--- a/objects/call.go
+++ b/objects/call.go
@@ -32,8 +32,13 @@
 	Inspect func(http.Header) error
 }
 
-// Do makes the call, without retries, and decodes the response body into out unless
-// out is nil.
+// Decoder is a response that decodes its body itself.
+type Decoder interface {
+	Decode(body []byte) error
+}
+
+// Do makes the call, without retries, and decodes the response body into out, which may be a
+// Decoder, unless out is nil.
 func (c Call) Do(ctx context.Context, client *http.Client, out any) error {
 	errb := oops.In("platform").With("step", c.Step, "peer", c.URL)
 	req, err := c.request(ctx)
@@ -60,12 +65,19 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.Unmarshal(data, out); err != nil {
+	if err := decode(data, out); err != nil {
 		return errb.Code("bad_answer").Wrap(errors.Join(ErrUnavailable, fmt.Errorf("%w: %.80q", err, data)))
 	}
 	return nil
 }
 
+func decode(data []byte, out any) error {
+	if d, ok := out.(Decoder); ok {
+		return d.Decode(data)
+	}
+	return json.Unmarshal(data, out)
+}
+
 func (c Call) request(ctx context.Context) (*http.Request, error) {
 	var body io.Reader
 	if c.Body != nil {
