exchange: a request of which a part was sent may have run

Change: Error.Sent is true from the first byte. A request of which nothing was written is still known not to have run.

Evidence: TestPartOfARequestMayHaveRun failed before.

--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -65,8 +65,8 @@
 type Error struct {
 	// Step is "connect", "write", "read_head" or "read_body".
 	Step string
-	// Sent is true if the whole request was written, so that the upstream may
-	// have run it.
+	// Sent is true if a part of the request was written. The upstream may have run it: it
+	// need not wait for the end of the body.
 	Sent bool
 	Err  error
 }
@@ -145,7 +145,7 @@
 	if len(data) <= inlineWriteSize {
 		w.run(c, data)
 		if !w.complete.Load() {
-			return nil, &Error{Step: "write", Err: w.err}
+			return nil, &Error{Step: "write", Sent: w.begun, Err: w.err}
 		}
 	} else {
 		go w.run(c, data)
@@ -156,11 +156,11 @@
 	}
 	resp, verdict, strays, err := readHead(c, req)
 	if err != nil {
-		// Closing interrupts a write in progress. Whether the request was sent
-		// completely is known only afterwards.
+		// Closing interrupts a write in progress. Whether a part of the request was
+		// sent is known only afterwards.
 		_ = c.Close()
 		<-w.done
-		return nil, &Error{Step: "read_head", Sent: w.complete.Load(), Err: err}
+		return nil, &Error{Step: "read_head", Sent: w.begun, Err: err}
 	}
 	_ = c.SetReadDeadline(time.Time{})
 	a := &Answer{
@@ -176,14 +176,18 @@
 // of the response.
 type requestWrite struct {
 	complete atomic.Bool // the request was written completely
-	// err may be read once done is closed.
-	err  error
-	done chan struct{}
+	// begun is true if a part of the request was written. It and err may be read once done
+	// is closed.
+	begun bool
+	err   error
+	done  chan struct{}
 }
 
 func (w *requestWrite) run(c *conn, data []byte) {
 	defer close(w.done)
-	_, w.err = c.Write(data)
+	var n int
+	n, w.err = c.Write(data)
+	w.begun = n > 0
 	w.complete.Store(w.err == nil)
 }
 
--- a/upstream/exchange/exchange_test.go
+++ b/upstream/exchange/exchange_test.go
@@ -245,6 +245,22 @@
 	require.Zero(t, p.Open(l.Addr().String()))
 }
 
+// An upstream may begin to run a long request before it has read all of it.
+func TestPartOfARequestMayHaveRun(t *testing.T) {
+	address := serveEach(t, func(t *testing.T, c net.Conn, r *bufio.Reader) {
+		_, err := http.ReadRequest(r)
+		require.NoError(t, err)
+		// The connection is reset, as much of the request is unread.
+	})
+	p, _ := newPool(t)
+	long := request("/a")
+	long.Method, long.Body = "POST", []byte(strings.Repeat("x", 64<<20))
+	_, err := get(t, p, address, long)
+	var failed *exchange.Error
+	require.ErrorAs(t, err, &failed)
+	require.True(t, failed.Sent)
+}
+
 // An upstream may respond before a long request is written completely. The connection
 // is then not reused.
 func TestEarlyAnswerToALongRequest(t *testing.T) {
