gateway: don't join a stream to one that lacks an event

An upstream that goes on with a stream after the last event that the caller has, and leaves out the next one, was joined to it; the caller got a stream that looks complete and lacks an event.

Change: if the events before were numbered one after the other, a gap at the join ends the attempt, and the stream goes on elsewhere or breaks off visibly. IDs need only increase, so gaps inside the stream of one upstream, and after a caller's own Last-Event-Id, say nothing.

Evidence: TestResumedStreamLacksAnEvent failed before (no error, one event missing).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -54,6 +54,8 @@
 	partial bool
 	// lastEvent is the ID of the last event that the caller has, or -1.
 	lastEvent int64
+	// numbering tells how the events relayed so far were numbered.
+	numbering numbering
 	// upstream is the upstream of the latest attempt.
 	upstream serving.Upstream
 	// predicted is the time to the first event that was predicted for the latest
@@ -97,7 +99,7 @@
 const (
 	// delivered: the caller has received the whole answer.
 	delivered attemptResult = iota
-	// notRun: the upstream declined the request, or did not receive all of it.
+	// notRun: the upstream declined the request, or received nothing of it.
 	notRun
 	// broken: the attempt failed, and the upstream may have run the request.
 	broken
--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -233,6 +233,21 @@
 	require.Equal(t, 1, good.Runs()[0].Resumed)
 }
 
+// An upstream that goes on with a stream leaves out the event after the last one that the
+// caller has. The caller must not get a stream with an event missing that looks complete.
+func TestResumedStreamLacksAnEvent(t *testing.T) {
+	d := newDeployment(t)
+	d.configure()
+	bad, faulty := d.upstream("i-bad", engineService), d.upstreamIn("zone-b", "i-faulty", engineService)
+	e := d.startEntry("entry-1")
+	bad.SetFault(upstream.CutInEvent)
+	faulty.SetFault(upstream.SkipEvent)
+	a := e.send(t, streamCall("stream", "r-1"))
+	require.Error(t, a.err)
+	require.Equal(t, upstream.Event(0)+upstream.Event(1), a.body)
+	require.Len(t, faulty.Runs(), 1)
+}
+
 // If a stream that may not be resumed breaks, the caller can see that it is incomplete.
 func TestStreamThatMayNotBeResumedBreaksOff(t *testing.T) {
 	d := newDeployment(t)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -31,6 +31,9 @@
 // errTruncatedEvent means that a stream ended inside an event.
 var errTruncatedEvent = errors.New("stream ended inside an event")
 
+// errMissingEvent means that an upstream which goes on with a stream has left out an event.
+var errMissingEvent = errors.New("first event of a resumed stream is missing")
+
 // eventReader splits a stream of server-sent events without changing its bytes.
 type eventReader struct {
 	r *bufio.Reader
@@ -92,6 +95,7 @@
 		return g.handleBrokenAnswer(r, t, errors.New("answer has no seal or is content-encoded")), nil
 	}
 	events := newEventReader(answer)
+	r.progress.numbering.isFirst = true
 	for ev := (event{}); ; {
 		// Comments don't extend the deadline of the next event.
 		if !ev.empty {
@@ -112,6 +116,9 @@
 		if ev.id >= 0 && ev.id <= r.progress.lastEvent {
 			continue
 		}
+		if r.progress.numbering.lacksEvent(r.progress.lastEvent, ev.id) {
+			return g.handleBrokenStream(ctx, r, t, errMissingEvent), nil
+		}
 		if err := g.relayEvent(r, answer, ev); err != nil {
 			g.endAttempt(t, placement.Abandoned)
 			r.progress.detail = "caller: " + err.Error()
@@ -120,6 +127,28 @@
 	}
 }
 
+// numbering tells whether the events of a stream are numbered one after the other. IDs need only
+// increase, so a gap says nothing unless they were.
+type numbering struct {
+	steps  int
+	gapped bool
+	// isFirst is set until an upstream's first event that the caller does not have.
+	isFirst bool
+}
+
+// add counts an event after the one before it.
+func (n *numbering) add(before, id int64) {
+	n.steps++
+	n.gapped = n.gapped || before >= 0 && id != before+1
+	n.isFirst = false
+}
+
+// lacksEvent reports whether an upstream that goes on with a stream has left out the event after
+// the last one.
+func (n *numbering) lacksEvent(last, id int64) bool {
+	return n.isFirst && n.steps >= 2 && !n.gapped && id > last+1
+}
+
 // nextEventDeadline returns when the next event of a stream is overdue. It is the zero
 // time, which means no limit, if the stream can't be resumed at another upstream.
 func (g *Gateway) nextEventDeadline(r *request) time.Time {
@@ -137,6 +166,7 @@
 		return err
 	}
 	if ev.id >= 0 {
+		r.progress.numbering.add(r.progress.lastEvent, ev.id)
 		r.progress.lastEvent = ev.id
 	}
 	now := time.Now()
--- a/standin/upstream/stream.go
+++ b/standin/upstream/stream.go
@@ -31,6 +31,9 @@
 			}
 			return false
 		}
+		if fault == SkipEvent && n == resumed+1 {
+			continue
+		}
 		time.Sleep(s.Pace)
 		data := Event(n)
 		if fault == CutInEvent && n == 2 {
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -66,6 +66,12 @@
 	// does so without the request's ID.
 	RepeatRefusal
 	RepeatUnnamedRefusal
+	// FailAsBusy and FailAsLimited answer 503 and 429 after running the request, without the
+	// statement that it was not run.
+	FailAsBusy
+	FailAsLimited
+	// SkipEvent leaves out the first event of a stream.
+	SkipEvent
 )
 
 // Events is the number of events in a complete stream.
@@ -282,6 +288,10 @@
 	switch fault {
 	case Fail:
 		return writeResponse(c, "500 Internal Server Error", id, s.sealHeader()+s.limitHeader(id), "failed")
+	case FailAsBusy:
+		return writeResponse(c, "503 Service Unavailable", id, s.sealHeader(), "failed")
+	case FailAsLimited:
+		return writeResponse(c, "429 Too Many Requests", id, s.sealHeader(), "failed")
 	case CloseUnanswered:
 		return false
 	case Silent:
