gateway: an entry that starts after a restore denies no key for what the copy lacks

What callers saw: an entry that starts while the store holds an older copy answered 401, which is final, to keys that were added since, until a peer or the operator gave it the newer version.

Change: in a later era than the first, the store's configuration does not count as confirmed in the first 2 s of a process; unless a peer confirms it, unknown keys and routes get 503 with a Retry-After, as after a suspension.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,6 +53,8 @@
 	// incarnation is the start time of the process in Unix nanoseconds. Peers use it to
 	// tell this process from earlier ones of the same entry.
 	incarnation int64
+	// startedAt is when the process started, as a reading of monotonic.
+	startedAt time.Duration
 
 	config    atomic.Pointer[acceptedConfiguration]
 	upstreams atomic.Pointer[upstreamList]
@@ -134,6 +136,7 @@
 		objects:      platform.NewObjects(settings.Store, storeTimeout),
 		pool:         exchange.NewPool(),
 		incarnation:  time.Now().UnixNano(),
+		startedAt:    monotonic(),
 		table:        placement.NewTable(settings.Regions),
 		quota:        quota.New(),
 		retryBudgets: map[string]*budget.Budget{},
--- a/gateway/storeera.go
+++ b/gateway/storeera.go
@@ -1,5 +1,15 @@
 package gateway
 
+import (
+	"time"
+
+	"jaylink/objects"
+)
+
+// rewriteTime is the time after a restore of the store within which the operator has written
+// the newest configuration again.
+const rewriteTime = 2 * time.Second
+
 // storeEra returns the latest era of the store that its answers or peers have shown.
 func (g *Gateway) storeEra() uint64 {
 	era := g.objects.Era()
@@ -30,3 +40,10 @@
 	default:
 	}
 }
+
+// mayReadOlderCopy reports whether the store may just have been restored and hold an older
+// configuration than one that was in force. An entry that was running then keeps the newer one;
+// one that has started since does not know it.
+func (g *Gateway) mayReadOlderCopy() bool {
+	return g.objects.Era() > objects.FirstEra && monotonic()-g.startedAt < rewriteTime
+}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -56,6 +56,19 @@
 	starts        int
 	// senders holds the entry that each request was sent to, by request ID.
 	senders map[string]*entry
+
+	// restoring is held while the store is away and restored, and writes while the operator
+	// or an upstream writes to it.
+	restoring, writes sync.Mutex
+	// configuration and registrations are what the operator and the upstreams have written.
+	configuration metastore.Configuration
+	registrations map[string]registration
+}
+
+// registration is the state in which an upstream is registered; "" if it was removed.
+type registration struct {
+	backend *backend
+	state   string
 }
 
 // backend is an upstream behind a proxy.
@@ -103,7 +116,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, binary: binary, store: metastore.New(), address: l.Addr().String(), version: 1, keys: []acceptedKey{{name: "key-0"}}, senders: map[string]*entry{}}
+	f := &fleet{dir: dir, binary: binary, store: metastore.New(), address: l.Addr().String(), version: 1, keys: []acceptedKey{{name: "key-0"}}, senders: map[string]*entry{}, registrations: map[string]registration{}}
 	f.http = &http.Server{Handler: f.store, ReadHeaderTimeout: time.Minute}
 	// Serve returns when stop closes the server.
 	go func() { _ = f.http.Serve(l) }()
@@ -147,7 +160,9 @@
 			TimeoutMs: int(callTimeout.Milliseconds()),
 		}
 	}
-	f.store.PutConfiguration(metastore.Configuration{
+	f.writes.Lock()
+	defer f.writes.Unlock()
+	f.configuration = metastore.Configuration{
 		Version: f.version,
 		Routes: []metastore.Route{
 			route("stream", "streaming", engines, 2, true), route("once", "streaming", engines, 1, false),
@@ -155,7 +170,8 @@
 		},
 		Engines: []string{engines}, Plain: []string{counter}, MaxBodyBytes: maxBody,
 		Customer: metastore.Customer{Name: customer, Keys: names, Rate: allowance, Burst: allowance},
-	})
+	}
+	f.store.PutConfiguration(f.configuration)
 }
 
 // acceptedKey is an API key and the time when the store accepted it.
@@ -175,10 +191,19 @@
 // newKey adds a key and removes the oldest one if there are more than maxKeys.
 func (f *fleet) newKey() {
 	f.mu.Lock()
-	f.keys = append(f.keys, acceptedKey{fmt.Sprintf("key-%d", f.version), time.Now()})
+	name := fmt.Sprintf("key-%d", f.version)
+	f.keys = append(f.keys, acceptedKey{name, time.Now()})
 	f.keys = f.keys[max(len(f.keys)-maxKeys, 0):]
 	f.mu.Unlock()
 	f.configure()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.keys {
+		// The store may have been away, so the key was accepted only now.
+		if f.keys[i].name == name {
+			f.keys[i].at = time.Now()
+		}
+	}
 }
 
 // key returns the newest key that is valid in every version that may be in effect on
@@ -226,7 +251,10 @@
 }
 
 func (f *fleet) publish(b *backend, state string) {
-	f.store.PutUpstream(b.ID, b.service, b.proxy.address(), b.zone, state)
+	f.writes.Lock()
+	defer f.writes.Unlock()
+	f.registrations[b.ID] = registration{b, state}
+	f.writeRegistration(f.registrations[b.ID])
 }
 
 // detach removes an upstream from those that faults and replacements choose from.
@@ -259,7 +287,17 @@
 func (f *fleet) remove(b *backend) {
 	b.proxy.close()
 	b.Close()
-	f.store.DeleteUpstream(b.ID)
+	f.publish(b, "")
+}
+
+// writeRegistration writes a registration to the store. The caller holds writes.
+func (f *fleet) writeRegistration(r registration) {
+	b := r.backend
+	if r.state == "" {
+		f.store.DeleteUpstream(b.ID)
+		return
+	}
+	f.store.PutUpstream(b.ID, b.service, b.proxy.address(), b.zone, r.state)
 }
 
 // zoneIndex returns the number in the name of the upstream's zone.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -62,6 +62,8 @@
 	noticeStream = 1 << 32
 	limitStream  = 1 << 33
 	partStream   = 1 << 34
+	// restoreStream is for a series of its own, too.
+	restoreStream = 1 << 35
 )
 
 // Run runs the load and the fault schedule of one seed.
@@ -132,6 +134,7 @@
 	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, noticeStream)), notices, log) })
 	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, limitStream)), limits, log) })
 	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, partStream)), parts, log) })
+	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, restoreStream)), restores, log) })
 	series.Wait()
 	callers.Wait()
 	slices.Sort(log.lines)
