--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -139,9 +139,7 @@
 
 func (g *Gateway) watchConfiguration(ctx context.Context) {
 	g.listAndWatch(ctx, platform.KindConfiguration, &g.watchingConfiguration, 0, func(c objectChanges) {
-		if !g.mayReadOlderCopy() {
-			g.confirmedAt.Store(int64(monotonic()))
-		}
+		g.confirmFromStore()
 		for _, rec := range c.Items {
 			if rec.Name == platform.ConfigurationName && !rec.Deleted {
 				g.applyConfiguration(rec.Value, "store")
--- a/gateway/storeera.go
+++ b/gateway/storeera.go
@@ -41,6 +41,13 @@
 	}
 }
 
+// confirmFromStore records that the store has confirmed the active configuration.
+func (g *Gateway) confirmFromStore() {
+	if !g.mayReadOlderCopy() {
+		g.confirmedAt.Store(int64(monotonic()))
+	}
+}
+
 // mayReadOlderCopy reports whether the store may just have been restored and hold an older
 // configuration than one that was in force. An entry that was running then keeps the newer one;
 // one that has started since does not know it.
