--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -84,12 +84,17 @@
 var dutyMessages = []string{
 	"holds the duties", "duty refused: a newer holder has acted", "usage reported", "usage not reported yet",
 	"usage not fixed yet", "upstreams ordered", "no spot upstreams to be had", "order not accepted yet",
+	"usage not reported: the report may have been sent before the store was restored", restoredMessage,
 }
 
+// restoredMessage is the log message with which an entry notices that the store has come back
+// from an older copy. Revisions and stored records of before and after it differ.
+const restoredMessage = "store came back from an older copy"
+
 // stateMessages are the log messages about the state of an entry.
 var stateMessages = []string{
 	"configuration in force", "dependency lost", "dependency regained", "started", "stopping", "stopped",
-	"clock set to that of most entries",
+	"clock set to that of most entries", restoredMessage, "configuration is invalid; keeping the active one",
 }
 
 // Explain returns the lines that match a query, ordered by time. For a request it adds
@@ -116,9 +121,9 @@
 	case q.RequestID != "":
 		return l.Fields["request_id"] == q.RequestID
 	case q.Upstream != "":
-		return l.Fields["upstream"] == q.Upstream && l.Fields["outcome"] != "answered"
+		return l.Fields["upstream"] == q.Upstream && l.Fields["outcome"] != "answered" || l.Message == restoredMessage
 	case q.Version != 0:
-		return l.Message == "configuration in force" && l.Fields["version"] == float64(q.Version)
+		return l.Message == "configuration in force" && l.Fields["version"] == float64(q.Version) || l.Message == restoredMessage
 	}
 	return q.Duties && slices.Contains(dutyMessages, l.Message)
 }
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -89,3 +89,29 @@
 	require.Equal(t, []string{"e2 verdict on a part", "e1 verdict on a part", "e1 request"}, messages(explained))
 	require.EqualValues(t, 4, explained[0].Fields["crashes"])
 }
+
+const restoreLogs = `{"time":"2026-01-01T10:00:00Z","level":"INFO","msg":"upstream","entry":"e1","upstream":"u1","era":1,"revision":106}
+{"time":"2026-01-01T10:00:01Z","level":"WARN","msg":"store came back from an older copy","entry":"e1","era":2,"before":1}
+{"time":"2026-01-01T10:00:02Z","level":"INFO","msg":"upstream gone","entry":"e1","upstream":"u1","era":2,"revision":85}
+{"time":"2026-01-01T10:00:03Z","level":"INFO","msg":"configuration in force","entry":"e1","version":7}
+{"time":"2026-01-01T10:00:03.1Z","level":"INFO","msg":"request","entry":"e1","request_id":"r1","outcome":"failed"}
+`
+
+// What was believed before and after a restore of the store is told apart by its era.
+func TestExplainNamesTheEra(t *testing.T) {
+	lines, _, err := Read(strings.NewReader(restoreLogs))
+	require.NoError(t, err)
+	const restored = "e1 store came back from an older copy"
+	for _, c := range []struct {
+		query Query
+		want  []string
+	}{
+		{Query{Upstream: "u1"}, []string{"e1 upstream", restored, "e1 upstream gone"}},
+		{Query{Version: 7}, []string{restored, "e1 configuration in force"}},
+		{Query{Duties: true}, []string{restored}},
+		{Query{RequestID: "r1"}, []string{restored, "e1 configuration in force", "e1 request"}},
+	} {
+		require.Equal(t, c.want, messages(Explain(lines, c.query)))
+	}
+	require.Contains(t, Explain(lines, Query{Upstream: "u1"})[2].String(), "era=2 revision=85")
+}
