soak: upstreams break their promises

A series of its own: refusals that are written once more, with and without an ID, and 503 and 429 for requests that have run.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -62,8 +62,9 @@
 	noticeStream = 1 << 32
 	limitStream  = 1 << 33
 	partStream   = 1 << 34
-	// restoreStream is for a series of its own, too.
+	// restoreStream and promiseStream are for further series.
 	restoreStream = 1 << 35
+	promiseStream = 1 << 36
 )
 
 // Run runs the load and the fault schedule of one seed.
@@ -135,6 +136,7 @@
 	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, limitStream)), limits, log) })
 	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, partStream)), parts, log) })
 	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, restoreStream)), restores, log) })
+	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, promiseStream)), promises, log) })
 	series.Wait()
 	callers.Wait()
 	slices.Sort(log.lines)
