gateway: deny nothing for 2 s after a restore, on running entries too

Change: with each era that an entry notices, by the store or by a peer's list, its configuration counts as unconfirmed, and nothing confirms it for 2 s, in which the operator writes it again. Unknown keys and routes get 503 with a Retry-After then. The special case for processes that have just started is gone.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,8 +53,6 @@
 	// incarnation is the start time of the process in Unix nanoseconds. Peers use it to
 	// tell this process from earlier ones of the same entry.
 	incarnation int64
-	// startedAt is when the process started, as a reading of monotonic.
-	startedAt time.Duration
 
 	config    atomic.Pointer[acceptedConfiguration]
 	upstreams atomic.Pointer[upstreamList]
@@ -68,8 +66,12 @@
 	// nanoseconds.
 	gossipInterval atomic.Int64
 	// confirmedAt is when the store or a peer last confirmed that the active
-	// configuration is current, as a reading of monotonic in nanoseconds.
+	// configuration is current, as a reading of monotonic in nanoseconds, or 0.
 	confirmedAt atomic.Int64
+	// noticedEra is the latest era of the store after the first that this entry has noticed,
+	// and restoredAt is when it did so, as a reading of monotonic in nanoseconds.
+	noticedEra atomic.Uint64
+	restoredAt atomic.Int64
 
 	// mu guards the fields from here to lostDependencies.
 	mu    sync.Mutex
@@ -136,7 +138,6 @@
 		objects:      platform.NewObjects(settings.Store, storeTimeout),
 		pool:         exchange.NewPool(),
 		incarnation:  time.Now().UnixNano(),
-		startedAt:    monotonic(),
 		table:        placement.NewTable(settings.Regions),
 		quota:        quota.New(),
 		retryBudgets: map[string]*budget.Budget{},
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -321,7 +321,7 @@
 	g.applyCrashReports(m)
 	g.applyLimitStatements(m)
 	if m.WatchesStore && !g.behindConfiguration(m) {
-		g.confirmedAt.Store(int64(monotonic()))
+		g.confirmConfiguration()
 	}
 	if !g.behindConfiguration(m) && !g.behindUpstreams(m) {
 		return
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -139,7 +139,7 @@
 
 func (g *Gateway) watchConfiguration(ctx context.Context) {
 	g.listAndWatch(ctx, platform.KindConfiguration, &g.watchingConfiguration, 0, func(c objectChanges) {
-		g.confirmFromStore()
+		g.confirmConfiguration()
 		for _, rec := range c.Items {
 			if rec.Name == platform.ConfigurationName && !rec.Deleted {
 				g.applyConfiguration(rec.Value, "store")
@@ -213,7 +213,7 @@
 		g.log.Info("upstream list of the restored store loaded", "count", len(next.upstreams), "missing", len(next.missing),
 			"withheld", len(next.withheld()), "source", source, "era", next.position.Era, "revision", next.position.Revision)
 		g.afterDelay(ctx, withholdTime, g.releaseWithheld)
-		g.registerAgain()
+		g.noticeEra(next.position.Era)
 	}
 	var crashes [][]poison.Crash
 	for _, id := range restartedUpstreams(before.upstreams, next.upstreams) {
--- a/gateway/storeera.go
+++ b/gateway/storeera.go
@@ -12,11 +12,7 @@
 
 // storeEra returns the latest era of the store that its answers or peers have shown.
 func (g *Gateway) storeEra() uint64 {
-	era := g.objects.Era()
-	if u := g.upstreams.Load(); u != nil {
-		era = max(era, u.position.Era)
-	}
-	return era
+	return max(g.objects.Era(), g.noticedEra.Load())
 }
 
 // storeEraChanged records the era that the first answer of the store shows, in which case
@@ -25,32 +21,40 @@
 	g.metrics.storeEra.Update(int64(to))
 	if from == 0 {
 		g.log.Info("store era", "era", to)
-		return
+	} else {
+		g.metrics.changed[storeEra].Inc(1)
+		g.log.Warn("store came back from an older copy", "era", to, "before", from)
 	}
-	g.metrics.changed[storeEra].Inc(1)
-	g.log.Warn("store came back from an older copy", "era", to, "before", from)
-	g.registerAgain()
+	g.noticeEra(to)
 }
 
-// registerAgain has this entry registered again, because the restored store may lack its
-// record.
-func (g *Gateway) registerAgain() {
+// noticeEra handles an era of the store that is new to this entry, by an answer of the store or
+// by a peer's list. A restored store may lack the newest configuration, so that this entry's
+// own one counts as unconfirmed for a while, and may lack this entry's record.
+func (g *Gateway) noticeEra(era uint64) {
+	for {
+		known := g.noticedEra.Load()
+		if era <= max(known, objects.FirstEra) {
+			return
+		}
+		if g.noticedEra.CompareAndSwap(known, era) {
+			break
+		}
+	}
+	g.restoredAt.Store(int64(monotonic()))
+	g.confirmedAt.Store(0)
 	select {
 	case g.storeRestored <- struct{}{}:
 	default:
 	}
 }
 
-// confirmFromStore records that the store has confirmed the active configuration.
-func (g *Gateway) confirmFromStore() {
-	if !g.mayReadOlderCopy() {
-		g.confirmedAt.Store(int64(monotonic()))
+// confirmConfiguration records that the store or a peer has confirmed that the active
+// configuration is current, unless the store may hold an older one.
+func (g *Gateway) confirmConfiguration() {
+	now := monotonic()
+	if g.noticedEra.Load() > objects.FirstEra && now-time.Duration(g.restoredAt.Load()) < rewriteTime {
+		return
 	}
-}
-
-// mayReadOlderCopy reports whether the store may just have been restored and hold an older
-// configuration than one that was in force. An entry that was running then keeps the newer one;
-// one that has started since does not know it.
-func (g *Gateway) mayReadOlderCopy() bool {
-	return g.objects.Era() > objects.FirstEra && monotonic()-g.startedAt < rewriteTime
+	g.confirmedAt.Store(int64(now))
 }
--- a/gateway/unconfirmed_test.go
+++ b/gateway/unconfirmed_test.go
@@ -29,24 +29,32 @@
 	require.Positive(t, refused.retryAfter)
 }
 
-// An entry that starts just after a restore reads the configuration of the copy. It must not
-// deny a key that was added since, but ask the caller to come back.
-func TestEntryThatStartsAfterARestoreDeniesTheNewestKey(t *testing.T) {
+// A restored store, and peers that read it, may lack the newest configuration. Until the operator
+// has had time to write it again, an entry must not deny a key that was added since, but ask the
+// caller to come back.
+func TestEntryDeniesTheNewestKeyAfterARestore(t *testing.T) {
 	store := metastore.New()
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
-	g := New(platform.Settings{Name: "e", Bounds: bounds(), Store: server.Listener.Addr().String()}, slog.New(slog.DiscardHandler))
-	statusAfterList := func(startedAt time.Duration) int {
+	newGateway := func() *Gateway {
+		return New(platform.Settings{Name: "e", Bounds: bounds(), Store: server.Listener.Addr().String()}, slog.New(slog.DiscardHandler))
+	}
+	statusAfterList := func(g *Gateway) int {
 		_, err := g.objects.List(t.Context(), platform.KindConfiguration)
 		require.NoError(t, err)
-		g.startedAt = startedAt
-		g.confirmedAt.Store(int64(monotonic() - time.Hour))
-		g.confirmFromStore()
+		g.confirmConfiguration()
 		return g.unknownRefusal(http.StatusUnauthorized, reason.UnknownCustomer).status
 	}
-	justNow, longAgo := monotonic()+time.Hour, monotonic()-time.Hour
-	require.Equal(t, http.StatusUnauthorized, statusAfterList(justNow), "the store was never restored")
+	running := newGateway()
+	require.Equal(t, http.StatusUnauthorized, statusAfterList(running), "the store was never restored")
 	store.Restore(store.Copy())
-	require.Equal(t, http.StatusServiceUnavailable, statusAfterList(justNow))
-	require.Equal(t, http.StatusUnauthorized, statusAfterList(longAgo), "it keeps what it knew, or the operator has written again")
+	for _, g := range []*Gateway{running, newGateway()} {
+		require.Equal(t, http.StatusServiceUnavailable, statusAfterList(g))
+		g.restoredAt.Store(int64(monotonic() - rewriteTime))
+		require.Equal(t, http.StatusUnauthorized, statusAfterList(g), "the operator has written again")
+		g.noticeEra(2)
+		require.Equal(t, http.StatusUnauthorized, statusAfterList(g), "it is no news")
+		g.noticeEra(3)
+		require.Equal(t, http.StatusServiceUnavailable, statusAfterList(g), "a peer has noticed the next restore")
+	}
 }
