gateway, usage: remember only reports that were stored

Found in the review of this change: a holder kept a report in memory that it could not store; when its successor's report was lost in a restore and it held the lease again, it would have reported the window by its own counts (ONE). It also judged by the era of its last answer, which may be from before the restore.

Change: only stored reports are remembered. Before a window that may have been sent is reported, its record is read; that answer shows the era by which the report may be lost.

--- a/decision/usage/reports.go
+++ b/decision/usage/reports.go
@@ -51,5 +51,8 @@
 	if announced, ok := r.eras[window]; ok {
 		return announced < era
 	}
-	return window <= r.newest || window < r.since
+	return r.MayBeSent(window)
 }
+
+// MayBeSent reports whether the report of a window may have been sent.
+func (r *Reports) MayBeSent(window int64) bool { return window <= r.newest || window < r.since }
--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -51,7 +51,7 @@
 	refusedToken uint64
 	// reportedWindows holds the windows whose usage report has been accepted.
 	reportedWindows map[int64]bool
-	// reports holds the reports that this entry has fixed or read, by window.
+	// reports holds the reports that this entry has stored or read, by window.
 	reports map[int64]platform.UsageReport
 	// token is the fencing token of the last run, and heldSince is when this entry first
 	// used it.
@@ -65,6 +65,12 @@
 	return &dutyState{reportedWindows: map[int64]bool{}, reports: map[int64]platform.UsageReport{}}
 }
 
+// rememberReport remembers a report that is or was in the store.
+func (d *dutyState) rememberReport(r platform.UsageReport) {
+	d.reports[r.Window] = r
+	delete(d.reports, r.Window-keptUsageWindows)
+}
+
 // dutyToken returns the fencing token if this entry may perform the duties now.
 func (g *Gateway) dutyToken(d *dutyState) (uint64, bool) {
 	g.mu.Lock()
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -115,12 +115,13 @@
 		if report, err = g.newUsageReport(ctx, window); err != nil {
 			return report, err
 		}
-		d.reports[window] = report
-		delete(d.reports, window-keptUsageWindows)
 	}
 	_, err := g.objects.Create(ctx, platform.KindUsage, usageName(window), report)
 	var conflict *objects.ConflictError
 	if !errors.As(err, &conflict) {
+		if err == nil {
+			d.rememberReport(report)
+		}
 		return report, err
 	}
 	rec := conflict.Current
@@ -131,7 +132,7 @@
 	}
 	var stored platform.UsageReport
 	if err = json.Unmarshal(rec.Value, &stored); err == nil {
-		d.reports[window] = stored
+		d.rememberReport(stored)
 	}
 	return stored, err
 }
@@ -139,21 +140,34 @@
 // newUsageReport returns the report of a window by the counts of this entry, and announces it
 // to the entries that may succeed this one.
 func (g *Gateway) newUsageReport(ctx context.Context, window int64) (platform.UsageReport, error) {
-	era := g.objects.Era()
-	g.mu.Lock()
-	mayBeLost := g.reports.MayBeLost(window, era)
-	g.mu.Unlock()
-	if mayBeLost {
-		if _, err := g.objects.Get(ctx, platform.KindUsage, usageName(window)); errors.Is(err, objects.ErrNotFound) {
-			return platform.UsageReport{}, errReportLost
-		} else if err != nil {
-			return platform.UsageReport{}, err
-		}
+	if err := g.checkReportLost(ctx, window); err != nil {
+		return platform.UsageReport{}, err
 	}
 	g.mu.Lock()
-	g.reports.Announce(window, era)
+	g.reports.Announce(window, g.objects.Era())
 	report := platform.UsageReport{Window: window, Counts: g.usage.Report(window)}
 	g.mu.Unlock()
 	g.sendMessage(g.buildMessage(messageParts{}), g.listPeers().dutyCandidates)
 	return report, nil
 }
+
+// checkReportLost returns errReportLost if the report of a window may have been sent and the
+// store has lost it.
+func (g *Gateway) checkReportLost(ctx context.Context, window int64) error {
+	g.mu.Lock()
+	mayBeSent := g.reports.MayBeSent(window)
+	g.mu.Unlock()
+	if !mayBeSent {
+		return nil
+	}
+	// The answer also shows whether the store has been restored.
+	if _, err := g.objects.Get(ctx, platform.KindUsage, usageName(window)); !errors.Is(err, objects.ErrNotFound) {
+		return err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.reports.MayBeLost(window, g.objects.Era()) {
+		return errReportLost
+	}
+	return nil
+}
