standin: refusals and failures of the new faults state the limit, too

The answers of the faults FailAsBusy, FailAsLimited and RepeatRefusal had no limit, which tells entries that it has ended, while the stand-in went on to count by it.

--- a/standin/upstream/refusal.go
+++ b/standin/upstream/refusal.go
@@ -11,17 +11,22 @@
 // reports whether it did.
 func (s *Server) declineAndRemember(c net.Conn, req *http.Request) bool {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	fault := s.fault
+	s.mu.Unlock()
+	id := req.Header.Get("Request-Id")
 	name := ""
-	switch s.fault {
+	switch fault {
 	case RepeatRefusal:
-		name = "Request-Id: " + req.Header.Get("Request-Id") + "\r\n"
+		name = "Request-Id: " + id + "\r\n"
 	case RepeatUnnamedRefusal:
 	default:
 		return false
 	}
-	s.conns[c] = fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%sNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", name)
-	_, err := io.WriteString(c, s.conns[c])
+	refusal := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s%sNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", name, s.limitHeader(id))
+	s.mu.Lock()
+	s.conns[c] = refusal
+	s.mu.Unlock()
+	_, err := io.WriteString(c, refusal)
 	return err == nil
 }
 
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -289,9 +289,9 @@
 	case Fail:
 		return writeResponse(c, "500 Internal Server Error", id, s.sealHeader()+s.limitHeader(id), "failed")
 	case FailAsBusy:
-		return writeResponse(c, "503 Service Unavailable", id, s.sealHeader(), "failed")
+		return writeResponse(c, "503 Service Unavailable", id, s.sealHeader()+s.limitHeader(id), "failed")
 	case FailAsLimited:
-		return writeResponse(c, "429 Too Many Requests", id, s.sealHeader(), "failed")
+		return writeResponse(c, "429 Too Many Requests", id, s.sealHeader()+s.limitHeader(id), "failed")
 	case CloseUnanswered:
 		return false
 	case Silent:
