--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,7 +20,10 @@
 //
 // 9001 covers deadly requests, resting upstreams and upstreams that answer that they
 // are leaving.
-var seeds = []uint64{1, 201, 9001}
+//
+// 734: the store came back several times from copies without the newest key. Entries that had
+// not read it before answered it with 401, because the copy confirmed their configuration.
+var seeds = []uint64{1, 201, 734, 9001}
 
 func TestSoak(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "jaylink")
