review: show a resumed stream that ends in a runner's failure

The next runner's 4xx is appended to the events that the client has, and the answer ends as complete.

--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins that the scripts start: one program with a command for each case.
+set -eu
+cd "$(dirname "$0")/.."
+go build -o review/bin/ ./review/drive
--- /dev/null
+++ b/review/drive/runner.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// arrival is a request that reached a runner.
+type arrival struct {
+	id string
+	at time.Time
+}
+
+// runner is a stand-in of a runner. It answers one request at a time on a channel.
+type runner struct {
+	id, service, zone string
+	listener          net.Listener
+	born              int64
+	// answer answers a request on its channel and reports whether the channel is kept.
+	answer func(c net.Conn, req *http.Request, body []byte) bool
+
+	mu       sync.Mutex
+	arrivals []arrival
+	conns    map[net.Conn]bool
+}
+
+// startRunner starts a runner that is not in the store's list yet.
+func (w *world) startRunner(id, service, zone string, answer func(net.Conn, *http.Request, []byte) bool) *runner {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must(err)
+	r := &runner{id: id, service: service, zone: zone, listener: l, born: time.Now().UnixMilli(), answer: answer, conns: map[net.Conn]bool{}}
+	go r.accept()
+	w.closers = append(w.closers, r.stop)
+	return r
+}
+
+// list writes the runner's entry to the store.
+func (w *world) list(r *runner, state string) {
+	w.store.Put("servers", r.id, map[string]any{
+		"service": r.service, "address": r.listener.Addr().String(), "zone": r.zone, "version": "v1", "slots": 24, "state": state,
+		"cold-left-ms": 0, "sequence": 1, "born": r.born,
+	})
+	w.logf("the store has confirmed the entry of runner %s (%s, %s): %s", r.id, r.service, r.zone, state)
+}
+
+// stop closes the listener and all channels.
+func (r *runner) stop() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		_ = c.Close()
+	}
+}
+
+func (r *runner) accept() {
+	for {
+		c, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		r.conns[c] = true
+		r.mu.Unlock()
+		go r.serve(c)
+	}
+}
+
+func (r *runner) serve(c net.Conn) {
+	defer func() {
+		_ = c.Close()
+		r.mu.Lock()
+		delete(r.conns, c)
+		r.mu.Unlock()
+	}()
+	in := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		at := time.Now()
+		if wanted := req.Header.Get("Target-Instance"); wanted != "" && wanted != r.id {
+			if _, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", r.id); err != nil {
+				return
+			}
+			continue
+		}
+		r.mu.Lock()
+		r.arrivals = append(r.arrivals, arrival{req.Header.Get("Request-Id"), at})
+		r.mu.Unlock()
+		if !r.answer(c, req, body) {
+			return
+		}
+	}
+}
+
+// list of the requests that arrived.
+func (r *runner) arrived() []arrival {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]arrival(nil), r.arrivals...)
+}
+
+// head returns the beginning of a sound answer.
+func (r *runner) head(req *http.Request, more string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: seal-%s\r\n%s\r\n", req.Header.Get("Request-Id"), r.id, more)
+}
+
+// plain sends a sound answer with a length.
+func (r *runner) plain(c net.Conn, req *http.Request, body string) bool {
+	_, err := io.WriteString(c, r.head(req, fmt.Sprintf("Content-Length: %d\r\n", len(body)))+body)
+	return err == nil
+}
