review: show streams that end as complete when their runner leaves

A stream without a length is cut when its draining runner exits, and the client gets it as complete.

--- a/review/drive/main.go
+++ b/review/drive/main.go
@@ -25,6 +25,10 @@
 }
 
 func run() (code int) {
+	if len(os.Args) == 3 && os.Args[1] == "runner" {
+		serveUntilTerminated(os.Args[2])
+		return exitHeld
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		var names []string
 		for name := range cases {
--- a/review/drive/runner.go
+++ b/review/drive/runner.go
@@ -40,9 +40,12 @@
 }
 
 // list writes the runner's entry to the store.
-func (w *world) list(r *runner, state string) {
+func (w *world) list(r *runner, state string) { w.listAt(r, r.listener.Addr().String(), state) }
+
+// listAt writes the entry of a runner that listens at an address.
+func (w *world) listAt(r *runner, address, state string) {
 	w.store.Put("servers", r.id, map[string]any{
-		"service": r.service, "address": r.listener.Addr().String(), "zone": r.zone, "version": "v1", "slots": 24, "state": state,
+		"service": r.service, "address": address, "zone": r.zone, "version": "v1", "slots": 24, "state": state,
 		"cold-left-ms": 0, "sequence": 1, "born": r.born,
 	})
 	w.logf("the store has confirmed the entry of runner %s (%s, %s): %s", r.id, r.service, r.zone, state)
