--- a/review/drive/leaving.go
+++ b/review/drive/leaving.go
@@ -74,22 +74,25 @@
 	return p
 }
 
-// playLeaving: a runner leaves as planned while it writes a stream without a length.
+// playLeaving: one of two runners is replaced as planned while it writes streams without a
+// length.
 func playLeaving(w *world) bool {
 	const drain = 2500 * time.Millisecond
 	leaving := w.startRunnerProcess("i-0001", "caption", "zone-a")
 	w.listAt(&leaving.runner, leaving.address, "ready")
+	other := w.startRunnerProcess("i-0002", "caption", "zone-a")
+	w.listAt(&other.runner, other.address, "ready")
 	w.configure([]route{{name: "draft", kind: "streaming", service: "caption", attempts: 2, resumable: true, timeout: 10 * time.Second}},
 		[]service{{name: "caption", engine: true}})
 	w.startGateways(2, "zone-a")
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	served, spoilt := 0, 0
-	const streams = 8
+	const streams = 16
 	for i := range streams {
 		group.Go(func() {
 			client, g := newClient(), w.gateways[i%len(w.gateways)]
-			time.Sleep(time.Duration(i) * 300 * time.Millisecond)
+			time.Sleep(time.Duration(i) * 150 * time.Millisecond)
 			prompt := map[string]string{"Model": "m", "Token-Count": "400,160", "Prefix-Hash": fmt.Sprintf("5c1e07a2:300,%x:100", 0x1000+i)}
 			out := call(client, g.front(), http.MethodPost, "/draft/1", newID(), "prompt", 10*time.Second, prompt)
 			whole := bytes.Equal(out.body, stream(leavingEvents))
@@ -108,7 +111,7 @@
 	}
 	if w.trouble {
 		time.Sleep(2500 * time.Millisecond)
-		next := w.startRunnerProcess("i-0002", "caption", "zone-a")
+		next := w.startRunnerProcess("i-0003", "caption", "zone-a")
 		w.listAt(&next.runner, next.address, "ready")
 		time.Sleep(500 * time.Millisecond)
 		w.listAt(&leaving.runner, leaving.address, "draining")
