review: show a deadly part that is never found

The ninth shared part of a prompt crashes runners all the while, as only eight parts of a request are recorded.

--- a/review/drive/runner.go
+++ b/review/drive/runner.go
@@ -23,6 +23,8 @@
 	born              int64
 	// answer answers a request on its channel and reports whether the channel is kept.
 	answer func(c net.Conn, req *http.Request, body []byte) bool
+	// arrive, if set, is called for each request that is for this runner.
+	arrive func(req *http.Request)
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -61,9 +63,11 @@
 	}
 }
 
-func (r *runner) accept() {
+func (r *runner) accept() { r.acceptFrom(r.listener) }
+
+func (r *runner) acceptFrom(l net.Listener) {
 	for {
-		c, err := r.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -101,6 +105,9 @@
 		r.mu.Lock()
 		r.arrivals = append(r.arrivals, arrival{req.Header.Get("Request-Id"), at})
 		r.mu.Unlock()
+		if r.arrive != nil {
+			r.arrive(req)
+		}
 		if !r.answer(c, req, body) {
 			return
 		}
