review: show a route that is denied after a cold start

The first part that all requests share is blamed for the crashes of three deadly parts, and every request gets 400 from then on.

--- a/review/drive/deadly.go
+++ b/review/drive/deadly.go
@@ -26,12 +26,13 @@
 	down bool
 }
 
-// crash ends all channels and refuses new ones for a time.
-func (r *crashingRunner) crash(id string, pause time.Duration) {
+// crash ends all channels and refuses new ones for a time. It reports whether the runner was
+// up.
+func (r *crashingRunner) crash(id string, pause time.Duration) bool {
 	r.mu.Lock()
 	if r.down {
 		r.mu.Unlock()
-		return
+		return false
 	}
 	r.down = true
 	r.mu.Unlock()
@@ -49,6 +50,7 @@
 		go r.acceptFrom(l)
 		r.w.listAt(r.runner, r.address, "ready")
 	})
+	return true
 }
 
 // playDeadly: a shared part of some prompts crashes each runner that begins to write an
@@ -80,10 +82,11 @@
 				return false
 			}
 			if w.trouble && strings.Contains(req.Header.Get("Prefix-Hash"), deadlyPart) {
-				mu.Lock()
-				crashes = append(crashes, time.Now())
-				mu.Unlock()
-				r.crash(req.Header.Get("Request-Id"), down)
+				if r.crash(req.Header.Get("Request-Id"), down) {
+					mu.Lock()
+					crashes = append(crashes, time.Now())
+					mu.Unlock()
+				}
 				return false
 			}
 			first := 0
