--- a/review/drive/runner.go
+++ b/review/drive/runner.go
@@ -10,12 +10,6 @@
 	"time"
 )
 
-// arrival is a request that reached a runner.
-type arrival struct {
-	id string
-	at time.Time
-}
-
 // runner is a stand-in of a runner. It answers one request at a time on a channel.
 type runner struct {
 	id, service, zone string
@@ -26,9 +20,8 @@
 	// arrive, if set, is called for each request that is for this runner.
 	arrive func(req *http.Request)
 
-	mu       sync.Mutex
-	arrivals []arrival
-	conns    map[net.Conn]bool
+	mu    sync.Mutex
+	conns map[net.Conn]bool
 }
 
 // startRunner starts a runner that is not in the store's list yet.
@@ -95,16 +88,12 @@
 		if err != nil {
 			return
 		}
-		at := time.Now()
 		if wanted := req.Header.Get("Target-Instance"); wanted != "" && wanted != r.id {
 			if _, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", r.id); err != nil {
 				return
 			}
 			continue
 		}
-		r.mu.Lock()
-		r.arrivals = append(r.arrivals, arrival{req.Header.Get("Request-Id"), at})
-		r.mu.Unlock()
 		if r.arrive != nil {
 			r.arrive(req)
 		}
@@ -114,13 +103,6 @@
 	}
 }
 
-// list of the requests that arrived.
-func (r *runner) arrived() []arrival {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return append([]arrival(nil), r.arrivals...)
-}
-
 // head returns the beginning of a sound answer.
 func (r *runner) head(req *http.Request, more string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: seal-%s\r\n%s\r\n", req.Header.Get("Request-Id"), r.id, more)
