review: speak the protocol through the project's own stand-ins

Only the platform package and the stand-ins may name what is on the wire; requests and configurations now come from standin/caller and standin/metastore.

--- a/review/drive/cold.go
+++ b/review/drive/cold.go
@@ -19,7 +19,7 @@
 // coldPart returns the deadly part of a request, or "".
 func coldPart(req *http.Request) string {
 	for _, part := range coldParts {
-		if strings.Contains(req.Header.Get("Prefix-Hash"), part) {
+		if hasPart(req, part) {
 			return part
 		}
 	}
@@ -101,8 +101,8 @@
 					parts = append(parts, deadly+":50")
 				}
 				parts = append(parts, fmt.Sprintf("%x:20", 0x10000+number))
-				prompt := map[string]string{"Model": "m", "Token-Count": "400,96", "Prefix-Hash": strings.Join(parts, ",")}
-				out := call(client, g.front(), http.MethodPost, "/draft/1", newID(), fmt.Sprintf("prompt %d", number), 10*time.Second, prompt)
+				prefix := strings.Join(parts, ",")
+				out := call(client, g.front(), http.MethodPost, "/draft/1", newID(), fmt.Sprintf("prompt %d", number), 10*time.Second, "400,96", prefix)
 				mu.Lock()
 				if deadly == "" {
 					sound++
--- a/review/drive/deadly.go
+++ b/review/drive/deadly.go
@@ -16,6 +16,18 @@
 // deadlyPart is the part of a prompt that crashes runners when they begin to write.
 const deadlyPart = "dead0001"
 
+// hasPart reports whether a header of a request names a part of a prompt.
+func hasPart(req *http.Request, part string) bool {
+	for _, values := range req.Header {
+		for _, value := range values {
+			if strings.Contains(value, part+":") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // crashingRunner is a runner that crashes at the deadly part and is back after some seconds,
 // under its ID and address, as a new process.
 type crashingRunner struct {
@@ -81,7 +93,7 @@
 			if _, err := io.WriteString(c, r.head(req, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")); err != nil {
 				return false
 			}
-			if w.trouble && strings.Contains(req.Header.Get("Prefix-Hash"), deadlyPart) {
+			if w.trouble && hasPart(req, deadlyPart) {
 				if r.crash(req.Header.Get("Request-Id"), down) {
 					mu.Lock()
 					crashes = append(crashes, time.Now())
@@ -108,7 +120,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			reached[id] = true
-			if strings.Contains(req.Header.Get("Prefix-Hash"), deadlyPart) {
+			if hasPart(req, deadlyPart) {
 				w.logf("request %s with the deadly part reaches runner %s", id, r.id)
 				if len(crashes) >= 5 && time.Since(crashes[4]) > contact {
 					late++
@@ -140,8 +152,8 @@
 					parts = append(parts, deadlyPart+":50")
 				}
 				parts = append(parts, fmt.Sprintf("%x:20", 0x10000+1000*c+i))
-				prompt := map[string]string{"Model": "m", "Token-Count": "600,96", "Prefix-Hash": strings.Join(parts, ",")}
-				out := call(client, g.front(), http.MethodPost, "/draft/1", newID(), fmt.Sprintf("prompt %d %d", c, i), 10*time.Second, prompt)
+				prefix := strings.Join(parts, ",")
+				out := call(client, g.front(), http.MethodPost, "/draft/1", newID(), fmt.Sprintf("prompt %d %d", c, i), 10*time.Second, "600,96", prefix)
 				mu.Lock()
 				if !isDeadly {
 					sound = append(sound, out)
--- a/review/drive/leaving.go
+++ b/review/drive/leaving.go
@@ -93,11 +93,11 @@
 		group.Go(func() {
 			client, g := newClient(), w.gateways[i%len(w.gateways)]
 			time.Sleep(time.Duration(i) * 150 * time.Millisecond)
-			prompt := map[string]string{"Model": "m", "Token-Count": "400,160", "Prefix-Hash": fmt.Sprintf("5c1e07a2:300,%x:100", 0x1000+i)}
-			out := call(client, g.front(), http.MethodPost, "/draft/1", newID(), "prompt", 10*time.Second, prompt)
+			prefix := fmt.Sprintf("5c1e07a2:300,%x:100", 0x1000+i)
+			out := call(client, g.front(), http.MethodPost, "/draft/1", newID(), "prompt", 10*time.Second, "400,160", prefix)
 			whole := bytes.Equal(out.body, stream(leavingEvents))
-			w.logf("client sent %s to %s and got status %d, seal %q, %d of %d pieces, complete: %v (%v), whole stream: %v",
-				out.id, g.name, out.status, out.seal, bytes.Count(out.body, []byte("\n\n")), leavingEvents, out.err == nil, out.err, whole)
+			w.logf("client sent %s to %s and got status %d, sealed: %v, %d of %d pieces, complete: %v (%v), whole stream: %v",
+				out.id, g.name, out.status, out.sealed, bytes.Count(out.body, []byte("\n\n")), leavingEvents, out.err == nil, out.err, whole)
 			mu.Lock()
 			defer mu.Unlock()
 			if whole && out.err == nil {
--- a/review/drive/resumed.go
+++ b/review/drive/resumed.go
@@ -95,11 +95,11 @@
 		group.Go(func() {
 			client, g := newClient(), w.gateways[c%len(w.gateways)]
 			for i := range perClients {
-				prompt := map[string]string{"Model": "m", "Token-Count": "400,160", "Prefix-Hash": fmt.Sprintf("5c1e07a2:300,%x:100", 0x1000+100*c+i)}
-				out := call(client, g.front(), http.MethodPost, "/draft/1", newID(), "prompt", 10*time.Second, prompt)
+				prefix := fmt.Sprintf("5c1e07a2:300,%x:100", 0x1000+100*c+i)
+				out := call(client, g.front(), http.MethodPost, "/draft/1", newID(), "prompt", 10*time.Second, "400,160", prefix)
 				whole := bytes.Equal(out.body, stream(events))
-				w.logf("client sent %s to %s and got status %d, seal %q, %d bytes, complete: %v (%v), whole stream: %v, last bytes %q",
-					out.id, g.name, out.status, out.seal, len(out.body), out.err == nil, out.err, whole, out.body[max(len(out.body)-60, 0):])
+				w.logf("client sent %s to %s and got status %d, sealed: %v, %d bytes, complete: %v (%v), whole stream: %v, last bytes %q",
+					out.id, g.name, out.status, out.sealed, len(out.body), out.err == nil, out.err, whole, out.body[max(len(out.body)-60, 0):])
 				mu.Lock()
 				if out.status == http.StatusOK && whole && out.err == nil {
 					served++
--- a/review/drive/runner.go
+++ b/review/drive/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	_ "embed"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,11 @@
 	"time"
 )
 
+// entry is the form of a runner's entry in the store.
+//
+//go:embed entry.json
+var entry string
+
 // runner is a stand-in of a runner. It answers one request at a time on a channel.
 type runner struct {
 	id, service, zone string
@@ -39,10 +45,7 @@
 
 // listAt writes the entry of a runner that listens at an address.
 func (w *world) listAt(r *runner, address, state string) {
-	w.store.Put("servers", r.id, map[string]any{
-		"service": r.service, "address": address, "zone": r.zone, "version": "v1", "slots": 24, "state": state,
-		"cold-left-ms": 0, "sequence": 1, "born": r.born,
-	})
+	w.store.PutRaw("servers", r.id, fmt.Sprintf(entry, r.service, address, r.zone, state, r.born))
 	w.logf("the store has confirmed the entry of runner %s (%s, %s): %s", r.id, r.service, r.zone, state)
 }
 
@@ -88,12 +91,6 @@
 		if err != nil {
 			return
 		}
-		if wanted := req.Header.Get("Target-Instance"); wanted != "" && wanted != r.id {
-			if _, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", r.id); err != nil {
-				return
-			}
-			continue
-		}
 		if r.arrive != nil {
 			r.arrive(req)
 		}
--- a/review/drive/unsealed.go
+++ b/review/drive/unsealed.go
@@ -74,13 +74,13 @@
 			client, g := newClient(), w.gateways[c]
 			for i := range requests / 2 {
 				target := []string{"/status/1", "/order/1"}[i%2]
-				out := call(client, g.front(), http.MethodPost, target, newID(), "", 5*time.Second, nil)
-				w.logf("client sent %s to %s %s and got status %d, seal %q, %d bytes, complete: %v (%v)", out.id, g.name, target, out.status, out.seal, len(out.body), out.err == nil, out.err)
+				out := call(client, g.front(), http.MethodPost, target, newID(), "", 5*time.Second, "", "")
+				w.logf("client sent %s to %s %s and got status %d, sealed: %v, %d bytes, complete: %v (%v)", out.id, g.name, target, out.status, out.sealed, len(out.body), out.err == nil, out.err)
 				mu.Lock()
 				switch {
-				case out.status == http.StatusOK && out.seal != "" && string(out.body) == sound:
+				case out.status == http.StatusOK && out.sealed && string(out.body) == sound:
 					served++
-				case out.status/100 == 2 && out.seal == "":
+				case out.status/100 == 2 && !out.sealed:
 					w.logf("MIXED: %s is a success without the runner's seal", out.id)
 					unsealed++
 				}
