--- a/review/drive/resumed.go
+++ b/review/drive/resumed.go
@@ -29,49 +29,50 @@
 	return b.Bytes()
 }
 
-// playResumed: the runners of a service fail some of their requests. A stream that one has
-// broken off may be resumed at the next, and if that one fails it with a 4xx, the client must
-// not see a complete success.
+// playResumed: one of four runners crashes while it writes streams, which may be resumed at
+// the others. These fail a part of their requests with a 4xx. If a resumed run is failed, the
+// client must not see a complete success.
 func playResumed(w *world) bool {
 	const (
-		events, pause = 20, 10 * time.Millisecond
-		// share is the part of its requests that a runner fails.
-		share               = 0.45
-		clients, perClients = 8, 12
+		events, pause = 20, 40 * time.Millisecond
+		// failed is the part of its requests that a runner fails.
+		failed           = 0.45
+		runners, clients = 4, 60
+		// The runners fail requests for length. One crashes after crashAfter.
+		length, crashAfter = 4 * time.Second, 2 * time.Second
 	)
 	var mu sync.Mutex
 	random := rand.New(rand.NewPCG(40, 1))
-	fails := func() (bool, int) {
+	failures := 0
+	fails := func() bool {
 		mu.Lock()
 		defer mu.Unlock()
-		return w.trouble && random.Float64() < share, random.IntN(events-4) + 2
+		return w.trouble && random.Float64() < failed
 	}
-	failed := 0
-	answer := func(r **runner) func(net.Conn, *http.Request, []byte) bool {
-		return func(c net.Conn, req *http.Request, _ []byte) bool {
+	var all []*runner
+	for n := range runners {
+		var r *runner
+		r = w.startRunner(fmt.Sprintf("i-%04d", n+1), "caption", "zone-a", func(c net.Conn, req *http.Request, _ []byte) bool {
 			id := req.Header.Get("Request-Id")
 			first := 0
 			if last, err := strconv.Atoi(req.Header.Get("Last-Event-Id")); err == nil {
 				first = last + 1
 			}
-			w.logf("runner %s runs %s from event %d", (*r).id, id, first)
-			fail, before := fails()
-			if fail && first > 0 {
+			if fails() {
 				mu.Lock()
-				failed++
-				status := []string{"400 Bad Request", "404 Not Found"}[failed%2]
+				status := "400 Bad Request"
+				if first > 0 {
+					failures++
+					status = []string{"400 Bad Request", "404 Not Found"}[failures%2]
+					w.logf("runner %s fails %s, which resumes from event %d, with %s", r.id, id, first, status)
+				}
 				mu.Unlock()
-				body := `{"error":"this stream can't go on here"}`
-				w.logf("runner %s fails %s with %s", (*r).id, id, status)
-				_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\nRequest-Id: %s\r\nResponse-Seal: seal-%s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", status, id, (*r).id, len(body), body)
+				body := `{"error":"this request has failed"}`
+				_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\nRequest-Id: %s\r\nResponse-Seal: seal-%s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", status, id, r.id, len(body), body)
 				return err == nil
 			}
-			_, err := io.WriteString(c, (*r).head(req, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"))
+			_, err := io.WriteString(c, r.head(req, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"))
 			for n := first; n < events && err == nil; n++ {
-				if fail && n == before {
-					w.logf("runner %s breaks off %s before event %d", (*r).id, id, n)
-					return false
-				}
 				_, err = io.WriteString(c, chunk(event(n)))
 				time.Sleep(pause)
 			}
@@ -79,32 +80,37 @@
 				_, err = io.WriteString(c, "0\r\n\r\n")
 			}
 			return err == nil
-		}
+		})
+		w.list(r, "ready")
+		all = append(all, r)
 	}
-	var r1, r2 *runner
-	r1 = w.startRunner("i-0001", "caption", "zone-a", answer(&r1))
-	r2 = w.startRunner("i-0002", "caption", "zone-a", answer(&r2))
-	w.list(r1, "ready")
-	w.list(r2, "ready")
 	w.configure([]route{{name: "draft", kind: "streaming", service: "caption", attempts: 2, resumable: true, timeout: 10 * time.Second}},
 		[]service{{name: "caption", engine: true}})
 	w.startGateways(2, "zone-a")
-	served, spoilt := 0, 0
+	began := time.Now()
+	sent, served, spoilt := 0, 0, 0
+	if w.trouble {
+		time.AfterFunc(crashAfter, func() {
+			w.logf("runner %s crashes", all[0].id)
+			all[0].stop()
+		})
+	}
 	var group sync.WaitGroup
 	for c := range clients {
 		group.Go(func() {
 			client, g := newClient(), w.gateways[c%len(w.gateways)]
-			for i := range perClients {
-				prefix := fmt.Sprintf("5c1e07a2:300,%x:100", 0x1000+100*c+i)
-				out := call(client, g.front(), http.MethodPost, "/draft/1", newID(), "prompt", 10*time.Second, "400,160", prefix)
+			for i := 0; time.Since(began) < length-events*pause-200*time.Millisecond; i++ {
+				prefix := fmt.Sprintf("%x:100", 0x100000+10000*c+i)
+				out := call(client, g.front(), http.MethodPost, "/draft/1", newID(), fmt.Sprintf("prompt %d %d", c, i), 10*time.Second, "100,160", prefix)
 				whole := bytes.Equal(out.body, stream(events))
-				w.logf("client sent %s to %s and got status %d, sealed: %v, %d bytes, complete: %v (%v), whole stream: %v, last bytes %q",
-					out.id, g.name, out.status, out.sealed, len(out.body), out.err == nil, out.err, whole, out.body[max(len(out.body)-60, 0):])
 				mu.Lock()
+				sent++
 				if out.status == http.StatusOK && whole && out.err == nil {
 					served++
 				}
 				if out.status == http.StatusOK && out.err == nil && !whole {
+					w.logf("client sent %s to %s and got status %d, sealed: %v, complete, %d of %d pieces, last bytes %q",
+						out.id, g.name, out.status, out.sealed, bytes.Count(out.body, []byte("\n\n")), events, out.body[max(len(out.body)-60, 0):])
 					w.logf("MIXED, ORDER: %s ends as complete before its last piece, where the runner had answered with a failure", out.id)
 					spoilt++
 				}
@@ -113,11 +119,11 @@
 		})
 	}
 	group.Wait()
-	w.logf("of %d streams %d were served whole, %d resumed runs were failed with a 4xx, %d answers were spoilt", clients*perClients, served, failed, spoilt)
-	if !w.trouble && served != clients*perClients {
+	w.logf("of %d streams in %v %d were served whole; %d resumed runs were failed with a 4xx, %d answers were spoilt", sent, length, served, failures, spoilt)
+	if !w.trouble && served != sent {
 		panic("a sound stream was not served")
 	}
-	if w.trouble && failed == 0 {
+	if w.trouble && failures == 0 {
 		panic("no resumed run was failed")
 	}
 	return spoilt > 0
--- a/review/drive/unsealed.go
+++ b/review/drive/unsealed.go
@@ -16,10 +16,14 @@
 // seal. A gateway must not pass them on as a success.
 func playUnsealed(w *world) bool {
 	const (
-		size = 2 << 20
+		// size is the length of a sound answer, and spoiltSize that of a spoilt one with a
+		// length.
+		size, spoiltSize = 800, 2 << 20
 		// spoilEvery is the number of answers of the faulty runner of which one is spoilt.
 		spoilEvery = 20
-		requests   = 160
+		requests   = 600
+		// endless is the number of the spoilt answer that has no end.
+		endless = 4
 	)
 	sound := strings.Repeat("0123456789abcdef", size/16)
 	var mu sync.Mutex
@@ -42,9 +46,8 @@
 			head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n", id)
 			switch {
 			case spoilt == 0:
-				w.logf("runner %s runs %s and answers 200 with its seal and %d bytes", (*r).id, id, size)
 				return (*r).plain(c, req, sound)
-			case spoilt == 1:
+			case spoilt == endless:
 				w.logf("runner %s runs %s and sends bytes without a seal and without end", (*r).id, id)
 				_, err := io.WriteString(c, head+"Transfer-Encoding: chunked\r\n\r\n")
 				for err == nil {
@@ -52,8 +55,8 @@
 				}
 				return false
 			}
-			w.logf("runner %s runs %s and sends %d bytes without a seal", (*r).id, id, size)
-			_, err := io.WriteString(c, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, size, strings.Repeat("#", size)))
+			w.logf("runner %s runs %s and sends %d bytes without a seal", (*r).id, id, spoiltSize)
+			_, err := io.WriteString(c, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, spoiltSize, strings.Repeat("#", spoiltSize)))
 			return err == nil
 		}
 	}
@@ -75,12 +78,14 @@
 			for i := range requests / 2 {
 				target := []string{"/status/1", "/order/1"}[i%2]
 				out := call(client, g.front(), http.MethodPost, target, newID(), "", 5*time.Second, "", "")
-				w.logf("client sent %s to %s %s and got status %d, sealed: %v, %d bytes, complete: %v (%v)", out.id, g.name, target, out.status, out.sealed, len(out.body), out.err == nil, out.err)
+				if len(out.body) != size {
+					w.logf("client sent %s to %s %s and got status %d, sealed: %v, %d bytes, complete: %v (%v)", out.id, g.name, target, out.status, out.sealed, len(out.body), out.err == nil, out.err)
+				}
 				mu.Lock()
 				switch {
 				case out.status == http.StatusOK && out.sealed && string(out.body) == sound:
 					served++
-				case out.status/100 == 2 && !out.sealed:
+				case out.status/100 == 2 && !out.sealed && out.err == nil:
 					w.logf("MIXED: %s is a success without the runner's seal", out.id)
 					unsealed++
 				}
