gateway: never append another answer to a stream that has begun

Cause: relayBuffered and relayUnbuffered wrote to the caller without asking whether it had the head of an answer. Any answer to a resumption that was not an event stream took that path: 3xx, 4xx, sealed 2xx of another type or without a body, 5xx longer than the buffer. A 206 stream was joined.

Change: decision/answer decides what is done with an answer from its head and what the caller has; only the same stream, sealed and under the same status, goes on. A failed resumption is a failed attempt: the request goes on at another upstream if the route allows, else the connection is closed. All writes to callers pass through one type, which refuses a second answer. Reading the rest of an answer that is dropped is bounded in time.

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -36,7 +36,7 @@
 type request struct {
 	platform.CallerHeaders
 	http     *http.Request
-	w        http.ResponseWriter
+	reply    reply
 	target   string
 	body     []byte
 	config   *acceptedConfiguration
@@ -74,7 +74,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	r := &request{
-		CallerHeaders: platform.DecodeCaller(hr.Header), http: hr, w: w, target: hr.RequestURI, arrived: time.Now(),
+		CallerHeaders: platform.DecodeCaller(hr.Header), http: hr, reply: reply{w: w}, target: hr.RequestURI, arrived: time.Now(),
 	}
 	r.progress.lastEvent = r.LastEvent
 	if refused := g.admit(r); refused != nil {
@@ -214,10 +214,10 @@
 	if r.http.ContentLength == 0 {
 		return nil
 	}
-	control := http.NewResponseController(r.w)
+	control := http.NewResponseController(r.reply.w)
 	// Only response writers of tests don't support deadlines.
 	_ = control.SetReadDeadline(r.deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(r.w, r.http.Body, bound))
+	body, err := io.ReadAll(http.MaxBytesReader(r.reply.w, r.http.Body, bound))
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -247,5 +247,5 @@
 	}
 	g.metrics.refused[refused.reason].Inc(1)
 	g.logRequest(r, "refused", refused.status, refused.reason, append([]any{"retry_after", refused.retryAfter.Seconds()}, refused.inputs...)...)
-	platform.Refuse(r.w, r.RequestID, refused.status, refused.retryAfter, string(refused.reason))
+	g.sendProblem(r, refused.status, refused.retryAfter, refused.reason)
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -28,8 +27,10 @@
 	// a request that may not be repeated. It is shorter than the upstreams' idle
 	// timeouts.
 	nonRepeatableMaxIdle = time.Second
-	// maxDeclinedBody is how many bytes of a declining answer's body are read.
-	maxDeclinedBody = 16 << 10
+	// maxDrained is how many bytes of the body of an answer that is not relayed are read,
+	// and drainTimeout for how long.
+	maxDrained   = 16 << 10
+	drainTimeout = 100 * time.Millisecond
 	// maxUnknownHeaders limits the unknown headers that are remembered.
 	maxUnknownHeaders = 32
 	// lowestUrgency is the highest value of the urgency header that model engines
@@ -46,9 +47,6 @@
 	tried []string
 	// mayHaveRun is set once some upstream may have run the request.
 	mayHaveRun bool
-	// headSent is set once the status and headers of an answer have been sent to the
-	// caller.
-	headSent bool
 	// partial is set once a part of an answer has been sent that another upstream
 	// could not continue.
 	partial bool
@@ -126,7 +124,7 @@
 		}
 		switch {
 		case result == delivered:
-			g.logRequest(r, "answered", buffered.statusOr(http.StatusOK), r.progress.reason)
+			g.logRequest(r, "answered", r.reply.status, r.progress.reason)
 			return
 		case result == callerGone || ctx.Err() != nil:
 			g.abandon(r, buffered)
@@ -203,10 +201,7 @@
 	}
 	p.attempts++
 	p.mayHaveRun = true
-	if answer.IsEventStream() && answer.Status < 300 {
-		return g.relayStream(ctx, r, ticket, answer, head)
-	}
-	return g.relayBuffered(ctx, r, ticket, answer, head)
+	return g.relay(ctx, r, ticket, answer, head)
 }
 
 // applyUpstreamState records the load, the shutdown notice and the pause request that
@@ -376,9 +371,7 @@
 	p.declined++
 	p.reason = reason.UpstreamBusy
 	p.detail = http.StatusText(answer.Status)
-	if _, err := io.Copy(io.Discard, io.LimitReader(answer, maxDeclinedBody)); err != nil {
-		p.detail += ": " + err.Error()
-	}
+	g.drain(answer)
 	g.endAttempt(t, placement.Declined)
 	g.logFailedAttempt(r, "upstream declined")
 	return notRun
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -89,6 +89,7 @@
 		Version: d.version,
 		Routes: []metastore.Route{
 			route("stream", "streaming", engineService, 2, true), route("once", "streaming", engineService, 1, false),
+			route("persistent", "streaming", engineService, 3, true),
 			route("order", "non_idempotent", counterService, 1, false), route("status", "idempotent", counterService, 2, false),
 		},
 		Engines: []string{engineService}, Plain: []string{counterService}, MaxBodyBytes: 1000,
--- a/gateway/refusal_test.go
+++ b/gateway/refusal_test.go
@@ -24,7 +24,7 @@
 	g.quota.Set(time.Now().Add(-time.Minute), "c", quota.Allowance{Rate: 100, Burst: 50})
 	newRequest := func(tokens int) *request {
 		return &request{
-			http: httptest.NewRequest(http.MethodPost, "/", nil), w: httptest.NewRecorder(), arrived: time.Now(),
+			http: httptest.NewRequest(http.MethodPost, "/", nil), reply: reply{w: httptest.NewRecorder()}, arrived: time.Now(),
 			customer: &serving.Customer{Name: "c", CountsTokens: true}, route: &serving.Route{Name: "r"},
 			service: &serving.Service{Name: "s"}, CallerHeaders: platform.CallerHeaders{Prompt: &serving.Prompt{Input: tokens}},
 		}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -5,11 +5,11 @@
 	"context"
 	"errors"
 	"io"
-	"maps"
 	"net/http"
 	"strconv"
 	"time"
 
+	"jaylink/decision/answer"
 	"jaylink/decision/placement"
 	"jaylink/decision/reason"
 	"jaylink/platform"
@@ -31,32 +31,51 @@
 	body   []byte
 }
 
-// statusOr returns the answer's status, or other if there is no answer.
-func (b *bufferedAnswer) statusOr(other int) int {
-	if b == nil {
-		return other
+// errUnusable means that an answer is not a proper one, or does not go on with what the
+// caller has.
+var errUnusable = errors.New("answer has no seal, is content-encoded or does not continue the stream")
+
+// relay does with an answer what answer.Decide says.
+func (g *Gateway) relay(ctx context.Context, r *request, t *placement.Ticket, a *exchange.Answer, head platform.UpstreamHeaders) (attemptResult, *bufferedAnswer) {
+	use := answer.Decide(answerHead(a, head), r.reply.given())
+	switch use {
+	case answer.Stream:
+		return g.relayStream(ctx, r, t, a), nil
+	case answer.Reject:
+		return g.handleBrokenAnswer(r, t, errUnusable), nil
+	case answer.Fail:
+		g.markStarted(r, t)
+		g.drain(a)
+		return g.handleFailure(r, t, a.Status), nil
+	}
+	return g.relayWhole(ctx, r, t, a, head, use)
+}
+
+// answerHead returns what an answer's status and headers say about it.
+func answerHead(a *exchange.Answer, head platform.UpstreamHeaders) answer.Head {
+	return answer.Head{
+		Status: a.Status, NotRun: head.NotRun, Sealed: head.Sealed, Encoded: a.Header.Get("Content-Encoding") != "", EventStream: a.IsEventStream(),
 	}
-	return b.status
 }
 
-func (b *bufferedAnswer) write(w http.ResponseWriter) error {
-	maps.Copy(w.Header(), b.header)
-	w.Header().Set("Content-Length", strconv.Itoa(len(b.body)))
-	w.WriteHeader(b.status)
-	_, err := w.Write(b.body)
-	return err
+// drain reads the rest of a short answer that is not relayed, so that its connection can be
+// used again.
+func (g *Gateway) drain(a *exchange.Answer) {
+	a.SetReadDeadline(time.Now().Add(drainTimeout))
+	// After an error the connection is closed instead.
+	_, _ = io.Copy(io.Discard, io.LimitReader(a, maxDrained))
 }
 
-// relayBuffered reads a whole answer before it sends any of it to the caller, so that
-// the request can be retried if the connection breaks.
-func (g *Gateway) relayBuffered(ctx context.Context, r *request, t *placement.Ticket, answer *exchange.Answer, head platform.UpstreamHeaders) (attemptResult, *bufferedAnswer) {
+// relayWhole reads a whole answer before it sends any of it to the caller, so that the
+// request can be retried if the connection breaks.
+func (g *Gateway) relayWhole(ctx context.Context, r *request, t *placement.Ticket, a *exchange.Answer, head platform.UpstreamHeaders, use answer.Use) (attemptResult, *bufferedAnswer) {
 	g.markStarted(r, t)
-	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedAnswer))
-	if err == nil && len(body) == maxBufferedAnswer && !promisesNotRun(answer.Status) {
-		return g.relayUnbuffered(ctx, r, t, answer, body), nil
+	body, err := io.ReadAll(io.LimitReader(a, maxBufferedAnswer))
+	if err == nil && len(body) == maxBufferedAnswer {
+		return g.relayUnbuffered(ctx, r, t, a, body), nil
 	}
 	if err == nil {
-		err = g.checkEnd(ctx, r, answer)
+		err = g.checkEnd(ctx, r, a)
 	}
 	switch {
 	case ctx.Err() != nil:
@@ -64,54 +83,45 @@
 		return callerGone, nil
 	case err != nil:
 		return g.handleBrokenAnswer(r, t, err), nil
-	case answer.Status < 300 && !hasSealAndNoEncoding(answer, head):
-		return g.handleBrokenAnswer(r, t, errors.New("answer has no seal or is content-encoded")), nil
-	}
-	buffered := &bufferedAnswer{answer.Status, platform.CallerAnswer(answer.Header), body}
-	if promisesNotRun(answer.Status) {
-		buffered = nil
+	case a.Status < 300 && !hasSealAndNoEncoding(a, head):
+		return g.handleBrokenAnswer(r, t, errUnusable), nil
 	}
-	if buffered == nil || answer.Status >= http.StatusInternalServerError {
-		g.endAttempt(t, placement.Failed)
-		r.progress.reason = reason.UpstreamError
-		r.progress.detail = strconv.Itoa(answer.Status)
-		g.logFailedAttempt(r, "upstream failed")
-		return serverError, buffered
+	buffered := &bufferedAnswer{a.Status, platform.CallerAnswer(a.Header), body}
+	if use == answer.Keep {
+		return g.handleFailure(r, t, a.Status), buffered
 	}
-	g.recordAnswer(r, t, answer.Status < http.StatusMultipleChoices)
+	g.recordAnswer(r, t, a.Status < http.StatusMultipleChoices)
 	g.writeAnswer(r, buffered)
 	return delivered, buffered
 }
 
-// promisesNotRun reports whether a status tells callers that the request has not run. An
-// upstream's answer with such a status that does not state so is not relayed.
-func promisesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
+// handleFailure ends an attempt in which the upstream has failed the request.
+func (g *Gateway) handleFailure(r *request, t *placement.Ticket, status int) attemptResult {
+	g.endAttempt(t, placement.Failed)
+	r.progress.reason = reason.UpstreamError
+	r.progress.detail = strconv.Itoa(status)
+	g.logFailedAttempt(r, "upstream failed")
+	return serverError
 }
 
 // hasSealAndNoEncoding reports whether an answer has a seal header and its body is not
 // content-encoded, so that callers can check the seal against the upstream's own bytes.
 // The seal is not verified here.
-func hasSealAndNoEncoding(answer *exchange.Answer, head platform.UpstreamHeaders) bool {
-	return head.Sealed && answer.Header.Get("Content-Encoding") == ""
+func hasSealAndNoEncoding(a *exchange.Answer, head platform.UpstreamHeaders) bool {
+	return head.Sealed && a.Header.Get("Content-Encoding") == ""
 }
 
 // relayUnbuffered relays an answer that is too long to buffer; read is what has been
 // read of its body.
-func (g *Gateway) relayUnbuffered(ctx context.Context, r *request, t *placement.Ticket, answer *exchange.Answer, read []byte) attemptResult {
-	r.progress.headSent, r.progress.partial = true, true
-	maps.Copy(r.w.Header(), platform.CallerAnswer(answer.Header))
-	r.w.WriteHeader(answer.Status)
-	n, err := io.Copy(r.w, io.MultiReader(bytes.NewReader(read), io.LimitReader(answer, maxAnswerBytes)))
+func (g *Gateway) relayUnbuffered(ctx context.Context, r *request, t *placement.Ticket, a *exchange.Answer, read []byte) attemptResult {
+	r.progress.partial = true
+	r.reply.begin(a.Status, platform.CallerAnswer(a.Header))
+	n, err := io.Copy(&r.reply, io.MultiReader(bytes.NewReader(read), io.LimitReader(a, maxAnswerBytes)))
 	switch {
 	case err == nil && n > maxAnswerBytes:
 		err = exchange.ErrTooLong
 	case err == nil:
-		err = g.checkEnd(ctx, r, answer)
+		err = g.checkEnd(ctx, r, a)
 	}
 	if err != nil {
 		if ctx.Err() != nil {
@@ -120,7 +130,7 @@
 		}
 		return g.handleBrokenAnswer(r, t, err)
 	}
-	g.recordAnswer(r, t, answer.Status < http.StatusMultipleChoices)
+	g.recordAnswer(r, t, a.Status < http.StatusMultipleChoices)
 	return delivered
 }
 
@@ -163,8 +173,11 @@
 
 // writeAnswer sends a buffered answer to the caller.
 func (g *Gateway) writeAnswer(r *request, buffered *bufferedAnswer) {
-	r.progress.headSent = true
-	if err := buffered.write(r.w); err != nil {
+	err := r.reply.whole(buffered.status, buffered.header, buffered.body)
+	if errors.Is(err, errReplyBegun) {
+		g.abortConnection(r, "failed")
+	}
+	if err != nil {
 		r.progress.detail = "caller: " + err.Error()
 	}
 }
@@ -175,7 +188,7 @@
 func (g *Gateway) finish(r *request, buffered *bufferedAnswer, refused *refusal) {
 	p := &r.progress
 	switch {
-	case p.headSent:
+	case r.reply.begun():
 		g.abortConnection(r, "failed")
 	case buffered != nil:
 		g.writeAnswer(r, buffered)
@@ -195,7 +208,14 @@
 func (g *Gateway) answerFailure(r *request, status int, code reason.Reason) {
 	g.metrics.failed.Inc(1)
 	g.logRequest(r, "failed", status, code)
-	platform.Refuse(r.w, r.RequestID, status, 0, string(code))
+	g.sendProblem(r, status, 0, code)
+}
+
+// sendProblem sends an answer of this entry to the caller.
+func (g *Gateway) sendProblem(r *request, status int, retryAfter time.Duration, code reason.Reason) {
+	if err := r.reply.problem(r.RequestID, status, retryAfter, string(code)); err != nil {
+		g.abortConnection(r, "failed")
+	}
 }
 
 // abandon ends a request whose caller has disconnected or whose deadline has passed.
@@ -206,13 +226,13 @@
 		g.logRequest(r, "caller gone", 0, p.reason)
 		panic(http.ErrAbortHandler)
 	}
-	if p.headSent || buffered != nil || !p.mayHaveRun {
+	if r.reply.begun() || buffered != nil || !p.mayHaveRun {
 		g.finish(r, buffered, newRefusal(http.StatusServiceUnavailable, reason.TimedOut, minRetryAfter))
 		return
 	}
 	g.metrics.failed.Inc(1)
 	g.logRequest(r, "timed out", http.StatusGatewayTimeout, reason.TimedOut)
-	platform.Refuse(r.w, r.RequestID, http.StatusGatewayTimeout, 0, string(reason.TimedOut))
+	g.sendProblem(r, http.StatusGatewayTimeout, 0, reason.TimedOut)
 }
 
 // abortConnection closes the caller's connection, so that the caller notices that the
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -6,8 +6,6 @@
 	"context"
 	"errors"
 	"io"
-	"maps"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -90,10 +88,7 @@
 
 // relayStream relays the events of a stream as they arrive. It skips those that the
 // caller already has from an earlier attempt.
-func (g *Gateway) relayStream(ctx context.Context, r *request, t *placement.Ticket, answer *exchange.Answer, head platform.UpstreamHeaders) (attemptResult, *bufferedAnswer) {
-	if !hasSealAndNoEncoding(answer, head) {
-		return g.handleBrokenAnswer(r, t, errors.New("answer has no seal or is content-encoded")), nil
-	}
+func (g *Gateway) relayStream(ctx context.Context, r *request, t *placement.Ticket, answer *exchange.Answer) attemptResult {
 	events := newEventReader(answer)
 	r.progress.numbering.isFirst = true
 	for ev := (event{}); ; {
@@ -105,11 +100,11 @@
 		ev, err = events.next()
 		if errors.Is(err, io.EOF) {
 			if err = g.checkStreamEnd(ctx, r, answer); err == nil {
-				return g.handleStreamEnd(r, t, answer), nil
+				return g.handleStreamEnd(r, t, answer)
 			}
 		}
 		if err != nil {
-			return g.handleBrokenStream(ctx, r, t, err), nil
+			return g.handleBrokenStream(ctx, r, t, err)
 		}
 		g.markStarted(r, t)
 		g.recordWriting(r)
@@ -117,12 +112,12 @@
 			continue
 		}
 		if r.progress.numbering.lacksEvent(r.progress.lastEvent, ev.id) {
-			return g.handleBrokenStream(ctx, r, t, errMissingEvent), nil
+			return g.handleBrokenStream(ctx, r, t, errMissingEvent)
 		}
 		if err := g.relayEvent(r, answer, ev); err != nil {
 			g.endAttempt(t, placement.Abandoned)
 			r.progress.detail = "caller: " + err.Error()
-			return callerGone, nil
+			return callerGone
 		}
 	}
 }
@@ -162,7 +157,7 @@
 // not been sent.
 func (g *Gateway) relayEvent(r *request, answer *exchange.Answer, ev event) error {
 	g.sendHead(r, answer)
-	if _, err := r.w.Write(ev.data); err != nil {
+	if _, err := r.reply.Write(ev.data); err != nil {
 		return err
 	}
 	if ev.id >= 0 {
@@ -174,19 +169,18 @@
 		r.progress.longestPause = max(r.progress.longestPause, now.Sub(r.progress.lastEventAt))
 	}
 	r.progress.lastEventAt = now
-	return http.NewResponseController(r.w).Flush()
+	return r.reply.flush()
 }
 
-// sendHead sends the status and headers of an answer, once per request: a resumed
-// stream goes on under those of its first upstream.
+// sendHead sends the status and headers of a stream, once per request: a resumed stream
+// goes on under those of its first upstream.
 func (g *Gateway) sendHead(r *request, answer *exchange.Answer) {
-	if r.progress.headSent {
+	if r.reply.begun() {
 		return
 	}
-	r.progress.headSent = true
-	maps.Copy(r.w.Header(), platform.CallerAnswer(answer.Header))
-	r.w.Header().Del("Content-Length")
-	r.w.WriteHeader(answer.Status)
+	header := platform.CallerAnswer(answer.Header)
+	header.Del("Content-Length")
+	r.reply.begin(answer.Status, header)
 }
 
 // checkStreamEnd is checkEnd for streams. One that ends with its connection has at least
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -118,6 +118,9 @@
 	// Undelimited sends answers with neither a length nor chunks, which end with their
 	// connection. It must be set before the first request.
 	Undelimited bool
+	// Script, if set, answers runs in place of the upstream. It must be set before the first
+	// request.
+	Script Script
 	// RestTime is the Retry-After that Rest sends. It must be set before the first
 	// request.
 	RestTime time.Duration
@@ -278,9 +281,13 @@
 	if n, err := strconv.Atoi(req.Header.Get("Last-Event-Id")); err == nil {
 		resumed = n
 	}
+	run := Run{id, req.RequestURI, req.Header, body, resumed}
 	s.mu.Lock()
-	s.runs = append(s.runs, Run{id, req.RequestURI, req.Header, body, resumed})
+	s.runs = append(s.runs, run)
 	s.mu.Unlock()
+	if s.playScript(c, run) {
+		return false
+	}
 	if s.Deadly != "" && strings.Contains(body, s.Deadly) {
 		s.Crash()
 		return false
--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -248,7 +248,8 @@
 
 // IsEventStream reports whether the body is a stream of server-sent events.
 func (a *Answer) IsEventStream() bool {
-	return strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream")
+	mediaType, _, _ := strings.Cut(a.Header.Get("Content-Type"), ";")
+	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
 }
 
 // SetReadDeadline sets the deadline of the next reads.
