gateway: decide by its head whether an answer is a success

Cause: relayBuffered switched to relayUnbuffered when its buffer was full, before it came to the check of seal and encoding, which the other path did not have.

Change: seal and encoding are conditions of answer.Decide, which looks at the head alone; nothing of such a body is read. answer.DecideLong says what becomes of an answer that does not fit into the buffer. Errors of writes to callers no longer count as errors of the upstream.

--- a/decision/answer/answer.go
+++ b/decision/answer/answer.go
@@ -33,6 +33,9 @@
 	Deliver
 	// Stream: events are sent to the caller as they arrive, after those that it has.
 	Stream
+	// Relay: the answer is sent to the caller as it arrives. It can't be replaced by that of
+	// another upstream if it breaks off.
+	Relay
 	// Keep: the upstream has failed the request. The answer is sent to the caller if no
 	// other upstream gives a better one.
 	Keep
@@ -54,7 +57,7 @@
 		return Fail
 	case h.Status < http.StatusOK:
 		return Reject
-	case isSuccess && h.EventStream && (!h.Sealed || h.Encoded):
+	case isSuccess && (!h.Sealed || h.Encoded):
 		return Reject
 	case g.Status != 0:
 		return continuation(h, g)
@@ -78,6 +81,19 @@
 	return Reject
 }
 
+// DecideLong returns what is done with an answer that Decide wants to be read to its end and
+// that is longer than what may be buffered. Without a seal nothing shows that its bytes are
+// an answer at all. mayRetry is set if the request could be sent to another upstream.
+func DecideLong(h Head, use Use, mayRetry bool) Use {
+	switch {
+	case use == Keep && (mayRetry || !h.Sealed):
+		return Fail
+	case !h.Sealed:
+		return Reject
+	}
+	return Relay
+}
+
 // promisesNotRun reports whether a status tells callers that the request has not run. An
 // upstream's answer with such a status that does not state so is not relayed.
 func promisesNotRun(status int) bool {
--- a/decision/answer/answer_test.go
+++ b/decision/answer/answer_test.go
@@ -31,6 +31,39 @@
 	}
 }
 
+// Callers take a success for the upstream's own whole answer.
+func TestSuccessWithoutASealOrEncodedReachesNoCaller(t *testing.T) {
+	for _, h := range heads() {
+		use := Decide(h, Given{})
+		isSuccess := h.Status >= 200 && h.Status < 300
+		if isSuccess && !h.NotRun {
+			require.Equal(t, !h.Sealed || h.Encoded, use == Reject, "%+v", h)
+		}
+		require.NotEqual(t, Relay, use, "%+v", h)
+	}
+}
+
+// An answer that is too long to buffer is relayed only if its seal shows whose it is and no
+// other upstream may answer in its place.
+func TestLongAnswers(t *testing.T) {
+	for _, tc := range []struct {
+		head     Head
+		mayRetry bool
+		use      Use
+	}{
+		{Head{Status: 200, Sealed: true}, true, Relay},
+		{Head{Status: 200, Sealed: true}, false, Relay},
+		{Head{Status: 404, Sealed: true}, true, Relay},
+		{Head{Status: 404}, false, Reject},
+		{Head{Status: 302}, true, Reject},
+		{Head{Status: 500, Sealed: true}, false, Relay},
+		{Head{Status: 500, Sealed: true}, true, Fail},
+		{Head{Status: 500}, false, Fail},
+	} {
+		require.Equal(t, tc.use, DecideLong(tc.head, Decide(tc.head, Given{}), tc.mayRetry), "%+v, may retry %t", tc.head, tc.mayRetry)
+	}
+}
+
 func TestAnswersByKind(t *testing.T) {
 	for _, tc := range []struct {
 		head Head
@@ -40,6 +73,8 @@
 		{Head{Status: 206, Sealed: true}, Deliver},
 		{Head{Status: 200, Sealed: true, EventStream: true}, Stream},
 		{Head{Status: 200, EventStream: true}, Reject},
+		{Head{Status: 200}, Reject},
+		{Head{Status: 206, Sealed: true, Encoded: true}, Reject},
 		{Head{Status: 200, Sealed: true, Encoded: true, EventStream: true}, Reject},
 		{Head{Status: 302, Sealed: true}, Deliver},
 		{Head{Status: 404}, Deliver},
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -35,26 +36,32 @@
 // caller has.
 var errUnusable = errors.New("answer has no seal, is content-encoded or does not continue the stream")
 
+// errLongUnsealed means that an answer without a seal is longer than what is buffered.
+var errLongUnsealed = fmt.Errorf("answer without a seal: %w", exchange.ErrTooLong)
+
 // relay does with an answer what answer.Decide says.
 func (g *Gateway) relay(ctx context.Context, r *request, t *placement.Ticket, a *exchange.Answer, head platform.UpstreamHeaders) (attemptResult, *bufferedAnswer) {
-	use := answer.Decide(answerHead(a, head), r.reply.given())
-	switch use {
+	h := answerHead(a, head)
+	switch use := answer.Decide(h, r.reply.given()); use {
 	case answer.Stream:
 		return g.relayStream(ctx, r, t, a), nil
 	case answer.Reject:
+		g.markStarted(r, t)
 		return g.handleBrokenAnswer(r, t, errUnusable), nil
 	case answer.Fail:
 		g.markStarted(r, t)
 		g.drain(a)
 		return g.handleFailure(r, t, a.Status), nil
+	default:
+		g.markStarted(r, t)
+		return g.relayWhole(ctx, r, t, a, h, use)
 	}
-	return g.relayWhole(ctx, r, t, a, head, use)
 }
 
 // answerHead returns what an answer's status and headers say about it.
 func answerHead(a *exchange.Answer, head platform.UpstreamHeaders) answer.Head {
 	return answer.Head{
-		Status: a.Status, NotRun: head.NotRun, Sealed: head.Sealed, Encoded: a.Header.Get("Content-Encoding") != "", EventStream: a.IsEventStream(),
+		Status: a.Status, NotRun: head.NotRun, Sealed: head.Sealed, Encoded: len(a.Header["Content-Encoding"]) > 0, EventStream: a.IsEventStream(),
 	}
 }
 
@@ -68,11 +75,10 @@
 
 // relayWhole reads a whole answer before it sends any of it to the caller, so that the
 // request can be retried if the connection breaks.
-func (g *Gateway) relayWhole(ctx context.Context, r *request, t *placement.Ticket, a *exchange.Answer, head platform.UpstreamHeaders, use answer.Use) (attemptResult, *bufferedAnswer) {
-	g.markStarted(r, t)
-	body, err := io.ReadAll(io.LimitReader(a, maxBufferedAnswer))
-	if err == nil && len(body) == maxBufferedAnswer {
-		return g.relayUnbuffered(ctx, r, t, a, body), nil
+func (g *Gateway) relayWhole(ctx context.Context, r *request, t *placement.Ticket, a *exchange.Answer, h answer.Head, use answer.Use) (attemptResult, *bufferedAnswer) {
+	body, err := io.ReadAll(io.LimitReader(a, maxBufferedAnswer+1))
+	if err == nil && len(body) > maxBufferedAnswer {
+		return g.relayLong(ctx, r, t, a, body, answer.DecideLong(h, use, g.canTryAnother(r, r.progress.attempts))), nil
 	}
 	if err == nil {
 		err = g.checkEnd(ctx, r, a)
@@ -83,8 +89,6 @@
 		return callerGone, nil
 	case err != nil:
 		return g.handleBrokenAnswer(r, t, err), nil
-	case a.Status < 300 && !hasSealAndNoEncoding(a, head):
-		return g.handleBrokenAnswer(r, t, errUnusable), nil
 	}
 	buffered := &bufferedAnswer{a.Status, platform.CallerAnswer(a.Header), body}
 	if use == answer.Keep {
@@ -104,16 +108,15 @@
 	return serverError
 }
 
-// hasSealAndNoEncoding reports whether an answer has a seal header and its body is not
-// content-encoded, so that callers can check the seal against the upstream's own bytes.
-// The seal is not verified here.
-func hasSealAndNoEncoding(a *exchange.Answer, head platform.UpstreamHeaders) bool {
-	return head.Sealed && a.Header.Get("Content-Encoding") == ""
-}
-
-// relayUnbuffered relays an answer that is too long to buffer; read is what has been
-// read of its body.
-func (g *Gateway) relayUnbuffered(ctx context.Context, r *request, t *placement.Ticket, a *exchange.Answer, read []byte) attemptResult {
+// relayLong deals with an answer that is too long to buffer; read is what has been read of
+// its body.
+func (g *Gateway) relayLong(ctx context.Context, r *request, t *placement.Ticket, a *exchange.Answer, read []byte, use answer.Use) attemptResult {
+	switch use {
+	case answer.Fail:
+		return g.handleFailure(r, t, a.Status)
+	case answer.Reject:
+		return g.handleBrokenAnswer(r, t, errLongUnsealed)
+	}
 	r.progress.partial = true
 	r.reply.begin(a.Status, platform.CallerAnswer(a.Header))
 	n, err := io.Copy(&r.reply, io.MultiReader(bytes.NewReader(read), io.LimitReader(a, maxAnswerBytes)))
@@ -123,11 +126,13 @@
 	case err == nil:
 		err = g.checkEnd(ctx, r, a)
 	}
-	if err != nil {
-		if ctx.Err() != nil {
-			g.endAttempt(t, placement.Abandoned)
-			return callerGone
-		}
+	var lost *callerError
+	switch {
+	case errors.As(err, &lost) || err != nil && ctx.Err() != nil:
+		g.endAttempt(t, placement.Abandoned)
+		r.progress.detail = err.Error()
+		return callerGone
+	case err != nil:
 		return g.handleBrokenAnswer(r, t, err)
 	}
 	g.recordAnswer(r, t, a.Status < http.StatusMultipleChoices)
@@ -178,7 +183,7 @@
 		g.abortConnection(r, "failed")
 	}
 	if err != nil {
-		r.progress.detail = "caller: " + err.Error()
+		r.progress.detail = err.Error()
 	}
 }
 
--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -41,10 +41,29 @@
 }
 
 // Write sends a part of the body after begin.
-func (p *reply) Write(data []byte) (int, error) { return p.w.Write(data) }
+func (p *reply) Write(data []byte) (int, error) {
+	n, err := p.w.Write(data)
+	return n, callerFailure(err)
+}
 
 // flush sends what has been written to the caller.
-func (p *reply) flush() error { return http.NewResponseController(p.w).Flush() }
+func (p *reply) flush() error { return callerFailure(http.NewResponseController(p.w).Flush()) }
+
+// callerError is the error of a write to a caller, as opposed to a read from an upstream.
+type callerError struct{ err error }
+
+func (e *callerError) Error() string { return "caller: " + e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *callerError) Unwrap() error { return e.err }
+
+// callerFailure returns the error of a write to a caller as a callerError.
+func callerFailure(err error) error {
+	if err == nil {
+		return nil
+	}
+	return &callerError{err}
+}
 
 // whole sends a complete answer.
 func (p *reply) whole(status int, header http.Header, body []byte) error {
@@ -55,7 +74,7 @@
 	maps.Copy(p.w.Header(), header)
 	p.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	p.w.WriteHeader(status)
-	_, err := p.w.Write(body)
+	_, err := p.Write(body)
 	return err
 }
 
--- a/gateway/resumed_test.go
+++ b/gateway/resumed_test.go
@@ -28,12 +28,9 @@
 	rawEvents = "Content-Type: text/event-stream\r\n"
 )
 
-// scripted starts an upstream in another availability zone that gives one raw answer to
-// every run.
-func (d *deployment) scripted(id, service string, answer func(requestID string) string) *upstream.Server {
-	s := d.upstreamIn("zone-b", id, service)
+// script has an upstream give one raw answer to every run.
+func script(s *upstream.Server, answer func(requestID string) string) {
 	s.Script = func(r upstream.Run) (string, bool) { return answer(r.RequestID), true }
-	return s
 }
 
 // A stream breaks off, and the upstream at which it is resumed answers with something that
@@ -71,7 +68,8 @@
 					d.configure()
 					d.upstream("i-bad", engineService).SetFault(upstream.CutInEvent)
 					raw := func(id string) string { return rawAnswer(a.status, id, a.header, framing, a.body) }
-					failing := d.scripted("i-failing", engineService, raw)
+					failing := d.upstreamIn("zone-b", "i-failing", engineService)
+					script(failing, raw)
 					if route == "persistent" {
 						d.upstreamIn("zone-b", "i-good", engineService)
 					}
@@ -97,10 +95,9 @@
 	const unnumbered = "data: first\n\n"
 	d := newDeployment(t)
 	d.configure()
-	s := d.upstream("i-bad", engineService)
-	s.Script = func(r upstream.Run) (string, bool) {
-		return rawAnswer("200 OK", r.RequestID, rawSeal+rawEvents, "", unnumbered+"data: sec"), true
-	}
+	script(d.upstream("i-bad", engineService), func(id string) string {
+		return rawAnswer("200 OK", id, rawSeal+rawEvents, "", unnumbered+"data: sec")
+	})
 	good := d.upstreamIn("zone-b", "i-good", engineService)
 	got := d.startEntry("entry-1").send(t, streamCall("stream", "r-1"))
 	require.Error(t, got.err)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -116,7 +116,7 @@
 		}
 		if err := g.relayEvent(r, answer, ev); err != nil {
 			g.endAttempt(t, placement.Abandoned)
-			r.progress.detail = "caller: " + err.Error()
+			r.progress.detail = err.Error()
 			return callerGone
 		}
 	}
