poison: find deadly parts at any depth of a prompt

It crashed upstreams 51 to 58 times in 30 s; 37 to 45 requests with it reached upstreams too late, and sound requests that ran beside them ended with 502.

Cause: only the first eight shared parts of a request were recorded for a crash, before the parts were taken out that are known to be sound. What lay behind could not be suspected.

Evidence: the deadly part is in the logged parts of all crashes.

Change: parts that were answered since the crash are taken out first; up to 256 are recorded, those that were never answered and the deeper ones first. Reports carry all parts in a field that earlier versions skip; those get the eight likeliest. Parts of a message beyond a bound no longer void the message.

--- a/decision/poison/evidence.go
+++ b/decision/poison/evidence.go
@@ -1,7 +1,7 @@
 package poison
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 	"time"
 )
@@ -28,8 +28,8 @@
 // evidence is what the crashes say about one part.
 type evidence struct {
 	sound *recentTimes
-	// suspects counts the runs in all crashes by part.
-	suspects map[uint64]int
+	// suspects holds the parts of the runs in all crashes.
+	suspects map[uint64]suspect
 	part     uint64
 	// answered is set if the part was answered before the crashes.
 	answered bool
@@ -98,14 +98,14 @@
 // hasRecurringPart reports whether a part was involved in a crash that was never answered
 // and was involved in others.
 func (t *Tracker) hasRecurringPart(c *crash) bool {
-	return slices.ContainsFunc(c.runs, func(r run) bool {
-		return slices.ContainsFunc(r.parts, func(part uint64) bool { return t.parts.suspects[part] >= Limit && !t.parts.sound.has(part) })
+	return slices.ContainsFunc(c.condensed, func(r run) bool {
+		return slices.ContainsFunc(r.parts, func(part uint64) bool { return t.parts.suspects[part].count >= Limit && !t.parts.sound.has(part) })
 	})
 }
 
 // split divides the requests of a crash into those with a part and the others.
 func (c *crash) split(part uint64) (with, without []run) {
-	for _, r := range c.runs {
+	for _, r := range c.condensed {
 		if slices.Contains(r.parts, part) {
 			with = append(with, r)
 		} else {
@@ -179,8 +179,8 @@
 	if answered := e.sound.has(other); answered != e.answered {
 		return e.answered
 	}
-	if e.suspects[other] != e.suspects[e.part] {
-		return e.suspects[other] < e.suspects[e.part]
+	if own, others := e.suspects[e.part].count, e.suspects[other].count; own != others {
+		return others < own
 	}
 	return isDeeper
 }
@@ -257,14 +257,23 @@
 	return n
 }
 
-// companions returns the parts that came with the part in all crashes, sorted.
-func (e *evidence) companions() []uint64 {
+// companions returns the parts that came with the part in all crashes, sorted. If there are
+// too many, it returns those that the fewest requests have.
+func (t *Tracker) companions(e *evidence) []uint64 {
 	var list []uint64
-	for _, other := range slices.Sorted(maps.Keys(e.together)) {
-		if e.together[other] == len(e.times) {
+	for other, n := range e.together {
+		if n == len(e.times) {
 			list = append(list, other)
 		}
 	}
+	list = t.sameRuns(append(list, e.part))
+	list = slices.DeleteFunc(list, func(part uint64) bool { return part == e.part || e.sound.has(part) })
+	slices.SortFunc(list, func(a, b uint64) int {
+		return cmp.Or(cmp.Compare(e.suspects[a].count, e.suspects[b].count), cmp.Compare(a, b))
+	})
+	t.parts.dropped += int64(max(len(list)-maxCompanions, 0))
+	list = list[:min(len(list), maxCompanions)]
+	slices.Sort(list)
 	return list
 }
 
--- a/decision/poison/fleet_test.go
+++ b/decision/poison/fleet_test.go
@@ -25,6 +25,9 @@
 	simUpstream = 16
 	// simSeeds is the number of random schedules of each case.
 	simSeeds = uint64(8)
+	// simDeepSeeds is that of the cases whose prompts have more than deepPrompt parts.
+	simDeepSeeds = uint64(2)
+	deepPrompt   = 20
 	// simLate is how many requests with a deadly part may reach upstreams later than
 	// simContact after the fifth crash.
 	simLate = 3
@@ -189,6 +192,34 @@
 	return func(*rand.Rand, int) []uint64 { return parts }
 }
 
+// chain returns n parts that follow each other in prompts.
+func chain(n int) []uint64 {
+	var parts []uint64
+	for i := range uint64(n) {
+		parts = append(parts, 100_000+i)
+	}
+	return parts
+}
+
+// deepTraffic returns sound requests and requests with a deadly part, whose prompts share a
+// chain of parts. The deadly part comes at a depth of it, and each prompt ends with own parts.
+func deepTraffic(shared, depth, own int, perSecond float64) []simTraffic {
+	const deadly = 1000
+	prompt := func(kind uint64, parts []uint64) func(*rand.Rand, int) []uint64 {
+		return func(_ *rand.Rand, n int) []uint64 {
+			prompt := slices.Clone(parts)
+			for i := range uint64(own) {
+				prompt = append(prompt, kind<<40+uint64(n)<<8+i)
+			}
+			return prompt
+		}
+	}
+	return []simTraffic{
+		{perSecond: 40, parts: prompt(1, chain(shared))},
+		{perSecond: perSecond, parts: prompt(2, slices.Insert(chain(shared), depth, deadly)), deadly: true},
+	}
+}
+
 // Whatever crashes upstreams beside them, sound requests are served, and a deadly part is
 // found before it has crashed more upstreams than allowed.
 func TestFleetFindsDeadlyPartsAndBlamesNoOther(t *testing.T) {
@@ -224,11 +255,26 @@
 		"deadly body beside":  {[]simTraffic{sound, {perSecond: 2, parts: fixed(first, 10), deadly: true, body: true}, {perSecond: 2, parts: fixed(first, deadly), deadly: true}}, 0},
 		"body, part and herd": {[]simTraffic{sound, {perSecond: 2, parts: fixed(first, 10), deadly: true, body: true}, {perSecond: 2, parts: fixed(first, deadly), deadly: true}}, 0.3},
 	}
+	for _, deep := range []struct{ shared, depth, own int }{
+		{8, 8, 0}, {8, 0, 0}, {8, 4, 0}, {9, 9, 1}, {40, 40, 0}, {40, 20, 3}, {40, 0, 3}, {100, 100, 10}, {100, 0, 10}, {300, 300, 1}, {300, 150, 20},
+	} {
+		for _, perSecond := range []float64{2, 8} {
+			name := fmt.Sprintf("%d of %d shared parts before it, %d own ones after, %g a second", deep.depth, deep.shared, deep.own, perSecond)
+			deepCase := cases[name]
+			deepCase.kinds = deepTraffic(deep.shared, deep.depth, deep.own, perSecond)
+			cases[name] = deepCase
+		}
+	}
 	for name, tc := range cases {
 		for _, entries := range []int{3, 8} {
 			for _, cold := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s/%d entries, cold %t", name, entries, cold), func(t *testing.T) {
-					for seed := range simSeeds {
+					t.Parallel()
+					seeds := simSeeds
+					if len(tc.kinds[0].parts(rand.New(rand.NewPCG(0, 0)), 0)) > deepPrompt {
+						seeds = simDeepSeeds
+					}
+					for seed := range seeds {
 						f := &simFleet{rng: rand.New(rand.NewPCG(seed, 1)), now: start, kinds: tc.kinds, herd: tc.herd}
 						f.count, f.refused = make([]int, len(tc.kinds)), make([]int, len(tc.kinds))
 						f.arrivals, f.crashes = make([][]time.Time, len(tc.kinds)), make([][]time.Time, len(tc.kinds))
--- a/decision/poison/parts.go
+++ b/decision/poison/parts.go
@@ -33,12 +33,20 @@
 	lateSettleTime = time.Second
 	// judgeInterval is the least time between two judgements of all parts.
 	judgeInterval = 50 * time.Millisecond
-	// MaxRunParts limits the shared parts that are recorded for a request, and
-	// maxCrashRuns the requests with parts for a crash. maxPartCrashes limits the crashes
-	// that count against parts; the oldest are dropped first.
-	MaxRunParts    = 8
-	maxCrashRuns   = 64
-	maxPartCrashes = 128
+	// maxRunParts limits the shared parts that are recorded for a request. Once the requests
+	// of a crash have maxCrashParts in all, the limit is minRunParts.
+	maxRunParts   = 256
+	maxCrashParts = 4096
+	minRunParts   = 64
+	// maxCrashRuns limits the requests with parts that are recorded for a crash.
+	// maxPartCrashes limits the crashes that count against parts, and maxRecordedParts the
+	// parts of all their requests; the oldest crashes are dropped first.
+	maxCrashRuns     = 64
+	maxPartCrashes   = 128
+	maxRecordedParts = 128 << 10
+	// maxCompanions limits the parts without which a request with a deadly part is not
+	// refused.
+	maxCompanions = 8
 	// relapseTime is how long after its last crash a part is remembered. From retention on
 	// its requests are sent, and the next crash renews the verdict.
 	relapseTime = 8 * retention
@@ -51,6 +59,8 @@
 type run struct {
 	request uint64
 	parts   []uint64
+	// mark tells the run from all others in suspect.runs.
+	mark uint64
 }
 
 // deadlyPart is a part that crashes upstreams.
@@ -69,8 +79,12 @@
 // partTracker is the part of Tracker that deals with shared parts of prompts.
 type partTracker struct {
 	deadly map[uint64]deadlyPart
-	// suspects counts the runs in recorded crashes by part.
-	suspects map[uint64]int
+	// suspects holds the parts of the runs in recorded crashes.
+	suspects map[uint64]suspect
+	// lastMark is the mark of the latest run. changed is set if the condensed runs of the
+	// crashes are outdated.
+	lastMark uint64
+	changed  bool
 	// sound holds, for the most recently answered parts, when the latest attempt that was
 	// answered had been sent.
 	sound *recentTimes
@@ -83,7 +97,7 @@
 }
 
 func newPartTracker() partTracker {
-	return partTracker{deadly: map[uint64]deadlyPart{}, suspects: map[uint64]int{}, sound: newRecentTimes(maxSoundParts), soundNews: map[uint64]time.Time{}}
+	return partTracker{deadly: map[uint64]deadlyPart{}, suspects: map[uint64]suspect{}, sound: newRecentTimes(maxSoundParts), soundNews: map[uint64]time.Time{}}
 }
 
 // addRun records the parts of a request that was involved in a crash and reports whether
@@ -97,11 +111,8 @@
 		p.dropped++
 		return false
 	}
-	if len(report.Parts) > MaxRunParts {
-		p.dropped += int64(len(report.Parts) - MaxRunParts)
-	}
-	parts := make([]uint64, 0, min(len(report.Parts), MaxRunParts))
-	for _, part := range report.Parts[:min(len(report.Parts), MaxRunParts)] {
+	var parts []uint64
+	for _, part := range report.Parts {
 		sent, known := p.sound.members[part]
 		if known {
 			p.soundNews[part] = now
@@ -110,10 +121,16 @@
 			parts = append(parts, part)
 		}
 	}
-	c.runs = append(c.runs, run{report.Fingerprint, parts})
+	parts = p.limitRun(c, parts)
+	p.lastMark++
+	r := run{request: report.Fingerprint, parts: parts, mark: mix(p.lastMark)}
+	c.runs = append(c.runs, r)
+	c.partCount += len(parts)
+	for _, part := range parts {
+		p.addSuspect(part, r.mark)
+	}
 	t.limitPartCrashes()
 	for _, part := range parts {
-		p.suspects[part]++
 		if d, ok := p.deadly[part]; ok && d.covers(parts) {
 			t.renew(part, d, report.At)
 			t.attributeToPart(c, part)
@@ -122,6 +139,16 @@
 	return len(parts) > 0
 }
 
+// limitRun returns the parts of a request that are recorded for a crash.
+func (p *partTracker) limitRun(c *crash, parts []uint64) []uint64 {
+	limit := maxRunParts
+	if c.partCount >= maxCrashParts {
+		limit = minRunParts
+	}
+	p.dropped += int64(max(len(parts)-limit, 0))
+	return p.likeliest(parts, limit)
+}
+
 // renew puts a verdict that has ended into force again if the part was involved in another
 // crash: one suffices for a part that was never answered since.
 func (t *Tracker) renew(part uint64, d deadlyPart, crashAt time.Time) {
@@ -131,14 +158,15 @@
 	}
 }
 
-// limitPartCrashes drops the parts of the oldest crash if there are too many crashes.
+// limitPartCrashes drops the parts of the oldest crashes if there are too many.
 func (t *Tracker) limitPartCrashes() {
-	n := 0
+	n, parts := 0, 0
 	for i := len(t.crashes) - 1; i >= 0; i-- {
 		if len(t.crashes[i].runs) == 0 {
 			continue
 		}
-		if n++; n > maxPartCrashes {
+		parts += t.crashes[i].partCount
+		if n++; n > maxPartCrashes || parts > maxRecordedParts {
 			t.parts.dropped += int64(len(t.crashes[i].runs))
 			t.dropRuns(t.crashes[i])
 		}
@@ -149,16 +177,10 @@
 func (t *Tracker) dropRuns(c *crash) {
 	for _, r := range c.runs {
 		for _, part := range r.parts {
-			t.forgetSuspect(part)
+			t.parts.removeSuspect(part, r.mark)
 		}
 	}
-	c.runs = nil
-}
-
-func (t *Tracker) forgetSuspect(part uint64) {
-	if t.parts.suspects[part]--; t.parts.suspects[part] <= 0 {
-		delete(t.parts.suspects, part)
-	}
+	c.runs, c.condensed, c.partCount = nil, nil, 0
 }
 
 // SoundParts records that an attempt that was sent at a time, with the given parts, is
@@ -186,9 +208,11 @@
 			c.hasCause = c.hasCause && c.cause != part
 		}
 	}
-	if t.parts.suspects[part] == 0 {
+	if t.parts.suspects[part].count == 0 {
 		return cleared
 	}
+	// Answered parts are told apart from others.
+	t.parts.changed = true
 	for _, c := range t.crashes {
 		if c.at.After(until) {
 			continue
@@ -197,7 +221,8 @@
 			r := &c.runs[i]
 			if at := slices.Index(r.parts, part); at >= 0 {
 				r.parts = slices.Delete(r.parts, at, at+1)
-				t.forgetSuspect(part)
+				t.parts.removeSuspect(part, r.mark)
+				c.partCount--
 				cleared = true
 			}
 		}
@@ -247,6 +272,7 @@
 	}
 	t.parts.judgedAt = now
 	t.expire(now)
+	t.condense()
 	var verdicts []Verdict
 	parts := t.suspectedParts()
 	// A verdict on a narrow part explains crashes in which broad ones were involved.
@@ -274,8 +300,10 @@
 	if broad {
 		e = t.evidence(now, part, lateSettleTime)
 	}
-	d := deadlyPart{at: e.last, with: e.companions(), crashes: len(e.times), upstreams: e.upstreams}
-	return d, e.isDeadly() && !t.isExplainedByOthers(e)
+	if !e.isDeadly() || t.isExplainedByOthers(e) {
+		return deadlyPart{}, false
+	}
+	return deadlyPart{at: e.last, with: t.companions(e), crashes: len(e.times), upstreams: e.upstreams}, true
 }
 
 // isExplainedByOthers reports whether parts that crashed more upstreams were involved in
@@ -299,7 +327,7 @@
 func (t *Tracker) crashesWith(part uint64, without *uint64) int {
 	n := 0
 	for _, c := range t.crashes {
-		if c.hasCause && c.cause != part || !anyHas(c.runs, part) || without != nil && anyHas(c.runs, *without) {
+		if c.hasCause && c.cause != part || !anyHas(c.condensed, part) || without != nil && anyHas(c.condensed, *without) {
 			continue
 		}
 		n++
@@ -317,9 +345,9 @@
 	counts, depths := map[uint64]int{}, map[uint64]int{}
 	for _, c := range t.crashes {
 		seen := map[uint64]bool{}
-		for _, r := range c.runs {
+		for _, r := range c.condensed {
 			for i, part := range r.parts {
-				if t.parts.suspects[part] < Limit {
+				if t.parts.suspects[part].count < Limit {
 					continue
 				}
 				depths[part] = max(depths[part], i)
--- a/decision/poison/parts_test.go
+++ b/decision/poison/parts_test.go
@@ -223,7 +223,7 @@
 
 func TestEvidenceOnPartsIsBounded(t *testing.T) {
 	tr := NewTracker()
-	many := make([]uint64, 2*MaxRunParts)
+	many := make([]uint64, 2*maxRunParts)
 	for i := range many {
 		many[i] = uint64(1000 + i)
 	}
--- a/decision/poison/poison.go
+++ b/decision/poison/poison.go
@@ -74,9 +74,13 @@
 	attributed bool
 	// runs are the involved requests that have shared parts. If hasCause is set, cause is
 	// the part that the crash is attributed to.
-	runs     []run
-	cause    uint64
-	hasCause bool
+	runs []run
+	// partCount is the number of parts of all runs.
+	partCount int
+	// condensed are the runs without parts that can't be told from others, see condense.
+	condensed []run
+	cause     uint64
+	hasCause  bool
 }
 
 func (c *crash) involves(fingerprint uint64) bool { return slices.Contains(c.requests, fingerprint) }
--- a/decision/poison/verdict.go
+++ b/decision/poison/verdict.go
@@ -25,7 +25,13 @@
 	maxReports        = 16
 	maxReportRequests = 16
 	maxReportVerdicts = 32
-	maxReportAnswers  = 64
+	maxReportAnswers  = 192
+	// maxReportParts limits the different parts in one report, and maxUpdateParts those in
+	// all reports of an update. Of requests that would exceed them, MaxFewParts parts are
+	// told.
+	maxReportParts = 512
+	maxUpdateParts = 2048
+	MaxFewParts    = 8
 )
 
 // VerdictKind says what a verdict is about.
@@ -61,8 +67,11 @@
 	Upstream string
 	At       time.Time
 	Requests []uint64
-	// Parts are the suspected parts of each of the requests.
+	// Parts are the suspected parts of each of the requests, in order.
 	Parts [][]uint64
+	// FewParts are at most MaxFewParts of the parts of each request, for entries of versions
+	// that take no more. It is nil if no request has more.
+	FewParts [][]uint64
 }
 
 // effectiveCrashes returns the number of crashes that count against a request.
@@ -202,7 +211,39 @@
 		}
 	}
 	slices.SortStableFunc(list, func(a, b Report) int { return b.At.Compare(a.At) })
-	return list[:min(len(list), maxReports)]
+	list = list[:min(len(list), maxReports)]
+	left := maxUpdateParts
+	for i := range list {
+		left -= t.limitReport(&list[i], min(left, maxReportParts))
+	}
+	return list
+}
+
+// limitReport limits the parts of a report to a number of different ones, as far as requests
+// have more than MaxFewParts. It returns the number of different parts.
+func (t *Tracker) limitReport(r *Report, limit int) int {
+	if !slices.ContainsFunc(r.Parts, func(parts []uint64) bool { return len(parts) > MaxFewParts }) {
+		return 0
+	}
+	told := map[uint64]bool{}
+	for i, parts := range r.Parts {
+		few := t.parts.likeliest(parts, MaxFewParts)
+		r.FewParts = append(r.FewParts, few)
+		added := 0
+		for _, part := range parts {
+			if !told[part] {
+				added++
+			}
+		}
+		if len(told)+added > limit {
+			t.parts.dropped += int64(len(parts) - len(few))
+			r.Parts[i], parts = few, few
+		}
+		for _, part := range parts {
+			told[part] = true
+		}
+	}
+	return len(told)
 }
 
 // report returns the report of one crash. Requests with suspected parts come first, and
--- a/gateway/crashcodec.go
+++ b/gateway/crashcodec.go
@@ -15,6 +15,7 @@
 	fieldCrashAt        protowire.Number = 2 // varint, Unix milliseconds of true time
 	fieldCrashRequests  protowire.Number = 3 // bytes: fingerprints in eight bytes
 	fieldCrashParts     protowire.Number = 4 // bytes, see appendParts
+	fieldCrashPartSets  protowire.Number = 5 // bytes, see appendPartSets
 	fieldVerdictRequest protowire.Number = 1 // fixed64, a fingerprint or a part
 	fieldVerdictAt      protowire.Number = 2 // varint, Unix milliseconds of true time
 	fieldVerdictSound   protowire.Number = 3 // varint, 1 if the request or part was answered
@@ -23,12 +24,15 @@
 )
 
 // maxMessageCrashes and maxMessageVerdicts limit the crashes and the verdicts that are
-// decoded from one gossip message, and maxCrashRequests the requests of one crash. Entries
-// send fewer than that.
+// decoded from one gossip message, maxCrashRequests the requests of one crash, maxSetParts the
+// different parts in one crash, and maxRequestParts the parts of one request. Entries send
+// fewer than that. What exceeds a limit is skipped.
 const (
 	maxMessageCrashes  = 64
-	maxMessageVerdicts = 128
+	maxMessageVerdicts = 256
 	maxCrashRequests   = 64
+	maxSetParts        = 4096
+	maxRequestParts    = 512
 )
 
 // appendCrashes encodes the crashes and verdicts of a gossip message.
@@ -48,9 +52,15 @@
 	b = appendString(b, fieldCrashUpstream, c.Upstream)
 	b = appendVarint(b, fieldCrashAt, uint64(c.At.UnixMilli()))
 	b = appendHashes(b, fieldCrashRequests, c.Requests)
-	if slices.ContainsFunc(c.Parts, func(parts []uint64) bool { return len(parts) > 0 }) {
+	few := c.Parts
+	if c.FewParts != nil {
+		few = c.FewParts
+		b = protowire.AppendTag(b, fieldCrashPartSets, protowire.BytesType)
+		b = protowire.AppendBytes(b, appendPartSets(nil, c.Parts))
+	}
+	if slices.ContainsFunc(few, func(parts []uint64) bool { return len(parts) > 0 }) {
 		b = protowire.AppendTag(b, fieldCrashParts, protowire.BytesType)
-		b = protowire.AppendBytes(b, appendParts(nil, c.Parts))
+		b = protowire.AppendBytes(b, appendParts(nil, few))
 	}
 	return b
 }
@@ -90,6 +100,7 @@
 
 func (m *gossipMessage) decodeCrash(b []byte) error {
 	var c poison.Report
+	var sets [][]uint64
 	err := eachField(b, func(field protowire.Number, v fieldValue) (err error) {
 		switch field {
 		case fieldCrashUpstream:
@@ -100,9 +111,14 @@
 			c.Requests, err = decodeHashes(v.bytes, maxCrashRequests)
 		case fieldCrashParts:
 			c.Parts, err = decodeParts(v.bytes)
+		case fieldCrashPartSets:
+			sets, err = decodePartSets(v.bytes)
 		}
 		return err
 	})
+	if sets != nil {
+		c.Parts = sets
+	}
 	c.Parts = c.Parts[:min(len(c.Parts), len(c.Requests))]
 	if err == nil && len(m.Crashes) < maxMessageCrashes {
 		m.Crashes = append(m.Crashes, c)
@@ -128,14 +144,14 @@
 	var requests [][]uint64
 	for len(b) > 0 && len(requests) < maxCrashRequests {
 		count, n := protowire.ConsumeVarint(b)
-		if n < 0 || count > poison.MaxRunParts {
+		if n < 0 || count > uint64(len(b)-n)/8 {
 			return nil, errMalformedField
 		}
-		parts, err := decodeHashes(b[n:], int(count))
-		if err != nil || len(parts) < int(count) {
-			return nil, errMalformedField
+		parts, err := decodeHashes(b[n:], int(min(count, maxRequestParts)))
+		if err != nil {
+			return nil, err
 		}
-		requests, b = append(requests, parts), b[n+len(parts)*8:]
+		requests, b = append(requests, parts), b[n+int(count)*8:]
 	}
 	return requests, nil
 }
@@ -153,7 +169,7 @@
 		case fieldVerdictKind:
 			verdict.Kind, err = decodeVerdictKind(v.number)
 		case fieldVerdictWith:
-			verdict.With, err = decodeHashes(v.bytes, poison.MaxRunParts)
+			verdict.With, err = decodeHashes(v.bytes, maxRequestParts)
 		}
 		return err
 	})
--- a/gateway/deadlypart_test.go
+++ b/gateway/deadlypart_test.go
@@ -135,11 +135,22 @@
 		route       string
 		interval    time.Duration
 		undelimited bool
+		// shared is the number of parts that all prompts share besides the first one, and
+		// depth of them come before the deadly one.
+		shared, depth int
 	}{
-		{"stream", 500 * time.Millisecond, false}, {"once", 500 * time.Millisecond, false}, {"stream", 125 * time.Millisecond, false},
-		{"stream", 500 * time.Millisecond, true},
+		{"stream", 500 * time.Millisecond, false, 0, 0}, {"once", 500 * time.Millisecond, false, 0, 0}, {"stream", 125 * time.Millisecond, false, 0, 0},
+		{"stream", 500 * time.Millisecond, true, 0, 0},
+		{"stream", 250 * time.Millisecond, false, 7, 7}, {"stream", 250 * time.Millisecond, false, 60, 60}, {"once", 250 * time.Millisecond, false, 40, 20},
 	} {
 		name := fmt.Sprintf("%s every %s", tc.route, tc.interval)
+		if tc.shared > 0 {
+			name += fmt.Sprintf(" behind %d of %d shared parts", tc.depth, tc.shared)
+		}
+		shared := []string{first}
+		for n := range tc.shared {
+			shared = append(shared, fmt.Sprintf("c%03x", n))
+		}
 		if tc.undelimited {
 			name += " without a length"
 		}
@@ -152,7 +163,7 @@
 			}
 			entries := []*entry{d.startEntry("entry-1"), d.startEntry("entry-2"), d.startEntry("entry-3")}
 			awaitPeers(t, entries...)
-			sound := partTraffic{tc.route, soundInterval, func(n int) []string { return []string{first, fmt.Sprintf("b%d", n%40)} }}
+			sound := partTraffic{tc.route, soundInterval, func(n int) []string { return append(slices.Clone(shared), fmt.Sprintf("b%d", n%40)) }}
 			before := servedShare(sound.run(t, "before", entries, time.Now().Add(soundBeforeTime)), time.Time{})
 			began := time.Now()
 			end := began.Add(3 * contactTime)
@@ -160,7 +171,7 @@
 			var traffic sync.WaitGroup
 			traffic.Go(func() { beside = sound.run(t, "beside", entries, end) })
 			traffic.Go(func() {
-				bad = partTraffic{tc.route, tc.interval, func(int) []string { return []string{first, deadly} }}.run(t, "deadly", entries, end)
+				bad = partTraffic{tc.route, tc.interval, func(int) []string { return slices.Insert(slices.Clone(shared), 1+tc.depth, deadly) }}.run(t, "deadly", entries, end)
 			})
 			traffic.Wait()
 			arrivals := arrivalsWith(upstreams, deadly)
--- a/gateway/gossipcodec_test.go
+++ b/gateway/gossipcodec_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -87,14 +88,14 @@
 		}
 		if rapid.Bool().Draw(t, "with parts") {
 			// Without any part the field is left out.
-			r.Parts = [][]uint64{rapid.SliceOfN(rapid.Uint64(), 1, poison.MaxRunParts).Draw(t, "parts")}
+			r.Parts = [][]uint64{rapid.SliceOfN(rapid.Uint64(), 1, poison.MaxFewParts).Draw(t, "parts")}
 		}
 		return r
 	}), -1, 3).Draw(t, "crashes")
 	m.Verdicts = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) poison.Verdict {
 		v := poison.Verdict{Fingerprint: rapid.Uint64().Draw(t, "request"), At: moment.Draw(t, "at"), Cleared: rapid.Bool().Draw(t, "sound")}
 		if rapid.Bool().Draw(t, "on a part") {
-			v.Kind, v.With = poison.PartVerdict, rapid.SliceOfN(rapid.Uint64(), 1, poison.MaxRunParts).Draw(t, "with")
+			v.Kind, v.With = poison.PartVerdict, rapid.SliceOfN(rapid.Uint64(), 1, poison.MaxFewParts).Draw(t, "with")
 		}
 		return v
 	}), -1, 3).Draw(t, "verdicts")
@@ -175,6 +176,41 @@
 	require.Equal(t, testMessage(3, 2, true), got)
 }
 
+// Requests mostly share the beginnings of their prompts, so that many parts take few bytes.
+// Entries of earlier versions skip the field, and take the few parts of the other one.
+func TestManyPartsOfACrashAreTold(t *testing.T) {
+	partsOf := rapid.SliceOfN(rapid.Uint64Range(1, 100), 0, 60)
+	rapid.Check(t, func(t *rapid.T) {
+		parts := rapid.SliceOfN(partsOf, 1, 16).Draw(t, "parts")
+		got, err := decodePartSets(appendPartSets(nil, parts))
+		require.NoError(t, err)
+		require.Len(t, got, len(parts))
+		for i := range parts {
+			require.ElementsMatch(t, parts[i], got[i])
+		}
+	})
+	var shared []uint64
+	for n := range uint64(40) {
+		shared = append(shared, 1000+n)
+	}
+	report := poison.Report{Upstream: "i-1", At: time.UnixMilli(1788699736267)}
+	for n := range uint64(16) {
+		report.Requests = append(report.Requests, n)
+		report.Parts = append(report.Parts, append(slices.Clone(shared), n))
+		report.FewParts = append(report.FewParts, append(slices.Clone(shared[33:]), n))
+	}
+	m := testMessage(0, 0, false)
+	m.Crashes = []poison.Report{report}
+	data := m.encode()
+	got, err := decodeMessage(data)
+	require.NoError(t, err)
+	require.Equal(t, report.Parts, got.Crashes[0].Parts)
+	require.Less(t, len(data), 2200)
+	var m2 gossipMessage
+	require.NoError(t, m2.decodeCrash(appendCrash(nil, poison.Report{Upstream: "i-1", Requests: report.Requests, Parts: report.FewParts})))
+	require.Equal(t, report.FewParts, m2.Crashes[0].Parts)
+}
+
 // Any datagram must be decoded or rejected without a panic, and a decoded one must
 // survive another round trip.
 func FuzzDecodeMessage(f *testing.F) {
@@ -185,6 +221,8 @@
 	crashes.Crashes = []poison.Report{{Upstream: "i-1", At: time.UnixMilli(1788699736267), Requests: []uint64{1, 2}, Parts: [][]uint64{{3, 4}, nil}}}
 	crashes.Verdicts = []poison.Verdict{{Fingerprint: 1, At: time.UnixMilli(1788699736267), Cleared: true}, {Kind: poison.PartVerdict, Fingerprint: 3, At: time.UnixMilli(1), With: []uint64{4}}}
 	f.Add(crashes.encode())
+	crashes.Crashes[0].FewParts = [][]uint64{{3}, nil}
+	f.Add(crashes.encode())
 	limits := testMessage(0, 0, false)
 	limits.Limits = []upstreamlimit.Statement{{Instance: 1, Limited: true, PerSecond: 0.4, At: time.UnixMilli(1788699736267)}, {Instance: 2, At: time.UnixMilli(1)}}
 	limits.Demand = map[uint32]float64{7: 12.5}
