gateway: one memory budget for answers, one for bodies of requests

Cause: an answer may take 1 MiB, an event 256 KiB and a head 256 KiB, a body limits.max-body; nothing bounded their sums.

Change: answers and events share an eighth of the memory limit, bodies another one. An answer that does not fit is relayed as it arrives if it is sealed, else the attempt has failed; a request whose body does not fit is refused as not run, with a Retry-After. Heads may have 64 KiB; streams are read by 4 KiB; requests are written from their body, not from a copy.

--- a/decision/reason/reason.go
+++ b/decision/reason/reason.go
@@ -45,6 +45,9 @@
 	// DeadlineUnmet means that the request could no longer be answered before
 	// its deadline, even if an upstream accepted it immediately.
 	DeadlineUnmet Reason = "deadline_unmet"
+	// MemoryFull means that the bodies of other requests take all memory that the entry
+	// has for them.
+	MemoryFull Reason = "memory_full"
 	// NotReady means that the entry has not received a configuration yet.
 	NotReady Reason = "not_ready"
 )
@@ -56,7 +59,7 @@
 	AttemptsUsedUp, NotRepeatable, RetryBudget, KeyReused, KeyInProgress,
 	ClaimUnavailable, OutcomeUnknown, OutcomeNotKept, Poison, PoisonPart, AnswerTooLarge,
 	OwnerUnreachable,
-	DeadlineUnmet, NotReady,
+	DeadlineUnmet, NotReady, MemoryFull,
 }
 
 // Reasons for repeating an attempt.
--- a/entry/problem.go
+++ b/entry/problem.go
@@ -20,6 +20,7 @@
 	reason.BadRequest:       http.StatusBadRequest,
 	reason.BodyTooLarge:     http.StatusRequestEntityTooLarge,
 	reason.BodyTooSlow:      http.StatusRequestTimeout,
+	reason.MemoryFull:       http.StatusServiceUnavailable,
 	reason.HeaderTooLarge:   http.StatusRequestHeaderFieldsTooLarge,
 	reason.WrongMethod:      http.StatusMethodNotAllowed,
 	reason.UnknownService:   http.StatusNotFound,
--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -4,13 +4,13 @@
 	"context"
 	"errors"
 	"hash/fnv"
-	"io"
 	"net"
 	"net/http"
 	"strings"
 	"time"
 
 	"jaylink/decision/reason"
+	"jaylink/internal/membudget"
 	"jaylink/platform"
 	"jaylink/serving"
 )
@@ -30,15 +30,19 @@
 	// notReadyRetryAfter is the Retry-After of an entry without a configuration, or
 	// with an unconfirmed one.
 	notReadyRetryAfter = 300 * time.Millisecond
+	// memoryRetryAfter is the Retry-After if there is no memory for a request's body.
+	memoryRetryAfter = 500 * time.Millisecond
 )
 
 // request is a caller's request while it is being handled.
 type request struct {
 	platform.CallerHeaders
-	http     *http.Request
-	reply    reply
-	target   string
-	body     []byte
+	http   *http.Request
+	reply  reply
+	target string
+	body   []byte
+	// buffers hold the request's body and the answers that are kept until its end.
+	buffers  []*membudget.Buffer
 	config   *acceptedConfiguration
 	route    *serving.Route
 	service  *serving.Service
@@ -76,6 +80,7 @@
 	r := &request{
 		CallerHeaders: platform.DecodeCaller(hr.Header), http: hr, reply: reply{w: w}, target: hr.RequestURI, arrived: time.Now(),
 	}
+	defer r.releaseBuffers()
 	r.progress.lastEvent = r.LastEvent
 	if refused := g.admit(r); refused != nil {
 		g.refuse(r, refused)
@@ -89,6 +94,19 @@
 	g.forward(ctx, r)
 }
 
+// newBuffer returns a buffer that is released at the end of the request.
+func (r *request) newBuffer(budget *membudget.Budget) *membudget.Buffer {
+	buffer := budget.NewBuffer()
+	r.buffers = append(r.buffers, buffer)
+	return buffer
+}
+
+func (r *request) releaseBuffers() {
+	for _, buffer := range r.buffers {
+		buffer.Release()
+	}
+}
+
 // admit finds the route, customer and service of a request, reads its body and checks
 // all limits. It returns nil if the request may be forwarded.
 func (g *Gateway) admit(r *request) *refusal {
@@ -115,7 +133,7 @@
 		return newRefusal(http.StatusServiceUnavailable, reason.NoUpstream, noUpstreamRetryAfter)
 	}
 	r.deadline = r.arrived.Add(timeLimit(r))
-	if refused := readBody(r); refused != nil {
+	if refused := g.readBody(r); refused != nil {
 		return refused
 	}
 	if refused := g.poisonRefusal(r); refused != nil {
@@ -203,7 +221,7 @@
 }
 
 // readBody reads the whole body into memory, so that it can be sent more than once.
-func readBody(r *request) *refusal {
+func (g *Gateway) readBody(r *request) *refusal {
 	bound := r.config.Limits.MaxBodyBytes
 	if bound <= 0 {
 		bound = 1 << 20
@@ -217,18 +235,21 @@
 	control := http.NewResponseController(r.reply.w)
 	// Only response writers of tests don't support deadlines.
 	_ = control.SetReadDeadline(r.deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(r.reply.w, r.http.Body, bound))
+	buffer := r.newBuffer(g.bodyMemory)
+	_, err := buffer.ReadFrom(http.MaxBytesReader(r.reply.w, r.http.Body, bound))
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return newRefusal(http.StatusRequestEntityTooLarge, reason.BodyTooLarge, 0)
+	case errors.Is(err, membudget.ErrFull):
+		return newRefusal(http.StatusServiceUnavailable, reason.MemoryFull, memoryRetryAfter, "bytes", g.bodyMemory.Used())
 	case isTimeout(err):
 		return newRefusal(http.StatusRequestTimeout, reason.BodyTooSlow, 0)
 	case err != nil:
 		return newRefusal(http.StatusBadRequest, reason.BadRequest, 0)
 	}
-	r.body = body
+	r.body = buffer.Bytes()
 	return nil
 }
 
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -56,6 +56,8 @@
 	// drain is the time after which a leaving upstream must get no more requests; 0
 	// means 2.5 s.
 	drain time.Duration
+	// maxBody is the longest body of a request in bytes; 0 means 1000.
+	maxBody int
 }
 
 // hostCount is the number of loopback addresses handed out; each entry gets its own.
@@ -92,7 +94,7 @@
 			route("persistent", "streaming", engineService, 3, true),
 			route("order", "non_idempotent", counterService, 1, false), route("status", "idempotent", counterService, 2, false),
 		},
-		Engines: []string{engineService}, Plain: []string{counterService}, MaxBodyBytes: 1000,
+		Engines: []string{engineService}, Plain: []string{counterService}, MaxBodyBytes: cmp.Or(d.maxBody, 1000),
 		Customer: metastore.Customer{Name: customer, Keys: d.keys, Rate: d.rate, Burst: d.burst},
 	})
 }
@@ -139,11 +141,14 @@
 }
 
 // newEntry returns a gateway that has not been started.
-func (d *deployment) newEntry(name string) *entry {
+func (d *deployment) newEntry(name string) *entry { return d.newEntryWith(name, 256) }
+
+// newEntryWith is newEntry with a memory limit in MB.
+func (d *deployment) newEntryWith(name string, memory int) *entry {
 	ip := nextIP()
 	s := platform.Settings{
 		Name: name, IP: ip, Zone: "zone-a", Region: "region-a", Regions: map[string]string{"zone-a": "region-a", "zone-b": "region-a"},
-		Front: ip + ":18360", Ready: ip + ":18365", PortFirst: 17500, PortLast: 17515, MemoryMB: 256, MaxFiles: 1000,
+		Front: ip + ":18360", Ready: ip + ":18365", PortFirst: 17500, PortLast: 17515, MemoryMB: memory, MaxFiles: 1000,
 		Store: d.storeHTTP.Listener.Addr().String(), Cloud: d.storeHTTP.Listener.Addr().String(),
 		ReportsUsage: true,
 		Bounds: platform.Bounds{
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"jaylink/decision/truetime"
 	"jaylink/decision/upstreamlimit"
 	"jaylink/decision/usage"
+	"jaylink/internal/membudget"
 	"jaylink/internal/metricstext"
 	"jaylink/objects"
 	"jaylink/platform"
@@ -50,6 +51,9 @@
 	objects  *platform.Objects
 	duties   *platform.CloudClient
 	pool     *exchange.Pool
+	// bodyMemory and answerMemory bound the memory of the bodies of requests, and of answers
+	// and events, all together.
+	bodyMemory, answerMemory *membudget.Budget
 	// incarnation is the start time of the process in Unix nanoseconds. Peers use it to
 	// tell this process from earlier ones of the same entry.
 	incarnation int64
@@ -137,6 +141,8 @@
 		metrics:      newCounters(),
 		objects:      platform.NewObjects(settings.Store, storeTimeout),
 		pool:         exchange.NewPool(),
+		bodyMemory:   membudget.New(bodyMemory(settings)),
+		answerMemory: membudget.New(bodyMemory(settings)),
 		incarnation:  time.Now().UnixNano(),
 		table:        placement.NewTable(settings.Regions),
 		quota:        quota.New(),
@@ -176,6 +182,13 @@
 	return g
 }
 
+// bodyMemoryRatio is the part of the memory limit of the process that the bodies of requests
+// may take, and also those of answers.
+const bodyMemoryRatio = 0.125
+
+// bodyMemory returns the size of the memory budgets for bodies in bytes.
+func bodyMemory(s platform.Settings) int64 { return int64(bodyMemoryRatio * float64(s.MemoryMB<<20)) }
+
 // CountLogLosses sets the source of two metrics: log lines suppressed by the rate limit
 // of their message, and log lines dropped because the buffer was full. It must be
 // called before Start.
@@ -288,6 +301,8 @@
 func (g *Gateway) updateGauges(now time.Time) {
 	m := g.metrics
 	m.inFlight.Update(g.inFlight.Load())
+	m.bodyMemory.Update(g.bodyMemory.Used())
+	m.answerMemory.Update(g.answerMemory.Used())
 	m.peers.Update(int64(len(g.peers)))
 	m.deadlyParts.Update(int64(g.poison.DeadlyParts(g.trueTime())))
 	m.droppedEvidence.Update(g.poison.DroppedEvidence())
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -97,6 +97,10 @@
 	// peerSilence the longest time since a peer's last message, in milliseconds.
 	configurationAge metrics.Gauge
 	peerSilence      metrics.Gauge
+	// bodyMemory and answerMemory are the bytes that bodies take from their budgets, and
+	// unbuffered counts answers that did not fit into theirs.
+	bodyMemory, answerMemory metrics.Gauge
+	unbuffered               metrics.Counter
 	// dutiesHeld is 1 while this entry holds the lease for the shared duties, else 0.
 	dutiesHeld metrics.Gauge
 }
@@ -125,6 +129,7 @@
 		unknownHeaders: counter("upstream.unknown_headers"), limitedUpstreams: gauge("upstream.limited"),
 		deadlyParts: gauge("poison.parts"), droppedEvidence: gauge("poison.evidence_dropped"),
 		logLimited: gauge("log.limited"), logDropped: gauge("log.dropped"),
+		bodyMemory: gauge("memory.bodies"), answerMemory: gauge("memory.answers"), unbuffered: counter("memory.answers_unbuffered"),
 		inFlight: gauge("request.in_flight"), version: gauge("configuration.version"),
 		peers: gauge("peer.live"), upstreams: gauge("upstream.known"),
 		configurationAge: gauge("configuration.age_ms"), peerSilence: gauge("peer.silence_ms"), dutiesHeld: gauge("duties.held"),
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -13,6 +12,7 @@
 	"jaylink/decision/answer"
 	"jaylink/decision/placement"
 	"jaylink/decision/reason"
+	"jaylink/internal/membudget"
 	"jaylink/platform"
 	"jaylink/upstream/exchange"
 )
@@ -36,7 +36,7 @@
 // caller has.
 var errUnusable = errors.New("answer has no seal, is content-encoded or does not continue the stream")
 
-// errLongUnsealed means that an answer without a seal is longer than what is buffered.
+// errLongUnsealed means that an answer without a seal does not fit into the buffer.
 var errLongUnsealed = fmt.Errorf("answer without a seal: %w", exchange.ErrTooLong)
 
 // relay does with an answer what answer.Decide says.
@@ -76,9 +76,14 @@
 // relayWhole reads a whole answer before it sends any of it to the caller, so that the
 // request can be retried if the connection breaks.
 func (g *Gateway) relayWhole(ctx context.Context, r *request, t *placement.Ticket, a *exchange.Answer, h answer.Head, use answer.Use) (attemptResult, *bufferedAnswer) {
-	body, err := io.ReadAll(io.LimitReader(a, maxBufferedAnswer+1))
-	if err == nil && len(body) > maxBufferedAnswer {
-		return g.relayLong(ctx, r, t, a, body, answer.DecideLong(h, use, g.canTryAnother(r, r.progress.attempts))), nil
+	buffer := r.newBuffer(g.answerMemory)
+	_, err := buffer.ReadFrom(io.LimitReader(a, maxBufferedAnswer+1))
+	isFull := errors.Is(err, membudget.ErrFull)
+	if isFull || err == nil && len(buffer.Bytes()) > maxBufferedAnswer {
+		if isFull {
+			g.metrics.unbuffered.Inc(1)
+		}
+		return g.relayLong(ctx, r, t, a, buffer, answer.DecideLong(h, use, g.canTryAnother(r, r.progress.attempts))), nil
 	}
 	if err == nil {
 		err = g.checkEnd(ctx, r, a)
@@ -90,7 +95,7 @@
 	case err != nil:
 		return g.handleBrokenAnswer(r, t, err), nil
 	}
-	buffered := &bufferedAnswer{a.Status, platform.CallerAnswer(a.Header), body}
+	buffered := &bufferedAnswer{a.Status, platform.CallerAnswer(a.Header), buffer.Bytes()}
 	if use == answer.Keep {
 		return g.handleFailure(r, t, a.Status), buffered
 	}
@@ -108,9 +113,10 @@
 	return serverError
 }
 
-// relayLong deals with an answer that is too long to buffer; read is what has been read of
-// its body.
-func (g *Gateway) relayLong(ctx context.Context, r *request, t *placement.Ticket, a *exchange.Answer, read []byte, use answer.Use) attemptResult {
+// relayLong deals with an answer that is too long to buffer; read has the beginning of its
+// body.
+func (g *Gateway) relayLong(ctx context.Context, r *request, t *placement.Ticket, a *exchange.Answer, read *membudget.Buffer, use answer.Use) attemptResult {
+	defer read.Release()
 	switch use {
 	case answer.Fail:
 		return g.handleFailure(r, t, a.Status)
@@ -119,7 +125,12 @@
 	}
 	r.progress.partial = true
 	r.reply.begin(a.Status, platform.CallerAnswer(a.Header))
-	n, err := io.Copy(&r.reply, io.MultiReader(bytes.NewReader(read), io.LimitReader(a, maxAnswerBytes)))
+	_, err := r.reply.Write(read.Bytes())
+	read.Release()
+	n := int64(0)
+	if err == nil {
+		n, err = io.Copy(&r.reply, io.LimitReader(a, maxAnswerBytes+1))
+	}
 	switch {
 	case err == nil && n > maxAnswerBytes:
 		err = exchange.ErrTooLong
@@ -142,8 +153,11 @@
 // classifyAnswerError maps the error of an unusable answer to the outcome that is
 // recorded for its upstream and the reason that is logged and counted.
 func classifyAnswerError(err error) (placement.Outcome, reason.Reason) {
-	if errors.Is(err, exchange.ErrTooLong) {
+	switch {
+	case errors.Is(err, exchange.ErrTooLong):
 		return placement.Unreachable, reason.AnswerTooLong
+	case errors.Is(err, membudget.ErrFull):
+		return placement.Failed, reason.AnswerTooLong
 	}
 	return placement.Failed, reason.StreamBroken
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -11,6 +11,7 @@
 
 	"jaylink/decision/placement"
 	"jaylink/decision/reason"
+	"jaylink/internal/membudget"
 	"jaylink/platform"
 	"jaylink/upstream/exchange"
 )
@@ -36,7 +37,7 @@
 type eventReader struct {
 	r *bufio.Reader
 	// pending holds the part of the current event that has been read.
-	pending []byte
+	pending *membudget.Buffer
 }
 
 // event is one server-sent event.
@@ -51,30 +52,29 @@
 	empty bool
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{r: bufio.NewReaderSize(r, maxEventLine)}
+// eventReadSize is the size in bytes of a read from a stream.
+const eventReadSize = 4 << 10
+
+func newEventReader(r io.Reader, pending *membudget.Buffer) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, eventReadSize), pending: pending}
 }
 
 // next returns the next complete event. It returns io.EOF if the stream ends between
 // two events, and errTruncatedEvent if it ends inside one.
 func (e *eventReader) next() (event, error) {
-	e.pending = e.pending[:0]
+	e.pending.Reset()
 	ev := event{id: -1, empty: true}
 	for {
-		line, err := e.r.ReadSlice('\n')
-		e.pending = append(e.pending, line...)
-		if len(e.pending) > maxEventBytes || errors.Is(err, bufio.ErrBufferFull) {
-			return event{}, exchange.ErrTooLong
+		line, err := e.readLine()
+		if errors.Is(err, io.EOF) && len(e.pending.Bytes()) > 0 {
+			err = errTruncatedEvent
 		}
 		if err != nil {
-			if errors.Is(err, io.EOF) && len(e.pending) > 0 {
-				err = errTruncatedEvent
-			}
 			return event{}, err
 		}
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
-			ev.data = e.pending
+			ev.data = e.pending.Bytes()
 			return ev, nil
 		}
 		ev.empty = ev.empty && !bytes.HasPrefix(line, []byte("data"))
@@ -86,10 +86,31 @@
 	}
 }
 
+// readLine reads a line, which it appends to the pending event.
+func (e *eventReader) readLine() ([]byte, error) {
+	begin := len(e.pending.Bytes())
+	for {
+		part, err := e.r.ReadSlice('\n')
+		if full := e.pending.Append(part); full != nil {
+			return nil, full
+		}
+		line := e.pending.Bytes()[begin:]
+		switch {
+		case len(line) > maxEventLine || begin+len(line) > maxEventBytes:
+			return nil, exchange.ErrTooLong
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		}
+		return line, err
+	}
+}
+
 // relayStream relays the events of a stream as they arrive. It skips those that the
 // caller already has from an earlier attempt.
 func (g *Gateway) relayStream(ctx context.Context, r *request, t *placement.Ticket, answer *exchange.Answer) attemptResult {
-	events := newEventReader(answer)
+	pending := g.answerMemory.NewBuffer()
+	defer pending.Release()
+	events := newEventReader(answer, pending)
 	r.progress.numbering.isFirst = true
 	for ev := (event{}); ; {
 		// Comments don't extend the deadline of the next event.
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -8,11 +8,13 @@
 	"testing/iotest"
 
 	"github.com/stretchr/testify/require"
+
+	"jaylink/internal/membudget"
 )
 
 // readEvents reads a stream to its end or to an error.
 func readEvents(r io.Reader) (data string, ids []int64, err error) {
-	events := newEventReader(r)
+	events := newEventReader(r, membudget.New(1<<20).NewBuffer())
 	for {
 		ev, err := events.next()
 		if err != nil {
--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -92,7 +93,7 @@
 // preceding 1xx responses and bytes that the buffer reads ahead. The 10 MB that
 // net/http's client accepts would be too much for a process with hundreds of
 // streams.
-const maxHeadBytes = 256 << 10
+const maxHeadBytes = 64 << 10
 
 // Answer is the response of an upstream. It must be closed.
 type Answer struct {
@@ -136,19 +137,19 @@
 
 // send writes the request and reads the status and header of its response.
 func (p *Pool) send(c *conn, address string, req *Request) (*Answer, error) {
-	data, err := encode(req)
+	head, err := encodeHead(req)
 	if err != nil {
 		return nil, &Error{Step: "write", Err: err}
 	}
 	c.addID(req.ID)
 	w := requestWrite{done: make(chan struct{})}
-	if len(data) <= inlineWriteSize {
-		w.run(c, data)
+	if len(head)+len(req.Body) <= inlineWriteSize {
+		w.run(c, head, req.Body)
 		if !w.complete.Load() {
 			return nil, &Error{Step: "write", Sent: w.begun, Err: w.err}
 		}
 	} else {
-		go w.run(c, data)
+		go w.run(c, head, req.Body)
 	}
 	if req.HeadTimeout > 0 {
 		// An error means that the connection is closed; the next read then fails.
@@ -183,18 +184,19 @@
 	done  chan struct{}
 }
 
-func (w *requestWrite) run(c *conn, data []byte) {
+func (w *requestWrite) run(c *conn, head, body []byte) {
 	defer close(w.done)
-	var n int
-	n, w.err = c.Write(data)
+	var n int64
+	parts := net.Buffers{head, body}
+	n, w.err = parts.WriteTo(c.Conn)
 	w.begun = n > 0
 	w.complete.Store(w.err == nil)
 }
 
-// encode returns the request in the HTTP/1.1 wire format.
-func encode(req *Request) ([]byte, error) {
+// encodeHead returns the request line and headers in the HTTP/1.1 wire format.
+func encodeHead(req *Request) ([]byte, error) {
 	var b bytes.Buffer
-	b.Grow(1024 + len(req.Body))
+	b.Grow(1024)
 	b.WriteString(req.Method + " " + req.Target + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
 	if err := req.Header.Write(&b); err != nil {
 		return nil, err
@@ -203,7 +205,6 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(req.Body)
 	return b.Bytes(), nil
 }
 
