gateway: refuse late requests in a planned stop instead of dropping them

Cause: the stop left connections to http.Server.Shutdown, which closes idle ones, also if a request is on its way, and serves new unused ones for up to 5 s. At the end of the grace time requests in flight were cut without an answer.

Evidence: TestRequestsLateInAPlannedStopAreCutOff failed before ("unexpected EOF" on a connection opened before the stop), and passes now.

Change: once the platform has taken the entry out of rotation, the listener is closed and requests on open connections get 503 with Connection: close, as not run, as long as the process lives. At the end requests in flight are given up before connections are closed, so that their callers get an answer.

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -88,6 +88,7 @@
 	}
 	ctx, cancel := context.WithDeadline(hr.Context(), r.deadline)
 	defer cancel()
+	defer context.AfterFunc(g.givenUp, cancel)()
 	// Without a write deadline, a caller that does not read would keep its request open
 	// forever. Only response writers of tests don't support deadlines.
 	_ = http.NewResponseController(w).SetWriteDeadline(r.deadline.Add(writeSlack))
@@ -110,6 +111,9 @@
 // admit finds the route, customer and service of a request, reads its body and checks
 // all limits. It returns nil if the request may be forwarded.
 func (g *Gateway) admit(r *request) *refusal {
+	if g.refusing.Load() {
+		return newRefusal(http.StatusServiceUnavailable, reason.Draining, minRetryAfter)
+	}
 	r.config = g.config.Load()
 	if r.config == nil || g.upstreams.Load() == nil {
 		return newRefusal(http.StatusServiceUnavailable, reason.NotReady, notReadyRetryAfter)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,7 +60,12 @@
 
 	config    atomic.Pointer[acceptedConfiguration]
 	upstreams atomic.Pointer[upstreamList]
-	stopping  atomic.Bool
+	// stopping is set from the beginning of a planned stop on, and refusing once requests
+	// that come are not served any more.
+	stopping, refusing atomic.Bool
+	// givenUp ends when requests in flight are given up, which giveUp does.
+	givenUp context.Context
+	giveUp  context.CancelFunc
 	// watchingConfiguration and watchingUpstreams report whether this entry watches the
 	// store for changes of the configuration and of the upstream list. The two watches
 	// start and end independently.
@@ -113,10 +118,12 @@
 	// lostDependencies maps the name of each unreachable dependency to the time at
 	// which it became unreachable.
 	lostDependencies map[string]time.Time
-	servers          []*http.Server
-	gossip           *net.UDPConn
-	cancel           context.CancelFunc
-	tasks            sync.WaitGroup
+	// servers and listeners are those of the front, first, and of the internal ports.
+	servers   []*http.Server
+	listeners []net.Listener
+	gossip    *net.UDPConn
+	cancel    context.CancelFunc
+	tasks     sync.WaitGroup
 	// logLosses returns how many log lines were suppressed by the rate limit of their
 	// message and how many were dropped because the buffer was full. It is nil if
 	// these are not counted.
@@ -167,6 +174,7 @@
 		sendNews:         make(chan struct{}, 1),
 		sendNewsTo:       make(chan *net.UDPAddr, smallFleet),
 	}
+	g.givenUp, g.giveUp = context.WithCancel(context.Background())
 	if settings.Cloud != "" {
 		g.duties = platform.NewCloudClient(settings.Cloud, settings.Name, dutyTimeout)
 	}
@@ -250,10 +258,11 @@
 		ErrorLog:          slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
 	}
 	g.servers = append(g.servers, server)
+	g.listeners = append(g.listeners, l)
 	g.tasks.Add(1)
 	go func() {
 		defer g.tasks.Done()
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			g.log.Error("listener failed", "address", address, "err", err)
 		}
 	}()
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -1,13 +1,17 @@
 package gateway_test
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"jaylink/standin/upstream"
 )
 
 // Callers keep sending requests, on open connections and on new ones, until a stopping
@@ -57,3 +61,68 @@
 	}
 	t.Logf("%d requests, %d of them during the stop", len(runs), len(runs)-before)
 }
+
+// Requests that come late in a planned stop, on connections that were opened before or early in
+// it, are neither passed on nor dropped: their callers learn that they have not run.
+func TestRequestsLateInAPlannedStopAreCutOff(t *testing.T) {
+	d := newDeployment(t)
+	d.timeout = time.Minute
+	d.configure()
+	counterServer := d.upstream("i-1", counterService)
+	e := d.startEntry("entry-1")
+	var unused []net.Conn
+	open := func() {
+		c, err := newDialer().Dial("tcp", e.settings.Front)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		unused = append(unused, c)
+	}
+	open()
+	kept := &entry{settings: e.settings, client: &http.Client{Transport: &http.Transport{}}}
+	require.Equal(t, http.StatusOK, kept.send(t, plainCall("order", "first")).status)
+
+	// One request outlasts the grace time.
+	counterServer.SetFault(upstream.Silent)
+	slow := make(chan answer, 1)
+	go func() {
+		call := plainCall("order", "slow")
+		call.Deadline = time.Minute
+		slow <- e.send(t, call)
+	}()
+	eventually(t, func() bool { return len(counterServer.Runs()) == 2 })
+	counterServer.SetFault(upstream.Sound)
+	stopped := make(chan struct{})
+	go func() {
+		e.stop(t)
+		close(stopped)
+	}()
+	eventually(t, func() bool { return !e.ready() })
+	open()
+	// Requests are served until the platform has taken the entry out of rotation.
+	require.Equal(t, http.StatusOK, kept.send(t, plainCall("order", "early")).status)
+	eventually(t, func() bool {
+		c, err := newDialer().Dial("tcp", e.settings.Front)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err != nil
+	})
+	runs := len(counterServer.Runs())
+	for n, c := range unused {
+		req, err := plainCall("order", fmt.Sprintf("late-%d", n)).Request(t.Context(), e.settings.Front)
+		require.NoError(t, err)
+		require.NoError(t, req.Write(c))
+		resp, err := http.ReadResponse(bufio.NewReader(c), req)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+		require.NotEmpty(t, resp.Header.Get("Retry-After"))
+		require.True(t, resp.Close)
+		require.NoError(t, resp.Body.Close())
+	}
+	require.Len(t, counterServer.Runs(), runs, "a late request was passed on")
+	// The caller of a request that may have run gets an answer that does not deny it.
+	got := <-slow
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusGatewayTimeout, got.status)
+	<-stopped
+}
