gateway: look at leaving upstreams, too, when an answer ends with its connection

Cause: whether the upstream still runs was not looked up if it was draining, leaving or no longer listed, which are the upstreams that are about to exit.

Change: the look is taken whatever is known of the upstream. A resumed stream without an event is complete if its upstream still runs.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -113,10 +113,10 @@
 
 // checkEnd returns an error if an answer that has been read to its end is likely to be
 // incomplete. Only the upstream's state can show that if the answer ends with its
-// connection: the kernel closes the connections of a process that crashes.
+// connection: the kernel closes the connections of a process that crashes or exits. A process
+// that is leaving may do so in the middle of its answers, too.
 func (g *Gateway) checkEnd(ctx context.Context, r *request, answer *exchange.Answer) error {
-	u := r.progress.upstream
-	if !answer.Delimited && g.expectedToRun(u) && exchange.RefusesConnections(ctx, u.Address) {
+	if !answer.Delimited && exchange.RefusesConnections(ctx, r.progress.upstream.Address) {
 		return exchange.ErrCrashedAtEnd
 	}
 	return nil
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -209,9 +209,9 @@
 }
 
 // checkStreamEnd is checkEnd for streams. One that ends with its connection has at least
-// one event.
+// one event, unless the caller has all of them already.
 func (g *Gateway) checkStreamEnd(ctx context.Context, r *request, answer *exchange.Answer) error {
-	if !answer.Delimited && r.progress.writingSince.IsZero() {
+	if !answer.Delimited && r.progress.writingSince.IsZero() && !r.reply.begun() {
 		return errNoEvent
 	}
 	return g.checkEnd(ctx, r, answer)
--- a/gateway/undelimited_test.go
+++ b/gateway/undelimited_test.go
@@ -57,3 +57,48 @@
 		})
 	}
 }
+
+// An upstream that is leaving exits while it writes a stream without a length, or right after
+// the last event. The caller must get the whole stream, or see that it is incomplete.
+func TestStreamEndsAsCompleteWhenItsLeavingUpstreamExits(t *testing.T) {
+	for name, tc := range map[string]struct {
+		fault upstream.Fault
+		route string
+		whole bool
+	}{
+		"between events":                  {upstream.CrashInStream, "stream", true},
+		"between events, may not go on":   {upstream.CrashInStream, "once", false},
+		"after the last event":            {upstream.CrashAfterStream, "stream", true},
+		"after the last, may not go on":   {upstream.CrashAfterStream, "once", false},
+		"before the first event":          {upstream.CloseAfterHead, "stream", true},
+		"stays, complete, may not go on":  {upstream.Sound, "once", true},
+		"stays, complete, may be resumed": {upstream.Sound, "stream", true},
+	} {
+		for _, state := range []string{"draining", "gone"} {
+			t.Run(name+", "+state, func(t *testing.T) {
+				d := newDeployment(t)
+				d.configure()
+				leaving := d.upstream("i-leaving", engineService)
+				leaving.Undelimited, leaving.Pace, leaving.Down = true, 600*time.Millisecond, time.Minute
+				d.upstreamIn("zone-b", "i-good", engineService).Undelimited = true
+				leaving.SetFault(tc.fault)
+				e := d.startEntry("entry-1")
+				got := make(chan answer, 1)
+				go func() { got <- e.send(t, streamCall(tc.route, "r-1")) }()
+				eventually(t, func() bool { return len(leaving.Runs()) == 1 })
+				if state == "gone" {
+					d.store.Delete("servers", "i-leaving")
+				} else {
+					d.listUpstream(leaving, "zone-a", engineService, state)
+				}
+				a := <-got
+				if !tc.whole {
+					require.Error(t, a.err)
+					return
+				}
+				require.NoError(t, a.err)
+				require.Equal(t, completeStream(), a.body)
+			})
+		}
+	}
+}
--- a/standin/upstream/stream.go
+++ b/standin/upstream/stream.go
@@ -51,6 +51,10 @@
 			return false
 		}
 	}
+	if fault == CrashAfterStream {
+		s.Crash()
+		return false
+	}
 	return !s.Undelimited && writeText(c, "0\r\n\r\n") == nil
 }
 
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -58,6 +58,8 @@
 	CloseAfterHead
 	// CrashInStream crashes between the second and the third event.
 	CrashInStream
+	// CrashAfterStream crashes after the last event of a stream.
+	CrashAfterStream
 	// Leave sends complete answers with the header Server-Leaving, which announces
 	// that the upstream is shutting down.
 	Leave
