gateway: a resumed stream without length or events is not complete

What callers would see (ORDER): a stream that is resumed at an upstream which closes the connection before the first event ends as complete.

Where nothing is left to send, only an answer with a length or chunks shows it.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -209,9 +209,9 @@
 }
 
 // checkStreamEnd is checkEnd for streams. One that ends with its connection has at least
-// one event, unless the caller has all of them already.
+// one event.
 func (g *Gateway) checkStreamEnd(ctx context.Context, r *request, answer *exchange.Answer) error {
-	if !answer.Delimited && r.progress.writingSince.IsZero() && !r.reply.begun() {
+	if !answer.Delimited && r.progress.writingSince.IsZero() {
 		return errNoEvent
 	}
 	return g.checkEnd(ctx, r, answer)
