exchange: don't take an exiting process for a running one

Cause: while a process exits, the kernel may close its connections before its listener. A look within a millisecond still connects, and the upstream counts as running.

Plain answers of the other upstreams are probed as before, as their callers wait.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -116,7 +116,13 @@
 // connection: the kernel closes the connections of a process that crashes or exits. A process
 // that is leaving may do so in the middle of its answers, too.
 func (g *Gateway) checkEnd(ctx context.Context, r *request, answer *exchange.Answer) error {
-	if !answer.Delimited && exchange.RefusesConnections(ctx, r.progress.upstream.Address) {
+	u := r.progress.upstream
+	hasExited := exchange.HasExited
+	if !answer.IsEventStream() && g.expectedToRun(u) {
+		// A caller that waits for a plain answer is not kept waiting longer.
+		hasExited = exchange.RefusesConnections
+	}
+	if !answer.Delimited && hasExited(ctx, u.Address) {
 		return exchange.ErrCrashedAtEnd
 	}
 	return nil
