upstreamlimit: leave permits alone that were issued while an entry started

An entry that starts is not counted by the others yet, so that they divide what is issued then without it, but it looked at those permits afterwards.

Change: an entry gives up what was issued up to the end of its settling time. Evidence: TestPermitIsTakenTwiceAfterAStart failed before (true instead of false).

--- a/decision/upstreamlimit/limits.go
+++ b/decision/upstreamlimit/limits.go
@@ -224,7 +224,12 @@
 // upstream. Level is the urgency of the request if permits are scarce, from 0, the most
 // urgent, and 0 if they are not.
 func (l *Limits) Available(now time.Time, limit *Limit, service uint32, level int) bool {
-	return !l.settling(now) && limit.available(now, l.division(now, service), level)
+	if l.settling(now) {
+		limit.skip(now)
+		return false
+	}
+	limit.skip(l.resumedAt.Add(minSettleTime))
+	return limit.available(now, l.division(now, service), level)
 }
 
 // Take uses a permit, after Available has returned true.
--- a/decision/upstreamlimit/limits_test.go
+++ b/decision/upstreamlimit/limits_test.go
@@ -372,3 +372,20 @@
 	l.Tick(at(9700))
 	require.True(t, l.Available(at(9900), l.Of(9), service, 0))
 }
+
+// An entry that has just started takes a permit that was issued before it knew the others, who
+// divided it without this one.
+func TestPermitIsTakenTwiceAfterAStart(t *testing.T) {
+	const service, instance = 1, 1
+	issued := time.Unix(1_000_000, 0)
+	started := issued.Add(-minSettleTime / 2)
+	l := New("entry")
+	l.Tick(started)
+	l.Merge(started, Statement{Instance: instance, Limited: true, At: started})
+	limit := l.Of(instance)
+	require.False(t, l.Available(started.Add(minSettleTime), limit, service, 0))
+	next := issued.Add(time.Duration(float64(time.Second) / minRate))
+	l.Tick(next.Add(-time.Second))
+	require.False(t, l.Available(next.Add(-time.Millisecond), limit, service, 0))
+	require.True(t, l.Available(next, limit, service, 0))
+}
--- a/decision/upstreamlimit/permit.go
+++ b/decision/upstreamlimit/permit.go
@@ -65,6 +65,15 @@
 	}
 }
 
+// skip gives up the permits issued up to a time. They belong to the entries that divided the
+// limit then.
+func (l *Limit) skip(end time.Time) {
+	l.nextPermit = max(l.nextPermit, l.number(end)+1)
+	if !l.held.After(end) {
+		l.held = time.Time{}
+	}
+}
+
 // available reports whether an own permit has waited long enough for a level of urgency.
 func (l *Limit) available(now time.Time, d *division, level int) bool {
 	l.refresh(now, d)
