exchange, gateway: believe an unnamed refusal only on a connection of its own

Cause: a refusal without an ID was believed on a connection that had carried other requests, unless one of those had been refused. A late or extra refusal needs no earlier one.

Change: decision/notrun says what proves that a request has not run: nothing was sent, the refusal names it, or the refusal came as the first answer on a connection that has carried only this request. All else may have run. A new connection that is closed or written to before the request is not used for it, so that nothing was sent.

Operators can tell the cases apart: counters attempt.not_run.not_sent, .refusal and .unnamed_refusal, the reason unnamed_refusal of attempts and retries, and not_run in the log lines of attempts and requests.

Commands: go test ./upstream/exchange ./gateway ./decision/notrun -count=1.

Remains: an unnamed refusal that is written on a new connection before the request is read, and arrives after it was sent, is believed.

--- a/decision/reason/describe.go
+++ b/decision/reason/describe.go
@@ -55,6 +55,7 @@
 	StreamBroken:    {Meaning: "The upstream's answer ended early."},
 	NoAnswer:        {Meaning: "The connection ended without an answer."},
 	AnswerTooLong:   {Meaning: "The upstream sent more bytes than an answer, its head or one event may have."},
+	UnnamedRefusal:  {Meaning: "The upstream's refusal named no request and may belong to another one."},
 	UpstreamLeaving: {Meaning: "The upstream is leaving."},
 	Hedge:           {Meaning: "An urgent idempotent request had no answer yet."},
 }
--- a/decision/reason/reason.go
+++ b/decision/reason/reason.go
@@ -64,12 +64,15 @@
 
 // Reasons for repeating an attempt.
 const (
-	ConnectFailed   Reason = "connect_failed"
-	UpstreamBusy    Reason = "upstream_busy"
-	UpstreamError   Reason = "upstream_error"
-	StreamBroken    Reason = "stream_broken"
-	NoAnswer        Reason = "no_answer"
-	AnswerTooLong   Reason = "answer_too_long"
+	ConnectFailed Reason = "connect_failed"
+	UpstreamBusy  Reason = "upstream_busy"
+	UpstreamError Reason = "upstream_error"
+	StreamBroken  Reason = "stream_broken"
+	NoAnswer      Reason = "no_answer"
+	AnswerTooLong Reason = "answer_too_long"
+	// UnnamedRefusal means that a refusal may belong to another request, so that this one
+	// may have run.
+	UnnamedRefusal  Reason = "unnamed_refusal"
 	UpstreamLeaving Reason = "upstream_leaving"
 	Hedge           Reason = "hedge"
 )
@@ -77,7 +80,7 @@
 // Retries lists every retry reason.
 var Retries = []Reason{
 	ConnectFailed, UpstreamBusy, UpstreamError, StreamBroken, NoAnswer, AnswerTooLong,
-	UpstreamLeaving, Hedge,
+	UnnamedRefusal, UpstreamLeaving, Hedge,
 }
 
 // Ran states whether any part of a request was executed, as far as is known.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"jaylink/decision/notrun"
 	"jaylink/decision/placement"
 	"jaylink/decision/reason"
 	"jaylink/platform"
@@ -83,6 +84,8 @@
 	// time of the latest one.
 	longestPause time.Duration
 	lastEventAt  time.Time
+	// notRun is the proof that the latest attempt has not run, if there is one.
+	notRun notrun.Proof
 	// reason is why the latest failed attempt failed, and detail is an error text for
 	// the log.
 	reason reason.Reason
@@ -171,7 +174,7 @@
 // nil unless it was buffered.
 func (g *Gateway) attempt(ctx context.Context, r *request, choice placement.Choice) (attemptResult, *bufferedAnswer) {
 	p := &r.progress
-	p.upstream = choice.Upstream
+	p.upstream, p.notRun = choice.Upstream, notrun.None
 	p.tried = append(p.tried, choice.Upstream.ID)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -196,7 +199,7 @@
 	g.applyUpstreamState(choice.Upstream, head)
 	g.applyLimit(choice.Upstream, head, sent)
 	g.reportUnknownHeader(choice.Upstream, head)
-	if head.NotRun {
+	if answer.NotRun != notrun.None {
 		return g.handleDeclined(r, ticket, answer), nil
 	}
 	p.attempts++
@@ -275,7 +278,7 @@
 
 // send sends a request to an upstream and waits for the status and headers of its
 // answer. It accepts an answer with the request's ID, or one without an ID that declines
-// the request, unless that may be an earlier one once more; answers to other requests on the
+// the request, unless that may belong to another one; answers to other requests on the
 // connection are skipped.
 func (g *Gateway) send(ctx context.Context, r *request, choice placement.Choice) (*exchange.Answer, platform.UpstreamHeaders, error) {
 	header := platform.EncodeAttempt(r.http.Header, platform.Attempt{
@@ -343,18 +346,16 @@
 		p.attempts++
 		p.mayHaveRun = true
 	}
+	if !sent {
+		g.recordNotRun(r, notrun.NotSent)
+	}
 	if ctx.Err() != nil {
 		g.endAttempt(t, placement.Abandoned)
 		return callerGone
 	}
-	g.endAttempt(t, placement.Unreachable)
-	p.reason = reason.NoAnswer
-	switch {
-	case ex != nil && ex.Step == "connect":
-		p.reason = reason.ConnectFailed
-	case errors.Is(err, exchange.ErrTooLong):
-		p.reason = reason.AnswerTooLong
-	}
+	var outcome placement.Outcome
+	outcome, p.reason = classifySendError(err)
+	g.endAttempt(t, outcome)
 	g.logFailedAttempt(r, "attempt failed")
 	if sent {
 		g.suspectCrash(r, err)
@@ -364,11 +365,33 @@
 	return notRun
 }
 
+// classifySendError maps the error of an attempt without an answer to the outcome that is
+// recorded for its upstream and the reason that is logged and counted.
+func classifySendError(err error) (placement.Outcome, reason.Reason) {
+	var ex *exchange.Error
+	switch {
+	case errors.Is(err, exchange.ErrAmbiguous):
+		return placement.Declined, reason.UnnamedRefusal
+	case errors.As(err, &ex) && ex.Step == "connect":
+		return placement.Unreachable, reason.ConnectFailed
+	case errors.Is(err, exchange.ErrTooLong):
+		return placement.Unreachable, reason.AnswerTooLong
+	}
+	return placement.Unreachable, reason.NoAnswer
+}
+
+// recordNotRun records what proves that an attempt has not run.
+func (g *Gateway) recordNotRun(r *request, proof notrun.Proof) {
+	r.progress.notRun = proof
+	g.metrics.notRun[proof].Inc(1)
+}
+
 // handleDeclined handles an answer in which the upstream states that it has not run the
 // request.
 func (g *Gateway) handleDeclined(r *request, t *placement.Ticket, answer *exchange.Answer) attemptResult {
 	p := &r.progress
 	p.declined++
+	g.recordNotRun(r, answer.NotRun)
 	p.reason = reason.UpstreamBusy
 	p.detail = http.StatusText(answer.Status)
 	g.drain(answer)
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"jaylink/decision/notrun"
 	"jaylink/decision/reason"
 )
 
@@ -37,6 +38,9 @@
 	if p.limited {
 		attrs = append(attrs, "upstream_limit", p.limit)
 	}
+	if p.notRun != notrun.None {
+		attrs = append(attrs, "not_run", string(p.notRun))
+	}
 	if p.detail != "" {
 		attrs = append(attrs, "detail", p.detail)
 	}
@@ -54,6 +58,9 @@
 		"attempts", p.attempts, "declined", p.declined, "ms", time.Since(r.arrived).Milliseconds(),
 		"last_event", p.lastEvent, "detail", p.detail,
 	}
+	if p.notRun != notrun.None {
+		attrs = append(attrs, "not_run", string(p.notRun))
+	}
 	if p.limited {
 		attrs = append(attrs, "upstream_limit", p.limit)
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"jaylink/decision/notrun"
 	"jaylink/decision/reason"
 	"jaylink/internal/metricstext"
 	"jaylink/serving"
@@ -47,7 +48,9 @@
 	// unanswered counts attempts without an answer that could be relayed, whether or
 	// not the request was retried.
 	unanswered map[reason.Reason]metrics.Counter
-	changed    map[stateChange]metrics.Counter
+	// notRun counts attempts that have certainly not run, by what proves that.
+	notRun  map[notrun.Proof]metrics.Counter
+	changed map[stateChange]metrics.Counter
 
 	answered    metrics.Counter
 	failed      metrics.Counter
@@ -120,6 +123,7 @@
 	c := &counters{
 		registry: r, refused: map[reason.Reason]metrics.Counter{}, retried: map[reason.Reason]metrics.Counter{},
 		unanswered: map[reason.Reason]metrics.Counter{}, changed: map[stateChange]metrics.Counter{},
+		notRun:   map[notrun.Proof]metrics.Counter{},
 		answered: counter("request.answered"), failed: counter("request.failed"), abandoned: counter("request.abandoned"),
 		connections: counter("upstream.connections"), storeCalls: counter("store.calls"), storeErrors: counter("store.errors"),
 		invalidConfigurations: counter("configuration.invalid"),
@@ -141,6 +145,9 @@
 		c.retried[code] = counter("request.retried." + string(code))
 		c.unanswered[code] = counter("attempt.unanswered." + string(code))
 	}
+	for _, proof := range notrun.Proofs {
+		c.notRun[proof] = counter("attempt.not_run." + string(proof))
+	}
 	for _, change := range stateChanges {
 		c.changed[change] = counter("belief.changed." + string(change))
 	}
--- a/gateway/metrics_test.go
+++ b/gateway/metrics_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"jaylink/decision/notrun"
 	"jaylink/decision/reason"
 	"jaylink/internal/metricstext"
 	"jaylink/serving"
@@ -35,6 +36,9 @@
 		has("jaylink_request_retried_total", string(code))
 		has("jaylink_attempt_unanswered_total", string(code))
 	}
+	for _, proof := range notrun.Proofs {
+		has("jaylink_attempt_not_run_total", string(proof))
+	}
 	for _, change := range stateChanges {
 		has("jaylink_belief_changed_total", string(change))
 	}
--- a/standin/upstream/refusal.go
+++ b/standin/upstream/refusal.go
@@ -10,9 +10,7 @@
 // declineAndRemember declines a request under RepeatRefusal or RepeatUnnamedRefusal, and
 // reports whether it did.
 func (s *Server) declineAndRemember(c net.Conn, req *http.Request) bool {
-	s.mu.Lock()
-	fault := s.fault
-	s.mu.Unlock()
+	fault := s.currentFault()
 	id := req.Header.Get("Request-Id")
 	name := ""
 	switch fault {
@@ -38,3 +36,21 @@
 	_, err := io.WriteString(c, refusal)
 	return err == nil
 }
+
+// unnamedRefusal is a refusal that belongs to no request.
+const unnamedRefusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+// refuseNobody writes a refusal that belongs to no request under ExtraRefusal, and has it
+// written before the next answer under LateRefusal.
+func (s *Server) refuseNobody(c net.Conn) bool {
+	switch s.currentFault() {
+	case ExtraRefusal:
+		_, err := io.WriteString(c, unnamedRefusal)
+		return err == nil
+	case LateRefusal:
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.conns[c] = unnamedRefusal
+	}
+	return true
+}
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -68,6 +68,10 @@
 	// does so without the request's ID.
 	RepeatRefusal
 	RepeatUnnamedRefusal
+	// ExtraRefusal writes a refusal without an ID after each answer, and LateRefusal after
+	// the next request on the connection was read.
+	ExtraRefusal
+	LateRefusal
 	// FailAsBusy and FailAsLimited answer 503 and 429 after running the request, without the
 	// statement that it was not run.
 	FailAsBusy
@@ -196,6 +200,12 @@
 	s.fault = f
 }
 
+func (s *Server) currentFault() Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fault
+}
+
 // Runs returns the requests that started to run.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
@@ -258,7 +268,7 @@
 			declinesFirst = false
 			continue
 		}
-		if !s.repeatRefusal(c) || !s.answer(c, req, string(body)) {
+		if !s.repeatRefusal(c) || !s.answer(c, req, string(body)) || !s.refuseNobody(c) {
 			return
 		}
 	}
--- a/upstream/exchange/conn.go
+++ b/upstream/exchange/conn.go
@@ -38,8 +38,6 @@
 	remaining int
 	// ids are the hashed IDs of the requests that were sent.
 	ids []uint64
-	// refused is true if the upstream has stated of a request that it did not run it.
-	refused bool
 	// idleSince is the end of the last exchange.
 	idleSince time.Time
 	// expires is the time after which the idle connection must not be used.
--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -13,6 +13,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"jaylink/decision/notrun"
 )
 
 // Request is one HTTP request as it is sent.
@@ -55,9 +57,13 @@
 }
 
 // ErrAmbiguous means that a response which names no request states that the request was not
-// run, on a connection on which the upstream has refused another request before. It may be
-// that refusal once more.
-var ErrAmbiguous = errors.New("refusal that may belong to an earlier request")
+// run, on a connection that has carried other requests or responses. It may belong to one of
+// these.
+var ErrAmbiguous = errors.New("refusal that may belong to another request")
+
+// ErrUnsolicited means that a new connection was closed, or that something had arrived on it,
+// before the request was sent.
+var ErrUnsolicited = errors.New("connection closed or written to before the request")
 
 // ErrTooLong means that a response exceeds a size limit.
 var ErrTooLong = errors.New("response too long")
@@ -102,6 +108,8 @@
 	// Delimited reports whether the end of the body can be told from a broken connection.
 	// If not, the body ends with its connection.
 	Delimited bool
+	// NotRun is the proof that the request was not run, if the response is one.
+	NotRun notrun.Proof
 
 	pool      *Pool
 	address   string
@@ -169,7 +177,9 @@
 		pool: p, address: address, conn: c, body: resp.Body, write: &w,
 		reusable: !resp.Close && strays == 0 && !verdict.Anonymous && !c.isWornOut(), keepAlive: verdict.KeepAlive,
 	}
-	c.refused = c.refused || verdict.NotRun
+	if verdict.NotRun {
+		a.NotRun = refusalProof(c, verdict, strays)
+	}
 	return a, nil
 }
 
@@ -226,7 +236,7 @@
 		}
 		verdict = req.CheckHead(resp.StatusCode, resp.Header)
 		switch {
-		case verdict.Matches && verdict.NotRun && verdict.Anonymous && c.refused:
+		case verdict.Matches && verdict.NotRun && refusalProof(c, verdict, skipped) == notrun.None:
 			return nil, verdict, skipped, ErrAmbiguous
 		case verdict.Matches:
 			return resp, verdict, skipped, nil
@@ -241,6 +251,11 @@
 	return nil, verdict, skipped, errors.New("received only responses to other requests")
 }
 
+// refusalProof returns what a refusal proves that came after a number of strays.
+func refusalProof(c *conn, verdict HeadCheck, strays int) notrun.Proof {
+	return notrun.Refusal{Named: !verdict.Anonymous, Requests: len(c.ids), Strays: strays}.Proof()
+}
+
 // Delimited reports whether a response has a length or chunks, so that the end of its body
 // can be told from a broken connection.
 func Delimited(resp *http.Response) bool {
--- a/upstream/exchange/pool.go
+++ b/upstream/exchange/pool.go
@@ -57,6 +57,10 @@
 	if p.Opened != nil {
 		p.Opened()
 	}
+	if !c.isClean() {
+		p.discard(address, c)
+		return nil, ErrUnsolicited
+	}
 	return c, nil
 }
 
