gateway: refuse requests whose body ends late in a planned stop

What callers would see (LOST): a request whose head came before the entry stopped accepting, and the end of its body after that, was forwarded however late it was. At the end of the grace time it is cut off, though it was sent in full more than 3 s after SIGTERM.

Cause: whether the entry refuses requests was checked before the body is read, not after it.

Evidence: TestRequestWhoseBodyEndsLateInAPlannedStopIsPassedOn failed before with status 200 instead of 503: the request had run.

Change: the check is repeated once the body is there. The request has not run, and the caller learns that from 503 draining.

Ruled out: that such a body is waited for too short a time; it counts as in flight.

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -111,8 +111,8 @@
 // admit finds the route, customer and service of a request, reads its body and checks
 // all limits. It returns nil if the request may be forwarded.
 func (g *Gateway) admit(r *request) *refusal {
-	if g.refusing.Load() {
-		return newRefusal(http.StatusServiceUnavailable, reason.Draining, minRetryAfter)
+	if refused := g.drainRefusal(); refused != nil {
+		return refused
 	}
 	r.config = g.config.Load()
 	if r.config == nil || g.upstreams.Load() == nil {
@@ -140,6 +140,10 @@
 	if refused := g.readBody(r); refused != nil {
 		return refused
 	}
+	if refused := g.drainRefusal(); refused != nil {
+		// The end of the body came late in the stop.
+		return refused
+	}
 	if refused := g.poisonRefusal(r); refused != nil {
 		return refused
 	}
@@ -150,6 +154,14 @@
 	return nil
 }
 
+// drainRefusal refuses requests late in a planned stop.
+func (g *Gateway) drainRefusal() *refusal {
+	if g.refusing.Load() {
+		return newRefusal(http.StatusServiceUnavailable, reason.Draining, minRetryAfter)
+	}
+	return nil
+}
+
 // headerSize returns the size in bytes of a request's first line and headers, not
 // counting separators.
 func headerSize(r *http.Request) int {
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -126,3 +128,48 @@
 	require.Equal(t, http.StatusGatewayTimeout, got.status)
 	<-stopped
 }
+
+// A caller begins to send a request before a planned stop and ends late in it. The request is
+// not passed on, because nothing promises that its answer would come in time.
+func TestRequestWhoseBodyEndsLateInAPlannedStopIsPassedOn(t *testing.T) {
+	d := newDeployment(t)
+	d.timeout, d.maxBody = time.Minute, 100_000
+	d.configure()
+	counterServer := d.upstream("i-1", counterService)
+	e := d.startEntry("entry-1")
+	c, err := newDialer().Dial("tcp", e.settings.Front)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	call := plainCall("order", "late")
+	call.Deadline = time.Minute
+	call.Body = strings.Repeat("x", d.maxBody)
+	req, err := call.Request(t.Context(), e.settings.Front)
+	require.NoError(t, err)
+	var sent bytes.Buffer
+	require.NoError(t, req.Write(&sent))
+	rest := sent.Len() - 1
+	_, err = c.Write(sent.Bytes()[:rest])
+	require.NoError(t, err)
+	eventually(t, func() bool { return e.BodyMemory() > 0 })
+	stopped := make(chan struct{})
+	go func() {
+		e.stop(t)
+		close(stopped)
+	}()
+	eventually(t, func() bool {
+		other, err := newDialer().Dial("tcp", e.settings.Front)
+		if err == nil {
+			_ = other.Close()
+		}
+		return err != nil
+	})
+	_, err = c.Write(sent.Bytes()[rest:])
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), req)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	require.NoError(t, resp.Body.Close())
+	require.Empty(t, counterServer.Runs())
+	<-stopped
+}
