gateway: close no connection on which a request has arrived

What callers would see (LOST): an entry that gets little processor time drops requests at the end of a planned stop, on connections that it keeps, on unused ones and on those that wait to be accepted. At the end of the idle time a request could even be forwarded and its answer be lost.

Cause: the state of a connection as net/http knows it was taken for what is on it. That state is "idle" until the head of a request has been parsed, however long the request has been waiting in the kernel or in the buffer; Shutdown and the idle timer close such connections, and once Shutdown has begun a parsed request is dropped. Closing the listener resets what waits to be accepted. And a request counted as in flight only until its handler had returned, before its answer was flushed.

Change: the entry keeps a list of its callers' connections. One is in use from the first byte that has arrived, read or not, until its answer is sent or it is closed by the server. Idle time and stop close only those that are not in use. A stop accepts what waits before it closes the listener, waits for connections instead of handlers, and counts its last waits in polls, because time also passes while a process does not run. A part of a request is waited for 1 s. What is read after the close of a connection is not handed to the server.

The idle test checks the same as before on the new type, which replaces idleConns.

--- /dev/null
+++ b/gateway/callerconns_test.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A connection is closed once it has been idle for the limit, but not while it has a
+// request.
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit = 15 * time.Second
+		i := newCallerConns(func() time.Duration { return limit })
+		pipe, client := net.Pipe()
+		server := i.add(pipe)
+		defer client.Close()
+		closed := func() bool {
+			require.NoError(t, server.SetReadDeadline(time.Now().Add(time.Millisecond)))
+			_, err := server.Read(make([]byte, 1))
+			return !isTimeout(err)
+		}
+		i.track(server, http.StateNew)
+		time.Sleep(2 * limit)
+		i.track(server, http.StateIdle)
+		time.Sleep(limit * 4 / 5)
+		i.track(server, http.StateActive)
+		time.Sleep(2 * limit)
+		require.False(t, closed())
+		i.track(server, http.StateIdle)
+		time.Sleep(limit - time.Second)
+		require.False(t, closed())
+		time.Sleep(2 * time.Second)
+		require.Error(t, server.SetReadDeadline(time.Now()))
+		require.Empty(t, i.open)
+		require.Nil(t, server.idle)
+	})
+}
+
+// A request that has arrived at the end of the idle time, read or not, is under way: its
+// connection stays open. One that comes after the close is not read, so it can't be forwarded.
+func TestRequestAtTheEndOfTheIdleTimeIsDropped(t *testing.T) {
+	const request = "GET / HTTP/1.1"
+	k := newCallerConns(func() time.Duration { return time.Hour })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	open := func() (server *callerConn, client net.Conn) {
+		client, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		c, err := l.Accept()
+		require.NoError(t, err)
+		server = k.add(c)
+		k.track(server, http.StateIdle)
+		t.Cleanup(func() {
+			_ = server.Close()
+			_ = client.Close()
+		})
+		return server, client
+	}
+
+	unread, client := open()
+	_, err = client.Write([]byte(request))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return hasUnread(unread.Conn) }, time.Minute, time.Millisecond)
+	unread.closeIdle(&unread.idle)
+	require.Equal(t, 1, k.closeUnused())
+	read := make([]byte, len(request))
+	_, err = io.ReadFull(unread, read)
+	require.NoError(t, err)
+	require.False(t, hasUnread(unread.Conn))
+	unread.closeIdle(&unread.idle)
+	require.Equal(t, 1, k.closeUnused(), "the request has been read")
+	k.track(unread, http.StateIdle)
+	require.Zero(t, k.closeUnused(), "the request has been answered")
+
+	crossed, client := open()
+	closing := crossed.Conn
+	crossed.Conn = &readBeforeClose{Conn: closing, closed: crossed.closeUnused}
+	_, err = client.Write([]byte(request))
+	require.NoError(t, err)
+	n, err := crossed.Read(read)
+	require.Zero(t, n)
+	require.ErrorIs(t, err, net.ErrClosed)
+}
+
+// readBeforeClose is a connection that is closed between the end of a read and its use.
+type readBeforeClose struct {
+	net.Conn
+	closed func() bool
+}
+
+func (c *readBeforeClose) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.closed()
+	return n, err
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,12 +35,6 @@
 	storeTimeout = 1500 * time.Millisecond
 	// dutyTimeout limits a call that only the lease holder makes.
 	dutyTimeout = 800 * time.Millisecond
-	// readHeaderTimeout limits how long a caller may take to send its headers. It is
-	// not taken from the configuration, which may change while headers are being
-	// read.
-	readHeaderTimeout = 10 * time.Second
-	// idleTimeout closes idle connections if the configuration sets no limit.
-	idleTimeout = 2 * time.Minute
 )
 
 // Gateway is one entry process. It can be started only once.
@@ -118,12 +112,14 @@
 	// lostDependencies maps the name of each unreachable dependency to the time at
 	// which it became unreachable.
 	lostDependencies map[string]time.Time
-	// servers and listeners are those of the front, first, and of the internal ports.
-	servers   []*http.Server
-	listeners []net.Listener
-	gossip    *net.UDPConn
-	cancel    context.CancelFunc
-	tasks     sync.WaitGroup
+	// callers are the connections of callers, and front is the listener that accepts them.
+	callers *callerConns
+	front   *callerListener
+	// servers are those of the front, first, and of the internal ports.
+	servers []*http.Server
+	gossip  *net.UDPConn
+	cancel  context.CancelFunc
+	tasks   sync.WaitGroup
 	// logLosses returns how many log lines were suppressed by the rate limit of their
 	// message and how many were dropped because the buffer was full. It is nil if
 	// these are not counted.
@@ -174,6 +170,7 @@
 		sendNews:         make(chan struct{}, 1),
 		sendNewsTo:       make(chan *net.UDPAddr, smallFleet),
 	}
+	g.callers = newCallerConns(g.idleLimit)
 	g.givenUp, g.giveUp = context.WithCancel(context.Background())
 	if settings.Cloud != "" {
 		g.duties = platform.NewCloudClient(settings.Cloud, settings.Name, dutyTimeout)
@@ -211,15 +208,15 @@
 	listeners := []struct {
 		address string
 		handler http.Handler
-		state   func(net.Conn, http.ConnState)
+		callers *callerConns
 	}{
-		{g.settings.Front, http.HandlerFunc(g.serveCaller), newIdleConns(g.idleLimit).track},
+		{g.settings.Front, http.HandlerFunc(g.serveCaller), g.callers},
 		{g.settings.Ready, g.readyHandler(), nil},
 		{port(syncPort), g.syncHandler(), nil},
 		{metricsAddress, metricstext.Handler(g.metrics.registry), nil},
 	}
 	for _, l := range listeners {
-		if err := g.listen(l.address, l.handler, l.state); err != nil {
+		if err := g.listen(l.address, l.handler, l.callers); err != nil {
 			return errors.Join(err, g.Stop(ctx))
 		}
 	}
@@ -239,36 +236,6 @@
 	return nil
 }
 
-// metricsPort returns the port of the metrics page: the last but one of the internal ports.
-func metricsPort(s platform.Settings) int { return s.PortLast - 1 }
-
-// listen starts an HTTP server in the background; state is its ConnState hook and may be
-// nil.
-func (g *Gateway) listen(address string, handler http.Handler, state func(net.Conn, http.ConnState)) error {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
-	}
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         state,
-		ErrorLog:          slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
-	}
-	g.servers = append(g.servers, server)
-	g.listeners = append(g.listeners, l)
-	g.tasks.Add(1)
-	go func() {
-		defer g.tasks.Done()
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-			g.log.Error("listener failed", "address", address, "err", err)
-		}
-	}()
-	return nil
-}
-
 // readyHandler answers the platform's readiness probes.
 func (g *Gateway) readyHandler() http.Handler {
 	r := mux.NewRouter()
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -12,13 +12,16 @@
 	// ready: two readiness probes, one a second, and some margin.
 	unreadyDelay = 2600 * time.Millisecond
 	// exitSlack is the part of the grace time that is reserved for closing
-	// connections and ending the process. In answerTime of it the requests that are still
+	// connections and ending the process. In maxAnswerPolls of it the requests that are still
 	// running are answered, and in closeTime the connections are closed.
-	exitSlack  = 400 * time.Millisecond
-	answerTime = 150 * time.Millisecond
-	closeTime  = 100 * time.Millisecond
-	// idlePoll is how often it is checked whether requests are still running.
-	idlePoll = 10 * time.Millisecond
+	exitSlack = 400 * time.Millisecond
+	closeTime = 100 * time.Millisecond
+	// idlePoll is how often it is checked whether connections are in use. Waits for callers
+	// are counted in polls, because time also passes while the process does not run.
+	idlePoll       = 10 * time.Millisecond
+	maxAnswerPolls = 15
+	// maxPartPolls bounds the wait for requests of which only a part has been received.
+	maxPartPolls = 100
 )
 
 // Stop shuts the gateway down gracefully. It reports the entry as not ready, keeps
@@ -29,21 +32,21 @@
 func (g *Gateway) Stop(context.Context) error {
 	g.stopping.Store(true)
 	began := time.Now()
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.settings.Bounds.Grace-exitSlack))
+	defer cancel()
 	g.log.Info("stopping", "in_flight", g.inFlight.Load())
 	if g.gossip != nil {
 		// Announce to the peers that this entry is leaving.
 		g.gossipRound(newGossipSchedule())
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), g.settings.Bounds.Grace-exitSlack)
-	defer cancel()
 	sleep(ctx, unreadyDelay)
 	g.refuseCallers()
-	g.awaitRequests(ctx)
+	g.awaitCallers(ctx)
 	cutOff := g.inFlight.Load()
 	g.giveUp()
-	answered, cancelAnswered := context.WithTimeout(context.Background(), answerTime)
-	defer cancelAnswered()
-	g.awaitRequests(answered)
+	for polls := 0; g.callers.closeUnused() > 0 && polls < maxAnswerPolls; polls++ {
+		sleep(context.Background(), idlePoll)
+	}
 	err := g.closeServers()
 	g.cancel()
 	g.tasks.Wait()
@@ -55,17 +58,27 @@
 // refuseCallers closes the front listener and has requests on open connections refused.
 func (g *Gateway) refuseCallers() {
 	g.refusing.Store(true)
-	if len(g.listeners) == 0 {
+	if g.front == nil {
 		return
 	}
-	if err := g.listeners[0].Close(); err != nil {
+	if err := g.front.closeAccepted(); err != nil {
 		g.log.Warn("closing the listener failed", "err", err)
 	}
 }
 
-// awaitRequests waits until no request is in flight, or until ctx ends.
-func (g *Gateway) awaitRequests(ctx context.Context) {
-	for g.inFlight.Load() > 0 && sleep(ctx, idlePoll) {
+// awaitCallers waits until nothing is under way on any connection and closes them, or until
+// ctx ends. Requests of which only a part has been received are not waited for that long.
+func (g *Gateway) awaitCallers(ctx context.Context) {
+	for polls := 0; polls < maxPartPolls; {
+		if g.inFlight.Load() == 0 {
+			if g.callers.closeUnused() == 0 {
+				return
+			}
+			polls++
+		}
+		if !sleep(ctx, idlePoll) {
+			return
+		}
 	}
 }
 
