gateway: count a connection as in use before its bytes are read

What callers would see (LOST): a request that has arrived is dropped if the entry's stop closes its connection between the end of a read and the record of it. A starved process can wait there for a processor.

TestRequestAtTheEndOfTheIdleTimeIsDropped closes a connection at that point.

Change: the first byte of a request is looked at before it is taken out of the socket, and the connection is marked as in use by then.

--- a/gateway/callerconns.go
+++ b/gateway/callerconns.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -29,6 +30,10 @@
 // add returns the connection to use in place of c.
 func (k *callerConns) add(c net.Conn) *callerConn {
 	conn := &callerConn{Conn: c, closed: k.remove}
+	if socket, ok := c.(syscall.Conn); ok {
+		// An error means that the connection is closed; the server will notice.
+		conn.raw, _ = socket.SyscallConn()
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.open[conn] = struct{}{}
@@ -66,35 +71,60 @@
 	return left
 }
 
-// callerConn is a connection of a caller. It is in use from the first byte of a request,
-// received or read, until the server has sent the answer.
+// callerConn is a connection of a caller. It is in use from the arrival of a request's first
+// byte until the server has sent the answer.
 type callerConn struct {
 	net.Conn
+	// raw is the connection's socket; nil if it has none.
+	raw syscall.RawConn
 	// closed is called once the connection has been closed.
 	closed func(*callerConn)
 
 	mu sync.Mutex
-	// isRead is set once a byte has been read since the connection was opened or became idle.
+	// isRead is set before the first byte is read since the connection was opened or became
+	// idle.
 	isRead   bool
 	isClosed bool
 	// idle closes the connection after its idle time; nil while it is not idle.
 	idle *time.Timer
 }
 
-// Read implements net.Conn. It returns nothing once the connection has been closed, so that
-// a request is never forwarded whose answer could not be sent.
+// Read implements net.Conn. The connection is in use before bytes leave the socket, where
+// closeUnused looks for them: between the end of a read and the next line the process may have
+// to wait for a processor. An unused connection that is closed is not read, so that no request
+// is forwarded whose answer could not be sent.
 func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n == 0 {
-		return n, err
+	if c.awaitArrival() && !c.use() {
+		return 0, net.ErrClosed
 	}
+	return c.Conn.Read(p)
+}
+
+// awaitArrival waits for the first byte of a request, without reading it, and reports whether
+// it has arrived. It does not wait if the connection is in use.
+func (c *callerConn) awaitArrival() bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.isClosed {
-		return 0, net.ErrClosed
+	isRead := c.isRead
+	c.mu.Unlock()
+	if isRead || c.raw == nil {
+		return false
 	}
-	c.isRead = true
-	return n, err
+	hasArrived := false
+	// The next read fails with the same error.
+	_ = c.raw.Read(func(fd uintptr) bool {
+		n, err := peek(fd)
+		hasArrived = n > 0
+		return !errors.Is(err, unix.EAGAIN)
+	})
+	return hasArrived
+}
+
+// use records that a request is being read, unless the connection has been closed.
+func (c *callerConn) use() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isRead = c.isRead || !c.isClosed
+	return !c.isClosed
 }
 
 // Close implements net.Conn.
@@ -155,7 +185,7 @@
 // whether it is closed.
 func (c *callerConn) closeUnused() bool {
 	c.mu.Lock()
-	if !c.isClosed && (c.isRead || hasUnread(c.Conn)) {
+	if !c.isClosed && (c.isRead || c.hasUnread()) {
 		c.mu.Unlock()
 		return false
 	}
@@ -168,22 +198,20 @@
 	return true
 }
 
-// hasUnread reports whether the host has received bytes on a connection that have not been
-// read. On a starved host they can wait for long.
-func hasUnread(c net.Conn) bool {
-	socket, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
+// hasUnread reports whether the host has received bytes that have not been read. On a starved
+// host they can wait for long.
+func (c *callerConn) hasUnread() bool {
+	if c.raw == nil {
 		return false
 	}
 	n := 0
-	err = raw.Control(func(fd uintptr) {
-		var first [1]byte
-		// An error means that nothing has been received.
-		n, _, _ = unix.Recvfrom(int(fd), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	})
+	err := c.raw.Control(func(fd uintptr) { n, _ = peek(fd) })
 	return err == nil && n > 0
 }
+
+// peek returns how many bytes of a socket can be read, 0 or 1.
+func peek(fd uintptr) (int, error) {
+	var first [1]byte
+	n, _, err := unix.Recvfrom(int(fd), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return n, err
+}
