soak: leave room for repeating requests that may run once

The routes once and order had one attempt, so that no run could be repeated and the checks of TWICE and REFUSED could not fail for a repeat. They have three now; the checks are as they were.

The streams that faults are drawn from are unchanged.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -33,6 +33,9 @@
 	maxFiles      = 1000
 	readyLimit    = time.Second
 	maxBody       = 100_000
+	// onceAttempts is the number of attempts on the routes whose requests may run once. It
+	// leaves room for repeating one that was refused, and so for repeating one that has run.
+	onceAttempts = 3
 	// allowance is the customer's rate limit in tokens per second; the callers use less.
 	allowance = 400_000
 )
@@ -165,8 +168,8 @@
 	f.configuration = metastore.Configuration{
 		Version: f.version,
 		Routes: []metastore.Route{
-			route("stream", "streaming", engines, 2, true), route("once", "streaming", engines, 1, false),
-			route("order", "non_idempotent", counter, 1, false), route("status", "idempotent", counter, 2, false),
+			route("stream", "streaming", engines, 2, true), route("once", "streaming", engines, onceAttempts, false),
+			route("order", "non_idempotent", counter, onceAttempts, false), route("status", "idempotent", counter, 2, false),
 		},
 		Engines: []string{engines}, Plain: []string{counter}, MaxBodyBytes: maxBody,
 		Customer: metastore.Customer{Name: customer, Keys: names, Rate: allowance, Burst: allowance},
