soak: name the run in each event of a stream

The events of all runs had the same text and were numbered without gaps. A stream joined of two runs looked like that of one. What was checked before (missing, repeated and foreign events, complete too early) still is, now named ORDER.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"jaylink/standin/caller"
-	"jaylink/standin/upstream"
 )
 
 // callTimeout is the deadline of a caller's request.
@@ -25,6 +24,8 @@
 	complete bool
 	// problem describes what was wrong with the answer; "" if nothing was.
 	problem string
+	// stream is what the caller received of a stream that was answered with a success.
+	stream  string
 	started time.Time
 	ended   time.Time
 }
@@ -100,6 +101,9 @@
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(resp.Body)
 	v.status, v.complete = resp.StatusCode, err == nil
+	if streams && v.status == http.StatusOK {
+		v.stream = string(answer)
+	}
 	v.problem = checkAnswer(resp, string(answer), v, call.Target, streams)
 	return v
 }
@@ -116,24 +120,16 @@
 	if !proven {
 		return "success without a response seal"
 	}
-	want := "answer to " + path
 	if streams {
-		want = completeStream
+		// checkOrder checks the events.
+		return ""
 	}
+	want := "answer to " + path
 	switch {
 	case v.complete && body != want:
 		return fmt.Sprintf("complete answer of %d bytes is truncated or belongs to another request", len(body))
 	case !strings.HasPrefix(want, body):
-		return "partial answer belongs to another request, or an event is missing or duplicated"
+		return "partial answer belongs to another request"
 	}
 	return ""
 }
-
-// completeStream is the body of a stream with all its events.
-var completeStream = func() string {
-	var b strings.Builder
-	for n := range upstream.Events {
-		b.WriteString(upstream.Event(n))
-	}
-	return b.String()
-}()
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -33,6 +34,7 @@
 	maxFiles      = 1000
 	readyLimit    = time.Second
 	maxBody       = 100_000
+	addressBlocks = 10_000
 	// onceAttempts is the number of attempts on the routes whose requests may run once. It
 	// leaves room for repeating one that was refused, and so for repeating one that has run.
 	onceAttempts = 3
@@ -48,6 +50,8 @@
 	http    *http.Server
 	address string
 	entries []*entry
+	// gappedIDs is set if the IDs of a stream's events have gaps.
+	gappedIDs bool
 
 	mu        sync.Mutex
 	upstreams []*backend
@@ -57,6 +61,8 @@
 	keys          []acceptedKey
 	upstreamCount int
 	starts        int
+	// kinds draws what each new upstream is like.
+	kinds *rand.Rand
 	// senders holds the entry that each request was sent to, by request ID.
 	senders map[string]*entry
 
@@ -114,17 +120,18 @@
 	return !slices.ContainsFunc(e.disturbances, func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
 }
 
-func newFleet(dir, binary string, block, entries, upstreams int) (*fleet, error) {
+func newFleet(o Options, dir string) (*fleet, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, binary: binary, store: metastore.New(), address: l.Addr().String(), version: 1, keys: []acceptedKey{{name: "key-0"}}, senders: map[string]*entry{}, registrations: map[string]registration{}}
+	kinds := rand.New(rand.NewPCG(o.Seed, kindStream))
+	f := &fleet{dir: dir, binary: o.Binary, kinds: kinds, gappedIDs: kinds.IntN(2) == 0, store: metastore.New(), address: l.Addr().String(), version: 1, keys: []acceptedKey{{name: "key-0"}}, senders: map[string]*entry{}, registrations: map[string]registration{}}
 	f.http = &http.Server{Handler: f.store, ReadHeaderTimeout: time.Minute}
 	// Serve returns when stop closes the server.
 	go func() { _ = f.http.Serve(l) }()
 	f.configure()
-	for i := range upstreams {
+	for i := range o.Upstreams {
 		service := engines
 		if i%2 == 1 {
 			service = counter
@@ -133,8 +140,9 @@
 			return nil, err
 		}
 	}
-	for i := range entries {
-		e, err := f.newEntry(block, i)
+	for i := range o.Entries {
+		// Concurrent runs use different blocks of addresses.
+		e, err := f.newEntry(os.Getpid()%addressBlocks, i)
 		if err != nil {
 			return nil, err
 		}
@@ -238,7 +246,7 @@
 	if err != nil {
 		return err
 	}
-	s.Pace = eventInterval
+	s.Pace, s.NamesRuns, s.GappedIDs = eventInterval, true, f.gappedIDs
 	p, err := newProxy(s.Address())
 	if err != nil {
 		return err
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -65,6 +65,8 @@
 	// restoreStream and promiseStream are for further series.
 	restoreStream = 1 << 35
 	promiseStream = 1 << 36
+	// kindStream is for what the upstreams are like.
+	kindStream = 1 << 37
 )
 
 // Run runs the load and the fault schedule of one seed.
@@ -77,8 +79,7 @@
 		}
 		r.Dir = dir
 	}
-	// Concurrent runs use different blocks of addresses.
-	f, err := newFleet(r.Dir, o.Binary, os.Getpid()%10_000, o.Entries, o.Upstreams)
+	f, err := newFleet(o, r.Dir)
 	if err != nil {
 		return r, err
 	}
@@ -240,6 +241,7 @@
 			report("DENIED: %s %s at %s was answered %d", v.route, v.id, v.entry, v.status)
 		}
 	}
+	checkOrder(f, observations, report)
 	checkNotices(f, observations, report)
 	checkDeadly(f, report)
 	checkLimits(f, report)
--- a/standin/upstream/stream.go
+++ b/standin/upstream/stream.go
@@ -11,7 +11,42 @@
 // Event returns the bytes of one event of a stream.
 func Event(n int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n) }
 
-func (s *Server) serveStream(c net.Conn, id string, fault Fault, resumed int, deadlyPart string) bool {
+// EventID returns the ID of an event of a stream: its number, or one of increasing numbers
+// with gaps.
+func EventID(n int, gapped bool) int {
+	if gapped {
+		return n * (n + 3) / 2
+	}
+	return n
+}
+
+// NamedEvent returns the bytes of one event of the run with a name.
+func NamedEvent(n int, run string, gapped bool) string {
+	return fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", EventID(n, gapped), n, run)
+}
+
+// event returns the bytes of one event of a run of this upstream.
+func (s *Server) event(n int, run Run) string {
+	if s.NamesRuns {
+		return NamedEvent(n, run.Name, s.GappedIDs)
+	}
+	return Event(n)
+}
+
+// eventWithID returns the number of the last event whose ID is not above one.
+func (s *Server) eventWithID(id int) int {
+	if !s.GappedIDs {
+		return id
+	}
+	n := -1
+	for EventID(n+1, true) <= id {
+		n++
+	}
+	return n
+}
+
+func (s *Server) serveStream(c net.Conn, run Run, fault Fault, deadlyPart string) bool {
+	id, resumed := run.RequestID, run.Resumed
 	headers := s.answerHeaders(fault) + s.limitHeader(id)
 	write, framing := writeChunk, "Transfer-Encoding: chunked\r\n"
 	if s.Undelimited {
@@ -35,7 +70,7 @@
 			continue
 		}
 		time.Sleep(s.Pace)
-		data := Event(n)
+		data := s.event(n, run)
 		if fault == CutInEvent && n == 2 {
 			_ = write(c, data[:len(data)/2])
 			return false
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -88,6 +88,8 @@
 	// Resumed is the number of the event after which the stream was resumed; -1 if
 	// the run started at the first event.
 	Resumed int
+	// Name tells the run from all others of all upstreams.
+	Name string
 }
 
 // Arrival is a request that the upstream received, including one that it refused.
@@ -124,6 +126,10 @@
 	// that of a real process does. Its record has to be written again then. It must be set
 	// before the first request.
 	RenewsStart bool
+	// NamesRuns puts the name of the run into each event, so that events of two runs can be
+	// told apart. GappedIDs leaves gaps between the IDs of events. Both must be set before the
+	// first request.
+	NamesRuns, GappedIDs bool
 	// Script, if set, answers runs in place of the upstream. It must be set before the first
 	// request.
 	Script Script
@@ -296,10 +302,11 @@
 	}
 	resumed := -1
 	if n, err := strconv.Atoi(req.Header.Get("Last-Event-Id")); err == nil {
-		resumed = n
+		resumed = s.eventWithID(n)
 	}
-	run := Run{id, req.RequestURI, req.Header, body, resumed}
+	run := Run{id, req.RequestURI, req.Header, body, resumed, ""}
 	s.mu.Lock()
+	run.Name = fmt.Sprintf("%s/%d", s.ID, len(s.runs))
 	s.runs = append(s.runs, run)
 	s.mu.Unlock()
 	if s.playScript(c, run) {
@@ -332,7 +339,7 @@
 		return false
 	}
 	if req.Header.Get("Token-Count") != "" {
-		return s.serveStream(c, id, fault, resumed, s.deadlyPart(req.Header.Get("Prefix-Hash")))
+		return s.serveStream(c, run, fault, s.deadlyPart(req.Header.Get("Prefix-Hash")))
 	}
 	return s.servePlain(c, req, id, fault)
 }
