soak: end upstreams and their connections as real processes do

Callers of real processes saw streams that ended as complete before their last event. The soak could not see that: all answers were chunked, upstreams died by reset alone, nothing listened in their place, and the proxy closed connections on which it had dropped bytes, which TCP never does.

Now half of the upstreams answer with neither a length nor chunks. At a death connections end by close or by reset; then the port refuses connections, or a proxy accepts and closes them, or accepts and stays silent. The proxy passes a reset on as a reset and ends a connection on which it has dropped bytes by a reset. An upstream that is up again states a new start time. The series ends lets upstreams die between requests and holds all bytes of one back while it works, as of a process that is paused.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -251,8 +251,13 @@
 	if err != nil {
 		return err
 	}
+	s.Undelimited, p.death = f.drawKind()
+	s.RenewsStart = true
 	s.Deadly, s.DeadlyParts, s.Down, s.RestTime = deadlyMark, deadlyParts, downTime, restTime
-	s.Crashed, s.Restarted = p.down, p.up
+	s.Crashed, s.Restarted = p.down, func() {
+		p.up()
+		f.registerAgain(id)
+	}
 	b := &backend{Server: s, proxy: p, service: service, zone: zoneName(zone)}
 	f.mu.Lock()
 	f.upstreams = append(f.upstreams, b)
@@ -296,7 +301,7 @@
 
 // remove stops an upstream and deletes it from the store.
 func (f *fleet) remove(b *backend) {
-	b.proxy.close()
+	b.proxy.down()
 	b.Close()
 	f.publish(b, "")
 }
@@ -308,7 +313,7 @@
 		f.store.DeleteUpstream(b.ID)
 		return
 	}
-	f.store.PutUpstream(b.ID, b.service, b.proxy.address(), b.zone, r.state)
+	f.store.PutUpstreamProcess(b.ID, b.service, b.proxy.address(), b.zone, r.state, b.StartMillis())
 }
 
 // zoneIndex returns the number in the name of the upstream's zone.
@@ -442,4 +447,7 @@
 		b.proxy.close()
 		b.Close()
 	}
+	for _, b := range f.removed {
+		b.proxy.close()
+	}
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -1,12 +1,31 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
 	"time"
 )
 
+// death is how the end of a server's process shows at its proxy.
+type death struct {
+	// closes makes the open connections end with a close; otherwise with a reset.
+	closes bool
+	port   deadPort
+}
+
+// deadPort is what new connections to a dead process meet.
+type deadPort int
+
+const (
+	// portRefuses refuses connections. portCloses accepts and closes them, and portSilent
+	// accepts and keeps them, as a proxy does that outlives its server.
+	portRefuses deadPort = iota
+	portCloses
+	portSilent
+)
+
 // proxy is a loopback TCP proxy that can inject faults.
 type proxy struct {
 	listener net.Listener
@@ -20,9 +39,15 @@
 	dropToServer, dropToClient bool
 	refuse                     bool
 	closed                     bool
+	// isDown is set while the server's process is dead.
+	isDown bool
+	death  death
 	// wasFaulty is set once a fault was injected.
 	wasFaulty bool
-	tasks     sync.WaitGroup
+	// held makes the proxy keep all bytes until it is unset, which released announces.
+	held     bool
+	released *sync.Cond
+	tasks    sync.WaitGroup
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -31,7 +56,7 @@
 		return nil, err
 	}
 	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}}
-	p.addr = l.Addr().String()
+	p.addr, p.released = l.Addr().String(), sync.NewCond(&p.mu)
 	p.tasks.Add(1)
 	go p.accept(l)
 	return p, nil
@@ -39,22 +64,39 @@
 
 func (p *proxy) address() string { return p.addr }
 
-// down refuses new connections and resets the open ones, like the port of a process
-// that has ended, until up is called.
+// down ends the open connections and treats new ones as the proxy's death says, until up is
+// called.
 func (p *proxy) down() {
 	p.mu.Lock()
-	// An error means that the listener is closed already.
-	_ = p.listener.Close()
-	p.mu.Unlock()
-	p.resetAll()
+	defer p.mu.Unlock()
+	p.isDown = true
+	if p.death.port == portRefuses {
+		// An error means that the listener is closed already.
+		_ = p.listener.Close()
+	}
+	for c := range p.conns {
+		if p.death.closes {
+			_ = c.Close()
+		} else {
+			reset(c)
+		}
+	}
 }
 
+// up lets new connections through again and ends those that met a silent port.
 func (p *proxy) up() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return
 	}
+	p.isDown = false
+	for c := range p.conns {
+		reset(c)
+	}
+	if p.death.port != portRefuses {
+		return
+	}
 	l, err := net.Listen("tcp", p.addr)
 	if err != nil {
 		// The port should still be free. If it is not, the upstream stays unreachable.
@@ -85,6 +127,9 @@
 		return
 	}
 	defer p.forget(client)
+	if p.meetsDeadPort(client) {
+		return
+	}
 	server, err := net.Dial("tcp", p.target)
 	if err != nil {
 		return
@@ -93,24 +138,46 @@
 		return
 	}
 	defer p.forget(server)
-	done := make(chan struct{}, 2)
-	go func() { p.copy(server, client, &p.dropToServer); done <- struct{}{} }()
-	go func() { p.copy(client, server, &p.dropToClient); done <- struct{}{} }()
-	<-done
-	// Closing the connections ends the other direction.
-	_ = client.Close()
-	_ = server.Close()
+	// A process that died in the meantime is not there to answer.
+	if p.meetsDeadPort(client) {
+		return
+	}
+	done := make(chan bool, 2)
+	go func() { done <- p.copy(server, client, &p.dropToServer) }()
+	go func() { done <- p.copy(client, server, &p.dropToClient) }()
+	// Ending the connections ends the other direction.
+	if clean := <-done; clean {
+		_ = client.Close()
+		_ = server.Close()
+	} else {
+		reset(client)
+		reset(server)
+	}
 	<-done
 }
 
-// copy forwards bytes until one side ends. If *drop is set when bytes arrive, it
-// discards these and all later bytes and returns only when the source ends.
-func (p *proxy) copy(to, from net.Conn, drop *bool) {
+// meetsDeadPort reports whether the server's process is dead. It returns when the connection
+// may be closed.
+func (p *proxy) meetsDeadPort(client net.Conn) bool {
+	p.mu.Lock()
+	isDown, port := p.isDown, p.death.port
+	p.mu.Unlock()
+	if isDown && port == portSilent {
+		// The error is that of the connection's end.
+		_, _ = io.Copy(io.Discard, client)
+	}
+	return isDown
+}
+
+// copy forwards bytes until one side ends, and reports whether the source was closed with all
+// its bytes forwarded. If *drop is set when bytes arrive, it discards these and all later bytes
+// and returns only when the source ends.
+func (p *proxy) copy(to, from net.Conn, drop *bool) bool {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
 		if err != nil {
-			return
+			return errors.Is(err, io.EOF)
 		}
 		p.mu.Lock()
 		delay, drop := p.delay, *drop
@@ -118,15 +185,25 @@
 		if drop {
 			// Bytes were lost, so nothing may be forwarded on this connection any more.
 			_, _ = io.Copy(io.Discard, from)
-			return
+			return false
 		}
 		time.Sleep(delay)
+		p.waitWhileHeld()
 		if _, err := to.Write(buffer[:n]); err != nil {
-			return
+			return false
 		}
 	}
 }
 
+// waitWhileHeld blocks while the proxy holds all bytes back.
+func (p *proxy) waitWhileHeld() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for p.held && !p.closed {
+		p.released.Wait()
+	}
+}
+
 func (p *proxy) track(c net.Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -167,11 +244,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	change(p)
+	p.released.Broadcast()
 }
 
 // clearFaults ends all faults. Connections that have lost bytes stay silent.
 func (p *proxy) clearFaults() {
-	p.update(func(p *proxy) { p.delay, p.dropToServer, p.dropToClient, p.refuse = 0, false, false, false })
+	p.update(func(p *proxy) {
+		p.delay, p.dropToServer, p.dropToClient, p.refuse, p.held = 0, false, false, false, false
+	})
 }
 
 // neverFaulty reports whether no fault was ever injected.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -65,6 +65,8 @@
 	// restoreStream and promiseStream are for further series.
 	restoreStream = 1 << 35
 	promiseStream = 1 << 36
+	// endStream is for the series of ends of upstreams.
+	endStream = 1 << 38
 	// kindStream is for what the upstreams are like.
 	kindStream = 1 << 37
 )
@@ -138,6 +140,7 @@
 	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, partStream)), parts, log) })
 	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, restoreStream)), restores, log) })
 	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, promiseStream)), promises, log) })
+	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, endStream)), ends, log) })
 	series.Wait()
 	callers.Wait()
 	slices.Sort(log.lines)
--- a/standin/upstream/crash.go
+++ b/standin/upstream/crash.go
@@ -53,13 +53,17 @@
 func (s *Server) Crash() {
 	s.mu.Lock()
 	s.crashes++
+	first := !s.restarting
+	s.restarting = true
 	s.mu.Unlock()
 	if s.Crashed != nil {
 		s.Crashed()
 	}
 	s.closeConnections()
-	s.tasks.Add(1)
-	go s.restart()
+	if first {
+		s.tasks.Add(1)
+		go s.restart()
+	}
 }
 
 // relistenDelay is the delay between two attempts to listen again.
@@ -78,7 +82,7 @@
 			continue
 		}
 		s.mu.Lock()
-		s.listener = l
+		s.listener, s.restarting = l, false
 		if s.RenewsStart {
 			s.started++
 		}
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -151,6 +151,8 @@
 	limits  []limitChange
 	named   []naming
 	crashes int
+	// restarting is set from a crash until the upstream listens again.
+	restarting bool
 	// crashedBy lists the crashes that deadly parts caused.
 	crashedBy []PartCrash
 	// closedByCaller counts connections that the caller closed before the answer
