soak: judge LOST beside planned work alone

Callers lost requests that had been passed on, and the soak did not judge answers that were cut off. The callers' HTTP client no longer sends a request again by itself, which hid losses of GET requests.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -6,8 +6,10 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"jaylink/standin/caller"
@@ -27,7 +29,11 @@
 	// stream is what the caller received of a stream that was answered with a success.
 	stream  string
 	started time.Time
-	ended   time.Time
+	// sent is when the request had been written, or the zero value.
+	sent  time.Time
+	ended time.Time
+	// gaveUp is set if the caller ended the request because the run was over.
+	gaveUp bool
 }
 
 // reportsNotRun reports whether the status says that the request has not run.
@@ -67,10 +73,11 @@
 }
 
 // callWith is like call but sets the last path element (subject) and the body.
-func (c *client) callWith(ctx context.Context, e *entry, route, id, key, subject, body string) observation {
-	v := observation{id: id, route: route, entry: e.name, started: time.Now()}
+func (c *client) callWith(ctx context.Context, e *entry, route, id, key, subject, body string) (v observation) {
+	v = observation{id: id, route: route, entry: e.name, started: time.Now()}
 	c.fleet.recordSender(id, e)
-	defer func() { v.ended = time.Now() }()
+	run := ctx
+	defer func() { v.ended, v.gaveUp = time.Now(), run.Err() != nil }()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	call := caller.Call{
@@ -89,11 +96,19 @@
 		}
 		call.Prefix += fmt.Sprintf("%x:200", c.rng.Uint64())
 	}
-	req, err := call.Request(ctx, e.callerAddress())
+	var sent atomic.Int64
+	req, err := call.Request(traceSent(ctx, &sent), e.callerAddress())
 	if err != nil {
 		v.problem = err.Error()
 		return v
 	}
+	// The HTTP client must not send a request twice by itself.
+	req.GetBody = nil
+	defer func() {
+		if at := sent.Load(); at != 0 {
+			v.sent = time.Unix(0, at)
+		}
+	}()
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return v
@@ -108,6 +123,15 @@
 	return v
 }
 
+// traceSent records when a request has been written whole.
+func traceSent(ctx context.Context, sent *atomic.Int64) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		if info.Err == nil {
+			sent.Store(time.Now().UnixNano())
+		}
+	}})
+}
+
 // checkAnswer returns what is wrong with an answer as the caller received it, or "".
 func checkAnswer(resp *http.Response, body string, v observation, path string, streams bool) string {
 	id, proven := caller.Answered(resp.Header)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -61,6 +61,7 @@
 	keys          []acceptedKey
 	upstreamCount int
 	starts        int
+	plannedWork   []plannedWork
 	// kinds draws what each new upstream is like.
 	kinds *rand.Rand
 	// senders holds the entry that each request was sent to, by request ID.
--- /dev/null
+++ b/internal/soak/planned.go
@@ -0,0 +1,64 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+)
+
+// planned is the series of a run with planned work alone: entries are stopped and started, told
+// to read their settings again, and the configuration changes.
+var planned = []fault{
+	{"entry_stopped", func(f *fleet, rng *rand.Rand, hold time.Duration) string {
+		e := anyEntry(f, rng)
+		f.recordPlanned(e, "SIGTERM")
+		detail := restart(f, e, syscall.SIGTERM, hold/4)
+		if !eventually(startLimit, e.ready) {
+			return detail + " is not ready again"
+		}
+		return detail
+	}},
+	{"entry_hangup", func(f *fleet, rng *rand.Rand, _ time.Duration) string {
+		e := anyEntry(f, rng)
+		e.fault.Lock()
+		defer e.fault.Unlock()
+		if !eventually(startLimit, e.ready) {
+			return e.name + " is not ready"
+		}
+		f.recordPlanned(e, "SIGHUP")
+		e.signal(syscall.SIGHUP)
+		return e.name
+	}},
+	{"configuration_changed", func(f *fleet, _ *rand.Rand, _ time.Duration) string {
+		f.recordPlanned(nil, "configuration")
+		f.newKey()
+		return ""
+	}},
+}
+
+// plannedWork is planned work on an entry, or on all if entry is nil.
+type plannedWork struct {
+	entry *entry
+	name  string
+	at    time.Time
+}
+
+func (f *fleet) recordPlanned(e *entry, name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.plannedWork = append(f.plannedWork, plannedWork{e, name, time.Now()})
+}
+
+// plannedBefore names the last planned work at a request's entry before the request ended.
+func (f *fleet) plannedBefore(v observation) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := "no planned work before"
+	for _, w := range f.plannedWork {
+		if (w.entry == nil || w.entry.name == v.entry) && !w.at.After(v.ended) {
+			out = fmt.Sprintf("%s %v before its end", w.name, v.ended.Sub(w.at).Round(time.Millisecond))
+		}
+	}
+	return out
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -23,6 +24,11 @@
 	// For is the time for which faults are injected.
 	For                         time.Duration
 	Entries, Upstreams, Callers int
+	// Planned leaves out all faults. There is planned work alone, and no request may be lost.
+	Planned bool
+	// LossSlack is how long after a request was sent its connection may end without an answer,
+	// if it was not passed on; zero stands for the platform's bound.
+	LossSlack time.Duration
 	// Dir is the directory for the logs of the processes. If it is empty, a new
 	// directory is created.
 	Dir string
@@ -67,6 +73,8 @@
 	promiseStream = 1 << 36
 	// endStream is for the series of ends of upstreams.
 	endStream = 1 << 38
+	// plannedStream is for planned work alone.
+	plannedStream = 1 << 39
 	// kindStream is for what the upstreams are like.
 	kindStream = 1 << 37
 )
@@ -92,6 +100,9 @@
 	observations := f.runLoad(ctx, o, &r)
 	r.Violations = append(r.Violations, f.checkRecovery()...)
 	r.check(f, observations)
+	if o.Planned {
+		checkLost(f, cmp.Or(o.LossSlack, lossSlack), observations, r.report)
+	}
 	return r, nil
 }
 
@@ -134,13 +145,9 @@
 	}
 	log := &faultLog{begun: time.Now(), out: o.Out}
 	var series sync.WaitGroup
-	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, faultStream)), faults, log) })
-	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, noticeStream)), notices, log) })
-	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, limitStream)), limits, log) })
-	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, partStream)), parts, log) })
-	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, restoreStream)), restores, log) })
-	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, promiseStream)), promises, log) })
-	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, endStream)), ends, log) })
+	for stream, list := range seriesOf(o) {
+		series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, stream)), list, log) })
+	}
 	series.Wait()
 	callers.Wait()
 	slices.Sort(log.lines)
@@ -148,6 +155,17 @@
 	return observations
 }
 
+// seriesOf returns the series of faults of a run by their random streams.
+func seriesOf(o Options) map[uint64][]fault {
+	if o.Planned {
+		return map[uint64][]fault{plannedStream: planned}
+	}
+	return map[uint64][]fault{
+		faultStream: faults, noticeStream: notices, limitStream: limits, partStream: parts,
+		restoreStream: restores, promiseStream: promises, endStream: ends,
+	}
+}
+
 // faultLog records and prints a line for each fault.
 type faultLog struct {
 	begun time.Time
@@ -213,10 +231,15 @@
 	return out
 }
 
+// report adds a violation.
+func (r *Result) report(format string, args ...any) {
+	r.Violations = append(r.Violations, fmt.Sprintf(format, args...))
+}
+
 // check compares what callers observed with what upstreams ran.
 func (r *Result) check(f *fleet, observations []observation) {
 	runs := f.runs()
-	report := func(format string, args ...any) { r.Violations = append(r.Violations, fmt.Sprintf(format, args...)) }
+	report := r.report
 	known := map[string]bool{}
 	for _, v := range observations {
 		known[v.id] = true
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -25,10 +25,17 @@
 // not read it before answered it with 401, because the copy confirmed their configuration.
 var seeds = []uint64{1, 201, 734, 9001}
 
-func TestSoak(t *testing.T) {
+// buildBinary builds the binary whose processes the soak runs, and returns its path.
+func buildBinary(t *testing.T) string {
+	t.Helper()
 	binary := filepath.Join(t.TempDir(), "jaylink")
 	out, err := exec.Command("go", "build", "-o", binary, "jaylink/cmd/jaylink").CombinedOutput()
 	require.NoError(t, err, "%s", out)
+	return binary
+}
+
+func TestSoak(t *testing.T) {
+	binary := buildBinary(t)
 	for _, seed := range seeds {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			r, err := Run(t.Context(), Options{
@@ -40,3 +47,16 @@
 		})
 	}
 }
+
+// A request that was passed on to an upstream gets its whole answer although entries are stopped,
+// hung up and given new configurations. How long one may wait that was not passed on depends on
+// the machine's speed and is judged by hand.
+func TestPlannedWorkCutsOffRequests(t *testing.T) {
+	r, err := Run(t.Context(), Options{
+		Binary: buildBinary(t), Seed: 8301, For: 5 * time.Second, Entries: 4, Upstreams: 6, Callers: 12, Planned: true,
+		LossSlack: 2 * callTimeout, Dir: t.TempDir(), Out: io.Discard,
+	})
+	require.NoError(t, err)
+	require.Empty(t, r.Violations, "faults: %q", r.Faults)
+	require.Positive(t, r.Answered)
+}
