soak: run some upstreams as processes and kill and stop them

A series of its own sends them SIGKILL, or SIGSTOP and SIGCONT; a deadly request ends the process. They note each request and run in a file before they go on, so that ORDER, TWICE, REFUSED, BUDGET and LOST are judged at them too. LIMIT and DRAIN by answers are not.

--- a/cmd/jaylink/soak.go
+++ b/cmd/jaylink/soak.go
@@ -21,9 +21,10 @@
 	entries := cmd.Flag("entries", "Number of gateways.").Default("3").Int()
 	upstreams := cmd.Flag("upstreams", "Number of upstreams.").Default("6").Int()
 	callers := cmd.Flag("callers", "Number of callers.").Default("12").Int()
+	processes := cmd.Flag("processes", "Number of further upstreams that are processes of their own.").Default("4").Int()
 	planned := cmd.Flag("planned", "No faults: only stops, hangups and configuration changes, in which no request may be lost.").Bool()
 	cmd.Action(func(*kingpin.ParseContext) error {
-		return runSoak(*first, *count, soak.Options{For: *length, Entries: *entries, Upstreams: *upstreams, Callers: *callers, Planned: *planned})
+		return runSoak(*first, *count, soak.Options{For: *length, Entries: *entries, Upstreams: *upstreams, Callers: *callers, Processes: *processes, Planned: *planned})
 	})
 }
 
--- a/cmd/jaylink/standin.go
+++ b/cmd/jaylink/standin.go
@@ -20,6 +20,7 @@
 	addStandinPlatform(cmd)
 	addStandinEngine(cmd)
 	addStandinService(cmd)
+	addStandinUpstream(cmd)
 }
 
 func listenFlag(cmd *kingpin.CmdClause) *string {
--- a/internal/soak/ends.go
+++ b/internal/soak/ends.go
@@ -36,10 +36,12 @@
 
 // registerAgain writes the registration of an upstream that has started again, with its new
 // start time.
-func (f *fleet) registerAgain(id string) {
+func (f *fleet) registerAgain(id string, startMillis int64) {
 	f.writes.Lock()
 	defer f.writes.Unlock()
 	if r, ok := f.registrations[id]; ok {
+		r.startMillis = startMillis
+		f.registrations[id] = r
 		f.writeRegistration(r)
 	}
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -35,6 +35,8 @@
 	readyLimit    = time.Second
 	maxBody       = 100_000
 	addressBlocks = 10_000
+	// lastEntryIP is the last part of the highest address that an entry may have.
+	lastEntryIP = 150
 	// onceAttempts is the number of attempts on the routes whose requests may run once. It
 	// leaves room for repeating one that was refused, and so for repeating one that has run.
 	onceAttempts = 3
@@ -52,6 +54,7 @@
 	entries []*entry
 	// gappedIDs is set if the IDs of a stream's events have gaps.
 	gappedIDs bool
+	processes []*process
 
 	mu        sync.Mutex
 	upstreams []*backend
@@ -75,10 +78,11 @@
 	registrations map[string]registration
 }
 
-// registration is the state in which an upstream is registered; "" if it was removed.
+// registration is how an upstream is registered. The state is "" if it was removed, and
+// startMillis is the start time of its process.
 type registration struct {
-	backend *backend
-	state   string
+	id, service, address, zone, state string
+	startMillis                       int64
 }
 
 // backend is an upstream behind a proxy.
@@ -141,9 +145,11 @@
 			return nil, err
 		}
 	}
+	if err := f.addProcesses(o); err != nil {
+		return nil, err
+	}
 	for i := range o.Entries {
-		// Concurrent runs use different blocks of addresses.
-		e, err := f.newEntry(os.Getpid()%addressBlocks, i)
+		e, err := f.newEntry(i)
 		if err != nil {
 			return nil, err
 		}
@@ -257,7 +263,7 @@
 	s.Deadly, s.DeadlyParts, s.Down, s.RestTime = deadlyMark, deadlyParts, downTime, restTime
 	s.Crashed, s.Restarted = p.down, func() {
 		p.up()
-		f.registerAgain(id)
+		f.registerAgain(id, s.StartMillis())
 	}
 	b := &backend{Server: s, proxy: p, service: service, zone: zoneName(zone)}
 	f.mu.Lock()
@@ -268,10 +274,14 @@
 }
 
 func (f *fleet) publish(b *backend, state string) {
+	f.register(registration{b.ID, b.service, b.proxy.address(), b.zone, state, b.StartMillis()})
+}
+
+func (f *fleet) register(r registration) {
 	f.writes.Lock()
 	defer f.writes.Unlock()
-	f.registrations[b.ID] = registration{b, state}
-	f.writeRegistration(f.registrations[b.ID])
+	f.registrations[r.id] = r
+	f.writeRegistration(r)
 }
 
 // detach removes an upstream from those that faults and replacements choose from.
@@ -309,12 +319,11 @@
 
 // writeRegistration writes a registration to the store. The caller holds writes.
 func (f *fleet) writeRegistration(r registration) {
-	b := r.backend
 	if r.state == "" {
-		f.store.DeleteUpstream(b.ID)
+		f.store.DeleteUpstream(r.id)
 		return
 	}
-	f.store.PutUpstreamProcess(b.ID, b.service, b.proxy.address(), b.zone, r.state, b.StartMillis())
+	f.store.PutUpstreamProcess(r.id, r.service, r.address, r.zone, r.state, r.startMillis)
 }
 
 // zoneIndex returns the number in the name of the upstream's zone.
@@ -334,25 +343,20 @@
 	return slices.Concat(f.upstreams, f.removed)
 }
 
-// runs returns by request ID how often each request began to run.
-func (f *fleet) runs() map[string]int {
-	out := map[string]int{}
-	for _, b := range f.all() {
-		for _, r := range b.Runs() {
-			out[r.RequestID]++
-		}
-	}
-	return out
+// blockIP returns an IP address of this process's block. Concurrent runs use different blocks.
+func blockIP(last int) string {
+	block := os.Getpid() % addressBlocks
+	return fmt.Sprintf("127.%d.%d.%d", 192+block/250, 1+block%250, last)
 }
 
-func (f *fleet) newEntry(block, i int) (*entry, error) {
+func (f *fleet) newEntry(i int) (*entry, error) {
 	p, err := newProxy(f.address)
 	if err != nil {
 		return nil, err
 	}
 	e := &entry{
 		name: fmt.Sprintf("entry-%d", i), zone: zoneName(i % zones), store: p,
-		ip: fmt.Sprintf("127.%d.%d.%d", 192+block/250, 1+block%250, 1+i),
+		ip: blockIP(1 + i),
 	}
 	e.settings = filepath.Join(f.dir, e.name+".conf")
 	settings := metastore.EntrySettings{
@@ -448,6 +452,9 @@
 		b.proxy.close()
 		b.Close()
 	}
+	for _, p := range f.processes {
+		p.stop()
+	}
 	for _, b := range f.removed {
 		b.proxy.close()
 	}
--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -24,12 +24,10 @@
 
 // checkLost checks that no request was lost beside planned work alone. Nothing else may have
 // happened in the run: then no upstream has broken off.
-func checkLost(f *fleet, slack time.Duration, observations []observation, report func(string, ...any)) {
+func checkLost(f *fleet, s seen, slack time.Duration, observations []observation, report func(string, ...any)) {
 	passedOn := map[string]bool{}
-	for _, b := range f.all() {
-		for _, a := range b.Arrivals() {
-			passedOn[a.RequestID] = true
-		}
+	for _, a := range s.arrivals {
+		passedOn[a.RequestID] = true
 	}
 	for _, v := range observations {
 		if how := v.lost(passedOn[v.id], slack); how != "" {
--- a/internal/soak/notices.go
+++ b/internal/soak/notices.go
@@ -70,13 +70,11 @@
 
 // checkDeadly checks that each deadly request reached upstreams no more often than the
 // bound allows.
-func checkDeadly(f *fleet, report func(string, ...any)) {
+func checkDeadly(s seen, report func(string, ...any)) {
 	arrivals := map[string][]time.Time{}
-	for _, b := range f.all() {
-		for _, r := range b.Arrivals() {
-			if strings.HasPrefix(r.Body, deadlyMark) {
-				arrivals[r.Body] = append(arrivals[r.Body], r.At)
-			}
+	for _, r := range s.arrivals {
+		if strings.HasPrefix(r.Body, deadlyMark) {
+			arrivals[r.Body] = append(arrivals[r.Body], r.At)
 		}
 	}
 	for body, list := range arrivals {
--- a/internal/soak/order.go
+++ b/internal/soak/order.go
@@ -72,12 +72,10 @@
 }
 
 // checkOrder checks the streams that callers received against the runs of the upstreams.
-func checkOrder(f *fleet, observations []observation, report func(string, ...any)) {
+func checkOrder(f *fleet, s seen, observations []observation, report func(string, ...any)) {
 	rules := streamRules{gapped: f.gappedIDs, runs: map[string]upstream.Run{}}
-	for _, b := range f.all() {
-		for _, r := range b.Runs() {
-			rules.runs[r.Name] = r
-		}
+	for _, r := range s.runs {
+		rules.runs[r.Name] = r
 	}
 	for _, v := range observations {
 		if v.route != "stream" && v.route != "once" || v.status != http.StatusOK {
--- a/internal/soak/parts.go
+++ b/internal/soak/parts.go
@@ -48,20 +48,18 @@
 
 // checkDeadlyParts checks that requests with a deadly part reached upstreams no more often
 // than the bound allows. Those of entries that were disturbed before do not count.
-func checkDeadlyParts(f *fleet, report func(string, ...any)) {
+func checkDeadlyParts(f *fleet, s seen, report func(string, ...any)) {
 	for _, part := range deadlyParts {
 		var crashes []time.Time
 		var arrivals []upstream.Arrival
-		for _, b := range f.all() {
-			for _, c := range b.PartCrashes() {
-				if c.Part == part {
-					crashes = append(crashes, c.At)
-				}
+		for _, c := range s.partCrashes {
+			if c.Part == part {
+				crashes = append(crashes, c.At)
 			}
-			for _, a := range b.Arrivals() {
-				if slices.Contains(upstream.SharedParts(a.Prefix), part) {
-					arrivals = append(arrivals, a)
-				}
+		}
+		for _, a := range s.arrivals {
+			if slices.Contains(upstream.SharedParts(a.Prefix), part) {
+				arrivals = append(arrivals, a)
 			}
 		}
 		if len(crashes) < partCrashLimit {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -24,6 +24,8 @@
 	// For is the time for which faults are injected.
 	For                         time.Duration
 	Entries, Upstreams, Callers int
+	// Processes is the number of further upstreams that are processes of their own.
+	Processes int
 	// Planned leaves out all faults. There is planned work alone, and no request may be lost.
 	Planned bool
 	// LossSlack is how long after a request was sent its connection may end without an answer,
@@ -62,6 +64,8 @@
 	// maxFaultGap bounds the pause between the starts of two faults.
 	maxFaultGap  = 600 * time.Millisecond
 	pollInterval = 50 * time.Millisecond
+	// listenPoll is the time between two looks whether a process listens.
+	listenPoll = 5 * time.Millisecond
 	// faultStream, noticeStream, limitStream and partStream select the random streams of the series
 	// of faults. The callers use the streams between the first two.
 	faultStream  = 0
@@ -75,6 +79,10 @@
 	endStream = 1 << 38
 	// plannedStream is for planned work alone.
 	plannedStream = 1 << 39
+	// processStream is for the series of upstreams that are processes, and processKindStream for
+	// what these are like.
+	processStream     = 1 << 40
+	processKindStream = 1 << 41
 	// kindStream is for what the upstreams are like.
 	kindStream = 1 << 37
 )
@@ -99,9 +107,13 @@
 	}
 	observations := f.runLoad(ctx, o, &r)
 	r.Violations = append(r.Violations, f.checkRecovery()...)
-	r.check(f, observations)
+	seen, err := f.readSeen()
+	if err != nil {
+		return r, err
+	}
+	r.check(f, seen, observations)
 	if o.Planned {
-		checkLost(f, cmp.Or(o.LossSlack, lossSlack), observations, r.report)
+		checkLost(f, seen, cmp.Or(o.LossSlack, lossSlack), observations, r.report)
 	}
 	return r, nil
 }
@@ -160,10 +172,14 @@
 	if o.Planned {
 		return map[uint64][]fault{plannedStream: planned}
 	}
-	return map[uint64][]fault{
+	series := map[uint64][]fault{
 		faultStream: faults, noticeStream: notices, limitStream: limits, partStream: parts,
 		restoreStream: restores, promiseStream: promises, endStream: ends,
 	}
+	if o.Processes > 0 {
+		series[processStream] = processes
+	}
+	return series
 }
 
 // faultLog records and prints a line for each fault.
@@ -237,8 +253,11 @@
 }
 
 // check compares what callers observed with what upstreams ran.
-func (r *Result) check(f *fleet, observations []observation) {
-	runs := f.runs()
+func (r *Result) check(f *fleet, s seen, observations []observation) {
+	runs := map[string]int{}
+	for _, run := range s.runs {
+		runs[run.RequestID]++
+	}
 	report := r.report
 	known := map[string]bool{}
 	for _, v := range observations {
@@ -267,11 +286,11 @@
 			report("DENIED: %s %s at %s was answered %d", v.route, v.id, v.entry, v.status)
 		}
 	}
-	checkOrder(f, observations, report)
+	checkOrder(f, s, observations, report)
 	checkNotices(f, observations, report)
-	checkDeadly(f, report)
+	checkDeadly(s, report)
 	checkLimits(f, report)
-	checkDeadlyParts(f, report)
+	checkDeadlyParts(f, s, report)
 	r.checkDuties(f, report)
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -60,3 +60,14 @@
 	require.Empty(t, r.Violations, "faults: %q", r.Faults)
 	require.Positive(t, r.Answered)
 }
+
+// Upstreams that are processes are killed and stopped by the kernel, beside all other faults.
+func TestSoakOfUpstreamProcesses(t *testing.T) {
+	r, err := Run(t.Context(), Options{
+		Binary: buildBinary(t), Seed: 8501, For: 6 * time.Second, Entries: 3, Upstreams: 4, Callers: 8, Processes: 4,
+		Dir: t.TempDir(), Out: io.Discard,
+	})
+	require.NoError(t, err)
+	require.Empty(t, r.Violations, "faults: %q", r.Faults)
+	require.Positive(t, r.Answered)
+}
--- a/standin/upstream/crash.go
+++ b/standin/upstream/crash.go
@@ -36,8 +36,10 @@
 
 func (s *Server) crashBy(part string) {
 	s.mu.Lock()
-	s.crashedBy = append(s.crashedBy, PartCrash{part, time.Now()})
+	crash := PartCrash{part, time.Now()}
+	s.crashedBy = append(s.crashedBy, crash)
 	s.mu.Unlock()
+	s.record(Record{PartCrash: &crash})
 	s.Crash()
 }
 
@@ -51,6 +53,9 @@
 // Crash closes the listener and all connections at once; the upstream listens again
 // after Down.
 func (s *Server) Crash() {
+	if s.Exit != nil {
+		s.Exit(nil)
+	}
 	s.mu.Lock()
 	s.crashes++
 	first := !s.restarting
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -83,7 +83,7 @@
 type Run struct {
 	RequestID string
 	Target    string
-	Header    http.Header
+	Header    http.Header `json:"-"`
 	Body      string
 	// Resumed is the number of the event after which the stream was resumed; -1 if
 	// the run started at the first event.
@@ -130,6 +130,13 @@
 	// told apart. GappedIDs leaves gaps between the IDs of events. Both must be set before the
 	// first request.
 	NamesRuns, GappedIDs bool
+	// Records, if set, gets a line for each Record, written at once. Exit ends the process: it is
+	// called at a crash, with nil, and if a record can't be written. FirstRun is the number of
+	// the first run. All are for an upstream that is a process of its own and must be set before
+	// the first request.
+	Records  io.Writer
+	Exit     func(err error)
+	FirstRun int
 	// Script, if set, answers runs in place of the upstream. It must be set before the first
 	// request.
 	Script Script
@@ -170,17 +177,22 @@
 
 // Start starts an upstream on a free port of an IP address.
 func Start(id, ip string) (*Server, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	s := &Server{ID: id}
+	return s, s.Listen(net.JoinHostPort(ip, "0"), FirstStart)
+}
+
+// Listen starts an upstream whose properties are set, on an address. startMillis is the start
+// time that it states, in Unix milliseconds.
+func (s *Server) Listen(address string, startMillis int64) error {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, err
-	}
-	s := &Server{
-		ID: id, listener: l, address: l.Addr().String(), release: make(chan struct{}), closed: make(chan struct{}), conns: map[net.Conn]string{},
-		started: FirstStart,
+		return err
 	}
+	s.listener, s.address, s.started = l, l.Addr().String(), startMillis
+	s.release, s.closed, s.conns = make(chan struct{}), make(chan struct{}), map[net.Conn]string{}
 	s.tasks.Add(1)
 	go s.accept(l)
-	return s, nil
+	return nil
 }
 
 // Address returns the listening address as IP:PORT.
@@ -292,8 +304,10 @@
 	id := req.Header.Get("Request-Id")
 	s.mu.Lock()
 	fault := s.fault
-	s.arrivals = append(s.arrivals, Arrival{id, body, req.Header.Get("Prefix-Hash"), time.Now(), fault})
+	arrival := Arrival{id, body, req.Header.Get("Prefix-Hash"), time.Now(), fault}
+	s.arrivals = append(s.arrivals, arrival)
 	s.mu.Unlock()
+	s.record(Record{Arrival: &arrival})
 	switch {
 	case req.Header.Get("Target-Instance") != s.ID:
 		return writeResponse(c, "421 Misdirected Request", id, "Instance-Id: "+s.ID+"\r\n", "")
@@ -308,9 +322,10 @@
 	}
 	run := Run{id, req.RequestURI, req.Header, body, resumed, ""}
 	s.mu.Lock()
-	run.Name = fmt.Sprintf("%s/%d", s.ID, len(s.runs))
+	run.Name = fmt.Sprintf("%s/%d", s.ID, s.FirstRun+len(s.runs))
 	s.runs = append(s.runs, run)
 	s.mu.Unlock()
+	s.record(Record{Run: &run})
 	if s.playScript(c, run) {
 		return false
 	}
