--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -6,12 +6,13 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"jaylink/standin/caller"
-	"jaylink/standin/upstream"
 )
 
 // callTimeout is the deadline of a caller's request.
@@ -25,8 +26,14 @@
 	complete bool
 	// problem describes what was wrong with the answer; "" if nothing was.
 	problem string
+	// stream is what the caller received of a stream that was answered with a success.
+	stream  string
 	started time.Time
-	ended   time.Time
+	// sent is when the request had been written, or the zero value.
+	sent  time.Time
+	ended time.Time
+	// gaveUp is set if the caller ended the request because the run was over.
+	gaveUp bool
 }
 
 // reportsNotRun reports whether the status says that the request has not run.
@@ -66,10 +73,11 @@
 }
 
 // callWith is like call but sets the last path element (subject) and the body.
-func (c *client) callWith(ctx context.Context, e *entry, route, id, key, subject, body string) observation {
-	v := observation{id: id, route: route, entry: e.name, started: time.Now()}
+func (c *client) callWith(ctx context.Context, e *entry, route, id, key, subject, body string) (v observation) {
+	v = observation{id: id, route: route, entry: e.name, started: time.Now()}
 	c.fleet.recordSender(id, e)
-	defer func() { v.ended = time.Now() }()
+	run := ctx
+	defer func() { v.ended, v.gaveUp = time.Now(), run.Err() != nil }()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	call := caller.Call{
@@ -88,11 +96,19 @@
 		}
 		call.Prefix += fmt.Sprintf("%x:200", c.rng.Uint64())
 	}
-	req, err := call.Request(ctx, e.callerAddress())
+	var sent atomic.Int64
+	req, err := call.Request(traceSent(ctx, &sent), e.callerAddress())
 	if err != nil {
 		v.problem = err.Error()
 		return v
 	}
+	// The HTTP client must not send a request twice by itself.
+	req.GetBody = nil
+	defer func() {
+		if at := sent.Load(); at != 0 {
+			v.sent = time.Unix(0, at)
+		}
+	}()
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return v
@@ -100,10 +116,22 @@
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(resp.Body)
 	v.status, v.complete = resp.StatusCode, err == nil
+	if streams && v.status == http.StatusOK {
+		v.stream = string(answer)
+	}
 	v.problem = checkAnswer(resp, string(answer), v, call.Target, streams)
 	return v
 }
 
+// traceSent records when a request has been written whole.
+func traceSent(ctx context.Context, sent *atomic.Int64) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		if info.Err == nil {
+			sent.Store(time.Now().UnixNano())
+		}
+	}})
+}
+
 // checkAnswer returns what is wrong with an answer as the caller received it, or "".
 func checkAnswer(resp *http.Response, body string, v observation, path string, streams bool) string {
 	id, proven := caller.Answered(resp.Header)
@@ -116,24 +144,16 @@
 	if !proven {
 		return "success without a response seal"
 	}
-	want := "answer to " + path
 	if streams {
-		want = completeStream
+		// checkOrder checks the events.
+		return ""
 	}
+	want := "answer to " + path
 	switch {
 	case v.complete && body != want:
 		return fmt.Sprintf("complete answer of %d bytes is truncated or belongs to another request", len(body))
 	case !strings.HasPrefix(want, body):
-		return "partial answer belongs to another request, or an event is missing or duplicated"
+		return "partial answer belongs to another request"
 	}
 	return ""
 }
-
-// completeStream is the body of a stream with all its events.
-var completeStream = func() string {
-	var b strings.Builder
-	for n := range upstream.Events {
-		b.WriteString(upstream.Event(n))
-	}
-	return b.String()
-}()
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -33,6 +34,12 @@
 	maxFiles      = 1000
 	readyLimit    = time.Second
 	maxBody       = 100_000
+	addressBlocks = 10_000
+	// lastEntryIP is the last part of the highest address that an entry may have.
+	lastEntryIP = 150
+	// onceAttempts is the number of attempts on the routes whose requests may run once. It
+	// leaves room for repeating one that was refused, and so for repeating one that has run.
+	onceAttempts = 3
 	// allowance is the customer's rate limit in tokens per second; the callers use less.
 	allowance = 400_000
 )
@@ -45,6 +52,9 @@
 	http    *http.Server
 	address string
 	entries []*entry
+	// gappedIDs is set if the IDs of a stream's events have gaps.
+	gappedIDs bool
+	processes []*process
 
 	mu        sync.Mutex
 	upstreams []*backend
@@ -54,6 +64,9 @@
 	keys          []acceptedKey
 	upstreamCount int
 	starts        int
+	plannedWork   []plannedWork
+	// kinds draws what each new upstream is like.
+	kinds *rand.Rand
 	// senders holds the entry that each request was sent to, by request ID.
 	senders map[string]*entry
 
@@ -65,10 +78,11 @@
 	registrations map[string]registration
 }
 
-// registration is the state in which an upstream is registered; "" if it was removed.
+// registration is how an upstream is registered. The state is "" if it was removed, and
+// startMillis is the start time of its process.
 type registration struct {
-	backend *backend
-	state   string
+	id, service, address, zone, state string
+	startMillis                       int64
 }
 
 // backend is an upstream behind a proxy.
@@ -111,17 +125,18 @@
 	return !slices.ContainsFunc(e.disturbances, func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
 }
 
-func newFleet(dir, binary string, block, entries, upstreams int) (*fleet, error) {
+func newFleet(o Options, dir string) (*fleet, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, binary: binary, store: metastore.New(), address: l.Addr().String(), version: 1, keys: []acceptedKey{{name: "key-0"}}, senders: map[string]*entry{}, registrations: map[string]registration{}}
+	kinds := rand.New(rand.NewPCG(o.Seed, kindStream))
+	f := &fleet{dir: dir, binary: o.Binary, kinds: kinds, gappedIDs: kinds.IntN(2) == 0, store: metastore.New(), address: l.Addr().String(), version: 1, keys: []acceptedKey{{name: "key-0"}}, senders: map[string]*entry{}, registrations: map[string]registration{}}
 	f.http = &http.Server{Handler: f.store, ReadHeaderTimeout: time.Minute}
 	// Serve returns when stop closes the server.
 	go func() { _ = f.http.Serve(l) }()
 	f.configure()
-	for i := range upstreams {
+	for i := range o.Upstreams {
 		service := engines
 		if i%2 == 1 {
 			service = counter
@@ -130,8 +145,11 @@
 			return nil, err
 		}
 	}
-	for i := range entries {
-		e, err := f.newEntry(block, i)
+	if err := f.addProcesses(o); err != nil {
+		return nil, err
+	}
+	for i := range o.Entries {
+		e, err := f.newEntry(i)
 		if err != nil {
 			return nil, err
 		}
@@ -165,8 +183,8 @@
 	f.configuration = metastore.Configuration{
 		Version: f.version,
 		Routes: []metastore.Route{
-			route("stream", "streaming", engines, 2, true), route("once", "streaming", engines, 1, false),
-			route("order", "non_idempotent", counter, 1, false), route("status", "idempotent", counter, 2, false),
+			route("stream", "streaming", engines, 2, true), route("once", "streaming", engines, onceAttempts, false),
+			route("order", "non_idempotent", counter, onceAttempts, false), route("status", "idempotent", counter, 2, false),
 		},
 		Engines: []string{engines}, Plain: []string{counter}, MaxBodyBytes: maxBody,
 		Customer: metastore.Customer{Name: customer, Keys: names, Rate: allowance, Burst: allowance},
@@ -235,13 +253,18 @@
 	if err != nil {
 		return err
 	}
-	s.Pace = eventInterval
+	s.Pace, s.NamesRuns, s.GappedIDs = eventInterval, true, f.gappedIDs
 	p, err := newProxy(s.Address())
 	if err != nil {
 		return err
 	}
+	s.Undelimited, p.death = f.drawKind()
+	s.RenewsStart = true
 	s.Deadly, s.DeadlyParts, s.Down, s.RestTime = deadlyMark, deadlyParts, downTime, restTime
-	s.Crashed, s.Restarted = p.down, p.up
+	s.Crashed, s.Restarted = p.down, func() {
+		p.up()
+		f.registerAgain(id, s.StartMillis())
+	}
 	b := &backend{Server: s, proxy: p, service: service, zone: zoneName(zone)}
 	f.mu.Lock()
 	f.upstreams = append(f.upstreams, b)
@@ -251,10 +274,14 @@
 }
 
 func (f *fleet) publish(b *backend, state string) {
+	f.register(registration{b.ID, b.service, b.proxy.address(), b.zone, state, b.StartMillis()})
+}
+
+func (f *fleet) register(r registration) {
 	f.writes.Lock()
 	defer f.writes.Unlock()
-	f.registrations[b.ID] = registration{b, state}
-	f.writeRegistration(f.registrations[b.ID])
+	f.registrations[r.id] = r
+	f.writeRegistration(r)
 }
 
 // detach removes an upstream from those that faults and replacements choose from.
@@ -285,19 +312,18 @@
 
 // remove stops an upstream and deletes it from the store.
 func (f *fleet) remove(b *backend) {
-	b.proxy.close()
+	b.proxy.down()
 	b.Close()
 	f.publish(b, "")
 }
 
 // writeRegistration writes a registration to the store. The caller holds writes.
 func (f *fleet) writeRegistration(r registration) {
-	b := r.backend
 	if r.state == "" {
-		f.store.DeleteUpstream(b.ID)
+		f.store.DeleteUpstream(r.id)
 		return
 	}
-	f.store.PutUpstream(b.ID, b.service, b.proxy.address(), b.zone, r.state)
+	f.store.PutUpstreamProcess(r.id, r.service, r.address, r.zone, r.state, r.startMillis)
 }
 
 // zoneIndex returns the number in the name of the upstream's zone.
@@ -317,25 +343,20 @@
 	return slices.Concat(f.upstreams, f.removed)
 }
 
-// runs returns by request ID how often each request began to run.
-func (f *fleet) runs() map[string]int {
-	out := map[string]int{}
-	for _, b := range f.all() {
-		for _, r := range b.Runs() {
-			out[r.RequestID]++
-		}
-	}
-	return out
+// blockIP returns an IP address of this process's block. Concurrent runs use different blocks.
+func blockIP(last int) string {
+	block := os.Getpid() % addressBlocks
+	return fmt.Sprintf("127.%d.%d.%d", 192+block/250, 1+block%250, last)
 }
 
-func (f *fleet) newEntry(block, i int) (*entry, error) {
+func (f *fleet) newEntry(i int) (*entry, error) {
 	p, err := newProxy(f.address)
 	if err != nil {
 		return nil, err
 	}
 	e := &entry{
 		name: fmt.Sprintf("entry-%d", i), zone: zoneName(i % zones), store: p,
-		ip: fmt.Sprintf("127.%d.%d.%d", 192+block/250, 1+block%250, 1+i),
+		ip: blockIP(1 + i),
 	}
 	e.settings = filepath.Join(f.dir, e.name+".conf")
 	settings := metastore.EntrySettings{
@@ -431,4 +452,10 @@
 		b.proxy.close()
 		b.Close()
 	}
+	for _, p := range f.processes {
+		p.stop()
+	}
+	for _, b := range f.removed {
+		b.proxy.close()
+	}
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -23,6 +24,13 @@
 	// For is the time for which faults are injected.
 	For                         time.Duration
 	Entries, Upstreams, Callers int
+	// Processes is the number of further upstreams that are processes of their own.
+	Processes int
+	// Planned leaves out all faults. There is planned work alone, and no request may be lost.
+	Planned bool
+	// LossSlack is how long after a request was sent its connection may end without an answer,
+	// if it was not passed on; zero stands for the platform's bound.
+	LossSlack time.Duration
 	// Dir is the directory for the logs of the processes. If it is empty, a new
 	// directory is created.
 	Dir string
@@ -56,6 +64,8 @@
 	// maxFaultGap bounds the pause between the starts of two faults.
 	maxFaultGap  = 600 * time.Millisecond
 	pollInterval = 50 * time.Millisecond
+	// listenPoll is the time between two looks whether a process listens.
+	listenPoll = 5 * time.Millisecond
 	// faultStream, noticeStream, limitStream and partStream select the random streams of the series
 	// of faults. The callers use the streams between the first two.
 	faultStream  = 0
@@ -65,6 +75,16 @@
 	// restoreStream and promiseStream are for further series.
 	restoreStream = 1 << 35
 	promiseStream = 1 << 36
+	// endStream is for the series of ends of upstreams.
+	endStream = 1 << 38
+	// plannedStream is for planned work alone.
+	plannedStream = 1 << 39
+	// processStream is for the series of upstreams that are processes, and processKindStream for
+	// what these are like.
+	processStream     = 1 << 40
+	processKindStream = 1 << 41
+	// kindStream is for what the upstreams are like.
+	kindStream = 1 << 37
 )
 
 // Run runs the load and the fault schedule of one seed.
@@ -77,8 +97,7 @@
 		}
 		r.Dir = dir
 	}
-	// Concurrent runs use different blocks of addresses.
-	f, err := newFleet(r.Dir, o.Binary, os.Getpid()%10_000, o.Entries, o.Upstreams)
+	f, err := newFleet(o, r.Dir)
 	if err != nil {
 		return r, err
 	}
@@ -88,7 +107,14 @@
 	}
 	observations := f.runLoad(ctx, o, &r)
 	r.Violations = append(r.Violations, f.checkRecovery()...)
-	r.check(f, observations)
+	seen, err := f.readSeen()
+	if err != nil {
+		return r, err
+	}
+	r.check(f, seen, observations)
+	if o.Planned {
+		checkLost(f, seen, cmp.Or(o.LossSlack, lossSlack), observations, r.report)
+	}
 	return r, nil
 }
 
@@ -131,12 +157,9 @@
 	}
 	log := &faultLog{begun: time.Now(), out: o.Out}
 	var series sync.WaitGroup
-	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, faultStream)), faults, log) })
-	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, noticeStream)), notices, log) })
-	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, limitStream)), limits, log) })
-	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, partStream)), parts, log) })
-	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, restoreStream)), restores, log) })
-	series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, promiseStream)), promises, log) })
+	for stream, list := range seriesOf(o) {
+		series.Go(func() { f.inject(ctx, rand.New(rand.NewPCG(o.Seed, stream)), list, log) })
+	}
 	series.Wait()
 	callers.Wait()
 	slices.Sort(log.lines)
@@ -144,6 +167,21 @@
 	return observations
 }
 
+// seriesOf returns the series of faults of a run by their random streams.
+func seriesOf(o Options) map[uint64][]fault {
+	if o.Planned {
+		return map[uint64][]fault{plannedStream: planned}
+	}
+	series := map[uint64][]fault{
+		faultStream: faults, noticeStream: notices, limitStream: limits, partStream: parts,
+		restoreStream: restores, promiseStream: promises, endStream: ends,
+	}
+	if o.Processes > 0 {
+		series[processStream] = processes
+	}
+	return series
+}
+
 // faultLog records and prints a line for each fault.
 type faultLog struct {
 	begun time.Time
@@ -209,10 +247,18 @@
 	return out
 }
 
+// report adds a violation.
+func (r *Result) report(format string, args ...any) {
+	r.Violations = append(r.Violations, fmt.Sprintf(format, args...))
+}
+
 // check compares what callers observed with what upstreams ran.
-func (r *Result) check(f *fleet, observations []observation) {
-	runs := f.runs()
-	report := func(format string, args ...any) { r.Violations = append(r.Violations, fmt.Sprintf(format, args...)) }
+func (r *Result) check(f *fleet, s seen, observations []observation) {
+	runs := map[string]int{}
+	for _, run := range s.runs {
+		runs[run.RequestID]++
+	}
+	report := r.report
 	known := map[string]bool{}
 	for _, v := range observations {
 		known[v.id] = true
@@ -240,10 +286,11 @@
 			report("DENIED: %s %s at %s was answered %d", v.route, v.id, v.entry, v.status)
 		}
 	}
+	checkOrder(f, s, observations, report)
 	checkNotices(f, observations, report)
-	checkDeadly(f, report)
+	checkDeadly(s, report)
 	checkLimits(f, report)
-	checkDeadlyParts(f, report)
+	checkDeadlyParts(f, s, report)
 	r.checkDuties(f, report)
 }
 
--- a/standin/upstream/crash.go
+++ b/standin/upstream/crash.go
@@ -36,8 +36,10 @@
 
 func (s *Server) crashBy(part string) {
 	s.mu.Lock()
-	s.crashedBy = append(s.crashedBy, PartCrash{part, time.Now()})
+	crash := PartCrash{part, time.Now()}
+	s.crashedBy = append(s.crashedBy, crash)
 	s.mu.Unlock()
+	s.record(Record{PartCrash: &crash})
 	s.Crash()
 }
 
@@ -51,15 +53,22 @@
 // Crash closes the listener and all connections at once; the upstream listens again
 // after Down.
 func (s *Server) Crash() {
+	if s.Exit != nil {
+		s.Exit(nil)
+	}
 	s.mu.Lock()
 	s.crashes++
+	first := !s.restarting
+	s.restarting = true
 	s.mu.Unlock()
 	if s.Crashed != nil {
 		s.Crashed()
 	}
 	s.closeConnections()
-	s.tasks.Add(1)
-	go s.restart()
+	if first {
+		s.tasks.Add(1)
+		go s.restart()
+	}
 }
 
 // relistenDelay is the delay between two attempts to listen again.
@@ -78,7 +87,10 @@
 			continue
 		}
 		s.mu.Lock()
-		s.listener = l
+		s.listener, s.restarting = l, false
+		if s.RenewsStart {
+			s.started++
+		}
 		s.mu.Unlock()
 		select {
 		case <-s.closed:
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -87,11 +87,13 @@
 type Run struct {
 	RequestID string
 	Target    string
-	Header    http.Header
+	Header    http.Header `json:"-"`
 	Body      string
 	// Resumed is the number of the event after which the stream was resumed; -1 if
 	// the run started at the first event.
 	Resumed int
+	// Name tells the run from all others of all upstreams.
+	Name string
 }
 
 // Arrival is a request that the upstream received, including one that it refused.
@@ -124,6 +126,21 @@
 	// Undelimited sends answers with neither a length nor chunks, which end with their
 	// connection. It must be set before the first request.
 	Undelimited bool
+	// RenewsStart makes the start time that the upstream states rise with each restart, as
+	// that of a real process does. Its record has to be written again then. It must be set
+	// before the first request.
+	RenewsStart bool
+	// NamesRuns puts the name of the run into each event, so that events of two runs can be
+	// told apart. GappedIDs leaves gaps between the IDs of events. Both must be set before the
+	// first request.
+	NamesRuns, GappedIDs bool
+	// Records, if set, gets a line for each Record, written at once. Exit ends the process: it is
+	// called at a crash, with nil, and if a record can't be written. FirstRun is the number of
+	// the first run. All are for an upstream that is a process of its own and must be set before
+	// the first request.
+	Records  io.Writer
+	Exit     func(err error)
+	FirstRun int
 	// Script, if set, answers runs in place of the upstream. It must be set before the first
 	// request.
 	Script Script
@@ -145,6 +162,8 @@
 	limits  []limitChange
 	named   []naming
 	crashes int
+	// restarting is set from a crash until the upstream listens again.
+	restarting bool
 	// crashedBy lists the crashes that deadly parts caused.
 	crashedBy []PartCrash
 	// closedByCaller counts connections that the caller closed before the answer
@@ -153,21 +172,31 @@
 	// conns holds the open connections, each with the refusal that is repeated on it.
 	conns    map[net.Conn]string
 	accepted int
-	tasks    sync.WaitGroup
+	// started is the start time of the process, and stateCalls the number of calls for its
+	// state.
+	started    int64
+	stateCalls int
+	tasks      sync.WaitGroup
 }
 
 // Start starts an upstream on a free port of an IP address.
 func Start(id, ip string) (*Server, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	s := &Server{ID: id}
+	return s, s.Listen(net.JoinHostPort(ip, "0"), FirstStart)
+}
+
+// Listen starts an upstream whose properties are set, on an address. startMillis is the start
+// time that it states, in Unix milliseconds.
+func (s *Server) Listen(address string, startMillis int64) error {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, err
-	}
-	s := &Server{
-		ID: id, listener: l, address: l.Addr().String(), release: make(chan struct{}), closed: make(chan struct{}), conns: map[net.Conn]string{},
+		return err
 	}
+	s.listener, s.address, s.started = l, l.Addr().String(), startMillis
+	s.release, s.closed, s.conns = make(chan struct{}), make(chan struct{}), map[net.Conn]string{}
 	s.tasks.Add(1)
 	go s.accept(l)
-	return s, nil
+	return nil
 }
 
 // Address returns the listening address as IP:PORT.
@@ -264,6 +293,12 @@
 		if err != nil {
 			return
 		}
+		if done, kept := s.answerState(c, req); done {
+			if !kept {
+				return
+			}
+			continue
+		}
 		if declinesFirst && s.declineAndRemember(c, req) {
 			declinesFirst = false
 			continue
@@ -279,8 +314,10 @@
 	id := req.Header.Get("Request-Id")
 	s.mu.Lock()
 	fault := s.fault
-	s.arrivals = append(s.arrivals, Arrival{id, body, req.Header.Get("Prefix-Hash"), time.Now(), fault})
+	arrival := Arrival{id, body, req.Header.Get("Prefix-Hash"), time.Now(), fault}
+	s.arrivals = append(s.arrivals, arrival)
 	s.mu.Unlock()
+	s.record(Record{Arrival: &arrival})
 	switch {
 	case req.Header.Get("Target-Instance") != s.ID:
 		return writeResponse(c, "421 Misdirected Request", id, "Instance-Id: "+s.ID+"\r\n", "")
@@ -291,12 +328,14 @@
 	}
 	resumed := -1
 	if n, err := strconv.Atoi(req.Header.Get("Last-Event-Id")); err == nil {
-		resumed = n
+		resumed = s.eventWithID(n)
 	}
-	run := Run{id, req.RequestURI, req.Header, body, resumed}
+	run := Run{id, req.RequestURI, req.Header, body, resumed, ""}
 	s.mu.Lock()
+	run.Name = fmt.Sprintf("%s/%d", s.ID, s.FirstRun+len(s.runs))
 	s.runs = append(s.runs, run)
 	s.mu.Unlock()
+	s.record(Record{Run: &run})
 	if s.playScript(c, run) {
 		return false
 	}
@@ -327,7 +366,7 @@
 		return false
 	}
 	if req.Header.Get("Token-Count") != "" {
-		return s.serveStream(c, id, fault, resumed, s.deadlyPart(req.Header.Get("Prefix-Hash")))
+		return s.serveStream(c, run, fault, s.deadlyPart(req.Header.Get("Prefix-Hash")))
 	}
 	return s.servePlain(c, req, id, fault)
 }
