gateway: reserve the next attempt before a silent upstream is given up

Cause: whether another upstream could be tried was asked before the wait, by the number of upstreams. At its end the attempt was given up first, and then the retry budget or the choice of an upstream refused; streams whose events have no IDs were given up though none could go on with them. If the first answer was no, it was never asked again.

What is reserved and not used is given back. Bytes that arrived by the deadline are read first, so that a process that was held up does not take them for silence. Counters attempt.silent.moved and .kept, and a log line.

--- a/decision/budget/budget.go
+++ b/decision/budget/budget.go
@@ -67,3 +67,14 @@
 	b.retries[i]++
 	return true
 }
+
+// GiveBack returns a retry that was taken and not made. The latest ones are returned first.
+func (b *Budget) GiveBack(now time.Time) {
+	latest := b.advance(now)
+	for age := range windowSlices {
+		if i := (latest - age + windowSlices) % windowSlices; b.retries[i] > 0 {
+			b.retries[i]--
+			return
+		}
+	}
+}
--- a/decision/budget/budget_test.go
+++ b/decision/budget/budget_test.go
@@ -68,3 +68,26 @@
 	require.Equal(t, 5, n)
 	require.True(t, b.Take(now.Add(opts.Window+time.Second), 8))
 }
+
+// A retry that is not made after all must not count against the budget, also if the window has
+// moved since it was taken.
+func TestRetryThatWasNotMadeStaysTaken(t *testing.T) {
+	b := New(Options{Extra: 5, Window: 10 * time.Second})
+	now := time.Unix(1000, 0)
+	takeAll := func() (n int) {
+		for b.Take(now, 1) {
+			n++
+		}
+		return n
+	}
+	require.Equal(t, 4, takeAll())
+	b.GiveBack(now)
+	require.Equal(t, 1, takeAll())
+	now = now.Add(3 * time.Second)
+	b.GiveBack(now)
+	require.Equal(t, 1, takeAll())
+	// There is nothing to give back once all that was taken has left the window.
+	now = now.Add(time.Minute)
+	b.GiveBack(now)
+	require.Equal(t, 4, takeAll())
+}
--- a/decision/placement/limits.go
+++ b/decision/placement/limits.go
@@ -58,15 +58,30 @@
 	return limitedCost
 }
 
+// Permit is a permit that UsePermit has used. The zero value is none.
+type Permit struct {
+	limit  *upstreamlimit.Limit
+	permit upstreamlimit.Permit
+}
+
 // UsePermit uses a permit of the chosen upstream if that is limited. It must be called
 // for each attempt, before another call of Pick.
-func (t *Table) UsePermit(r *Request, c Choice) {
+func (t *Table) UsePermit(r *Request, c Choice) Permit {
 	s := t.states[c.Upstream.ID]
 	if s == nil || s.limit == nil {
-		return
+		return Permit{}
 	}
-	t.limits.Take(s.limit)
 	t.limits.CountUse(r.TrueTime, r.ServiceKey, r.Customer)
+	return Permit{s.limit, t.limits.Take(s.limit)}
+}
+
+// ReturnPermit returns a permit that was used for an attempt that is not made.
+func (t *Table) ReturnPermit(r *Request, p Permit) {
+	if p.limit == nil {
+		return
+	}
+	t.limits.GiveBack(p.limit, p.permit)
+	t.limits.UncountUse(r.TrueTime, r.ServiceKey, r.Customer)
 }
 
 // Blocked is what keeps requests from the upstreams of a service.
--- a/decision/placement/limits_test.go
+++ b/decision/placement/limits_test.go
@@ -153,3 +153,48 @@
 	c, _ = tb.Pick(later, limitedRequest(later))
 	require.Equal(t, "u0", c.Upstream.ID)
 }
+
+// A permit that is returned can be used once more, until it expires or the limit changes.
+func TestPermitThatWasNotUsedStaysTaken(t *testing.T) {
+	cases := map[string]struct {
+		after  time.Duration
+		change bool
+		want   int
+	}{
+		"at once":                 {0, false, 1},
+		"after it has expired":    {5 * time.Second, false, 0},
+		"after the limit changed": {0, true, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tb, limits := newLimitedTable(upstreams("desk", "a1"), "u0")
+			now := start
+			use := func() (used int, last Permit) {
+				for {
+					r := limitedRequest(now)
+					choice, ok := tb.Pick(now, r)
+					if !ok {
+						return used, last
+					}
+					last = tb.UsePermit(r, choice)
+					used++
+				}
+			}
+			n, permit := use()
+			require.Positive(t, n)
+			for wait := time.Duration(0); wait < c.after; wait += time.Second {
+				now = now.Add(time.Second)
+				limits.Tick(now)
+			}
+			if c.change {
+				slower := 8.0
+				limits.Answer(tb.states["u0"].Instance(), &slower, now, now)
+				tb.RefreshLimits()
+			}
+			_, _ = use()
+			tb.ReturnPermit(limitedRequest(now), permit)
+			n, _ = use()
+			require.Equal(t, c.want, n)
+		})
+	}
+}
--- a/decision/upstreamlimit/limits.go
+++ b/decision/upstreamlimit/limits.go
@@ -228,7 +228,11 @@
 }
 
 // Take uses a permit, after Available has returned true.
-func (l *Limits) Take(limit *Limit) { limit.take() }
+func (l *Limits) Take(limit *Limit) Permit { return limit.take() }
+
+// GiveBack returns a permit that was taken and not used. It can be taken again until it
+// expires, unless the limit has changed or another permit has been found since.
+func (l *Limits) GiveBack(limit *Limit, p Permit) { limit.giveBack(p) }
 
 // Recent reports whether a limit was stated or confirmed a short time ago.
 func (l *Limits) Recent(now time.Time, limit *Limit) bool { return now.Sub(limit.At) <= confirmedTime }
--- a/decision/upstreamlimit/permit.go
+++ b/decision/upstreamlimit/permit.go
@@ -72,5 +72,22 @@
 	return !l.held.IsZero() && now.Sub(l.held) >= age
 }
 
+// Permit is a permit that has been taken.
+type Permit struct {
+	issued time.Time
+	rate   float64
+}
+
 // take uses the oldest own permit.
-func (l *Limit) take() { l.held = time.Time{} }
+func (l *Limit) take() Permit {
+	p := Permit{l.held, l.rate()}
+	l.held = time.Time{}
+	return p
+}
+
+// giveBack returns a permit.
+func (l *Limit) giveBack(p Permit) {
+	if l.held.IsZero() && l.rate() == p.rate {
+		l.held = p.issued
+	}
+}
--- a/decision/upstreamlimit/queue.go
+++ b/decision/upstreamlimit/queue.go
@@ -72,6 +72,13 @@
 	q.used[customer]++
 }
 
+// UncountUse takes back a call of CountUse.
+func (l *Limits) UncountUse(now time.Time, service uint32, customer string) {
+	q := l.queue(service)
+	q.decay(now)
+	q.used[customer] = max(q.used[customer]-1, 0)
+}
+
 func (q *queue) decay(now time.Time) {
 	elapsed := now.Sub(q.usedAt)
 	if elapsed < customerTimeConstant/8 {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -19,11 +19,6 @@
 	maxDeclined = 3
 	// minRemaining is the least remaining time with which an attempt is started.
 	minRemaining = 20 * time.Millisecond
-	// The head timeout of a request that another upstream could take is its route's
-	// objective, but at least minHeadTimeout, plus headTimeoutFactor times the
-	// predicted time to the first event.
-	minHeadTimeout    = 150 * time.Millisecond
-	headTimeoutFactor = 2
 	// nonRepeatableMaxIdle is the longest idle time of a connection that is reused for
 	// a request that may not be repeated. It is shorter than the upstreams' idle
 	// timeouts.
@@ -55,6 +50,8 @@
 	lastEvent int64
 	// numbering tells how the events relayed so far were numbered.
 	numbering numbering
+	// reserved is what the next attempt uses, or nil if that is not certain to be made.
+	reserved *reservation
 	// upstream is the upstream of the latest attempt.
 	upstream serving.Upstream
 	// predicted is the time to the first event that was predicted for the latest
@@ -115,6 +112,7 @@
 // further attempt is allowed.
 func (g *Gateway) forward(ctx context.Context, r *request) {
 	var buffered *bufferedAnswer
+	defer g.releaseReserved(r)
 	for {
 		choice, refused := g.pickUpstream(r)
 		if refused != nil {
@@ -148,10 +146,12 @@
 }
 
 // mayRetry decides whether a request may be sent to another upstream. If so, it takes a
-// retry from the service's budget.
+// retry from the service's budget, unless one is reserved.
 func (g *Gateway) mayRetry(r *request, result attemptResult) bool {
 	p := &r.progress
 	switch {
+	case p.reserved != nil:
+		return true
 	case p.partial, result == notRun && p.declined >= maxDeclined:
 		return false
 	case result != notRun && (!r.route.Repeatable() || p.attempts >= r.route.MaxAttempts):
@@ -300,7 +300,8 @@
 			}
 		},
 		MaxIdle:     maxConnectionIdle(r),
-		HeadTimeout: g.headTimeout(r, choice.Predicted),
+		HeadTimeout: headTimeout(r, choice.Predicted),
+		OnSilence:   g.onSilence(r, r.progress.attempts+1),
 	})
 	return answer, head, err
 }
@@ -315,27 +316,6 @@
 	return nonRepeatableMaxIdle
 }
 
-// headTimeout returns how long to wait for the status and headers of an answer. It is 0,
-// which means no limit, if the request can't be sent to another upstream.
-func (g *Gateway) headTimeout(r *request, predicted time.Duration) time.Duration {
-	if !g.canTryAnother(r, r.progress.attempts+1) {
-		return 0
-	}
-	return max(r.route.Objective, minHeadTimeout) + headTimeoutFactor*predicted
-}
-
-// canTryAnother reports whether a request could be sent to yet another upstream after
-// the given number of attempts.
-func (g *Gateway) canTryAnother(r *request, attempts int) bool {
-	if !r.route.Repeatable() || attempts >= r.route.MaxAttempts {
-		return false
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	blocked := g.table.Blocked(time.Now(), g.placementRequest(r))
-	return g.table.Count(r.service.Name)-blocked.Paused-blocked.Limited > len(r.progress.tried)
-}
-
 // handleSendError records and classifies an attempt that got no answer.
 func (g *Gateway) handleSendError(ctx context.Context, r *request, t *placement.Ticket, err error) attemptResult {
 	p := &r.progress
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -5,3 +5,9 @@
 
 // BodyMemory returns the bytes that the bodies of requests take from their budget.
 func (g *Gateway) BodyMemory() int64 { return g.bodyMemory.Used() }
+
+// Silent returns how many silent attempts went on without an alternative and how many were
+// given up for one, and how many requests have failed.
+func (g *Gateway) Silent() (kept, moved, failed int64) {
+	return g.metrics.silentKept.Count(), g.metrics.silentMoved.Count(), g.metrics.failed.Count()
+}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -58,6 +58,10 @@
 	drain time.Duration
 	// maxBody is the longest body of a request in bytes; 0 means 1000.
 	maxBody int
+	// maxConnections is the number of connections that an upstream accepts; 0 means many.
+	maxConnections int
+	// noRetries leaves the retry budget empty.
+	noRetries bool
 }
 
 // hostCount is the number of loopback addresses handed out; each entry gets its own.
@@ -94,7 +98,7 @@
 			route("persistent", "streaming", engineService, 3, true),
 			route("order", "non_idempotent", counterService, 1, false), route("status", "idempotent", counterService, 2, false),
 		},
-		Engines: []string{engineService}, Plain: []string{counterService}, MaxBodyBytes: cmp.Or(d.maxBody, 1000),
+		Engines: []string{engineService}, Plain: []string{counterService}, MaxBodyBytes: cmp.Or(d.maxBody, 1000), MaxConnections: d.maxConnections,
 		Customer: metastore.Customer{Name: customer, Keys: d.keys, Rate: d.rate, Burst: d.burst},
 	})
 }
@@ -157,6 +161,9 @@
 			UsageWindow: time.Second, UsageLate: 10 * time.Second, QuotaWindow: 8 * time.Second,
 		},
 	}
+	if d.noRetries {
+		s.Bounds.RetryRatio, s.Bounds.RetryExtra = 0, 0
+	}
 	return &entry{
 		Gateway: gateway.New(s, slog.New(slog.NewTextHandler(io.Discard, nil))), settings: s,
 		client: &http.Client{Transport: &http.Transport{}},
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -48,6 +48,9 @@
 	// unanswered counts attempts without an answer that could be relayed, whether or
 	// not the request was retried.
 	unanswered map[reason.Reason]metrics.Counter
+	// silentMoved counts attempts given up because their upstream was silent while another
+	// one was free, and silentKept those that went on because none was.
+	silentMoved, silentKept metrics.Counter
 	// notRun counts attempts that have certainly not run, by what proves that.
 	notRun  map[notrun.Proof]metrics.Counter
 	changed map[stateChange]metrics.Counter
@@ -123,7 +126,8 @@
 	c := &counters{
 		registry: r, refused: map[reason.Reason]metrics.Counter{}, retried: map[reason.Reason]metrics.Counter{},
 		unanswered: map[reason.Reason]metrics.Counter{}, changed: map[stateChange]metrics.Counter{},
-		notRun:   map[notrun.Proof]metrics.Counter{},
+		notRun:      map[notrun.Proof]metrics.Counter{},
+		silentMoved: counter("attempt.silent.moved"), silentKept: counter("attempt.silent.kept"),
 		answered: counter("request.answered"), failed: counter("request.failed"), abandoned: counter("request.abandoned"),
 		connections: counter("upstream.connections"), storeCalls: counter("store.calls"), storeErrors: counter("store.errors"),
 		invalidConfigurations: counter("configuration.invalid"),
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -23,28 +23,34 @@
 // pickUpstream picks the upstream for the next attempt, or returns a refusal.
 func (g *Gateway) pickUpstream(r *request) (placement.Choice, *refusal) {
 	p := &r.progress
+	if reserved := p.takeReserved(); reserved != nil {
+		p.chose(reserved.choice)
+		return reserved.choice, nil
+	}
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	wanted := g.placementRequest(r)
-	choice, ok := g.table.Pick(now, wanted)
+	choice, ok := g.table.Pick(now, g.placementRequest(r))
 	if !ok {
 		return choice, g.noUpstreamRefusal(now, r)
 	}
-	p.predicted, p.unreadTokens, p.running = choice.Predicted, choice.Load.PrefillTokens, choice.Running
+	p.chose(choice)
 	if p.attempts == 0 && p.declined == 0 {
 		if refused := deadlineRefusal(now, r, choice); refused != nil {
+			p.limited = false
 			return choice, refused
 		}
 	}
-	p.limited, p.limit = choice.Limited, choice.Limit
-	if choice.Limited {
-		g.table.UsePermit(wanted, choice)
-		g.metrics.limitedAttempts.Inc(1)
-	}
+	g.usePermit(r, choice)
 	return choice, nil
 }
 
+// chose records the upstream of the next attempt.
+func (p *progress) chose(c placement.Choice) {
+	p.predicted, p.unreadTokens, p.running = c.Predicted, c.Load.PrefillTokens, c.Running
+	p.limited, p.limit = c.Limited, c.Limit
+}
+
 // placementRequest returns what placement has to know about a request. The caller holds
 // mu.
 func (g *Gateway) placementRequest(r *request) *placement.Request {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -21,10 +21,6 @@
 	maxEventLine = 64 << 10
 	// maxEventBytes limits one event, in bytes; usual events have some hundred.
 	maxEventBytes = 256 << 10
-	// A stream that has sent no event for pauseFactor times the route's pause
-	// objective, and at least minPauseLimit, is resumed at another upstream.
-	pauseFactor   = 3
-	minPauseLimit = 700 * time.Millisecond
 )
 
 // errTruncatedEvent means that a stream ended inside an event.
@@ -112,10 +108,11 @@
 	defer pending.Release()
 	events := newEventReader(answer, pending)
 	r.progress.numbering.isFirst = true
+	onSilence := g.onSilence(r, r.progress.attempts)
 	for ev := (event{}); ; {
 		// Comments don't extend the deadline of the next event.
 		if !ev.empty {
-			answer.SetReadDeadline(g.nextEventDeadline(r))
+			answer.Expect(nextEventDeadline(r), onSilence)
 		}
 		var err error
 		ev, err = events.next()
@@ -165,15 +162,6 @@
 	return n.isFirst && n.steps >= 2 && !n.gapped && id > last+1
 }
 
-// nextEventDeadline returns when the next event of a stream is overdue. It is the zero
-// time, which means no limit, if the stream can't be resumed at another upstream.
-func (g *Gateway) nextEventDeadline(r *request) time.Time {
-	if !g.canTryAnother(r, r.progress.attempts) {
-		return time.Time{}
-	}
-	return time.Now().Add(max(pauseFactor*r.route.PauseObjective, minPauseLimit))
-}
-
 // relayEvent writes an event to the caller, after the status and headers if these have
 // not been sent.
 func (g *Gateway) relayEvent(r *request, answer *exchange.Answer, ev event) error {
--- a/standin/metastore/operator.go
+++ b/standin/metastore/operator.go
@@ -1,6 +1,7 @@
 package metastore
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"strings"
@@ -14,6 +15,9 @@
 	Engines, Plain []string
 	Customer       Customer
 	MaxBodyBytes   int
+	// MaxConnections is the number of connections that an upstream accepts from all entries
+	// together; 0 means maxConnections.
+	MaxConnections int
 }
 
 // Route is a route of the configuration; its path prefix is its name.
@@ -55,12 +59,12 @@
 	}
 	for _, name := range c.Engines {
 		services = append(services, map[string]any{
-			"name": name, "max-connections": maxConnections,
+			"name": name, "max-connections": cmp.Or(c.MaxConnections, maxConnections),
 			"engine": map[string]any{"slots": engineSlots, "kv-capacity": engineKVTokens},
 		})
 	}
 	for _, name := range c.Plain {
-		services = append(services, map[string]any{"name": name, "max-connections": maxConnections})
+		services = append(services, map[string]any{"name": name, "max-connections": cmp.Or(c.MaxConnections, maxConnections)})
 	}
 	s.Put("config", "main", map[string]any{
 		"version": c.Version, "routes": routes, "services": services,
--- a/standin/upstream/stream.go
+++ b/standin/upstream/stream.go
@@ -11,6 +11,9 @@
 // Event returns the bytes of one event of a stream.
 func Event(n int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n) }
 
+// UnnumberedEvent returns the bytes of one event without an ID.
+func UnnumberedEvent(n int) string { return fmt.Sprintf("data: piece %d\n\n", n) }
+
 func (s *Server) serveStream(c net.Conn, id string, fault Fault, resumed int, deadlyPart string) bool {
 	headers := s.answerHeaders(fault) + s.limitHeader(id)
 	write, framing := writeChunk, "Transfer-Encoding: chunked\r\n"
@@ -36,6 +39,9 @@
 		}
 		time.Sleep(s.Pace)
 		data := Event(n)
+		if fault == HoldUnnumbered {
+			data = UnnumberedEvent(n)
+		}
 		if fault == CutInEvent && n == 2 {
 			_ = write(c, data[:len(data)/2])
 			return false
@@ -47,7 +53,7 @@
 		if write(c, data) != nil {
 			return false
 		}
-		if fault == Hold && n == resumed+1 && !s.waitForRelease(c) {
+		if (fault == Hold || fault == HoldUnnumbered) && n == resumed+1 && !s.waitForRelease(c) {
 			return false
 		}
 	}
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -40,6 +40,10 @@
 	Silent
 	// Hold sends the first event and waits for a call of Release.
 	Hold
+	// HoldUnnumbered is Hold with events that have no ID. HoldHead waits for a call of
+	// Release before it answers.
+	HoldUnnumbered
+	HoldHead
 	// EndlessHead sends header lines until the caller closes the connection,
 	// EndlessInterim sends interim responses.
 	EndlessHead
@@ -316,6 +320,10 @@
 	case Silent:
 		s.awaitClose(c)
 		return false
+	case HoldHead:
+		if !s.waitForRelease(c) {
+			return false
+		}
 	case EndlessHead:
 		s.writeUntilClosed(c, "HTTP/1.1 200 OK\r\n", "X-More: "+strings.Repeat("x", 1000)+"\r\n", 0)
 		return false
--- a/upstream/exchange/conn.go
+++ b/upstream/exchange/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"slices"
 	"syscall"
 	"time"
@@ -23,6 +24,9 @@
 	probeIdle     = time.Second
 	probeInterval = time.Second
 	probeCount    = 2
+	// catchUpTime is how long a read may take longer for bytes that had arrived by its
+	// deadline.
+	catchUpTime = 100 * time.Millisecond
 	// readBuffer is the size of a connection's read buffer in bytes.
 	readBuffer = 4096
 	// maxExchanges is the number of requests on a connection, whose IDs are remembered.
@@ -36,6 +40,10 @@
 	// limited is true if reads are limited to remaining more bytes.
 	limited   bool
 	remaining int
+	// onSilence, if set, is asked when nothing has arrived by the read deadline. hasWaited is
+	// set once it has been put off for bytes that had arrived.
+	onSilence Silence
+	hasWaited bool
 	// ids are the hashed IDs of the requests that were sent.
 	ids []uint64
 	// idleSince is the end of the last exchange.
@@ -71,16 +79,49 @@
 // Read implements io.Reader.
 func (c *conn) Read(p []byte) (int, error) {
 	if !c.limited {
-		return c.Conn.Read(p)
+		return c.readOn(p)
 	}
 	if c.remaining <= 0 {
 		return 0, ErrTooLong
 	}
-	n, err := c.Conn.Read(p[:min(len(p), c.remaining)])
+	n, err := c.readOn(p[:min(len(p), c.remaining)])
 	c.remaining -= n
 	return n, err
 }
 
+// readOn reads, and goes on after the read deadline as long as onSilence wants.
+func (c *conn) readOn(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if n > 0 || c.onSilence == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		wait := c.afterDeadline()
+		if wait <= 0 {
+			return n, err
+		}
+		// An error means that the connection is closed; the next read then fails.
+		_ = c.SetReadDeadline(time.Now().Add(wait))
+	}
+}
+
+// afterDeadline returns how much longer to wait after a read deadline. If this process has
+// been held up, bytes that came in time are still to be read.
+func (c *conn) afterDeadline() time.Duration {
+	if !c.hasWaited && c.state() == unread {
+		c.hasWaited = true
+		return catchUpTime
+	}
+	return c.onSilence()
+}
+
+// expect sets the deadline by which something has to arrive, or no deadline if it is zero.
+func (c *conn) expect(deadline time.Time, onSilence Silence) {
+	c.onSilence, c.hasWaited = onSilence, false
+	// An error means that the connection is closed; the next read then fails.
+	_ = c.SetReadDeadline(deadline)
+}
+
 // limitReads limits the next reads to a total number of bytes.
 func (c *conn) limitReads(bytes int) { c.limited, c.remaining = true, bytes }
 
@@ -100,24 +141,43 @@
 
 // isClean reports whether an idle connection is open and has no unread data. Unread
 // data would belong to no request.
-func (c *conn) isClean() bool {
-	if c.r.Buffered() > 0 {
-		return false
-	}
+func (c *conn) isClean() bool { return c.r.Buffered() == 0 && c.state() == quiet }
+
+// socketState is what the next read of a connection would return.
+type socketState int
+
+const (
+	// closed: an error or the end of the connection.
+	closed socketState = iota
+	// quiet: nothing yet.
+	quiet
+	// unread: data.
+	unread
+)
+
+// state returns the state of the connection's socket.
+func (c *conn) state() socketState {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return quiet
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return closed
 	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
+	state := closed
+	err = raw.Control(func(fd uintptr) {
 		var one [1]byte
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = errors.Is(err, unix.EAGAIN)
-		return true
+		n, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, unix.EAGAIN):
+			state = quiet
+		case err == nil && n > 0:
+			state = unread
+		}
 	})
-	return err == nil && open
+	if err != nil {
+		return closed
+	}
+	return state
 }
--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -41,8 +41,14 @@
 	// HeadTimeout is the timeout for the status and header of the response; 0
 	// means no timeout.
 	HeadTimeout time.Duration
+	// OnSilence, if set, is asked at the head timeout whether to wait longer.
+	OnSilence Silence
 }
 
+// Silence is asked when an upstream has sent nothing by a deadline. It returns how much longer
+// to wait, or 0 if the exchange is given up. It is called by the goroutine that reads.
+type Silence func() time.Duration
+
 // HeadCheck is the result of Request.CheckHead.
 type HeadCheck struct {
 	// Matches is true if the response belongs to the request. Other responses are
@@ -160,8 +166,7 @@
 		go w.run(c, head, req.Body)
 	}
 	if req.HeadTimeout > 0 {
-		// An error means that the connection is closed; the next read then fails.
-		_ = c.SetReadDeadline(time.Now().Add(req.HeadTimeout))
+		c.expect(time.Now().Add(req.HeadTimeout), req.OnSilence)
 	}
 	resp, verdict, strays, err := readHead(c, req)
 	if err != nil {
@@ -171,7 +176,7 @@
 		<-w.done
 		return nil, &Error{Step: "read_head", Sent: w.begun, Err: err}
 	}
-	_ = c.SetReadDeadline(time.Time{})
+	c.expect(time.Time{}, nil)
 	a := &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Delimited: Delimited(resp),
 		pool: p, address: address, conn: c, body: resp.Body, write: &w,
@@ -269,10 +274,11 @@
 }
 
 // SetReadDeadline sets the deadline of the next reads.
-func (a *Answer) SetReadDeadline(t time.Time) {
-	// An error means that the connection is closed; the next read then fails.
-	_ = a.conn.SetReadDeadline(t)
-}
+func (a *Answer) SetReadDeadline(t time.Time) { a.conn.expect(t, nil) }
+
+// Expect sets the deadline of the next reads, after which onSilence is asked whether to wait
+// longer.
+func (a *Answer) Expect(deadline time.Time, onSilence Silence) { a.conn.expect(deadline, onSilence) }
 
 // Read implements io.Reader for the body. It returns io.EOF only at the end of a
 // complete body.
