--- a/standin/upstream/stream.go
+++ b/standin/upstream/stream.go
@@ -11,6 +11,9 @@
 // Event returns the bytes of one event of a stream.
 func Event(n int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n) }
 
+// UnnumberedEvent returns the bytes of one event without an ID.
+func UnnumberedEvent(n int) string { return fmt.Sprintf("data: piece %d\n\n", n) }
+
 // EventID returns the ID of an event of a stream: its number, or one of increasing numbers
 // with gaps.
 func EventID(n int, gapped bool) int {
@@ -71,6 +74,9 @@
 		}
 		time.Sleep(s.Pace)
 		data := s.event(n, run)
+		if fault == HoldUnnumbered {
+			data = UnnumberedEvent(n)
+		}
 		if fault == CutInEvent && n == 2 {
 			_ = write(c, data[:len(data)/2])
 			return false
@@ -82,7 +88,7 @@
 		if write(c, data) != nil {
 			return false
 		}
-		if fault == Hold && n == resumed+1 && !s.waitForRelease(c) {
+		if (fault == Hold || fault == HoldUnnumbered) && n == resumed+1 && !s.waitForRelease(c) {
 			return false
 		}
 	}
