standin: upstreams answer for their state

Upstreams of the platform answer GET /v1/report with the start time of their process and the health check with their ID. The stand-in closed such calls with 421. Neither call counts as a request. The configuration names the health path; the start time in an upstream's record can be chosen, and rises with each restart if RenewsStart is set.

--- a/standin/metastore/operator.go
+++ b/standin/metastore/operator.go
@@ -41,6 +41,10 @@
 	engineSlots     = 16
 	engineKVTokens  = 400_000
 	maxConnections  = 100
+	healthPath      = "/health"
+	// firstStart is the start time of upstreams that have not been restarted, in Unix
+	// milliseconds.
+	firstStart = 1
 )
 
 // PutConfiguration writes a configuration, as the operator does.
@@ -55,12 +59,12 @@
 	}
 	for _, name := range c.Engines {
 		services = append(services, map[string]any{
-			"name": name, "max-connections": maxConnections,
+			"name": name, "max-connections": maxConnections, "health-path": healthPath,
 			"engine": map[string]any{"slots": engineSlots, "kv-capacity": engineKVTokens},
 		})
 	}
 	for _, name := range c.Plain {
-		services = append(services, map[string]any{"name": name, "max-connections": maxConnections})
+		services = append(services, map[string]any{"name": name, "max-connections": maxConnections, "health-path": healthPath})
 	}
 	s.Put("config", "main", map[string]any{
 		"version": c.Version, "routes": routes, "services": services,
@@ -77,8 +81,13 @@
 // PutUpstream registers an upstream, as the upstream itself does. State is "ready"
 // or "draining".
 func (s *Server) PutUpstream(id, service, address, zone, state string) {
+	s.PutUpstreamProcess(id, service, address, zone, state, firstStart)
+}
+
+// PutUpstreamProcess is PutUpstream for a process with the given start time.
+func (s *Server) PutUpstreamProcess(id, service, address, zone, state string, startMillis int64) {
 	s.Put("servers", id, map[string]any{
-		"service": service, "address": address, "zone": zone, "slots": engineSlots, "state": state, "born": 1,
+		"service": service, "address": address, "zone": zone, "slots": engineSlots, "state": state, "born": startMillis,
 	})
 }
 
--- a/standin/upstream/crash.go
+++ b/standin/upstream/crash.go
@@ -79,6 +79,9 @@
 		}
 		s.mu.Lock()
 		s.listener = l
+		if s.RenewsStart {
+			s.started++
+		}
 		s.mu.Unlock()
 		select {
 		case <-s.closed:
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -120,6 +120,10 @@
 	// Undelimited sends answers with neither a length nor chunks, which end with their
 	// connection. It must be set before the first request.
 	Undelimited bool
+	// RenewsStart makes the start time that the upstream states rise with each restart, as
+	// that of a real process does. Its record has to be written again then. It must be set
+	// before the first request.
+	RenewsStart bool
 	// Script, if set, answers runs in place of the upstream. It must be set before the first
 	// request.
 	Script Script
@@ -149,7 +153,11 @@
 	// conns holds the open connections, each with the refusal that is repeated on it.
 	conns    map[net.Conn]string
 	accepted int
-	tasks    sync.WaitGroup
+	// started is the start time of the process, and stateCalls the number of calls for its
+	// state.
+	started    int64
+	stateCalls int
+	tasks      sync.WaitGroup
 }
 
 // Start starts an upstream on a free port of an IP address.
@@ -160,6 +168,7 @@
 	}
 	s := &Server{
 		ID: id, listener: l, address: l.Addr().String(), release: make(chan struct{}), closed: make(chan struct{}), conns: map[net.Conn]string{},
+		started: FirstStart,
 	}
 	s.tasks.Add(1)
 	go s.accept(l)
@@ -254,6 +263,12 @@
 		if err != nil {
 			return
 		}
+		if done, kept := s.answerState(c, req); done {
+			if !kept {
+				return
+			}
+			continue
+		}
 		if declinesFirst && s.declineAndRemember(c, req) {
 			declinesFirst = false
 			continue
