gateway: have the end of an answer without a length confirmed

Cause: checkEnd took every result but a refused connection for proof that the answer is whole. Absence of evidence was taken for evidence.

Ruled out: heads that are cut in any framing, and a reset after the last event, which is seen.

Change: decision/answer decides from the evidence. An answer without a length is whole if its request was written without an error and its upstream, asked after the end, names the process: engines by the start time in their report, others by the ID in their health check. Unknown is broken. One inquiry serves all ends that were there before it began; it is waited for 250 ms where another upstream can go on, else 1 s. The reason unconfirmed_end and upstream.inquiries count them. An answer that can't have a body counts as delimited.

exchange.HasExited goes. The fixture gives the ends of answers 20 s, so that a slow machine makes none unknown; the tests of unknown ends leave the time as it is.

--- a/decision/reason/describe.go
+++ b/decision/reason/describe.go
@@ -53,6 +53,7 @@
 	UpstreamBusy:    {Meaning: "The upstream refused because it was full."},
 	UpstreamError:   {Meaning: "The upstream answered with a status of 500 or more."},
 	StreamBroken:    {Meaning: "The upstream's answer ended early."},
+	UnconfirmedEnd:  {Meaning: "The answer ended with its connection, and its upstream did not confirm that it is whole."},
 	NoAnswer:        {Meaning: "The connection ended without an answer."},
 	AnswerTooLong:   {Meaning: "The upstream sent more bytes than an answer, its head or one event may have."},
 	UpstreamLeaving: {Meaning: "The upstream is leaving."},
--- a/decision/reason/reason.go
+++ b/decision/reason/reason.go
@@ -68,6 +68,7 @@
 	UpstreamBusy    Reason = "upstream_busy"
 	UpstreamError   Reason = "upstream_error"
 	StreamBroken    Reason = "stream_broken"
+	UnconfirmedEnd  Reason = "unconfirmed_end"
 	NoAnswer        Reason = "no_answer"
 	AnswerTooLong   Reason = "answer_too_long"
 	UpstreamLeaving Reason = "upstream_leaving"
@@ -76,7 +77,7 @@
 
 // Retries lists every retry reason.
 var Retries = []Reason{
-	ConnectFailed, UpstreamBusy, UpstreamError, StreamBroken, NoAnswer, AnswerTooLong,
+	ConnectFailed, UpstreamBusy, UpstreamError, StreamBroken, UnconfirmedEnd, NoAnswer, AnswerTooLong,
 	UpstreamLeaving, Hedge,
 }
 
--- /dev/null
+++ b/gateway/confirm.go
@@ -0,0 +1,188 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"syscall"
+	"time"
+
+	"jaylink/decision/answer"
+	"jaylink/platform"
+	"jaylink/serving"
+	"jaylink/upstream/exchange"
+)
+
+// Defaults of confirmTimeouts.
+const (
+	// confirmTimeout is how long an upstream is asked whether its process has outlived the end
+	// of an answer, and shortConfirmTimeout if another upstream can go on with the request.
+	confirmTimeout      = time.Second
+	shortConfirmTimeout = 250 * time.Millisecond
+)
+
+// confirmPause is the first pause between two calls for the state of an upstream; it doubles.
+const confirmPause = 20 * time.Millisecond
+
+// confirmTimeouts are the times for which the end of an answer may be in doubt.
+type confirmTimeouts struct {
+	// last is for requests that can't be sent to another upstream, and other for those that
+	// can.
+	last, other time.Duration
+}
+
+// inquiry is the question to an upstream whether its process still runs. It serves all ends of
+// answers that were there before it began.
+type inquiry struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	// done is closed once process is the reply.
+	done    chan struct{}
+	process answer.Process
+	// waiting is the number of requests that wait for the reply.
+	waiting int
+	// next follows this inquiry, for ends that came after it began. It may be nil.
+	next *inquiry
+}
+
+// inquiries holds the inquiries under way, at most one for each process of an upstream.
+type inquiries struct {
+	mu     sync.Mutex
+	active map[uint64]*inquiry
+}
+
+// join returns the inquiry that an end of an answer has to wait for, and whether the caller has
+// to run it.
+func (s *inquiries) join(instance uint64) (q *inquiry, isFirst bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	active := s.active[instance]
+	switch {
+	case active == nil:
+		q, isFirst = newInquiry(), true
+		s.active[instance] = q
+	case active.next == nil:
+		q = newInquiry()
+		active.next = q
+	default:
+		q = active.next
+	}
+	q.waiting++
+	return q, isFirst
+}
+
+func newInquiry() *inquiry {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &inquiry{ctx: ctx, cancel: cancel, done: make(chan struct{})}
+}
+
+// leave ends an inquiry that nobody waits for any more.
+func (s *inquiries) leave(q *inquiry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q.waiting--
+	if q.waiting == 0 {
+		q.cancel()
+	}
+}
+
+// finish gives the reply to those who wait for it, and returns the inquiry that follows.
+func (s *inquiries) finish(instance uint64, q *inquiry, process answer.Process) *inquiry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q.process = process
+	close(q.done)
+	q.cancel()
+	if q.next == nil {
+		delete(s.active, instance)
+	} else {
+		s.active[instance] = q.next
+	}
+	return q.next
+}
+
+// processAfterEnd returns what the process of an upstream says after the end of an answer. It is
+// unknown after a timeout.
+func (g *Gateway) processAfterEnd(ctx context.Context, u serving.Upstream, service *serving.Service, timeout time.Duration) answer.Process {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	q, isFirst := g.inquiries.join(u.Instance())
+	defer g.inquiries.leave(q)
+	if isFirst {
+		go g.runInquiries(q, u, service)
+	}
+	select {
+	case <-q.done:
+		return q.process
+	case <-ctx.Done():
+		return answer.Unknown
+	}
+}
+
+// runInquiries runs an inquiry and those that follow it.
+func (g *Gateway) runInquiries(q *inquiry, u serving.Upstream, service *serving.Service) {
+	for q != nil {
+		process := answer.Unknown
+		g.withRecover("inquiry", func() { process = g.inquire(q.ctx, u, service) })
+		q = g.inquiries.finish(u.Instance(), q, process)
+	}
+}
+
+// inquire asks an upstream what it is until that tells whether its process still runs.
+func (g *Gateway) inquire(ctx context.Context, u serving.Upstream, service *serving.Service) answer.Process {
+	targets := platform.StateTargets(u, service)
+	var seen answer.Inquiry
+	for pause := confirmPause; len(targets) > 0; pause *= 2 {
+		for _, target := range targets {
+			seen.Add(u, g.askState(ctx, u, target))
+			if seen.Process != answer.Unknown {
+				return seen.Process
+			}
+		}
+		if !sleep(ctx, pause) {
+			break
+		}
+	}
+	return answer.Unknown
+}
+
+// askState asks an upstream once what it is.
+func (g *Gateway) askState(ctx context.Context, u serving.Upstream, target string) answer.Statement {
+	g.metrics.inquiries.Inc(1)
+	reply, err := g.pool.Ask(ctx, u.Address, target)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return answer.Statement{Refused: true}
+	case err != nil:
+		g.log.Debug("upstream did not say whether it runs", "upstream", u.ID, "target", target, "err", err)
+		return answer.Statement{}
+	}
+	statement := platform.DecodeState(reply.Status, reply.Header, reply.Body)
+	statement.Answered = true
+	return statement
+}
+
+// checkEnd returns an error unless an answer that has been read to its end is known to be whole.
+// Only its upstream can show that if the answer ends with its connection.
+func (g *Gateway) checkEnd(ctx context.Context, r *request, a *exchange.Answer) error {
+	end := answer.End{Delimited: a.Delimited}
+	if !end.Delimited {
+		end.RequestWritten = a.RequestWritten()
+	}
+	if end.NeedsProcess() {
+		end.Process = g.processAfterEnd(ctx, r.progress.upstream, r.service, g.confirmTimeout(r))
+	}
+	if end.Whole() {
+		return nil
+	}
+	return fmt.Errorf("%w: %s", exchange.ErrUnconfirmedEnd, end)
+}
+
+// confirmTimeout returns how long a request waits until it is known whether its answer is whole.
+func (g *Gateway) confirmTimeout(r *request) time.Duration {
+	if !r.progress.partial && g.canTryAnother(r, r.progress.attempts) {
+		return g.confirmTimeouts.other
+	}
+	return g.confirmTimeouts.last
+}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -15,7 +15,7 @@
 // connectionLost reports whether an exchange failed because its connection broke, as
 // opposed to a timeout or limit of this entry.
 func connectionLost(err error) bool {
-	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, errTruncatedEvent, errNoEvent, exchange.ErrCrashedAtEnd, syscall.ECONNRESET, syscall.EPIPE} {
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, errTruncatedEvent, errNoEvent, exchange.ErrUnconfirmedEnd, syscall.ECONNRESET, syscall.EPIPE} {
 		if errors.Is(err, cause) {
 			return true
 		}
@@ -110,20 +110,3 @@
 // errNoEvent means that a stream without a length or chunks, which ends with its
 // connection, had no event.
 var errNoEvent = errors.New("stream ended before its first event")
-
-// checkEnd returns an error if an answer that has been read to its end is likely to be
-// incomplete. Only the upstream's state can show that if the answer ends with its
-// connection: the kernel closes the connections of a process that crashes or exits. A process
-// that is leaving may do so in the middle of its answers, too.
-func (g *Gateway) checkEnd(ctx context.Context, r *request, answer *exchange.Answer) error {
-	u := r.progress.upstream
-	hasExited := exchange.HasExited
-	if !answer.IsEventStream() && g.expectedToRun(u) {
-		// A caller that waits for a plain answer is not kept waiting longer.
-		hasExited = exchange.RefusesConnections
-	}
-	if !answer.Delimited && hasExited(ctx, u.Address) {
-		return exchange.ErrCrashedAtEnd
-	}
-	return nil
-}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -58,6 +58,8 @@
 	drain time.Duration
 	// maxBody is the longest body of a request in bytes; 0 means 1000.
 	maxBody int
+	// confirmsSoon leaves the time for which the ends of answers may be in doubt as it is.
+	confirmsSoon bool
 }
 
 // hostCount is the number of loopback addresses handed out; each entry gets its own.
@@ -157,10 +159,15 @@
 			UsageWindow: time.Second, UsageLate: 10 * time.Second, QuotaWindow: 8 * time.Second,
 		},
 	}
-	return &entry{
+	e := &entry{
 		Gateway: gateway.New(s, slog.New(slog.NewTextHandler(io.Discard, nil))), settings: s,
 		client: &http.Client{Transport: &http.Transport{}},
 	}
+	if !d.confirmsSoon {
+		// A slow machine must not make the end of an answer unknown.
+		e.SetConfirmTimeout(waitLimit)
+	}
+	return e
 }
 
 // stop stops the gateway, once.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,6 +51,9 @@
 	objects  *platform.Objects
 	duties   *platform.CloudClient
 	pool     *exchange.Pool
+	// inquiries are the questions to upstreams whether they have outlived their answers.
+	inquiries       inquiries
+	confirmTimeouts confirmTimeouts
 	// bodyMemory and answerMemory bound the memory of the bodies of requests, and of answers
 	// and events, all together.
 	bodyMemory, answerMemory *membudget.Budget
@@ -143,25 +146,27 @@
 func New(settings platform.Settings, log *slog.Logger) *Gateway {
 	bounds := settings.Bounds
 	g := &Gateway{
-		settings:     settings,
-		log:          log.With("entry", settings.Name),
-		metrics:      newCounters(),
-		objects:      platform.NewObjects(settings.Store, storeTimeout),
-		pool:         exchange.NewPool(),
-		bodyMemory:   membudget.New(bodyMemory(settings)),
-		answerMemory: membudget.New(bodyMemory(settings)),
-		incarnation:  time.Now().UnixNano(),
-		table:        placement.NewTable(settings.Regions),
-		quota:        quota.New(),
-		retryBudgets: map[string]*budget.Budget{},
-		limits:       upstreamlimit.New(settings.Name),
-		usage:        usage.NewCounter(bounds.UsageWindow),
-		clock:        truetime.New(time.Now(), monotonic()),
-		lease:        lease.New(settings.Name, lease.Options{Duration: bounds.Lease, OrderTimeout: dutyTimeout}),
-		scalers:      map[string]*scaling.Scaler{},
-		peers:        map[string]*peer{},
-		suspicions:   poison.NewCrashSuspicions(),
-		poison:       poison.NewTracker(),
+		settings:        settings,
+		log:             log.With("entry", settings.Name),
+		metrics:         newCounters(),
+		objects:         platform.NewObjects(settings.Store, storeTimeout),
+		pool:            exchange.NewPool(),
+		inquiries:       inquiries{active: map[uint64]*inquiry{}},
+		confirmTimeouts: confirmTimeouts{last: confirmTimeout, other: shortConfirmTimeout},
+		bodyMemory:      membudget.New(bodyMemory(settings)),
+		answerMemory:    membudget.New(bodyMemory(settings)),
+		incarnation:     time.Now().UnixNano(),
+		table:           placement.NewTable(settings.Regions),
+		quota:           quota.New(),
+		retryBudgets:    map[string]*budget.Budget{},
+		limits:          upstreamlimit.New(settings.Name),
+		usage:           usage.NewCounter(bounds.UsageWindow),
+		clock:           truetime.New(time.Now(), monotonic()),
+		lease:           lease.New(settings.Name, lease.Options{Duration: bounds.Lease, OrderTimeout: dutyTimeout}),
+		scalers:         map[string]*scaling.Scaler{},
+		peers:           map[string]*peer{},
+		suspicions:      poison.NewCrashSuspicions(),
+		poison:          poison.NewTracker(),
 
 		crashProbes:    map[string]chan struct{}{},
 		promptAttempts: map[*request]context.CancelCauseFunc{},
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -80,6 +80,8 @@
 	limitedUpstreams metrics.Gauge
 	// crashes counts upstream crashes that this entry detected itself.
 	crashes metrics.Counter
+	// inquiries counts the calls to upstreams by which the ends of answers are confirmed.
+	inquiries metrics.Counter
 	// deadlyParts is the number of parts of prompts that are known to crash upstreams, and
 	// droppedEvidence the requests and parts that were involved in crashes and not
 	// recorded because of the limits.
@@ -124,7 +126,7 @@
 		connections: counter("upstream.connections"), storeCalls: counter("store.calls"), storeErrors: counter("store.errors"),
 		invalidConfigurations: counter("configuration.invalid"),
 		storeEra:              gauge("store.era"), olderLists: counter("store.older_lists"), skippedObjects: counter("store.skipped_objects"),
-		panics: counter("message.panics"), crashes: counter("upstream.crashes"),
+		panics: counter("message.panics"), crashes: counter("upstream.crashes"), inquiries: counter("upstream.inquiries"),
 		limitedAttempts: counter("upstream.limited_attempts"), invalidLimits: counter("upstream.invalid_limits"),
 		unknownHeaders: counter("upstream.unknown_headers"), limitedUpstreams: gauge("upstream.limited"),
 		deadlyParts: gauge("poison.parts"), droppedEvidence: gauge("poison.evidence_dropped"),
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -158,6 +158,8 @@
 		return placement.Unreachable, reason.AnswerTooLong
 	case errors.Is(err, membudget.ErrFull):
 		return placement.Failed, reason.AnswerTooLong
+	case errors.Is(err, exchange.ErrUnconfirmedEnd):
+		return placement.Failed, reason.UnconfirmedEnd
 	}
 	return placement.Failed, reason.StreamBroken
 }
--- a/review/drive/leaving.go
+++ b/review/drive/leaving.go
@@ -27,10 +27,10 @@
 
 // serveUntilTerminated is a runner in a process of its own. Its answers have neither a
 // length nor chunks and end with their channel. It prints its address, and exits at SIGTERM.
-func serveUntilTerminated(id string) {
+func serveUntilTerminated(id string, born int64) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
-	r := &runner{id: id, listener: l, conns: map[net.Conn]bool{}}
+	r := &runner{id: id, listener: l, born: born, conns: map[net.Conn]bool{}}
 	r.answer = func(c net.Conn, req *http.Request, _ []byte) bool {
 		first := 0
 		if last, err := strconv.Atoi(req.Header.Get("Last-Event-Id")); err == nil {
@@ -59,7 +59,7 @@
 
 func (w *world) startRunnerProcess(id, service, zone string) *runnerProcess {
 	p := &runnerProcess{runner: runner{id: id, service: service, zone: zone, born: time.Now().UnixMilli()}}
-	p.cmd = exec.Command(os.Args[0], "runner", id)
+	p.cmd = exec.Command(os.Args[0], "runner", id, strconv.FormatInt(p.born, 10))
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := p.cmd.StdoutPipe()
 	must(err)
--- a/review/drive/main.go
+++ b/review/drive/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"sort"
+	"strconv"
 )
 
 // cases maps the name of a case to the function that plays it. The function reports
@@ -25,8 +26,10 @@
 }
 
 func run() (code int) {
-	if len(os.Args) == 3 && os.Args[1] == "runner" {
-		serveUntilTerminated(os.Args[2])
+	if len(os.Args) == 4 && os.Args[1] == "runner" {
+		born, err := strconv.ParseInt(os.Args[3], 10, 64)
+		must(err)
+		serveUntilTerminated(os.Args[2], born)
 		return exitHeld
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
--- a/review/drive/runner.go
+++ b/review/drive/runner.go
@@ -91,6 +91,12 @@
 		if err != nil {
 			return
 		}
+		if req.Method == http.MethodGet && req.URL.Path == "/v1/report" {
+			if !r.report(c) {
+				return
+			}
+			continue
+		}
 		if r.arrive != nil {
 			r.arrive(req)
 		}
@@ -100,6 +106,13 @@
 	}
 }
 
+// report answers a call for the runner's report.
+func (r *runner) report(c net.Conn) bool {
+	body := fmt.Sprintf(`{"stage":"prefill_decode","models":[],"busy":false,"sequence":0,"waiting":0,"running":0,"born":%d}`, r.born)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	return err == nil
+}
+
 // head returns the beginning of a sound answer.
 func (r *runner) head(req *http.Request, more string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: seal-%s\r\n%s\r\n", req.Header.Get("Request-Id"), r.id, more)
--- a/serving/configuration.go
+++ b/serving/configuration.go
@@ -69,6 +69,8 @@
 	// MaxConnections is the number of connections that an upstream accepts from
 	// all entries together; 0 means that no limit is specified.
 	MaxConnections int
+	// HealthPath is the path of the health check of the service's upstreams; "" if unknown.
+	HealthPath string
 	// Engine describes the model engines of the service. It is nil for plain
 	// services.
 	Engine *Engine
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -72,6 +72,8 @@
 	// statement that it was not run.
 	FailAsBusy
 	FailAsLimited
+	// CrashInAnswer crashes after half of a plain answer that ends with its connection.
+	CrashInAnswer
 	// SkipEvent leaves out the first event of a stream.
 	SkipEvent
 )
@@ -387,6 +389,11 @@
 	time.Sleep(s.Pace)
 	headers := s.answerHeaders(fault) + s.limitHeader(id)
 	body := "answer to " + req.RequestURI
+	if fault == CrashInAnswer {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s\r\n%s", id, headers, body[:len(body)/2])
+		s.Crash()
+		return false
+	}
 	if s.Undelimited {
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s\r\n%s", id, headers, body)
 		return false
--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -36,6 +36,9 @@
 	// idle; 0 means no limit. The upstream may have closed a connection that was
 	// idle for long, and it is then unknown whether it read the request.
 	MaxIdle time.Duration
+	// NewConnection is set if a reused connection must not be used, on which the response to an
+	// earlier request may still come.
+	NewConnection bool
 	// HeadTimeout is the timeout for the status and header of the response; 0
 	// means no timeout.
 	HeadTimeout time.Duration
@@ -241,10 +244,10 @@
 	return nil, verdict, skipped, errors.New("received only responses to other requests")
 }
 
-// Delimited reports whether a response has a length or chunks, so that the end of its body
-// can be told from a broken connection.
+// Delimited reports whether a response has a length or chunks, or no body at all, so that the end
+// of its body can be told from a broken connection.
 func Delimited(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked")
+	return resp.ContentLength >= 0 || resp.Body == http.NoBody || slices.Contains(resp.TransferEncoding, "chunked")
 }
 
 // IsEventStream reports whether the body is a stream of server-sent events.
@@ -269,6 +272,17 @@
 	return n, err
 }
 
+// RequestWritten reports whether the request was written completely and without an error. It
+// ends a write under way, and must not be called before the body was read to its end. If a reset
+// is reported to the write, the body may have seemed to end properly.
+func (a *Answer) RequestWritten() bool {
+	// An error means that the connection is closed, which ends the write, too.
+	_ = a.conn.SetWriteDeadline(time.Now())
+	<-a.write.done
+	_ = a.conn.SetWriteDeadline(time.Time{})
+	return a.write.complete.Load()
+}
+
 // Close ends the exchange. The connection is returned to the pool if request and
 // response were transferred completely and no unread data follows. Otherwise it is
 // closed.
--- a/upstream/exchange/probe.go
+++ b/upstream/exchange/probe.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 )
@@ -16,29 +18,13 @@
 	probePause   = 20 * time.Millisecond
 )
 
-// ErrCrashedAtEnd means that an answer with neither a length nor chunks, which ends with
-// its connection, is likely to be incomplete: its upstream has crashed.
-var ErrCrashedAtEnd = errors.New("upstream crashed at the end of its answer")
-
-// settleTime is how long a connection has to stay open to show that its process is not just
-// exiting. While one exits, its connections may be closed before its listener is.
-const settleTime = 60 * time.Millisecond
+// ErrUnconfirmedEnd means that an answer with neither a length nor chunks, which ends with its
+// connection, may be incomplete.
+var ErrUnconfirmedEnd = errors.New("end of the answer is not confirmed")
 
 // RefusesConnections reports whether an upstream refuses connections, as that of a process
 // that has crashed does. A timeout proves nothing, as the network may be partitioned.
 func RefusesConnections(ctx context.Context, address string) bool {
-	return probe(ctx, address, func(net.Conn) bool { return true })
-}
-
-// HasExited is RefusesConnections for an upstream that may be exiting at this moment. It takes
-// settleTime longer if the upstream runs.
-func HasExited(ctx context.Context, address string) bool {
-	return probe(ctx, address, staysOpen)
-}
-
-// probe reports whether an upstream refuses connections. accepts says whether a connection
-// shows that it does not.
-func probe(ctx context.Context, address string, accepts func(net.Conn) bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	var dialer net.Dialer
@@ -46,12 +32,9 @@
 		c, err := dialer.DialContext(ctx, "tcp", address)
 		switch {
 		case err == nil:
-			isUp := accepts(c)
 			// Nothing was sent on the connection, so an error on close does not matter.
 			_ = c.Close()
-			if isUp {
-				return false
-			}
+			return false
 		case errors.Is(err, syscall.ECONNREFUSED):
 			return true
 		}
@@ -63,12 +46,36 @@
 	return false
 }
 
-// staysOpen reports whether a connection is still open after settleTime.
-func staysOpen(c net.Conn) bool {
-	// An error means that the connection is closed; the read then fails, too.
-	_ = c.SetReadDeadline(time.Now().Add(settleTime))
-	var one [1]byte
-	_, err := c.Read(one[:])
-	var timeout net.Error
-	return err == nil || errors.As(err, &timeout) && timeout.Timeout()
+// maxReply is the longest body of a reply to Ask, in bytes.
+const maxReply = 64 << 10
+
+// Reply is the whole response to a call of Ask.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Ask calls an upstream with GET and reads the whole response. The connection is a new one, so
+// that the response can't be to another request.
+func (p *Pool) Ask(ctx context.Context, address, target string) (Reply, error) {
+	a, err := p.Do(ctx, address, &Request{
+		Method: http.MethodGet, Target: target, Host: address, NewConnection: true,
+		CheckHead: func(status int, _ http.Header) HeadCheck {
+			// A refusal may come once more, and would then not tell to what it belongs.
+			return HeadCheck{Matches: true, Anonymous: status != http.StatusOK}
+		},
+	})
+	if err != nil {
+		return Reply{}, err
+	}
+	defer a.Close()
+	body, err := io.ReadAll(io.LimitReader(a, maxReply+1))
+	switch {
+	case err != nil:
+		return Reply{}, &Error{Step: "read_body", Sent: true, Err: err}
+	case len(body) > maxReply:
+		return Reply{}, &Error{Step: "read_body", Sent: true, Err: ErrTooLong}
+	}
+	return Reply{Status: a.Status, Header: a.Header, Body: body}, nil
 }
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -63,7 +63,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, call.MaxAnswer+1))
 	if err == nil && !exchange.Delimited(resp) && exchange.RefusesConnections(ctx, call.Address) {
-		err = exchange.ErrCrashedAtEnd
+		err = exchange.ErrUnconfirmedEnd
 	}
 	if err != nil {
 		return nil, truncatedAnswer(ctx, call.Address, resp.StatusCode, err)
