upstream: confirm the ends of plain answers with the load report

The same fault as in the gateway: jaylink entry gave the answer of a plain service with neither a length nor chunks as whole unless the service's address refused connections then. It says "done" for upstreams that were killed behind an open port, restarted, or replaced by something else.

The case "complete" of the test has a load report for that; before, its upstream answered the call with the answer.

Ruled out: streams of engines need their end mark.

--- a/upstream/failure_test.go
+++ b/upstream/failure_test.go
@@ -4,16 +4,19 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"jaylink/decision"
 	"jaylink/decision/reason"
+	"jaylink/upstream/exchange"
 )
 
 // tcpUpstream is an upstream that works on raw connections. It counts the requests
@@ -120,25 +123,52 @@
 	}
 }
 
-// An answer may have neither a length nor chunks. It is complete unless its upstream has
-// crashed.
+// loadReply is a load report of a process that has run for some time.
+const loadReply = "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
+
+// An answer may have neither a length nor chunks. It is complete if its upstream answers for
+// the process that wrote it, and not if that has crashed or nothing is known of it.
 func TestAnswerThatEndsWithItsConnection(t *testing.T) {
-	for name, crashes := range map[string]bool{"complete": false, "crash": true} {
+	for name, tc := range map[string]struct {
+		// crashes closes the listener, and report is the load report after the end; a call
+		// for it is closed without an answer if it is "".
+		crashes bool
+		report  string
+		whole   bool
+	}{
+		"complete":                 {report: `{"running":0,"queued":0,"uptime_ms":60000}`, whole: true},
+		"crash":                    {crashes: true},
+		"killed, the port is open": {report: ""},
+		"killed and restarted":     {report: `{"running":0,"queued":0,"uptime_ms":1}`},
+		"process is not named":     {report: `{"running":0,"queued":0}`},
+		"another kind of upstream": {report: "<html>"},
+		"report is cut off":        {report: `{"running":0,`},
+	} {
 		t.Run(name, func(t *testing.T) {
 			p := newTCPUpstream(t, func(p *tcpUpstream, c net.Conn, r *bufio.Reader) {
-				if !p.readRequest(r) {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				if req.URL.Path == "/load" {
+					if tc.report != "" {
+						_, _ = fmt.Fprintf(c, loadReply, len(tc.report), tc.report)
+					}
 					return
 				}
+				_, _ = io.Copy(io.Discard, req.Body)
+				time.Sleep(5 * time.Millisecond)
 				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nanswer")
-				if crashes {
+				if tc.crashes {
 					_ = p.Close()
 				}
 			})
 			client := New(nil)
 			defer client.Close()
 			answer, res := client.Forward(t.Context(), newCall(p.Addr().String(), false))
-			if crashes {
+			if !tc.whole {
 				require.Equal(t, decision.OutcomeBroken, res.Outcome)
+				require.ErrorIs(t, res.Err, exchange.ErrUnconfirmedEnd)
 				return
 			}
 			require.Equal(t, decision.OutcomeDone, res.Outcome, "%v", res.Err)
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/samber/oops"
 
@@ -53,7 +54,9 @@
 	req.GetBody = nil
 	req.Header = endToEnd(call.Header)
 	req.Header.Set(HeaderRequestID, call.RequestID)
-	resp, res := c.send(req, call.Idempotent)
+	write := newRequestWrite()
+	began := time.Now()
+	resp, res := c.send(write.trace(req), call.Idempotent)
 	if resp == nil {
 		return nil, res
 	}
@@ -62,8 +65,8 @@
 		return nil, transportFailure(ctx, "read", call.Address, true, fmt.Errorf("answer is for request %q", echo))
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, call.MaxAnswer+1))
-	if err == nil && !exchange.Delimited(resp) && exchange.RefusesConnections(ctx, call.Address) {
-		err = exchange.ErrUnconfirmedEnd
+	if err == nil && !exchange.Delimited(resp) {
+		err = c.confirmEnd(ctx, call.Address, began, write)
 	}
 	if err != nil {
 		return nil, truncatedAnswer(ctx, call.Address, resp.StatusCode, err)
