--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -1,5 +1,7 @@
 package gateway
 
+import "time"
+
 // AnswerMemory returns the bytes that answers and events take from their budget.
 func (g *Gateway) AnswerMemory() int64 { return g.answerMemory.Used() }
 
@@ -11,3 +13,9 @@
 func (g *Gateway) Silent() (kept, moved, failed int64) {
 	return g.metrics.silentKept.Count(), g.metrics.silentMoved.Count(), g.metrics.failed.Count()
 }
+
+// SetConfirmTimeout sets how long the ends of answers may be in doubt, in place of the defaults.
+// It must be called before Start.
+func (g *Gateway) SetConfirmTimeout(d time.Duration) {
+	g.confirmTimeouts = confirmTimeouts{last: d, other: d}
+}
