--- a/gateway/forwarder_test.go
+++ b/gateway/forwarder_test.go
@@ -13,21 +13,21 @@
 // it goes on listening when the upstream does not.
 type forwarder struct {
 	listener net.Listener
-	// silent keeps connections open that can't be forwarded; otherwise they are closed.
-	silent bool
 
 	mu     sync.Mutex
 	target string
+	// silent keeps connections open that can't be forwarded; otherwise they are closed.
+	silent bool
 	conns  []net.Conn
 	closed bool
 	tasks  sync.WaitGroup
 }
 
-func newForwarder(t *testing.T, target string, silent bool) *forwarder {
+func newForwarder(t *testing.T, target string) *forwarder {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	f := &forwarder{listener: l, target: target, silent: silent}
+	f := &forwarder{listener: l, target: target}
 	f.tasks.Go(f.accept)
 	t.Cleanup(f.close)
 	return f
@@ -35,6 +35,13 @@
 
 func (f *forwarder) address() string { return f.listener.Addr().String() }
 
+// fallSilent keeps the connections open that can't be forwarded from now on.
+func (f *forwarder) fallSilent() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent = true
+}
+
 // forwardTo makes new connections go to another address.
 func (f *forwarder) forwardTo(target string) {
 	f.mu.Lock()
@@ -57,11 +64,11 @@
 		return
 	}
 	f.mu.Lock()
-	target := f.target
+	target, silent := f.target, f.silent
 	f.mu.Unlock()
 	server, err := net.Dial("tcp", target)
 	if err != nil {
-		if f.silent {
+		if silent {
 			_, _ = io.Copy(io.Discard, client)
 		}
 		_ = client.Close()
--- a/gateway/unconfirmedend_test.go
+++ b/gateway/unconfirmedend_test.go
@@ -44,7 +44,7 @@
 	for name, tc := range endCases {
 		for after, prepare := range map[string]func(*testing.T, *forwarder, *upstream.Server){
 			"connections are closed":     func(*testing.T, *forwarder, *upstream.Server) {},
-			"connections stay silent":    func(_ *testing.T, f *forwarder, _ *upstream.Server) { f.silent = true },
+			"connections stay silent":    func(_ *testing.T, f *forwarder, _ *upstream.Server) { f.fallSilent() },
 			"another upstream is behind": forwardToAnother,
 		} {
 			t.Run(name+", "+after, func(t *testing.T) {
@@ -54,7 +54,7 @@
 				bad, err := upstream.Start("i-bad", "127.0.0.1")
 				require.NoError(t, err)
 				t.Cleanup(bad.Close)
-				f := newForwarder(t, bad.Address(), false)
+				f := newForwarder(t, bad.Address())
 				prepare(t, f, bad)
 				bad.Undelimited, bad.Down = true, time.Minute
 				bad.SetFault(tc.crash)
@@ -107,7 +107,7 @@
 			require.NoError(t, err)
 			t.Cleanup(s.Close)
 			s.Undelimited = true
-			d.listForwarded(s, newForwarder(t, s.Address(), false), tc.service)
+			d.listForwarded(s, newForwarder(t, s.Address()), tc.service)
 			a := d.startEntry("entry-1").send(t, tc.call)
 			require.NoError(t, a.err)
 			require.Equal(t, http.StatusOK, a.status)
@@ -127,7 +127,7 @@
 			bad, err := upstream.Start("i-bad", "127.0.0.1")
 			require.NoError(t, err)
 			t.Cleanup(bad.Close)
-			f := newForwarder(t, bad.Address(), false)
+			f := newForwarder(t, bad.Address())
 			next := startRestarted(t, "i-bad")
 			bad.Crashed = func() { f.forwardTo(next.Address()) }
 			bad.Undelimited, bad.Down = true, time.Minute
