exchange: reset the connection of an exchange that is given up

Cause: the connection was closed in the ordinary way. A proxy that keeps half-closed connections does not pass that on, and an upstream that only writes notices it with its second write.

Change: an exchange that is given up before its end resets its connection. Others are closed as before.

Remains: a paused process notices nothing before it wakes, and one that neither reads nor writes works on.

--- a/upstream/exchange/conn.go
+++ b/upstream/exchange/conn.go
@@ -122,6 +122,18 @@
 	_ = c.SetReadDeadline(deadline)
 }
 
+// abort closes the connection in the middle of an exchange, with a reset. An upstream that only
+// writes notices that with its next write, and proxies that keep half-closed connections pass it
+// on; after an ordinary close both may go on with the request.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// An error means that the connection is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	// The connection is not used again, so the error of Close does not matter.
+	_ = c.Close()
+}
+
 // limitReads limits the next reads to a total number of bytes.
 func (c *conn) limitReads(bytes int) { c.limited, c.remaining = true, bytes }
 
--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -135,13 +135,11 @@
 	if err != nil {
 		return nil, &Error{Step: "connect", Err: err}
 	}
-	stop := context.AfterFunc(ctx, func() {
-		// Reads then fail, so the error of Close does not matter.
-		_ = c.Close()
-	})
+	stop := context.AfterFunc(ctx, c.abort)
 	a, err := p.send(c, address, req)
 	if err != nil {
 		stop()
+		c.abort()
 		p.discard(address, c)
 		return nil, err
 	}
@@ -172,7 +170,7 @@
 	if err != nil {
 		// Closing interrupts a write in progress. Whether a part of the request was
 		// sent is known only afterwards.
-		_ = c.Close()
+		c.abort()
 		<-w.done
 		return nil, &Error{Step: "read_head", Sent: w.begun, Err: err}
 	}
@@ -300,5 +298,8 @@
 		a.pool.release(a.address, a.conn, a.keepAlive)
 		return
 	}
+	if !a.complete {
+		a.conn.abort()
+	}
 	a.pool.discard(a.address, a.conn)
 }
