--- a/internal/plannedstop/rolling_test.go
+++ b/internal/plannedstop/rolling_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"jaylink/internal/procs"
 )
 
 var (
@@ -21,6 +23,7 @@
 	seed           = flag.Uint64("seed", 1, "seed of the schedule")
 	maxPause       = flag.Duration("pause", 100*time.Millisecond, "longest pause of a caller between two requests")
 	stopGap        = flag.Duration("gap", 700*time.Millisecond, "time between two stops")
+	maxFreeze      = flag.Duration("freeze", 0, "longest time for which entries get no processor time, again and again; 0 means never")
 	keptInRotation = flag.Duration("rotation", 2500*time.Millisecond, "how long callers use an entry after SIGTERM")
 )
 
@@ -59,6 +62,13 @@
 	return m.process, !m.isOut
 }
 
+// running returns the current process.
+func (m *member) running() *procs.Process {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.Process
+}
+
 // renew brings the member back into rotation with a new process.
 func (m *member) renew() {
 	m.mu.Lock()
@@ -181,7 +191,10 @@
 	time.Sleep(*keptInRotation)
 	m.takeOut()
 	<-m.Done()
-	if err := s.start(m.gatewayProcess); err != nil {
+	m.mu.Lock()
+	err := s.start(m.gatewayProcess)
+	m.mu.Unlock()
+	if err != nil {
 		t.Errorf("start: %v", err)
 	}
 	for !m.isReady() {
@@ -190,6 +203,18 @@
 	m.renew()
 }
 
+// starve takes an entry's processor time away for a while, again and again.
+func starve(rng *rand.Rand, m *member, until time.Time) {
+	for *maxFreeze > 0 && time.Now().Before(until) {
+		time.Sleep(time.Duration(rng.Int64N(int64(*maxFreeze))))
+		p := m.running()
+		// The process may have ended already; that is not an error here.
+		_ = p.Signal(syscall.SIGSTOP)
+		time.Sleep(time.Duration(rng.Int64N(int64(*maxFreeze))))
+		_ = p.Signal(syscall.SIGCONT)
+	}
+}
+
 // Entries are stopped in turn and started again, get SIGHUP and configurations, while callers
 // send on connections that they keep. No request that an upstream has run is closed without
 // its whole answer.
@@ -220,8 +245,13 @@
 			all = append(all, seen...)
 		})
 	}
+	var starving sync.WaitGroup
+	for n, m := range members {
+		starving.Go(func() { starve(rand.New(rand.NewPCG(*seed, uint64(*callerCount+n))), m, until) })
+	}
 	roll(t, s, members, until)
 	callers.Wait()
+	starving.Wait()
 	judge(t, s, all)
 }
 
