soak: have slow requests under way when an entry stops

Half of the upstreams now take up to 400 ms before each event and up to 2 s for a plain answer, from a random stream of its own.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -65,6 +65,9 @@
 	upstreamCount int
 	starts        int
 	plannedWork   []plannedWork
+	// isPlanned is set if there is planned work alone, and paces draws how fast upstreams are then.
+	isPlanned bool
+	paces     *rand.Rand
 	// kinds draws what each new upstream is like.
 	kinds *rand.Rand
 	// senders holds the entry that each request was sent to, by request ID.
@@ -131,7 +134,7 @@
 		return nil, err
 	}
 	kinds := rand.New(rand.NewPCG(o.Seed, kindStream))
-	f := &fleet{dir: dir, binary: o.Binary, kinds: kinds, gappedIDs: kinds.IntN(2) == 0, store: metastore.New(), address: l.Addr().String(), version: 1, keys: []acceptedKey{{name: "key-0"}}, senders: map[string]*entry{}, registrations: map[string]registration{}}
+	f := &fleet{dir: dir, binary: o.Binary, kinds: kinds, isPlanned: o.Planned, paces: rand.New(rand.NewPCG(o.Seed, paceStream)), gappedIDs: kinds.IntN(2) == 0, store: metastore.New(), address: l.Addr().String(), version: 1, keys: []acceptedKey{{name: "key-0"}}, senders: map[string]*entry{}, registrations: map[string]registration{}}
 	f.http = &http.Server{Handler: f.store, ReadHeaderTimeout: time.Minute}
 	// Serve returns when stop closes the server.
 	go func() { _ = f.http.Serve(l) }()
@@ -253,7 +256,7 @@
 	if err != nil {
 		return err
 	}
-	s.Pace, s.NamesRuns, s.GappedIDs = eventInterval, true, f.gappedIDs
+	s.Pace, s.NamesRuns, s.GappedIDs = f.drawPace(service), true, f.gappedIDs
 	p, err := newProxy(s.Address())
 	if err != nil {
 		return err
--- a/internal/soak/planned.go
+++ b/internal/soak/planned.go
@@ -7,6 +7,31 @@
 	"time"
 )
 
+// Upstreams of a run with planned work alone take between eventInterval and these times before an
+// event and before a plain answer, so that requests are under way when an entry stops. A whole
+// stream and a plain answer fit into callTimeout.
+const (
+	slowestEvent = 400 * time.Millisecond
+	slowestPlain = 2 * time.Second
+)
+
+// drawPace draws the time that an upstream takes before each event or plain answer.
+func (f *fleet) drawPace(service string) time.Duration {
+	if !f.isPlanned {
+		return eventInterval
+	}
+	slowest := slowestPlain
+	if service == engines {
+		slowest = slowestEvent
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.paces.IntN(2) == 0 {
+		return eventInterval
+	}
+	return eventInterval + time.Duration(f.paces.Int64N(int64(slowest-eventInterval)))
+}
+
 // planned is the series of a run with planned work alone: entries are stopped and started, told
 // to read their settings again, and the configuration changes.
 var planned = []fault{
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -29,6 +29,7 @@
 	id, service, zone string
 	listen, records   string
 	undelimited       bool
+	pace              time.Duration
 	proxy             *proxy
 
 	mu     sync.Mutex
@@ -74,6 +75,7 @@
 			id: fmt.Sprintf("i-%d", f.upstreamCount), service: []string{engines, counter}[i%2], zone: zoneName(i / 2 % zones),
 			listen: fmt.Sprintf("%s:%d", blockIP(lastEntryIP+1+i), processPort), undelimited: kinds.IntN(2) == 0,
 		}
+		p.pace = f.drawPace(p.service)
 		p.records = filepath.Join(f.dir, p.id+".records")
 		if i/2%2 == 0 {
 			var err error
@@ -124,7 +126,7 @@
 	}
 	start := time.Now().UnixMilli()
 	args := []string{
-		"standin", "upstream", "--listen", p.listen, "--id", p.id, "--records", p.records, "--pace", eventInterval.String(),
+		"standin", "upstream", "--listen", p.listen, "--id", p.id, "--records", p.records, "--pace", p.pace.String(),
 		"--start", strconv.FormatInt(start, 10), "--first-run", strconv.Itoa(p.starts * runsPerStart), "--deadly", deadlyMark,
 	}
 	for _, part := range deadlyParts {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -77,8 +77,9 @@
 	promiseStream = 1 << 36
 	// endStream is for the series of ends of upstreams.
 	endStream = 1 << 38
-	// plannedStream is for planned work alone.
+	// plannedStream is for planned work alone, and paceStream for how fast upstreams are then.
 	plannedStream = 1 << 39
+	paceStream    = 1 << 42
 	// processStream is for the series of upstreams that are processes, and processKindStream for
 	// what these are like.
 	processStream     = 1 << 40
