gateway: tests for pipelined requests that a planned stop cuts off

A caller that sends its next request before it has the answer to the one before finds its connection closed in a planned stop while the second request is running: no 504, no answer.

callerConn counts as in use from the first byte that leaves the socket after the connection became idle. If both requests came with one read, the second needs no read: isRead stays false from StateIdle on, and closeUnused takes the connection for unused. The idle timer is not affected, because StateActive stops it.

--- a/gateway/callerconns_test.go
+++ b/gateway/callerconns_test.go
@@ -106,3 +106,32 @@
 	c.between()
 	return n, err
 }
+
+// A caller sends a request before it has the answer to the one before it. Its connection is in
+// use until the last one is answered.
+func TestPipelinedRequestCountsAsUnusedConnection(t *testing.T) {
+	k := newCallerConns(func() time.Duration { return time.Hour })
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := newCallerListener(inner, k)
+	running, answer := make(chan struct{}), make(chan struct{})
+	server := &http.Server{ConnState: k.track, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/second" {
+			close(running)
+			<-answer
+		}
+	})}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(l) }()
+	client, err := net.Dial("tcp", inner.Addr().String())
+	require.NoError(t, err)
+	_, err = io.WriteString(client, "GET /first HTTP/1.1\r\nHost: a\r\n\r\nGET /second HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	<-running
+	left := k.closeUnused()
+	close(answer)
+	require.NoError(t, server.Close())
+	require.ErrorIs(t, <-served, http.ErrServerClosed)
+	require.NoError(t, client.Close())
+	require.Equal(t, 1, left, "closed while a request was under way")
+}
