--- a/gateway/rawupstream_test.go
+++ b/gateway/rawupstream_test.go
@@ -23,6 +23,8 @@
 	serve func(c net.Conn, req *http.Request)
 	// mute closes calls for the state without an answer.
 	mute bool
+	// beforeState, if set, is called before each call for the state is answered.
+	beforeState func()
 	// requests counts the requests, without calls for the state.
 	requests atomic.Int64
 
@@ -69,6 +71,9 @@
 		s.requests.Add(1)
 		s.serve(c, req)
 	case !s.mute:
+		if s.beforeState != nil {
+			s.beforeState()
+		}
 		body := fmt.Sprintf(`{"born":%d}`, upstream.FirstStart)
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", s.id, len(body), body)
 	}
