gateway: keep a connection in use while the server holds a pipelined request

Cause: a connection counted as unused from the end of an answer until the next byte left its socket. If both requests came with one read, the second needs no read.

Change: an answered connection becomes unused when the server reads again, which it does only once it has nothing left.

--- a/gateway/callerconns.go
+++ b/gateway/callerconns.go
@@ -83,8 +83,11 @@
 	mu sync.Mutex
 	// isRead is set before the first byte is read since the connection was opened or became
 	// idle.
-	isRead   bool
-	isClosed bool
+	isRead bool
+	// wasAnswered is set from the end of an answer to the next read, which shows that the server
+	// has no bytes of a further request left from earlier reads.
+	wasAnswered bool
+	isClosed    bool
 	// idle closes the connection after its idle time; nil while it is not idle.
 	idle *time.Timer
 }
@@ -103,10 +106,7 @@
 // awaitArrival waits for the first byte of a request, without reading it, and reports whether
 // it has arrived. It does not wait if the connection is in use.
 func (c *callerConn) awaitArrival() bool {
-	c.mu.Lock()
-	isRead := c.isRead
-	c.mu.Unlock()
-	if isRead || c.raw == nil {
+	if c.isInUse() || c.raw == nil {
 		return false
 	}
 	hasArrived := false
@@ -119,6 +119,16 @@
 	return hasArrived
 }
 
+// isInUse reports, before a read, whether the server has a request or a part of one.
+func (c *callerConn) isInUse() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.wasAnswered {
+		c.isRead, c.wasAnswered = false, false
+	}
+	return c.isRead
+}
+
 // use records that a request is being read, unless the connection has been closed.
 func (c *callerConn) use() bool {
 	c.mu.Lock()
@@ -150,10 +160,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stopTimer()
+	c.wasAnswered = state == http.StateIdle
 	if state != http.StateIdle {
 		return
 	}
-	c.isRead = false
 	if limit <= 0 || c.isClosed {
 		return
 	}
