gateway: end a planned stop whose listener has failed

What callers would see (found by the review): if accepting connections fails for good (ENOBUFS, ENOMEM), a planned stop waits for the next accept, without a limit, until the process is killed, and requests in flight are cut off without an answer.

Cause: the wait ended only with net.ErrClosed, an error that a listener nobody accepts from never returns.

Change: the server closes the listener when it stops to accept, which ends the wait, too.

--- a/gateway/callerlistener.go
+++ b/gateway/callerlistener.go
@@ -11,7 +11,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// callerListener accepts the connections of callers.
+// callerListener accepts the connections of callers. The server closes it when it stops to
+// accept them.
 type callerListener struct {
 	net.Listener
 	conns *callerConns
@@ -37,6 +38,12 @@
 	return l.conns.add(c), nil
 }
 
+// Close implements net.Listener.
+func (l *callerListener) Close() error {
+	l.end()
+	return l.Listener.Close()
+}
+
 const (
 	// acceptPoll is how often it is checked whether connections wait to be accepted, and
 	// maxAcceptPolls how many times at most.
@@ -53,7 +60,7 @@
 		}
 		sleep(context.Background(), acceptPoll)
 	}
-	err := l.Close()
+	err := l.Listener.Close()
 	<-l.ended
 	return err
 }
