upstream: compare the uptime in a load report with the time at its arrival

What callers of jaylink entry would see (ORDER, found by the review): a plain service is killed while it writes an answer without a length, and its successor behind the same port gives a slow load report. The part is given as the whole answer.

Cause: the time since the request was taken before the report was asked for; a report that takes longer than the answer shows an uptime that covers it, although its process is younger than the request.

Change: the time is taken once the report is there, when it was made at the latest.

--- a/upstream/confirm.go
+++ b/upstream/confirm.go
@@ -46,9 +46,9 @@
 func (c *Client) confirmEnd(ctx context.Context, address string, began time.Time, write *requestWrite) error {
 	end := answer.End{RequestWritten: write.succeeded(ctx)}
 	if end.NeedsProcess() {
-		answering := time.Since(began)
 		report, err := c.Load(ctx, address)
-		if err == nil && report.UptimeMS >= answering.Milliseconds() && report.UptimeMS > 0 {
+		// The report may have been made at any time until now.
+		if err == nil && report.UptimeMS > time.Since(began).Milliseconds() {
 			end.Process = answer.Running
 		}
 	}
