gateway: begin an inquiry for an end of an answer beside a slow one

What callers would see (found by the review): 502 for work that may run once and has run, from a sound plain upstream whose answers end with their connection.

Cause: an end that came while an inquiry was under way waited for the next one, which began only when the one under way had ended. A health check that waits for a slot, or a call that is lost, used up the time of all the ends after it.

Change: up to four inquiries to a process run at the same time, each begun by an end; further ends share the next one. What a later one learns also answers for the earlier ones: a process that runs now ran at the ends before. An inquiry that waits for its turn is no longer given up when the last one who waits leaves, because others may still join it.

--- a/gateway/confirm.go
+++ b/gateway/confirm.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -32,6 +33,9 @@
 	last, other time.Duration
 }
 
+// maxInquiries bounds the inquiries to one process that are under way at the same time.
+const maxInquiries = 4
+
 // inquiry is the question to an upstream whether its process still runs. It serves all ends of
 // answers that were there before it began.
 type inquiry struct {
@@ -42,34 +46,34 @@
 	process answer.Process
 	// waiting is the number of requests that wait for the reply.
 	waiting int
-	// next follows this inquiry, for ends that came after it began. It may be nil.
-	next *inquiry
+	// begun is set once the question is under way.
+	begun bool
 }
 
-// inquiries holds the inquiries under way, at most one for each process of an upstream.
+// inquiries holds the inquiries to each process of an upstream, the oldest first. At most the
+// latest has not begun.
 type inquiries struct {
 	mu     sync.Mutex
-	active map[uint64]*inquiry
+	active map[uint64][]*inquiry
 }
 
 // join returns the inquiry that an end of an answer has to wait for, and whether the caller has
 // to run it.
-func (s *inquiries) join(instance uint64) (q *inquiry, isFirst bool) {
+func (s *inquiries) join(instance uint64) (q *inquiry, begins bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	active := s.active[instance]
-	switch {
-	case active == nil:
-		q, isFirst = newInquiry(), true
-		s.active[instance] = q
-	case active.next == nil:
+	list := s.active[instance]
+	n := len(list)
+	if n > 0 && !list[n-1].begun {
+		q = list[n-1]
+	} else {
 		q = newInquiry()
-		active.next = q
-	default:
-		q = active.next
+		q.begun = n < maxInquiries
+		s.active[instance] = append(list, q)
+		begins = q.begun
 	}
 	q.waiting++
-	return q, isFirst
+	return q, begins
 }
 
 func newInquiry() *inquiry {
@@ -77,29 +81,53 @@
 	return &inquiry{ctx: ctx, cancel: cancel, done: make(chan struct{})}
 }
 
-// leave ends an inquiry that nobody waits for any more.
+// leave ends an inquiry that nobody waits for any more. One that has not begun waits for its
+// turn: others may still join it.
 func (s *inquiries) leave(q *inquiry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	q.waiting--
-	if q.waiting == 0 {
+	if q.waiting == 0 && q.begun {
 		q.cancel()
 	}
 }
 
-// finish gives the reply to those who wait for it, and returns the inquiry that follows.
+// finish gives the reply to those who wait for it, and returns the inquiry that the caller has to
+// run next, or nil. A process whose state is known had that state, or still ran, at the ends of
+// the earlier inquiries, too.
 func (s *inquiries) finish(instance uint64, q *inquiry, process answer.Process) *inquiry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	q.process = process
-	close(q.done)
-	q.cancel()
-	if q.next == nil {
+	list := s.active[instance]
+	i := slices.Index(list, q)
+	if i < 0 {
+		// A later inquiry has finished this one.
+		return nil
+	}
+	first := i
+	if process != answer.Unknown {
+		first = 0
+	}
+	for _, finished := range list[first : i+1] {
+		finished.process = process
+		close(finished.done)
+		finished.cancel()
+	}
+	list = slices.Delete(list, first, i+1)
+	if len(list) == 0 {
 		delete(s.active, instance)
-	} else {
-		s.active[instance] = q.next
+		return nil
+	}
+	s.active[instance] = list
+	last := list[len(list)-1]
+	if last.begun {
+		return nil
+	}
+	last.begun = true
+	if last.waiting == 0 {
+		last.cancel()
 	}
-	return q.next
+	return last
 }
 
 // processAfterEnd returns what the process of an upstream says after the end of an answer. It is
@@ -107,9 +135,9 @@
 func (g *Gateway) processAfterEnd(ctx context.Context, u serving.Upstream, service *serving.Service, timeout time.Duration) answer.Process {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	q, isFirst := g.inquiries.join(u.Instance())
+	q, begins := g.inquiries.join(u.Instance())
 	defer g.inquiries.leave(q)
-	if isFirst {
+	if begins {
 		go g.runInquiries(q, u, service)
 	}
 	select {
@@ -120,7 +148,7 @@
 	}
 }
 
-// runInquiries runs an inquiry and those that follow it.
+// runInquiries runs an inquiry and those that are its turn to run afterwards.
 func (g *Gateway) runInquiries(q *inquiry, u serving.Upstream, service *serving.Service) {
 	for q != nil {
 		process := answer.Unknown
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -147,7 +147,7 @@
 		metrics:         newCounters(),
 		objects:         platform.NewObjects(settings.Store, storeTimeout),
 		pool:            exchange.NewPool(),
-		inquiries:       inquiries{active: map[uint64]*inquiry{}},
+		inquiries:       inquiries{active: map[uint64][]*inquiry{}},
 		confirmTimeouts: confirmTimeouts{last: confirmTimeout, other: shortConfirmTimeout},
 		bodyMemory:      membudget.New(bodyMemory(settings)),
 		answerMemory:    membudget.New(bodyMemory(settings)),
