gateway: send requests without an ID on connections of their own

What callers saw: a request that came without an ID got the answer of the one before it.

Cause: answers are matched by the request's ID, and any answer without one matched a request without one. An extra or late answer on a kept connection was taken for that of the next such request; a late refusal that names nobody made it fail with 502, or run twice before.

Change: such a request is sent on a connection that has carried no other.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -292,6 +292,8 @@
 	answer, err := g.pool.Do(ctx, choice.Upstream.Address, &exchange.Request{
 		Method: r.http.Method, Target: r.target, Host: r.http.Host, Header: header,
 		Body: r.body, HasBody: r.http.ContentLength != 0 || r.body != nil, ID: r.RequestID,
+		// Answers to requests without an ID can't be told from each other.
+		NewConnection: r.RequestID == "",
 		CheckHead: func(status int, h http.Header) exchange.HeadCheck {
 			head = platform.DecodeAnswer(status, h)
 			anonymous := head.RequestID == "" && head.NotRun
--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -31,6 +31,8 @@
 	// not sent on a connection that has carried one with the same ID: a late or repeated
 	// response to that one could not be told from the response to this one.
 	ID string
+	// NewConnection has the request sent on a connection that has carried no other.
+	NewConnection bool
 	// CheckHead inspects the status and header of a response. If it is nil, every
 	// response counts as that of the request.
 	CheckHead func(status int, header http.Header) HeadCheck
--- a/upstream/exchange/pool.go
+++ b/upstream/exchange/pool.go
@@ -67,6 +67,9 @@
 // popIdle removes the most recently used idle connection that suits a request from the pool,
 // so that surplus connections can expire. It returns nil if there is none.
 func (p *Pool) popIdle(address string, req *Request) *conn {
+	if req.NewConnection {
+		return nil
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
