--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -31,7 +31,8 @@
 	// not sent on a connection that has carried one with the same ID: a late or repeated
 	// response to that one could not be told from the response to this one.
 	ID string
-	// NewConnection has the request sent on a connection that has carried no other.
+	// NewConnection has the request sent on a connection that has carried no other, so that no
+	// response to an earlier request can come.
 	NewConnection bool
 	// CheckHead inspects the status and header of a response. If it is nil, every
 	// response counts as that of the request.
@@ -40,9 +41,6 @@
 	// idle; 0 means no limit. The upstream may have closed a connection that was
 	// idle for long, and it is then unknown whether it read the request.
 	MaxIdle time.Duration
-	// NewConnection is set if a reused connection must not be used, on which the response to an
-	// earlier request may still come.
-	NewConnection bool
 	// HeadTimeout is the timeout for the status and header of the response; 0
 	// means no timeout.
 	HeadTimeout time.Duration
