--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -41,6 +41,8 @@
 	reply  reply
 	target string
 	body   []byte
+	// hasBody is set once the body has been read, or if there is none.
+	hasBody bool
 	// buffers hold the request's body and the answers that are kept until its end.
 	buffers  []*membudget.Buffer
 	config   *acceptedConfiguration
@@ -246,6 +248,7 @@
 		return newRefusal(http.StatusRequestEntityTooLarge, reason.BodyTooLarge, 0)
 	}
 	if r.http.ContentLength == 0 {
+		r.hasBody = true
 		return nil
 	}
 	control := http.NewResponseController(r.reply.w)
@@ -265,7 +268,7 @@
 	case err != nil:
 		return newRefusal(http.StatusBadRequest, reason.BadRequest, 0)
 	}
-	r.body = buffer.Bytes()
+	r.body, r.hasBody = buffer.Bytes(), true
 	return nil
 }
 
