gateway: let the slow bodies of TestSlowBodiesUseUpTheMemory outlast a busy machine

The test failed once, beside a soak (memory_test.go:105, condition never satisfied): its callers gave their bodies 3 s, and on a machine that needs longer all eight had been refused with 408 before their memory was looked at. They now have a minute; the test ends them itself, as before, and checks the same.

--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -84,7 +84,7 @@
 // one is refused as not run, at once; small ones are served.
 func TestSlowBodiesUseUpTheMemory(t *testing.T) {
 	d := newDeployment(t)
-	d.maxBody = 400 << 10
+	d.maxBody, d.timeout = 400<<10, time.Minute
 	d.configure()
 	d.upstream("i-1", counterService)
 	e := d.startSmallEntry("entry-1")
@@ -93,6 +93,7 @@
 	for n := range 8 {
 		slow.Go(func() {
 			c := plainCall("order", fmt.Sprintf("slow-%d", n))
+			c.Deadline = time.Minute
 			req, err := c.Request(t.Context(), e.settings.Front)
 			require.NoError(t, err)
 			req.Body, req.ContentLength = io.NopCloser(&slowBody{strings.NewReader(strings.Repeat("x", 200<<10)), end}), -1
