poison: don't blame requests that are sent to a dead upstream for its crash

What callers saw: BUDGET, deadly requests and parts that crashed upstreams again and again; and sound requests that count as deadly.

Cause: the probe of an upstream whose connections broke shows a crash only if its port refuses connections. Behind something that goes on listening the crash is seen later, when the upstream registers as another process. Until then every request that was sent to the dead upstream began a new suspicion in place of the first, so that the request which had ended it was forgotten and the last one sent was blamed.

Change: as long as an upstream has answered nothing since its connections broke, it may have been down all the time: the first suspicion stays and what is sent later is not involved. An answer to a request sent later ends that.

--- a/decision/poison/suspicion.go
+++ b/decision/poison/suspicion.go
@@ -16,6 +16,11 @@
 	requests []Crash
 	probed   bool
 	crashed  bool
+	// answered is set once the upstream has answered a request that was sent later.
+	answered bool
+	// earlier is set if connections broke before, the probe did not tell why, and the upstream
+	// has answered nothing since: it may have been down all the time.
+	earlier *suspectedCrash
 }
 
 // NewCrashSuspicions returns an empty CrashSuspicions.
@@ -32,7 +37,11 @@
 	s.expire(c.At)
 	suspect := s.byUpstream[c.Upstream]
 	if suspect == nil || suspect.probed && c.At.Sub(suspect.at) >= crashMergeWindow {
-		s.byUpstream[c.Upstream] = &suspectedCrash{at: c.At, requests: []Crash{c}}
+		next := &suspectedCrash{at: c.At, requests: []Crash{c}}
+		if suspect != nil && !suspect.crashed && !suspect.answered {
+			next.earlier = suspect
+		}
+		s.byUpstream[c.Upstream] = next
 		return true, false
 	}
 	if suspect.probed {
@@ -52,10 +61,23 @@
 		return nil
 	}
 	suspect.probed = true
-	if !crashed {
-		return nil
+	switch {
+	case crashed && suspect.earlier != nil:
+		return append(suspect.earlier.confirm(), suspect.confirm()...)
+	case crashed:
+		return suspect.confirm()
+	case suspect.earlier != nil:
+		// What is sent to an upstream that is down ends nothing.
+		s.byUpstream[upstream] = suspect.earlier
+	}
+	return nil
+}
+
+// Answered records that an upstream has answered a request that was sent at a time.
+func (s *CrashSuspicions) Answered(upstream string, sent time.Time) {
+	if suspect := s.byUpstream[upstream]; suspect != nil && sent.After(suspect.at) {
+		suspect.answered = true
 	}
-	return suspect.confirm()
 }
 
 // confirm marks the upstream as crashed and returns a crash for each request.
--- a/decision/poison/suspicion_test.go
+++ b/decision/poison/suspicion_test.go
@@ -48,3 +48,35 @@
 	require.False(t, probe)
 	require.False(t, crashed)
 }
+
+// An upstream crashes behind something that goes on listening, so that the probe does not show
+// it. Requests that are sent to it while it is down have not ended it.
+func TestRequestsToADeadUpstreamAreBlamedForItsCrash(t *testing.T) {
+	for name, answers := range map[string]bool{"down since the first": false, "answers in between": true} {
+		t.Run(name, func(t *testing.T) {
+			s := NewCrashSuspicions()
+			s.ConnectionBroken(report(1, "u", 0))
+			require.Empty(t, s.ProbeFinished("u", false))
+			s.Answered("u", start.Add(-time.Second))
+			want := []Crash{report(1, "u", 0)}
+			if answers {
+				s.Answered("u", start.Add(crashMergeWindow/2))
+				want = []Crash{report(2, "u", crashMergeWindow)}
+			}
+			probe, _ := s.ConnectionBroken(report(2, "u", crashMergeWindow))
+			require.True(t, probe)
+			require.Empty(t, s.ProbeFinished("u", false))
+			require.Equal(t, want, s.Restarted(start.Add(restartNoticeTime/2), "u"))
+		})
+	}
+}
+
+// A later probe that shows a crash leaves open which of the two breaks it was.
+func TestLaterProbeForgetsTheFirstRequests(t *testing.T) {
+	s := NewCrashSuspicions()
+	s.ConnectionBroken(report(1, "u", 0))
+	require.Empty(t, s.ProbeFinished("u", false))
+	s.ConnectionBroken(report(2, "u", crashMergeWindow))
+	require.Equal(t, []Crash{report(1, "u", 0), report(2, "u", crashMergeWindow)}, s.ProbeFinished("u", true))
+	require.Empty(t, s.Restarted(start.Add(restartNoticeTime/2), "u"))
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -196,7 +196,7 @@
 		return g.handleSendError(ctx, r, ticket, err), nil
 	}
 	defer answer.Close()
-	g.applyUpstreamState(choice.Upstream, head)
+	g.applyUpstreamState(choice.Upstream, head, p.sentAt)
 	g.applyLimit(choice.Upstream, head, sent)
 	g.reportUnknownHeader(choice.Upstream, head)
 	if answer.NotRun != notrun.None {
@@ -208,10 +208,11 @@
 }
 
 // applyUpstreamState records the load, the shutdown notice and the pause request that
-// an upstream sends in the headers of its answers.
-func (g *Gateway) applyUpstreamState(u serving.Upstream, head platform.UpstreamHeaders) {
+// an upstream sends in the headers of its answer to a request that was sent at a time.
+func (g *Gateway) applyUpstreamState(u serving.Upstream, head platform.UpstreamHeaders, sent time.Time) {
 	now := time.Now()
 	g.mu.Lock()
+	g.suspicions.Answered(u.ID, sent)
 	if load := head.Load; load != nil {
 		g.table.ReportRequests(now, u.ID, load.Running+load.Waiting)
 	}
