soak: end the gateways when the soak is told to stop

SIGTERM ended the soak at once and left its gateways running (seen with a timeout of 150 s); it was waited for SIGINT alone.

--- a/cmd/jaylink/soak.go
+++ b/cmd/jaylink/soak.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -33,7 +34,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	failed := 0
 	for i := 0; i < count && ctx.Err() == nil; i++ {
