poison: remember an answer that comes while an upstream is probed again

Found on reading once more. If connections of an upstream break a second time, and it answers before the probe has ended, the answer was recorded for the second break alone; the first one came back as if the upstream had been down all the time, and the requests of the second were forgotten.

Change: an answer to a request that was sent after the first break ends that suspicion, as one before the second break does.

Evidence: TestAnswerDuringALaterProbeIsForgotten failed before in both cases.

--- a/decision/poison/suspicion.go
+++ b/decision/poison/suspicion.go
@@ -75,8 +75,13 @@
 
 // Answered records that an upstream has answered a request that was sent at a time.
 func (s *CrashSuspicions) Answered(upstream string, sent time.Time) {
-	if suspect := s.byUpstream[upstream]; suspect != nil && sent.After(suspect.at) {
-		suspect.answered = true
+	suspect := s.byUpstream[upstream]
+	if suspect == nil {
+		return
+	}
+	suspect.answered = suspect.answered || sent.After(suspect.at)
+	if suspect.earlier != nil && sent.After(suspect.earlier.at) {
+		suspect.earlier = nil
 	}
 }
 
--- a/decision/poison/suspicion_test.go
+++ b/decision/poison/suspicion_test.go
@@ -71,6 +71,23 @@
 	}
 }
 
+// The upstream answers while it is probed again. It was not down since its first connection broke,
+// so that the later requests are suspected, also if the answer is to one sent before theirs.
+func TestAnswerDuringALaterProbeIsForgotten(t *testing.T) {
+	const later = crashMergeWindow
+	for name, sent := range map[string]time.Duration{"sent between": later / 2, "sent after": later + 1} {
+		t.Run(name, func(t *testing.T) {
+			s := NewCrashSuspicions()
+			s.ConnectionBroken(report(1, "u", 0))
+			require.Empty(t, s.ProbeFinished("u", false))
+			s.ConnectionBroken(report(2, "u", later))
+			s.Answered("u", start.Add(sent))
+			require.Empty(t, s.ProbeFinished("u", false))
+			require.Equal(t, []Crash{report(2, "u", later)}, s.Restarted(start.Add(restartNoticeTime/2), "u"))
+		})
+	}
+}
+
 // A later probe that shows a crash leaves open which of the two breaks it was.
 func TestLaterProbeForgetsTheFirstRequests(t *testing.T) {
 	s := NewCrashSuspicions()
