gateway: catch SIGHUP before other packages are initialized

Cause: until a program asks for SIGHUP its default ends it, and the gateway asked for it after all packages had been initialized, the command line parsed and the settings read.

Change: the package internal/hangup asks for it, as the first package after os/signal. What is left is the start of the process and of Go's runtime, which no Go code can shorten.

Evidence: TestHangupDuringTheStartEndsTheEntry (SIGHUP while the entry waits for its settings file) failed before: "timed out waiting for the entry to be ready".

--- a/cmd/jaylink/gateway.go
+++ b/cmd/jaylink/gateway.go
@@ -5,14 +5,13 @@
 	"errors"
 	"log/slog"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"strings"
-	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 
 	"jaylink/gateway"
+	"jaylink/internal/hangup"
 	"jaylink/internal/logsink"
 	"jaylink/kernel"
 	"jaylink/platform"
@@ -34,7 +33,7 @@
 )
 
 func addGateway(app *kingpin.Application) {
-	cmd := app.Command("gateway", "Run an entry on the hosting platform: forward callers' requests to upstreams. SIGTERM stops it gracefully.")
+	cmd := app.Command(hangup.Command, "Run an entry on the hosting platform: forward callers' requests to upstreams. SIGTERM stops it gracefully.")
 	file := cmd.Flag("settings", "The platform's settings file.").Short('s').Envar(platform.SettingsVariable).String()
 	cmd.Action(func(*kingpin.ParseContext) error { return runGateway(*file) })
 }
@@ -74,15 +73,13 @@
 // checkSettingsOnHangup validates the settings file at each SIGHUP and logs the
 // result. Changes take effect at the next start.
 func checkSettingsOnHangup(file string, log *slog.Logger) (stop func()) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
 		for {
 			select {
 			case <-ctx.Done():
 				return
-			case <-hangups:
+			case <-hangup.Received:
 				_, err := platform.ReadSettings(file)
 				log.Info("settings file read again", "err", err)
 			}
--- a/internal/plannedstop/fixture_test.go
+++ b/internal/plannedstop/fixture_test.go
@@ -95,6 +95,14 @@
 
 // gateway starts a gateway. It is not ready yet.
 func (s *site) gateway(t *testing.T) *gatewayProcess {
+	t.Helper()
+	g := s.newGateway(t)
+	require.NoError(t, s.start(g))
+	return g
+}
+
+// newGateway writes the settings of a gateway that has not been started.
+func (s *site) newGateway(t *testing.T) *gatewayProcess {
 	t.Helper()
 	s.started++
 	g := &gatewayProcess{ip: fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, subnet, s.started)}
@@ -106,7 +114,6 @@
 	}
 	g.settings = filepath.Join(s.dir, name+".conf")
 	require.NoError(t, os.WriteFile(g.settings, []byte(settings.Text()), 0o600))
-	require.NoError(t, s.start(g))
 	return g
 }
 
