gateway: answer a request whose handling panics

What callers see (LOST): the connection is closed without an answer, also after the request has been passed on.

Cause: nothing caught the panic but net/http, which closes the connection. No panic is known; this is one of the places found on looking for all that close callers' connections.

Change: the request is answered with the new reason `internal`: 503 if it was sent to no upstream, 502 otherwise, as nobody knows how far the attempt got. If the caller has a part of an answer, the connection is closed as before.

Evidence: TestPanicWhileARequestIsReadClosesItsConnection failed without the change: "EOF".

--- a/decision/reason/describe.go
+++ b/decision/reason/describe.go
@@ -46,6 +46,7 @@
 	OwnerUnreachable: {"An entry that may have the request can't be reached now.", retryLater},
 	DeadlineUnmet:    {"The request would wait longer than it has time; it was not run.", retryLater},
 	NotReady:         {"The entry has just started and knows no configuration yet.", retryLater},
+	Internal:         {"The entry has failed while it handled the request.", retryIfNotRun},
 	MemoryFull:       {"The bodies of other requests take all memory that the entry has for them.", retryLater},
 	AnswerTooLarge:   {"The upstream's answer is over the setting limits.answer.", lookUpOutcome},
 
--- a/decision/reason/reason.go
+++ b/decision/reason/reason.go
@@ -50,6 +50,8 @@
 	MemoryFull Reason = "memory_full"
 	// NotReady means that the entry has not received a configuration yet.
 	NotReady Reason = "not_ready"
+	// Internal means that the handling of the request has panicked.
+	Internal Reason = "internal"
 )
 
 // Refusals lists every refusal reason.
@@ -59,7 +61,7 @@
 	AttemptsUsedUp, NotRepeatable, RetryBudget, KeyReused, KeyInProgress,
 	ClaimUnavailable, OutcomeUnknown, OutcomeNotKept, Poison, PoisonPart, AnswerTooLarge,
 	OwnerUnreachable,
-	DeadlineUnmet, NotReady, MemoryFull,
+	DeadlineUnmet, NotReady, MemoryFull, Internal,
 }
 
 // Reasons for repeating an attempt.
--- a/entry/problem.go
+++ b/entry/problem.go
@@ -47,6 +47,7 @@
 	reason.PoisonPart:       http.StatusUnprocessableEntity,
 	reason.AnswerTooLarge:   http.StatusBadGateway,
 	reason.OwnerUnreachable: http.StatusServiceUnavailable,
+	reason.Internal:         http.StatusServiceUnavailable,
 	reason.DeadlineUnmet:    http.StatusServiceUnavailable,
 }
 
--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -83,6 +83,7 @@
 		CallerHeaders: platform.DecodeCaller(hr.Header), http: hr, reply: reply{w: w}, target: hr.RequestURI, arrived: time.Now(),
 	}
 	defer r.releaseBuffers()
+	defer g.answerPanic(r)
 	r.progress.lastEvent = r.LastEvent
 	if refused := g.admit(r); refused != nil {
 		g.refuse(r, refused)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -73,7 +73,7 @@
 	// olderLists counts upstream lists and changes that were ignored because they are
 	// older than the active list.
 	olderLists metrics.Counter
-	// panics counts the panics that withRecover caught.
+	// panics counts the panics that withRecover and answerPanic caught.
 	panics metrics.Counter
 	// limitedAttempts counts attempts on upstreams that had stated a limit on their
 	// requests, and invalidLimits the answers with a limit that can't be decoded.
--- a/gateway/recover_test.go
+++ b/gateway/recover_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"log/slog"
 	"math"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -30,6 +34,60 @@
 	require.True(t, g.mu.TryLock())
 }
 
+// Handling a request panics before and after it was sent to an upstream, and after the head of the
+// answer has reached the caller.
+func TestPanicClosesTheConnectionOfItsRequest(t *testing.T) {
+	cases := map[string]struct {
+		tried  []string
+		begun  bool
+		status int
+	}{
+		"not sent": {nil, false, http.StatusServiceUnavailable},
+		"sent":     {[]string{"i-1"}, false, http.StatusBadGateway},
+		"begun":    {[]string{"i-1"}, true, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := New(platform.Settings{Name: "e"}, slog.New(slog.DiscardHandler))
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
+				r := &request{http: hr, reply: reply{w: w}, hasBody: true, progress: progress{tried: c.tried}}
+				defer g.answerPanic(r)
+				if c.begun {
+					r.reply.begin(http.StatusOK, nil)
+					_, err := r.reply.Write([]byte("a part"))
+					require.NoError(t, errors.Join(err, r.reply.flush()))
+				}
+				panic("odd")
+			}))
+			defer server.Close()
+			resp, err := http.Get(server.URL)
+			require.NoError(t, err)
+			defer resp.Body.Close()
+			_, err = io.Copy(io.Discard, resp.Body)
+			if c.begun {
+				require.Error(t, err, "the answer seems whole")
+			} else {
+				require.NoError(t, err)
+				require.Equal(t, c.status, resp.StatusCode)
+			}
+			require.EqualValues(t, 1, g.metrics.panics.Snapshot().Count())
+		})
+	}
+}
+
+// A request whose handling panics is answered.
+func TestPanicWhileARequestIsReadClosesItsConnection(t *testing.T) {
+	g := New(platform.Settings{Name: "e"}, slog.New(slog.DiscardHandler))
+	g.config.Store(&acceptedConfiguration{})
+	g.upstreams.Store(&upstreamList{})
+	server := httptest.NewServer(http.HandlerFunc(g.serveCaller))
+	defer server.Close()
+	resp, err := http.Get(server.URL)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+}
+
 // Gossip messages with arbitrary contents, appended garbage or a changed incarnation
 // never make their handling panic.
 func TestOddWordsAreSurvived(t *testing.T) {
