plannedstop: callers that send their requests in other ways

The rolling stops had callers that send each request at once. They now also send it in pieces, in chunks, with Expect: 100-continue, with Connection: close and as HTTP/1.0, in turn; the bounds are the same.

--- a/internal/plannedstop/fixture_test.go
+++ b/internal/plannedstop/fixture_test.go
@@ -145,6 +145,8 @@
 	net.Conn
 	reader *bufio.Reader
 	last   *http.Request
+	// early is the answer that came before the body was sent, if there is one.
+	early *http.Response
 }
 
 func dial(address string) (*connection, error) {
@@ -157,6 +159,15 @@
 
 // send sends a request with a body of some bytes.
 func (c *connection) send(route, id string, size int) error {
+	req, err := c.request(route, id, size)
+	if err != nil {
+		return err
+	}
+	return c.sendAs(atOnce, req)
+}
+
+// request returns a request with a body of some bytes.
+func (c *connection) request(route, id string, size int) (*http.Request, error) {
 	call := caller.Call{
 		Method: http.MethodPost, Target: "/" + route + "/1", Host: host, ID: id, Key: key, Body: strings.Repeat("x", size), Deadline: callTimeout,
 	}
@@ -166,20 +177,18 @@
 	case "once":
 		call.Tokens, call.Prefix = "100,10", "1f:100"
 	}
-	req, err := call.Request(context.Background(), c.RemoteAddr().String())
-	if err != nil {
-		return err
-	}
-	c.last = req
-	return req.Write(c)
+	return call.Request(context.Background(), c.RemoteAddr().String())
 }
 
 // answer reads an answer and returns its status, and whether the connection may be used again.
 // It returns an error if the connection ends without a whole answer.
 func (c *connection) answer() (status int, isKept bool, err error) {
-	resp, err := http.ReadResponse(c.reader, c.last)
-	if err != nil {
-		return 0, false, err
+	resp := c.early
+	c.early = nil
+	if resp == nil {
+		if resp, err = http.ReadResponse(c.reader, c.last); err != nil {
+			return 0, false, err
+		}
 	}
 	defer resp.Body.Close()
 	_, err = io.Copy(io.Discard, resp.Body)
--- a/internal/plannedstop/rolling_test.go
+++ b/internal/plannedstop/rolling_test.go
@@ -96,6 +96,7 @@
 	to       *member
 	err      error
 	wasKept  bool
+	manner   manner
 	sent     time.Time
 	ended    time.Time
 	finished int
@@ -133,10 +134,14 @@
 			wasKept = false
 		}
 		delete(kept, m)
-		e := exchange{id: fmt.Sprintf("%s-%d", name, n), to: m, wasKept: wasKept}
+		e := exchange{id: fmt.Sprintf("%s-%d", name, n), to: m, wasKept: wasKept, manner: manner(n) % manners}
 		route := []string{"order", "status", "once"}[rng.IntN(3)]
 		size := []int{0, 2 << 10, 8 << 10, 60 << 10}[rng.IntN(4)]
-		if err := c.send(route, e.id, size); err != nil {
+		req, err := c.request(route, e.id, size)
+		if err == nil {
+			err = c.sendAs(e.manner, req)
+		}
+		if err != nil {
 			// The request crossed the close of the connection.
 			_ = c.Close()
 			continue
@@ -275,7 +280,7 @@
 			continue
 		}
 		took, stop := e.ended.Sub(e.sent), e.to.sinceStop(e.sent)
-		what := fmt.Sprintf("%s kept=%v ran=%v sent %v after SIGTERM, closed after %v: %v", e.id, e.wasKept, ran[e.id], stop, took, e.err)
+		what := fmt.Sprintf("%s (%v) kept=%v ran=%v sent %v after SIGTERM, closed after %v: %v", e.id, e.manner, e.wasKept, ran[e.id], stop, took, e.err)
 		switch {
 		case ran[e.id] && stop >= 0 && stop <= 3*time.Second && stop+took >= grace*5/6:
 			t.Log("at the end of the grace time: ", what)
