plannedstop: upstreams that leave beside the rolling stops

One upstream after the other announces that it leaves, is removed and comes back as another process, while it serves all the time.

--- a/internal/plannedstop/fixture_test.go
+++ b/internal/plannedstop/fixture_test.go
@@ -46,6 +46,8 @@
 	version int
 	started int
 	ups     []*upstream.Server
+	// services are those of the upstreams.
+	services []string
 }
 
 func newSite(t *testing.T) *site {
@@ -83,10 +85,29 @@
 	require.NoError(t, err)
 	t.Cleanup(up.Close)
 	up.Pace = pace
-	s.ups = append(s.ups, up)
+	s.ups, s.services = append(s.ups, up), append(s.services, service)
 	s.store.PutUpstream(up.ID, service, up.Address(), "zone-a", "ready")
 }
 
+// replaceUpstream takes the next step in replacing one upstream after the other: it announces that
+// it leaves, is removed, and comes back as another process. It serves all the time.
+func (s *site) replaceUpstream(step int) {
+	const steps = 3
+	round := step / steps
+	n := round % len(s.ups)
+	up, start := s.ups[n], upstream.FirstStart+int64(round/len(s.ups))
+	switch step % steps {
+	case 0:
+		up.SetFault(upstream.Leave)
+		s.store.PutUpstreamProcess(up.ID, s.services[n], up.Address(), "zone-a", "draining", start)
+	case 1:
+		s.store.DeleteUpstream(up.ID)
+	default:
+		up.SetFault(upstream.Sound)
+		s.store.PutUpstreamProcess(up.ID, s.services[n], up.Address(), "zone-a", "ready", start+1)
+	}
+}
+
 // gatewayProcess is a gateway as a process.
 type gatewayProcess struct {
 	*procs.Process
--- a/internal/plannedstop/rolling_test.go
+++ b/internal/plannedstop/rolling_test.go
@@ -164,6 +164,7 @@
 func roll(t *testing.T, s *site, members []*member, until time.Time) {
 	var restarts sync.WaitGroup
 	for next := 0; time.Now().Before(until); next += stoppedTogether {
+		s.replaceUpstream(next / stoppedTogether)
 		for i := range stoppedTogether {
 			m := members[(next+i)%len(members)]
 			if _, inRotation := m.current(); !inRotation || !m.isReady() {
