--- a/gateway/callerconns.go
+++ b/gateway/callerconns.go
@@ -155,14 +155,6 @@
 	return nil
 }
 
-// SetLinger sets what Close does with bytes that have not been sent.
-func (c *callerConn) SetLinger(seconds int) error {
-	if socket, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
-		return socket.SetLinger(seconds)
-	}
-	return nil
-}
-
 // enter records the state of the connection; limit is its longest idle time.
 func (c *callerConn) enter(state http.ConnState, limit time.Duration) {
 	c.mu.Lock()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -278,10 +278,5 @@
 func (g *Gateway) abortConnection(r *request, outcome string) {
 	g.metrics.failed.Inc(1)
 	g.logRequest(r, outcome, 0, r.progress.reason)
-	if !r.http.ProtoAtLeast(1, 1) {
-		if err := r.reply.reset(); err != nil {
-			g.log.Debug("resetting a caller's connection failed", "request_id", r.RequestID, "err", err)
-		}
-	}
 	panic(http.ErrAbortHandler)
 }
--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -78,19 +78,6 @@
 	return err
 }
 
-// reset ends the connection in a way that callers without chunks, for whom an answer may end with
-// its connection, can't take for the end of the answer.
-func (p *reply) reset() error {
-	conn, _, err := http.NewResponseController(p.w).Hijack()
-	if err != nil {
-		return err
-	}
-	if c, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
-		err = c.SetLinger(0)
-	}
-	return errors.Join(err, conn.Close())
-}
-
 // problem sends an answer that this entry itself generates.
 func (p *reply) problem(requestID string, status int, retryAfter time.Duration, problem string) error {
 	if p.begun() {
