membudget: release a body that doesn't fit in the step that finds the budget full

What callers saw: several large bodies that arrive at the same speed are all refused with 503, memory_full, although the memory for bodies has room for half of them.

Cause: buffers double. Bodies that have reached the same size together fill the budget, so that each of them fails to grow, because each still holds what it has taken; it is released only when its request has ended. An amount that did not fit was also counted for a moment, and made others fail.

Change: Buffer.ReadAll, for bodies that are no use in part: if the budget is full, what the buffer holds is returned in the same compare-and-swap. TestSlowBodiesUseUpTheMemory sends its bodies in step; all its checks are as they were.

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -255,7 +255,7 @@
 	// Only response writers of tests don't support deadlines.
 	_ = control.SetReadDeadline(r.deadline)
 	buffer := r.newBuffer(g.bodyMemory)
-	_, err := buffer.ReadFrom(http.MaxBytesReader(r.reply.w, r.http.Body, bound))
+	err := buffer.ReadAll(http.MaxBytesReader(r.reply.w, r.http.Body, bound))
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -72,6 +72,15 @@
 	end chan struct{}
 }
 
+// inStep is an empty reader that ends once all others have been reached.
+type inStep struct{ reached *sync.WaitGroup }
+
+func (s inStep) Read([]byte) (int, error) {
+	s.reached.Done()
+	s.reached.Wait()
+	return 0, io.EOF
+}
+
 func (b *slowBody) Read(p []byte) (int, error) {
 	if n, err := b.Reader.Read(p); err == nil {
 		return n, nil
@@ -80,8 +89,8 @@
 	return 0, io.EOF
 }
 
-// Callers send large bodies slowly, so that these take all memory for bodies. A further large
-// one is refused as not run, at once; small ones are served.
+// Callers send large bodies slowly and in step, so that these take all memory for bodies. A
+// further large one is refused as not run, at once; small ones are served.
 func TestSlowBodiesUseUpTheMemory(t *testing.T) {
 	d := newDeployment(t)
 	d.maxBody, d.timeout = 400<<10, time.Minute
@@ -89,14 +98,16 @@
 	d.upstream("i-1", counterService)
 	e := d.startSmallEntry("entry-1")
 	end := make(chan struct{})
-	var slow sync.WaitGroup
+	var slow, middle sync.WaitGroup
+	middle.Add(8)
 	for n := range 8 {
 		slow.Go(func() {
 			c := plainCall("order", fmt.Sprintf("slow-%d", n))
 			c.Deadline = time.Minute
 			req, err := c.Request(t.Context(), e.settings.Front)
 			require.NoError(t, err)
-			req.Body, req.ContentLength = io.NopCloser(&slowBody{strings.NewReader(strings.Repeat("x", 200<<10)), end}), -1
+			body := io.MultiReader(strings.NewReader(strings.Repeat("x", 120<<10)), inStep{&middle}, strings.NewReader(strings.Repeat("x", 80<<10)))
+			req.Body, req.ContentLength = io.NopCloser(&slowBody{body, end}), -1
 			resp, err := e.client.Do(req)
 			if err == nil {
 				_ = resp.Body.Close()
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -24,13 +24,20 @@
 // Used returns the bytes that are in use.
 func (b *Budget) Used() int64 { return b.used.Load() }
 
-// take takes bytes from the budget if so many are left.
-func (b *Budget) take(n int64) bool {
-	if b.used.Add(n) > b.limit {
-		b.used.Add(-n)
-		return false
+// take takes bytes from the budget if so many are left. If not, it returns bytes that its
+// caller holds: in one step, so that of several callers at the same time not all fail.
+func (b *Budget) take(n, returned int64) bool {
+	for {
+		used := b.used.Load()
+		fits := used+n <= b.limit
+		next := used + n
+		if !fits {
+			next = used - returned
+		}
+		if b.used.CompareAndSwap(used, next) {
+			return fits
+		}
 	}
-	return true
 }
 
 // FreeBytes is the size up to which a buffer takes nothing from its budget, so that small
@@ -58,10 +65,19 @@
 
 // ReadFrom reads to the end of r. It stops with ErrFull if the budget has no room for more;
 // what was read by then is kept.
-func (b *Buffer) ReadFrom(r io.Reader) (int64, error) {
+func (b *Buffer) ReadFrom(r io.Reader) (int64, error) { return b.read(r, false) }
+
+// ReadAll reads to the end of r. If the budget has no room for all of it, it returns ErrFull and
+// what was read by then is released for others.
+func (b *Buffer) ReadAll(r io.Reader) error {
+	_, err := b.read(r, true)
+	return err
+}
+
+func (b *Buffer) read(r io.Reader, releaseWhenFull bool) (int64, error) {
 	begin := len(b.data)
 	for {
-		if len(b.data) == cap(b.data) && !b.grow() {
+		if len(b.data) == cap(b.data) && !b.grow(releaseWhenFull) {
 			return int64(len(b.data) - begin), ErrFull
 		}
 		n, err := r.Read(b.data[len(b.data):cap(b.data)])
@@ -78,7 +94,7 @@
 // Append adds data, or returns ErrFull if the budget has no room for it.
 func (b *Buffer) Append(data []byte) error {
 	for cap(b.data)-len(b.data) < len(data) {
-		if !b.grow() {
+		if !b.grow(false) {
 			return ErrFull
 		}
 	}
@@ -93,10 +109,17 @@
 const firstSize = 1 << 10
 
 // grow doubles the buffer if the budget has room for that.
-func (b *Buffer) grow() bool {
+func (b *Buffer) grow(releaseWhenFull bool) bool {
 	size := max(2*cap(b.data), firstSize)
 	if more := int64(size) - FreeBytes - b.taken; more > 0 {
-		if !b.budget.take(more) {
+		returned := int64(0)
+		if releaseWhenFull {
+			returned = b.taken
+		}
+		if !b.budget.take(more, returned) {
+			if releaseWhenFull {
+				b.taken, b.data = 0, nil
+			}
 			return false
 		}
 		b.taken += more
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -63,3 +66,39 @@
 type endless struct{}
 
 func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
+// Bodies that are read at the same speed use up the budget together. As many as it has room for
+// must be read, however late those that failed are released.
+func TestBodiesReadInLockstepAllFail(t *testing.T) {
+	const bodies, size, step = 8, 200 << 10, 100 << 10
+	budget := New(1 << 20)
+	var reached, finished sync.WaitGroup
+	reached.Add(bodies)
+	var whole, full atomic.Int64
+	for range bodies {
+		finished.Go(func() {
+			first, rest := strings.NewReader(strings.Repeat("x", step)), strings.NewReader(strings.Repeat("x", size-step))
+			b := budget.NewBuffer()
+			err := b.ReadAll(io.MultiReader(first, barrier{&reached}, rest))
+			switch {
+			case err == nil && len(b.Bytes()) == size:
+				whole.Add(1)
+			case errors.Is(err, ErrFull) && len(b.Bytes()) == 0:
+				full.Add(1)
+			}
+		})
+	}
+	finished.Wait()
+	require.EqualValues(t, 4, whole.Load())
+	require.EqualValues(t, 4, full.Load())
+	require.EqualValues(t, 4*(256<<10-FreeBytes), budget.Used())
+}
+
+// barrier is an empty reader that ends once all others have been reached.
+type barrier struct{ reached *sync.WaitGroup }
+
+func (b barrier) Read([]byte) (int, error) {
+	b.reached.Done()
+	b.reached.Wait()
+	return 0, io.EOF
+}
