gateway: ask upstreams whose connections broke what they are

What callers saw: requests that crash the upstreams that run them went on crashing engines behind ports that go on listening (a proxy, a port forwarder, a supervisor) for as long as the store did not list the new processes.

Cause: a probe took only a refused connection for a crash. An accepted one, whatever came of it, ended the probe. A crash then showed only once the store listed another process. Absence of evidence was taken for evidence that the upstream runs.

Change: the probe asks the upstream what it is, as is done after answers without a length. Refused, or another process in its place: it has crashed. The same start time: it has not, and a later restart does not blame the requests of that break any more. Unknown (closed, silent, no start time): it is asked again in the background, until the list has another process or for 10 s. What it states then counts like a restart in the list.

An upstream that has stated a later start time than the list has is known to be that process from then on.

--- a/decision/answer/end.go
+++ b/decision/answer/end.go
@@ -46,6 +46,9 @@
 // runs. The zero value has none.
 type Inquiry struct {
 	Process Process
+	// Refused is set if Process is Gone because nothing listens, and Certain if a start time
+	// has told it.
+	Refused, Certain bool
 	// interrupted is set once a call had no reply. The process may have been replaced then
 	// by one with the same ID.
 	interrupted bool
@@ -59,9 +62,9 @@
 	switch {
 	case i.Process != Unknown:
 	case s.Refused, s.ID != "" && s.ID != u.ID, startsKnown && s.StartMillis != u.StartMillis:
-		i.Process = Gone
+		i.Process, i.Refused, i.Certain = Gone, s.Refused, startsKnown
 	case startsKnown, s.ID != "" && !i.interrupted:
-		i.Process = Running
+		i.Process, i.Certain = Running, startsKnown
 	}
 }
 
--- a/decision/poison/suspicion.go
+++ b/decision/poison/suspicion.go
@@ -12,10 +12,14 @@
 // suspectedCrash holds the requests whose connections to one upstream broke at
 // about the same time, and the result of the probe.
 type suspectedCrash struct {
-	at       time.Time
+	at time.Time
+	// last is when the latest of its connections broke.
+	last     time.Time
 	requests []Crash
 	probed   bool
 	crashed  bool
+	// alive is set once the process is known to have outlived the broken connections.
+	alive bool
 	// answered is set once the upstream has answered a request that was sent later.
 	answered bool
 	// earlier is set if connections broke before, the probe did not tell why, and the upstream
@@ -36,9 +40,9 @@
 func (s *CrashSuspicions) ConnectionBroken(c Crash) (probe, crashed bool) {
 	s.expire(c.At)
 	suspect := s.byUpstream[c.Upstream]
-	if suspect == nil || suspect.probed && c.At.Sub(suspect.at) >= crashMergeWindow {
-		next := &suspectedCrash{at: c.At, requests: []Crash{c}}
-		if suspect != nil && !suspect.crashed && !suspect.answered {
+	if suspect == nil || suspect.probed && (suspect.alive || c.At.Sub(suspect.at) >= crashMergeWindow) {
+		next := &suspectedCrash{at: c.At, last: c.At, requests: []Crash{c}}
+		if suspect != nil && !suspect.crashed && !suspect.answered && !suspect.alive {
 			next.earlier = suspect
 		}
 		s.byUpstream[c.Upstream] = next
@@ -47,6 +51,7 @@
 	if suspect.probed {
 		return false, suspect.crashed
 	}
+	suspect.last = c.At
 	if len(suspect.requests) < maxCrashRequests {
 		suspect.requests = append(suspect.requests, c)
 	}
@@ -73,6 +78,16 @@
 	return nil
 }
 
+// Alive records that the process of an upstream has stated, when asked at a time, that it still
+// runs. The connections that broke before did not break in a crash.
+func (s *CrashSuspicions) Alive(upstream string, asked time.Time) {
+	suspect := s.byUpstream[upstream]
+	if suspect == nil || suspect.crashed || suspect.last.After(asked) {
+		return
+	}
+	suspect.alive, suspect.earlier = true, nil
+}
+
 // Answered records that an upstream has answered a request that was sent at a time.
 func (s *CrashSuspicions) Answered(upstream string, sent time.Time) {
 	suspect := s.byUpstream[upstream]
@@ -101,20 +116,20 @@
 // found it running again. Restarted returns the crashes that were not known yet.
 func (s *CrashSuspicions) Restarted(now time.Time, upstream string) []Crash {
 	suspect := s.byUpstream[upstream]
-	if suspect == nil || !suspect.probed || suspect.crashed || now.Sub(suspect.at) >= restartNoticeTime {
+	if suspect == nil || !suspect.probed || suspect.crashed || suspect.alive || now.Sub(suspect.at) >= RestartNoticeTime {
 		return nil
 	}
 	return suspect.confirm()
 }
 
-// restartNoticeTime is how long after its connections broke an upstream may be listed as
+// RestartNoticeTime is how long after its connections broke an upstream may turn out to be
 // a new process.
-const restartNoticeTime = 10 * time.Second
+const RestartNoticeTime = 10 * time.Second
 
 // expire drops upstreams that can't be noticed to have crashed any more.
 func (s *CrashSuspicions) expire(now time.Time) {
 	for upstream, suspect := range s.byUpstream {
-		if suspect.probed && now.Sub(suspect.at) >= restartNoticeTime {
+		if suspect.probed && now.Sub(suspect.at) >= RestartNoticeTime {
 			delete(s.byUpstream, upstream)
 		}
 	}
--- a/decision/poison/suspicion_test.go
+++ b/decision/poison/suspicion_test.go
@@ -37,7 +37,7 @@
 	require.Empty(t, s.Restarted(start.Add(3*time.Second), "u"))
 	s.ConnectionBroken(report(2, "v", 0))
 	s.ProbeFinished("v", false)
-	require.Empty(t, s.Restarted(start.Add(restartNoticeTime), "v"), "the restart has another cause")
+	require.Empty(t, s.Restarted(start.Add(RestartNoticeTime), "v"), "the restart has another cause")
 }
 
 func TestLiveUpstreamYieldsNoCrash(t *testing.T) {
@@ -66,7 +66,7 @@
 			probe, _ := s.ConnectionBroken(report(2, "u", crashMergeWindow))
 			require.True(t, probe)
 			require.Empty(t, s.ProbeFinished("u", false))
-			require.Equal(t, want, s.Restarted(start.Add(restartNoticeTime/2), "u"))
+			require.Equal(t, want, s.Restarted(start.Add(RestartNoticeTime/2), "u"))
 		})
 	}
 }
@@ -83,7 +83,7 @@
 			s.ConnectionBroken(report(2, "u", later))
 			s.Answered("u", start.Add(sent))
 			require.Empty(t, s.ProbeFinished("u", false))
-			require.Equal(t, []Crash{report(2, "u", later)}, s.Restarted(start.Add(restartNoticeTime/2), "u"))
+			require.Equal(t, []Crash{report(2, "u", later)}, s.Restarted(start.Add(RestartNoticeTime/2), "u"))
 		})
 	}
 }
@@ -95,5 +95,32 @@
 	require.Empty(t, s.ProbeFinished("u", false))
 	s.ConnectionBroken(report(2, "u", crashMergeWindow))
 	require.Equal(t, []Crash{report(1, "u", 0), report(2, "u", crashMergeWindow)}, s.ProbeFinished("u", true))
-	require.Empty(t, s.Restarted(start.Add(restartNoticeTime/2), "u"))
+	require.Empty(t, s.Restarted(start.Add(RestartNoticeTime/2), "u"))
+}
+
+// A process that has outlived a broken connection did not break it in a crash, whatever becomes of
+// it later. Connections that broke after the question are still suspected.
+func TestProcessThatOutlivedABreakIsBlamedForItsLaterRestart(t *testing.T) {
+	for name, tc := range map[string]struct {
+		asked time.Duration
+		want  int
+	}{"asked after the last break": {20, 0}, "asked before the last break": {5, 2}} {
+		t.Run(name, func(t *testing.T) {
+			s := NewCrashSuspicions()
+			s.ConnectionBroken(report(1, "u", 0))
+			s.ConnectionBroken(report(2, "u", 10))
+			s.Alive("u", start.Add(tc.asked))
+			require.Empty(t, s.ProbeFinished("u", false))
+			require.Len(t, s.Restarted(start.Add(time.Second), "u"), tc.want)
+		})
+	}
+	s := NewCrashSuspicions()
+	s.ConnectionBroken(report(1, "u", 0))
+	s.Alive("u", start.Add(1))
+	s.ProbeFinished("u", false)
+	probe, _ := s.ConnectionBroken(report(2, "u", 2))
+	require.True(t, probe, "the next break has another cause")
+	require.Equal(t, []Crash{report(2, "u", 2)}, s.ProbeFinished("u", true))
+	s.Alive("u", start.Add(time.Second))
+	require.Empty(t, s.Restarted(start.Add(time.Second), "u"), "the crash is known")
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -54,6 +54,8 @@
 	reserved *reservation
 	// upstream is the upstream of the latest attempt.
 	upstream serving.Upstream
+	// process is the process of that upstream before the attempt was sent.
+	process process
 	// predicted is the time to the first event that was predicted for the latest
 	// attempt.
 	predicted time.Duration
@@ -175,6 +177,7 @@
 func (g *Gateway) attempt(ctx context.Context, r *request, choice placement.Choice) (attemptResult, *bufferedAnswer) {
 	p := &r.progress
 	p.upstream, p.notRun = choice.Upstream, notrun.None
+	p.process = process{choice.Upstream, g.processStarts.current(choice.Upstream), r.service}
 	p.tried = append(p.tried, choice.Upstream.ID)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/gateway/confirm.go
+++ b/gateway/confirm.go
@@ -132,13 +132,13 @@
 
 // processAfterEnd returns what the process of an upstream says after the end of an answer. It is
 // unknown after a timeout.
-func (g *Gateway) processAfterEnd(ctx context.Context, u serving.Upstream, service *serving.Service, timeout time.Duration) answer.Process {
+func (g *Gateway) processAfterEnd(ctx context.Context, p process, timeout time.Duration) answer.Process {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	q, begins := g.inquiries.join(u.Instance())
+	q, begins := g.inquiries.join(p.started.Instance())
 	defer g.inquiries.leave(q)
 	if begins {
-		go g.runInquiries(q, u, service)
+		go g.runInquiries(q, p)
 	}
 	select {
 	case <-q.done:
@@ -149,30 +149,36 @@
 }
 
 // runInquiries runs an inquiry and those that are its turn to run afterwards.
-func (g *Gateway) runInquiries(q *inquiry, u serving.Upstream, service *serving.Service) {
+func (g *Gateway) runInquiries(q *inquiry, p process) {
 	for q != nil {
-		process := answer.Unknown
-		g.withRecover("inquiry", func() { process = g.inquire(q.ctx, u, service) })
-		q = g.inquiries.finish(u.Instance(), q, process)
+		var seen answer.Inquiry
+		g.withRecover("inquiry", func() { g.inquire(q.ctx, p, &seen) })
+		q = g.inquiries.finish(p.started.Instance(), q, seen.Process)
 	}
 }
 
-// inquire asks an upstream what it is until that tells whether its process still runs.
-func (g *Gateway) inquire(ctx context.Context, u serving.Upstream, service *serving.Service) answer.Process {
-	targets := platform.StateTargets(u, service)
-	var seen answer.Inquiry
-	for pause := confirmPause; len(targets) > 0; pause *= 2 {
-		for _, target := range targets {
-			seen.Add(u, g.askState(ctx, u, target))
-			if seen.Process != answer.Unknown {
-				return seen.Process
-			}
+// inquire asks an upstream what it is until that tells whether its process still runs. It returns
+// the time of the last call, or zero if there is nothing to call.
+func (g *Gateway) inquire(ctx context.Context, p process, seen *answer.Inquiry) time.Time {
+	for pause := confirmPause; ; pause *= 2 {
+		asked := g.askAll(ctx, p, seen)
+		if asked.IsZero() || seen.Process != answer.Unknown || !sleep(ctx, pause) {
+			return asked
 		}
-		if !sleep(ctx, pause) {
+	}
+}
+
+// askAll asks an upstream what it is, once at each path. It returns the time of the last call.
+func (g *Gateway) askAll(ctx context.Context, p process, seen *answer.Inquiry) time.Time {
+	var asked time.Time
+	for _, target := range platform.StateTargets(p.started, p.service) {
+		asked = time.Now()
+		seen.Add(p.started, g.askState(ctx, p.listed, target))
+		if seen.Process != answer.Unknown {
 			break
 		}
 	}
-	return answer.Unknown
+	return asked
 }
 
 // askState asks an upstream once what it is.
@@ -188,6 +194,7 @@
 	}
 	statement := platform.DecodeState(reply.Status, reply.Header, reply.Body)
 	statement.Answered = true
+	g.processStarts.learn(u, statement.StartMillis)
 	return statement
 }
 
@@ -199,7 +206,7 @@
 		end.RequestWritten = a.RequestWritten()
 	}
 	if end.NeedsProcess() {
-		end.Process = g.processAfterEnd(ctx, r.progress.upstream, r.service, g.confirmTimeout(r))
+		end.Process = g.processAfterEnd(ctx, r.progress.process, g.confirmTimeout(r))
 	}
 	if end.Whole() {
 		return nil
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -7,11 +7,23 @@
 	"syscall"
 	"time"
 
+	"jaylink/decision/answer"
 	"jaylink/decision/poison"
 	"jaylink/serving"
 	"jaylink/upstream/exchange"
 )
 
+const (
+	// crashProbeTimeout limits the first inquiry after a connection broke, for which the request
+	// waits.
+	crashProbeTimeout = 250 * time.Millisecond
+	// minWatchPause and maxWatchPause are the pauses between two later calls, and
+	// watchCallTimeout limits each call.
+	minWatchPause    = 50 * time.Millisecond
+	maxWatchPause    = 400 * time.Millisecond
+	watchCallTimeout = 400 * time.Millisecond
+)
+
 // connectionLost reports whether an exchange failed because its connection broke, as
 // opposed to a timeout or limit of this entry.
 func connectionLost(err error) bool {
@@ -26,7 +38,8 @@
 // suspectCrash checks in the background whether the upstream of a failed attempt has
 // crashed; awaitCrashProbe waits for that. It does nothing if the upstream was leaving.
 func (g *Gateway) suspectCrash(r *request, err error) {
-	u := r.progress.upstream
+	p := r.progress.process
+	u := p.listed
 	if !connectionLost(err) || !g.expectedToRun(u) {
 		return
 	}
@@ -46,7 +59,7 @@
 	g.logLostConnection(r, f)
 	switch {
 	case probe:
-		go g.withRecover("crash probe", func() { g.probeUpstream(u, done) })
+		go g.withRecover("crash probe", func() { g.probeUpstream(p, done) })
 	case crashed:
 		g.recordCrashes(g.settings.Name, []poison.Crash{crash})
 	}
@@ -82,18 +95,124 @@
 }
 
 // probeUpstream checks whether an upstream has crashed, which is the case if it refuses
-// connections. A timeout proves nothing, as the network to its availability zone may be
-// partitioned. At the end done is closed.
-func (g *Gateway) probeUpstream(u serving.Upstream, done chan struct{}) {
-	defer g.endCrashProbe(u.ID, done)
-	crashed := exchange.RefusesConnections(context.Background(), u.Address)
+// connections or another process answers in its place. A timeout proves nothing, as the network
+// to its availability zone may be partitioned, and neither does a connection that is closed: what
+// it was reached through may go on listening without it. Then the upstream is asked for longer.
+// At the end done is closed.
+func (g *Gateway) probeUpstream(p process, done chan struct{}) {
+	defer g.endCrashProbe(p.listed.ID, done)
+	isListed := g.isListed(p.listed)
+	ctx, cancel := context.WithTimeout(g.givenUp, crashProbeTimeout)
+	defer cancel()
+	var seen answer.Inquiry
+	asked := g.inquire(ctx, p, &seen)
+	if asked.IsZero() {
+		seen.Refused = exchange.RefusesConnections(ctx, p.listed.Address)
+	}
+	// The place of a process that was not listed any more may have been given to another one.
+	crashed := seen.Refused || seen.Process == answer.Gone && isListed
+	if isListed && seen.Process == answer.Unknown && !asked.IsZero() {
+		defer g.watchBreak(p, seen)
+	}
+	g.recordCrashes(g.settings.Name, g.endSuspicion(p.listed, seen, asked, crashed, isListed))
+}
+
+// endSuspicion records the result of a probe and returns the crashes that it shows.
+func (g *Gateway) endSuspicion(u serving.Upstream, seen answer.Inquiry, asked time.Time, crashed, wasListed bool) []poison.Crash {
 	g.mu.Lock()
+	defer g.mu.Unlock()
+	if seen.Process == answer.Running && seen.Certain {
+		g.suspicions.Alive(u.ID, g.trueTime().Add(-time.Since(asked)))
+	}
 	crashes := g.suspicions.ProbeFinished(u.ID, crashed)
-	g.mu.Unlock()
-	if crashed {
+	if !crashed && wasListed && g.isReplaced(u) {
+		// The list has changed while the probe was under way.
+		crashes = g.suspicions.Restarted(g.trueTime(), u.ID)
+	}
+	if crashed || len(crashes) > 0 {
 		g.metrics.crashes.Inc(1)
 	}
-	g.recordCrashes(g.settings.Name, crashes)
+	return crashes
+}
+
+// isListed reports whether the upstream list has an upstream's process, as one that is not
+// shutting down.
+func (g *Gateway) isListed(u serving.Upstream) bool {
+	list := g.upstreams.Load()
+	if list == nil {
+		return false
+	}
+	listed, ok := list.upstreams[u.ID]
+	return ok && !listed.Draining && listed.Instance() == u.Instance()
+}
+
+// isReplaced reports whether the upstream list has another process under an upstream's ID.
+func (g *Gateway) isReplaced(u serving.Upstream) bool {
+	list := g.upstreams.Load()
+	if list == nil {
+		return false
+	}
+	listed, ok := list.upstreams[u.ID]
+	return ok && listed.StartMillis != u.StartMillis
+}
+
+// watchBreak asks an upstream in the background why its connections broke, if that is not under
+// way yet. The store may be late to list the process that follows one that has crashed.
+func (g *Gateway) watchBreak(p process, seen answer.Inquiry) {
+	instance := p.started.Instance()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.watchedBreaks[instance] {
+		return
+	}
+	g.watchedBreaks[instance] = true
+	go g.withRecover("watch", func() {
+		defer g.endWatch(instance)
+		g.askUntilKnown(p, seen)
+	})
+}
+
+func (g *Gateway) endWatch(instance uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.watchedBreaks, instance)
+}
+
+// askUntilKnown asks an upstream whether its process still runs, for as long as a restart would
+// show that it has crashed.
+func (g *Gateway) askUntilKnown(p process, seen answer.Inquiry) {
+	ctx, cancel := context.WithTimeout(g.givenUp, poison.RestartNoticeTime)
+	defer cancel()
+	for pause := minWatchPause; sleep(ctx, pause) && g.isListed(p.listed); pause = min(2*pause, maxWatchPause) {
+		// What holds a connection open without an upstream does not close it when there is one.
+		call, end := context.WithTimeout(ctx, watchCallTimeout)
+		asked := g.askAll(call, p, &seen)
+		end()
+		if seen.Process != answer.Unknown {
+			g.recordCrashes(g.settings.Name, g.endWatched(p, seen, asked))
+			return
+		}
+	}
+}
+
+// endWatched records what an upstream has told about its break and returns the crashes that it
+// shows.
+func (g *Gateway) endWatched(p process, seen answer.Inquiry, asked time.Time) []poison.Crash {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case !g.isListed(p.listed) || g.table.Leaving(p.listed):
+		return nil
+	case seen.Process == answer.Gone:
+		crashes := g.suspicions.Restarted(g.trueTime(), p.listed.ID)
+		if len(crashes) > 0 {
+			g.metrics.crashes.Inc(1)
+		}
+		return crashes
+	case seen.Certain:
+		g.suspicions.Alive(p.listed.ID, g.trueTime().Add(-time.Since(asked)))
+	}
+	return nil
 }
 
 // endCrashProbe releases the requests that wait for a probe. The next probe of the upstream
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,6 +47,7 @@
 	pool     *exchange.Pool
 	// inquiries are the questions to upstreams whether they have outlived their answers.
 	inquiries       inquiries
+	processStarts   processStarts
 	confirmTimeouts confirmTimeouts
 	// bodyMemory and answerMemory bound the memory of the bodies of requests, and of answers
 	// and events, all together.
@@ -98,7 +99,9 @@
 	// crashProbes holds, by upstream ID, a channel that is closed when the probe under
 	// way ends. promptAttempts holds the functions that cancel the attempts under way of
 	// requests with a prompt.
-	crashProbes    map[string]chan struct{}
+	crashProbes map[string]chan struct{}
+	// watchedBreaks holds the processes that are asked why their connections broke.
+	watchedBreaks  map[uint64]bool
 	promptAttempts map[*request]context.CancelCauseFunc
 	peers          map[string]*peer
 	// peerNames caches the sorted keys of peers. It is rebuilt when its length differs
@@ -148,6 +151,7 @@
 		objects:         platform.NewObjects(settings.Store, storeTimeout),
 		pool:            exchange.NewPool(),
 		inquiries:       inquiries{active: map[uint64][]*inquiry{}},
+		processStarts:   processStarts{stated: map[string]statedStart{}},
 		confirmTimeouts: confirmTimeouts{last: confirmTimeout, other: shortConfirmTimeout},
 		bodyMemory:      membudget.New(bodyMemory(settings)),
 		answerMemory:    membudget.New(bodyMemory(settings)),
@@ -165,6 +169,7 @@
 		poison:          poison.NewTracker(),
 
 		crashProbes:    map[string]chan struct{}{},
+		watchedBreaks:  map[uint64]bool{},
 		promptAttempts: map[*request]context.CancelCauseFunc{},
 
 		customerNames:    map[uint32]string{},
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -260,6 +260,7 @@
 		g.logUpstreamChanges(before, next)
 	}
 	g.upstreams.Store(next)
+	g.processStarts.retain(next.upstreams)
 	g.upstreamIDs = make(map[uint32]string, len(next.upstreams))
 	for id := range next.upstreams {
 		g.upstreamIDs[hashKey(id)] = id
