--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -60,6 +60,8 @@
 	maxBody int
 	// maxConnections is the number of connections that an upstream accepts; 0 means many.
 	maxConnections int
+	// onceAttempts is the number of attempts of the routes whose work may run once; 0 means 1.
+	onceAttempts int
 	// noRetries leaves the retry budget empty.
 	noRetries bool
 	// confirmsSoon leaves the time for which the ends of answers may be in doubt as it is.
@@ -96,9 +98,9 @@
 	d.store.PutConfiguration(metastore.Configuration{
 		Version: d.version,
 		Routes: []metastore.Route{
-			route("stream", "streaming", engineService, 2, true), route("once", "streaming", engineService, 1, false),
+			route("stream", "streaming", engineService, 2, true), route("once", "streaming", engineService, cmp.Or(d.onceAttempts, 1), false),
 			route("persistent", "streaming", engineService, 3, true),
-			route("order", "non_idempotent", counterService, 1, false), route("status", "idempotent", counterService, 2, false),
+			route("order", "non_idempotent", counterService, cmp.Or(d.onceAttempts, 1), false), route("status", "idempotent", counterService, 2, false),
 		},
 		Engines: []string{engineService}, Plain: []string{counterService}, MaxBodyBytes: cmp.Or(d.maxBody, 1000), MaxConnections: d.maxConnections,
 		Customer: metastore.Customer{Name: customer, Keys: d.keys, Rate: d.rate, Burst: d.burst},
