notrun: believe only named refusals of work that may run once

Callers could get 503 for work that had run, or it ran at a second upstream: an upstream writes a refusal without an ID when it accepts a connection, and goes on to read and run the request. If the refusal arrives just after the request was sent, it was believed.

Cause: absence of evidence taken for evidence. That nothing else was sent on the connection does not show that the refusal was written after the request had been read. There is no other evidence: the kernel acknowledges bytes that nobody reads, and a run may take as long as it likes.

Change: notrun.Refusal has NeedsName, set for requests that may run once and have an ID. Others keep the earlier rule. A refusal that is not believed ends the attempt as one that may have run; the caller gets 502, and the reason unnamed_refusal is counted as before. Upstreams of the platform echo the ID.

--- a/decision/notrun/notrun.go
+++ b/decision/notrun/notrun.go
@@ -19,7 +19,8 @@
 	// Named means that the upstream's refusal names the request.
 	Named Proof = "refusal"
 	// Unnamed means that the upstream's refusal names no request, as the first answer on a
-	// connection that has carried only this one.
+	// connection that has carried only this one. It may have been written before the request
+	// was read, so that it is no proof for work that may run once.
 	Unnamed Proof = "unnamed_refusal"
 )
 
@@ -28,8 +29,9 @@
 
 // Refusal describes a refusal that an upstream has sent after a request was.
 type Refusal struct {
-	// Named is set if the refusal names the request.
-	Named bool
+	// Named is set if the refusal names the request, and NeedsName if nothing else will do: the
+	// request may run once and has an ID.
+	Named, NeedsName bool
 	// Requests is the number of requests that the connection has carried, including this
 	// one, and Strays the number of answers to other requests that came before the refusal.
 	Requests, Strays int
@@ -40,7 +42,7 @@
 	switch {
 	case r.Named:
 		return Named
-	case r.Requests == 1 && r.Strays == 0:
+	case !r.NeedsName && r.Requests == 1 && r.Strays == 0:
 		return Unnamed
 	}
 	return None
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -279,8 +279,8 @@
 
 // send sends a request to an upstream and waits for the status and headers of its
 // answer. It accepts an answer with the request's ID, or one without an ID that declines
-// the request, unless that may belong to another one; answers to other requests on the
-// connection are skipped.
+// the request, unless that may belong to another one or the request may run once; answers to
+// other requests on the connection are skipped.
 func (g *Gateway) send(ctx context.Context, r *request, choice placement.Choice) (*exchange.Answer, platform.UpstreamHeaders, error) {
 	header := platform.EncodeAttempt(r.http.Header, platform.Attempt{
 		Instance:  choice.Upstream.ID,
@@ -295,6 +295,7 @@
 		Body: r.body, HasBody: r.http.ContentLength != 0 || r.body != nil, ID: r.RequestID,
 		// Answers to requests without an ID can't be told from each other.
 		NewConnection: r.RequestID == "",
+		NamedRefusals: r.RequestID != "" && !r.route.Repeatable(),
 		CheckHead: func(status int, h http.Header) exchange.HeadCheck {
 			head = platform.DecodeAnswer(status, h)
 			anonymous := head.RequestID == "" && head.NotRun
--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -34,6 +34,9 @@
 	// NewConnection has the request sent on a connection that has carried no other, so that no
 	// response to an earlier request can come.
 	NewConnection bool
+	// NamedRefusals has refusals believed only if they name the request. Any other may have been
+	// written before the upstream has read it.
+	NamedRefusals bool
 	// CheckHead inspects the status and header of a response. If it is nil, every
 	// response counts as that of the request.
 	CheckHead func(status int, header http.Header) HeadCheck
@@ -66,8 +69,8 @@
 }
 
 // ErrAmbiguous means that a response which names no request states that the request was not
-// run, on a connection that has carried other requests or responses. It may belong to one of
-// these.
+// run, on a connection that has carried other requests or responses, or in response to one with
+// NamedRefusals. It may belong to another request or to none.
 var ErrAmbiguous = errors.New("refusal that may belong to another request")
 
 // ErrUnsolicited means that a new connection was closed, or that something had arrived on it,
@@ -184,7 +187,7 @@
 		reusable: !resp.Close && strays == 0 && !verdict.Anonymous && !c.isWornOut(), keepAlive: verdict.KeepAlive,
 	}
 	if verdict.NotRun {
-		a.NotRun = refusalProof(c, verdict, strays)
+		a.NotRun = refusalProof(c, req, verdict, strays)
 	}
 	return a, nil
 }
@@ -242,7 +245,7 @@
 		}
 		verdict = req.CheckHead(resp.StatusCode, resp.Header)
 		switch {
-		case verdict.Matches && verdict.NotRun && refusalProof(c, verdict, skipped) == notrun.None:
+		case verdict.Matches && verdict.NotRun && refusalProof(c, req, verdict, skipped) == notrun.None:
 			return nil, verdict, skipped, ErrAmbiguous
 		case verdict.Matches:
 			return resp, verdict, skipped, nil
@@ -258,8 +261,8 @@
 }
 
 // refusalProof returns what a refusal proves that came after a number of strays.
-func refusalProof(c *conn, verdict HeadCheck, strays int) notrun.Proof {
-	return notrun.Refusal{Named: !verdict.Anonymous, Requests: len(c.ids), Strays: strays}.Proof()
+func refusalProof(c *conn, req *Request, verdict HeadCheck, strays int) notrun.Proof {
+	return notrun.Refusal{Named: !verdict.Anonymous, NeedsName: req.NamedRefusals, Requests: len(c.ids), Strays: strays}.Proof()
 }
 
 // Delimited reports whether a response has a length or chunks, or no body at all, so that the end
