--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -54,6 +54,8 @@
 	reserved *reservation
 	// upstream is the upstream of the latest attempt.
 	upstream serving.Upstream
+	// process is the process of that upstream before the attempt was sent.
+	process process
 	// predicted is the time to the first event that was predicted for the latest
 	// attempt.
 	predicted time.Duration
@@ -175,6 +177,7 @@
 func (g *Gateway) attempt(ctx context.Context, r *request, choice placement.Choice) (attemptResult, *bufferedAnswer) {
 	p := &r.progress
 	p.upstream, p.notRun = choice.Upstream, notrun.None
+	p.process = process{choice.Upstream, g.processStarts.current(choice.Upstream), r.service}
 	p.tried = append(p.tried, choice.Upstream.ID)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -279,8 +282,8 @@
 
 // send sends a request to an upstream and waits for the status and headers of its
 // answer. It accepts an answer with the request's ID, or one without an ID that declines
-// the request, unless that may belong to another one; answers to other requests on the
-// connection are skipped.
+// the request, unless that may belong to another one or the request may run once; answers to
+// other requests on the connection are skipped.
 func (g *Gateway) send(ctx context.Context, r *request, choice placement.Choice) (*exchange.Answer, platform.UpstreamHeaders, error) {
 	header := platform.EncodeAttempt(r.http.Header, platform.Attempt{
 		Instance:  choice.Upstream.ID,
@@ -295,6 +298,7 @@
 		Body: r.body, HasBody: r.http.ContentLength != 0 || r.body != nil, ID: r.RequestID,
 		// Answers to requests without an ID can't be told from each other.
 		NewConnection: r.RequestID == "",
+		NamedRefusals: r.RequestID != "" && !r.route.Repeatable(),
 		CheckHead: func(status int, h http.Header) exchange.HeadCheck {
 			head = platform.DecodeAnswer(status, h)
 			anonymous := head.RequestID == "" && head.NotRun
