--- a/cmd/jaylink/soak.go
+++ b/cmd/jaylink/soak.go
@@ -44,8 +44,8 @@
 		if err != nil {
 			return err
 		}
-		fmt.Printf("seed=%d faults=%d requests=%d answered=%d refused=%d violations=%d took=%s logs=%s\n",
-			r.Seed, len(r.Faults), r.Requests, r.Answered, r.Refused, len(r.Violations), time.Since(start).Round(time.Second), r.Dir)
+		fmt.Printf("seed=%d faults=%d requests=%d answered=%d refused=%d lost=%d violations=%d took=%s logs=%s\n",
+			r.Seed, len(r.Faults), r.Requests, r.Answered, r.Refused, r.LostKept, len(r.Violations), time.Since(start).Round(time.Second), r.Dir)
 		for _, v := range r.Violations {
 			fmt.Println("  ", v)
 		}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -21,7 +21,9 @@
 // observation is what a caller saw of one request.
 type observation struct {
 	id, route, entry string
-	status           int
+	// target and body are what was sent.
+	target, body string
+	status       int
 	// complete is set if the answer was read to its end without an error.
 	complete bool
 	// problem describes what was wrong with the answer; "" if nothing was.
@@ -32,13 +34,19 @@
 	// sent is when the request had been written, or the zero value.
 	sent  time.Time
 	ended time.Time
-	// gaveUp is set if the caller ended the request because the run was over.
+	// gaveUp is set if the caller ended the request because the run was over or it left.
 	gaveUp bool
+	// kept is set if the connection had carried another request before.
+	kept bool
 }
 
 // reportsNotRun reports whether the status says that the request has not run.
 func (v observation) reportsNotRun() bool {
-	return v.status == http.StatusTooManyRequests || v.status == http.StatusServiceUnavailable
+	switch v.status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
 }
 
 // client sends requests in a loop over persistent connections.
@@ -80,24 +88,10 @@
 	defer func() { v.ended, v.gaveUp = time.Now(), run.Err() != nil }()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	call := caller.Call{
-		Method: http.MethodPost, Target: "/" + route + "/" + subject, Host: host, ID: id, Key: key, Body: body,
-		Deadline: callTimeout,
-	}
-	if route == "status" {
-		call.Method = http.MethodGet
-	}
-	streams := route == "stream" || route == "once"
-	if streams {
-		call.Tokens = "500,100"
-		call.Prefix = fmt.Sprintf("%x:300,", c.rng.IntN(5)+1)
-		if c.part != "" {
-			call.Prefix += c.part + ":100,"
-		}
-		call.Prefix += fmt.Sprintf("%x:200", c.rng.Uint64())
-	}
+	call := c.compose(route, id, key, subject, body)
+	v.target, v.body = call.Target, call.Body
 	var sent atomic.Int64
-	req, err := call.Request(traceSent(ctx, &sent), e.callerAddress())
+	req, err := call.Request(traceSent(ctx, &sent, &v.kept), e.callerAddress())
 	if err != nil {
 		v.problem = err.Error()
 		return v
@@ -114,26 +108,58 @@
 		return v
 	}
 	defer resp.Body.Close()
+	v.read(resp, call.Target)
+	return v
+}
+
+// compose returns the call of a request on a route.
+func (c *client) compose(route, id, key, subject, body string) caller.Call {
+	call := caller.Call{
+		Method: http.MethodPost, Target: "/" + route + "/" + subject, Host: host, ID: id, Key: key, Body: body,
+		Deadline: callTimeout,
+	}
+	if route == "status" {
+		call.Method = http.MethodGet
+	}
+	if streams(route) {
+		call.Tokens = "500,100"
+		call.Prefix = fmt.Sprintf("%x:300,", c.rng.IntN(5)+1)
+		if c.part != "" {
+			call.Prefix += c.part + ":100,"
+		}
+		call.Prefix += fmt.Sprintf("%x:200", c.rng.Uint64())
+	}
+	return call
+}
+
+// streams reports whether a route answers with streams.
+func streams(route string) bool { return route == "stream" || route == "once" }
+
+// read reads an answer to its end and notes what was wrong with it.
+func (v *observation) read(resp *http.Response, target string) {
 	answer, err := io.ReadAll(resp.Body)
 	v.status, v.complete = resp.StatusCode, err == nil
-	if streams && v.status == http.StatusOK {
+	if streams(v.route) && v.status == http.StatusOK {
 		v.stream = string(answer)
 	}
-	v.problem = checkAnswer(resp, string(answer), v, call.Target, streams)
-	return v
+	v.problem = checkAnswer(resp, string(answer), *v, target)
 }
 
-// traceSent records when a request has been written whole.
-func traceSent(ctx context.Context, sent *atomic.Int64) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
-		if info.Err == nil {
-			sent.Store(time.Now().UnixNano())
-		}
-	}})
+// traceSent records when a request has been written whole, and whether its connection had carried
+// another one before.
+func traceSent(ctx context.Context, sent *atomic.Int64, kept *bool) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { *kept = info.Reused },
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if info.Err == nil {
+				sent.Store(time.Now().UnixNano())
+			}
+		},
+	})
 }
 
 // checkAnswer returns what is wrong with an answer as the caller received it, or "".
-func checkAnswer(resp *http.Response, body string, v observation, path string, streams bool) string {
+func checkAnswer(resp *http.Response, body string, v observation, path string) string {
 	id, proven := caller.Answered(resp.Header)
 	if id != v.id {
 		return fmt.Sprintf("answer of request %q", id)
@@ -144,7 +170,7 @@
 	if !proven {
 		return "success without a response seal"
 	}
-	if streams {
+	if streams(v.route) {
 		// checkOrder checks the events.
 		return ""
 	}
--- a/internal/soak/entry.go
+++ b/internal/soak/entry.go
@@ -29,6 +29,9 @@
 	exited chan struct{}
 	// disturbances are the times when the process was started, paused or resumed.
 	disturbances []time.Time
+	// disturbed has the times in which the process was stopped, killed or paused, up to its next
+	// start.
+	disturbed timeline
 }
 
 // markDisturbed records that the process may have missed updates at this moment.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -24,6 +24,7 @@
 func restart(f *fleet, e *entry, s syscall.Signal, pause time.Duration) string {
 	e.fault.Lock()
 	defer e.fault.Unlock()
+	defer e.disturbed.begin()()
 	e.terminate(s)
 	time.Sleep(pause)
 	if err := f.start(e); err != nil {
@@ -34,6 +35,7 @@
 
 // onProxy injects faults into a proxy for the hold time.
 func onProxy(p *proxy, hold time.Duration, change func(*proxy)) {
+	defer p.disturbed.begin()()
 	p.update(func(p *proxy) { p.wasFaulty = true })
 	p.update(change)
 	time.Sleep(hold)
@@ -42,12 +44,21 @@
 
 // onStore injects faults into the store for the hold time.
 func onStore(f *fleet, hold time.Duration, faults metastore.Faults) string {
+	defer f.storeDisturbed.begin()()
 	f.store.SetFaults(faults)
 	time.Sleep(hold)
 	f.store.SetFaults(metastore.Faults{})
 	return ""
 }
 
+// beOdd injects a fault into an upstream for the hold time.
+func (b *backend) beOdd(kind upstream.Fault, hold time.Duration) {
+	defer b.proxy.disturbed.begin()()
+	b.SetFault(kind)
+	time.Sleep(hold)
+	b.SetFault(upstream.Sound)
+}
+
 var faults = []fault{
 	{"entry_stopped", func(f *fleet, rng *rand.Rand, hold time.Duration) string {
 		return restart(f, anyEntry(f, rng), syscall.SIGTERM, hold/4)
@@ -59,6 +70,7 @@
 		e := anyEntry(f, rng)
 		e.fault.Lock()
 		defer e.fault.Unlock()
+		defer e.disturbed.begin()()
 		e.markDisturbed()
 		e.signal(syscall.SIGSTOP)
 		time.Sleep(hold)
@@ -105,6 +117,7 @@
 	}},
 	{"upstream_reset", func(f *fleet, rng *rand.Rand, _ time.Duration) string {
 		b := f.pick(rng.IntN(8))
+		defer b.proxy.disturbed.begin()()
 		b.proxy.update(func(p *proxy) { p.wasFaulty = true })
 		b.proxy.resetAll()
 		return b.ID
@@ -130,9 +143,7 @@
 			upstream.CloseUnanswered, upstream.Extra, upstream.Unproven, upstream.Silent,
 		}
 		b, kind := f.pick(rng.IntN(8)), odd[rng.IntN(len(odd))]
-		b.SetFault(kind)
-		time.Sleep(hold)
-		b.SetFault(upstream.Sound)
+		b.beOdd(kind, hold)
 		return fmt.Sprintf("%s kind %d", b.ID, kind)
 	}},
 	{"upstream_replaced", func(f *fleet, rng *rand.Rand, hold time.Duration) string {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -57,12 +57,20 @@
 	mu        sync.Mutex
 	upstreams []*backend
 	// removed holds upstreams that are no longer used; their runs are still checked.
-	removed       []*backend
+	removed []*backend
+	// reusers are upstreams that got the addresses of removed ones, and reusedCount their number.
+	reusers       []*backend
+	reusedCount   int
 	version       int
 	keys          []acceptedKey
 	upstreamCount int
 	starts        int
 	plannedWork   []plannedWork
+	// visits is what came of the requests of visitors. guestKey is a further key that is in force,
+	// or "", and lateUses are requests with such keys after they were withdrawn.
+	visits   []observation
+	guestKey string
+	lateUses []lateUse
 	// isPlanned is set if there is planned work alone, and paces draws how fast upstreams are then.
 	isPlanned bool
 	paces     *rand.Rand
@@ -71,6 +79,9 @@
 	// senders holds the entry that each request was sent to, by request ID.
 	senders map[string]*entry
 
+	// storeDisturbed has the times of the store's faults.
+	storeDisturbed timeline
+
 	// restoring is held while the store is away and restored, and writes while the operator
 	// or an upstream writes to it.
 	restoring, writes sync.Mutex
@@ -92,6 +103,9 @@
 	proxy   *proxy
 	service string
 	zone    string
+	// gone is set once the upstream was stopped and removed from the store, and reused once its
+	// address was given out again.
+	gone, reused bool
 }
 
 func newFleet(o Options, dir string) (*fleet, error) {
@@ -141,6 +155,9 @@
 	for i, k := range f.keys {
 		names[i] = k.name
 	}
+	if f.guestKey != "" {
+		names = append(names, f.guestKey)
+	}
 	route := func(name, kind, service string, attempts int, resumable bool) metastore.Route {
 		return metastore.Route{
 			Name: name, Host: host, Service: service, Kind: kind, Attempts: attempts, Resumable: resumable,
@@ -222,18 +239,12 @@
 	if err != nil {
 		return err
 	}
-	s.Pace, s.NamesRuns, s.GappedIDs = f.drawPace(service), true, f.gappedIDs
 	p, err := newProxy(s.Address())
 	if err != nil {
 		return err
 	}
 	s.Undelimited, p.death = f.drawKind()
-	s.RenewsStart = true
-	s.Deadly, s.DeadlyParts, s.Down, s.RestTime = deadlyMark, deadlyParts, downTime, restTime
-	s.Crashed, s.Restarted = p.down, func() {
-		p.up()
-		f.registerAgain(id, s.StartMillis())
-	}
+	f.describe(s, service, p)
 	b := &backend{Server: s, proxy: p, service: service, zone: zoneName(zone)}
 	f.mu.Lock()
 	f.upstreams = append(f.upstreams, b)
@@ -242,6 +253,17 @@
 	return nil
 }
 
+// describe sets the properties that all upstreams have.
+func (f *fleet) describe(s *upstream.Server, service string, p *proxy) {
+	s.Pace, s.NamesRuns, s.GappedIDs = f.drawPace(service), true, f.gappedIDs
+	s.RenewsStart = true
+	s.Deadly, s.DeadlyParts, s.Down, s.RestTime = deadlyMark, deadlyParts, downTime, restTime
+	s.Crashed, s.Restarted = p.down, func() {
+		p.up()
+		f.registerAgain(s.ID, s.StartMillis())
+	}
+}
+
 func (f *fleet) publish(b *backend, state string) {
 	f.register(registration{b.ID, b.service, b.proxy.address(), b.zone, state, b.StartMillis()})
 }
@@ -284,6 +306,9 @@
 	b.proxy.down()
 	b.Close()
 	f.publish(b, "")
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b.gone = true
 }
 
 // writeRegistration writes a registration to the store. The caller holds writes.
@@ -305,11 +330,11 @@
 	return f.upstreams[i%len(f.upstreams)]
 }
 
-// all returns the current and the removed upstreams.
+// all returns the current and the removed upstreams and those with addresses of removed ones.
 func (f *fleet) all() []*backend {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.Concat(f.upstreams, f.removed)
+	return slices.Concat(f.upstreams, f.removed, f.reusers)
 }
 
 // blockIP returns an IP address of this process's block. Concurrent runs use different blocks.
--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -36,3 +36,43 @@
 		}
 	}
 }
+
+// maxLostKept is the platform's bound of requests from kept connections that may be passed on to
+// a sound upstream and not answered, by machines without disturbance.
+const maxLostKept = 3
+
+// lostKept reports whether a request was sent whole on a kept connection that was then closed
+// without an answer.
+func (v observation) lostKept() bool {
+	return v.kept && v.status == 0 && !v.sent.IsZero() && !v.gaveUp && v.ended.Sub(v.started) < callTimeout
+}
+
+// checkKept checks that entries without disturbance did not close kept connections whose requests
+// they had passed on to sound upstreams. It returns how many they did.
+func checkKept(f *fleet, observations []observation, report func(string, ...any)) int {
+	var lost []string
+	for _, v := range observations {
+		if !v.lostKept() || !f.calm(v.entry, v.started, v.ended) {
+			continue
+		}
+		if at := f.soundUpstreamOf(v); at != "" {
+			lost = append(lost, v.id+" at "+v.entry+", passed on to "+at)
+		}
+	}
+	if len(lost) > maxLostKept {
+		report("LOST: %d kept connections were closed without an answer: %q", len(lost), lost)
+	}
+	return len(lost)
+}
+
+// soundUpstreamOf returns an upstream that got a request and was without faults, or "".
+func (f *fleet) soundUpstreamOf(v observation) string {
+	for _, b := range f.all() {
+		for _, a := range b.Arrivals() {
+			if a.RequestID == v.id && b.proxy.disturbed.calm(a.At, v.ended) {
+				return b.ID
+			}
+		}
+	}
+	return ""
+}
--- a/internal/soak/order.go
+++ b/internal/soak/order.go
@@ -78,7 +78,7 @@
 		rules.runs[r.Name] = r
 	}
 	for _, v := range observations {
-		if v.route != "stream" && v.route != "once" || v.status != http.StatusOK {
+		if !streams(v.route) || v.status != http.StatusOK {
 			continue
 		}
 		rules.resumable = v.route == "stream"
--- a/internal/soak/promises.go
+++ b/internal/soak/promises.go
@@ -15,9 +15,7 @@
 			upstream.RepeatRefusal, upstream.RepeatUnnamedRefusal, upstream.FailAsBusy, upstream.FailAsLimited,
 		}
 		b, kind := f.pick(rng.IntN(8)), odd[rng.IntN(len(odd))]
-		b.SetFault(kind)
-		time.Sleep(hold)
-		b.SetFault(upstream.Sound)
+		b.beOdd(kind, hold)
 		return fmt.Sprintf("%s kind %d", b.ID, kind)
 	}},
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -44,6 +44,10 @@
 	death  death
 	// wasFaulty is set once a fault was injected.
 	wasFaulty bool
+	// disturbed has the times of faults of the proxy and of its server, and alive ends that of
+	// the server's death.
+	disturbed timeline
+	alive     func()
 	// held makes the proxy keep all bytes until it is unset, which released announces.
 	held     bool
 	released *sync.Cond
@@ -62,6 +66,12 @@
 	return p, nil
 }
 
+func (p *proxy) currentTarget() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.target
+}
+
 func (p *proxy) address() string { return p.addr }
 
 // down ends the open connections and treats new ones as the proxy's death says, until up is
@@ -69,7 +79,9 @@
 func (p *proxy) down() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.isDown = true
+	if !p.isDown {
+		p.isDown, p.alive = true, p.disturbed.begin()
+	}
 	if p.death.port == portRefuses {
 		// An error means that the listener is closed already.
 		_ = p.listener.Close()
@@ -90,6 +102,9 @@
 	if p.closed {
 		return
 	}
+	if p.isDown {
+		p.alive()
+	}
 	p.isDown = false
 	for c := range p.conns {
 		reset(c)
@@ -130,7 +145,7 @@
 	if p.meetsDeadPort(client) {
 		return
 	}
-	server, err := net.Dial("tcp", p.target)
+	server, err := net.Dial("tcp", p.currentTarget())
 	if err != nil {
 		return
 	}
--- a/internal/soak/restores.go
+++ b/internal/soak/restores.go
@@ -24,6 +24,7 @@
 func (f *fleet) restoreStore(older *metastore.Copy, away, late time.Duration) {
 	f.restoring.Lock()
 	defer f.restoring.Unlock()
+	defer f.storeDisturbed.begin()()
 	f.store.SetFaults(metastore.Faults{Down: true})
 	time.Sleep(away)
 	f.writes.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -40,12 +40,15 @@
 
 // Result is the outcome of a run.
 type Result struct {
-	Seed       uint64
-	Dir        string
-	Faults     []string
-	Requests   int
-	Answered   int
-	Refused    int
+	Seed     uint64
+	Dir      string
+	Faults   []string
+	Requests int
+	Answered int
+	Refused  int
+	// LostKept is the number of kept connections that were closed without an answer to a request
+	// that had been passed on to a sound upstream.
+	LostKept   int
 	Violations []string
 }
 
@@ -84,6 +87,10 @@
 	// what these are like.
 	processStream     = 1 << 40
 	processKindStream = 1 << 41
+	// visitorStream is for callers that behave unlike the others, and reuseStream for addresses
+	// that are given out again and for late refusals.
+	visitorStream = 1 << 43
+	reuseStream   = 1 << 44
 	// kindStream is for what the upstreams are like.
 	kindStream = 1 << 37
 )
@@ -165,17 +172,17 @@
 	callers.Wait()
 	slices.Sort(log.lines)
 	r.Faults = log.lines
-	return observations
+	return append(observations, f.visits...)
 }
 
 // seriesOf returns the series of faults of a run by their random streams.
 func seriesOf(o Options) map[uint64][]fault {
 	if o.Planned {
-		return map[uint64][]fault{plannedStream: planned}
+		return map[uint64][]fault{plannedStream: planned, visitorStream: visitors}
 	}
 	series := map[uint64][]fault{
 		faultStream: faults, noticeStream: notices, limitStream: limits, partStream: parts,
-		restoreStream: restores, promiseStream: promises, endStream: ends,
+		restoreStream: restores, promiseStream: promises, endStream: ends, visitorStream: visitors, reuseStream: reuses,
 	}
 	if o.Processes > 0 {
 		series[processStream] = processes
@@ -288,6 +295,10 @@
 		}
 	}
 	checkOrder(f, s, observations, report)
+	checkRuns(f, s, observations, report)
+	checkGone(f, s, observations, report)
+	checkWithdrawn(f, runs, report)
+	r.LostKept = checkKept(f, observations, report)
 	checkNotices(f, observations, report)
 	checkDeadly(s, report)
 	checkLimits(f, report)
