soak: leave out arrivals that a proxy may have kept back from GONE

The entries' logs show that all four were sent to i-9 before that, and ended with "caller gone" at once; the series of faults held i-9's proxy ("6.07 upstream_held for 2.516s i-9"), which passed the bytes on at its end.

It looks at arrivals behind proxies without faults for contact-ms before them now. Arrivals at upstreams that are processes, which are paused, are left out.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -36,6 +36,7 @@
 // onProxy injects faults into a proxy for the hold time.
 func onProxy(p *proxy, hold time.Duration, change func(*proxy)) {
 	defer p.disturbed.begin()()
+	defer p.harmed.begin()()
 	p.update(func(p *proxy) { p.wasFaulty = true })
 	p.update(change)
 	time.Sleep(hold)
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -48,6 +48,8 @@
 	// the server's death.
 	disturbed timeline
 	alive     func()
+	// harmed has the times of the faults of the proxy alone.
+	harmed timeline
 	// held makes the proxy keep all bytes until it is unset, which released announces.
 	held     bool
 	released *sync.Cond
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -296,7 +296,7 @@
 	}
 	checkOrder(f, s, observations, report)
 	checkRuns(f, s, observations, report)
-	checkGone(f, s, observations, report)
+	checkGone(f, f.promptArrivals(), observations, report)
 	checkWithdrawn(f, runs, report)
 	r.LostKept = checkKept(f, observations, report)
 	checkNotices(f, observations, report)
