gateway: give up an end in doubt only for an upstream that takes the request

What callers saw (LOST): the answer of a sound upstream that ends with its connection, and whose process takes over 250 ms to confirm it, was broken off or became 502 although no other upstream could take the request.

Whether the request could go on elsewhere was asked before the wait, by the number of upstreams. The wait was short if there were others; the retry budget or the choice of an upstream then refused the next attempt.

Change: after 250 ms the next attempt is reserved, as for a silent upstream; if it can't be, the entry goes on waiting and looks again every 100 ms until the 1 s that every end has.

--- a/gateway/confirm.go
+++ b/gateway/confirm.go
@@ -18,7 +18,7 @@
 // Defaults of confirmTimeouts.
 const (
 	// confirmTimeout is how long an upstream is asked whether its process has outlived the end
-	// of an answer, and shortConfirmTimeout if another upstream can go on with the request.
+	// of an answer, and shortConfirmTimeout if another upstream goes on with the request.
 	confirmTimeout      = time.Second
 	shortConfirmTimeout = 250 * time.Millisecond
 )
@@ -28,8 +28,7 @@
 
 // confirmTimeouts are the times for which the end of an answer may be in doubt.
 type confirmTimeouts struct {
-	// last is for requests that can't be sent to another upstream, and other for those that
-	// can.
+	// last is the longest time, and other the time after which another upstream is looked for.
 	last, other time.Duration
 }
 
@@ -130,21 +129,35 @@
 	return last
 }
 
-// processAfterEnd returns what the process of an upstream says after the end of an answer. It is
-// unknown after a timeout.
-func (g *Gateway) processAfterEnd(ctx context.Context, u serving.Upstream, service *serving.Service, timeout time.Duration) answer.Process {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+// processAfterEnd returns what the process of a request's upstream says after the end of its
+// answer. It is unknown after a timeout, and once the request is certain to go on elsewhere.
+func (g *Gateway) processAfterEnd(ctx context.Context, r *request) answer.Process {
+	ctx, cancel := context.WithTimeout(ctx, g.confirmTimeouts.last)
 	defer cancel()
+	u := r.progress.upstream
 	q, begins := g.inquiries.join(u.Instance())
 	defer g.inquiries.leave(q)
 	if begins {
-		go g.runInquiries(q, u, service)
-	}
-	select {
-	case <-q.done:
-		return q.process
-	case <-ctx.Done():
-		return answer.Unknown
+		go g.runInquiries(q, u, r.service)
+	}
+	alternative := time.NewTimer(g.confirmTimeouts.other)
+	defer alternative.Stop()
+	if !silentAttempt(r, r.progress.attempts).MayMove() {
+		alternative.Stop()
+	}
+	for onSilence := g.onSilence(r, r.progress.attempts); ; {
+		select {
+		case <-q.done:
+			return q.process
+		case <-ctx.Done():
+			return answer.Unknown
+		case <-alternative.C:
+			wait := onSilence()
+			if wait <= 0 {
+				return answer.Unknown
+			}
+			alternative.Reset(wait)
+		}
 	}
 }
 
@@ -199,18 +212,10 @@
 		end.RequestWritten = a.RequestWritten()
 	}
 	if end.NeedsProcess() {
-		end.Process = g.processAfterEnd(ctx, r.progress.upstream, r.service, g.confirmTimeout(r))
+		end.Process = g.processAfterEnd(ctx, r)
 	}
 	if end.Whole() {
 		return nil
 	}
 	return fmt.Errorf("%w: %s", exchange.ErrUnconfirmedEnd, end)
 }
-
-// confirmTimeout returns how long a request waits until it is known whether its answer is whole.
-func (g *Gateway) confirmTimeout(r *request) time.Duration {
-	if !r.progress.partial && g.canTryAnother(r, r.progress.attempts) {
-		return g.confirmTimeouts.other
-	}
-	return g.confirmTimeouts.last
-}
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -17,5 +17,11 @@
 // SetConfirmTimeout sets how long the ends of answers may be in doubt, in place of the defaults.
 // It must be called before Start.
 func (g *Gateway) SetConfirmTimeout(d time.Duration) {
-	g.confirmTimeouts = confirmTimeouts{last: d, other: d}
+	g.SetConfirmTimeouts(d, d)
+}
+
+// SetConfirmTimeouts is SetConfirmTimeout with another time for requests that another upstream
+// could go on with.
+func (g *Gateway) SetConfirmTimeouts(last, other time.Duration) {
+	g.confirmTimeouts = confirmTimeouts{last: last, other: other}
 }
--- a/gateway/rawupstream_test.go
+++ b/gateway/rawupstream_test.go
@@ -25,6 +25,8 @@
 	mute bool
 	// beforeState, if set, is called before each call for the state is answered.
 	beforeState func()
+	// full is how many calls for the state are still turned away, as a full upstream does it.
+	full atomic.Int64
 	// requests counts the requests, without calls for the state.
 	requests atomic.Int64
 
@@ -74,6 +76,10 @@
 		if s.beforeState != nil {
 			s.beforeState()
 		}
+		if s.full.Add(-1) >= 0 {
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+			return
+		}
 		body := fmt.Sprintf(`{"born":%d}`, upstream.FirstStart)
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", s.id, len(body), body)
 	}
