gateway: count the time for which the end of an answer is in doubt in pauses

What callers saw (LOST): an entry that gets no processor time for over a second while upstreams confirm the ends of their answers breaks sound answers off, or gives 502 for them, when it goes on. The confirmations lie unread in its sockets.

Cause: silence taken for failure. The wait had a time limit, and time also passes while the process does not run.

Evidence: TestStarvedEntryBreaksOffAnswersWhoseEndsAreConfirmed freezes an entry for 1.5 s after 8 answers have ended.

Change: the wait is a number of pauses, of which a freeze uses up one. The bound is as before, 1 s, and 50 ms more where the pauses don't add up to it. The stand-in has a hook before its calls for the state.

--- a/gateway/confirm.go
+++ b/gateway/confirm.go
@@ -132,32 +132,28 @@
 // processAfterEnd returns what the process of a request's upstream says after the end of its
 // answer. It is unknown after a timeout, and once the request is certain to go on elsewhere.
 func (g *Gateway) processAfterEnd(ctx context.Context, r *request) answer.Process {
-	ctx, cancel := context.WithTimeout(ctx, g.confirmTimeouts.last)
-	defer cancel()
 	u := r.progress.upstream
 	q, begins := g.inquiries.join(u.Instance())
 	defer g.inquiries.leave(q)
 	if begins {
 		go g.runInquiries(q, u, r.service)
 	}
-	alternative := time.NewTimer(g.confirmTimeouts.other)
-	defer alternative.Stop()
-	if !silentAttempt(r, r.progress.attempts).MayMove() {
-		alternative.Stop()
-	}
-	for onSilence := g.onSilence(r, r.progress.attempts); ; {
+	mayMove, onSilence := silentAttempt(r, r.progress.attempts).MayMove(), g.onSilence(r, r.progress.attempts)
+	pause := time.NewTimer(g.confirmTimeouts.other)
+	defer pause.Stop()
+	// The pauses are counted, because time also passes while this process does not run.
+	for waited := g.confirmTimeouts.other; ; waited += alternativePoll {
 		select {
 		case <-q.done:
 			return q.process
 		case <-ctx.Done():
 			return answer.Unknown
-		case <-alternative.C:
-			wait := onSilence()
-			if wait <= 0 {
-				return answer.Unknown
-			}
-			alternative.Reset(wait)
+		case <-pause.C:
+		}
+		if waited >= g.confirmTimeouts.last || mayMove && onSilence() <= 0 {
+			return answer.Unknown
 		}
+		pause.Reset(alternativePoll)
 	}
 }
 
--- a/internal/plannedstop/starved_test.go
+++ b/internal/plannedstop/starved_test.go
@@ -75,3 +75,43 @@
 	require.Empty(t, dropped, "of %d each", perKind)
 	<-g.Done()
 }
+
+// confirmsWithin is longer than an entry waits for the confirmation of the end of an answer.
+const confirmsWithin = 1500 * time.Millisecond
+
+// An entry gets no processor time while upstreams confirm the ends of their answers. The answers are
+// whole.
+func TestStarvedEntryBreaksOffAnswersWhoseEndsAreConfirmed(t *testing.T) {
+	const requests = 8
+	s := newSite(t)
+	s.upstream(t, plainService, 0)
+	asked, confirm := make(chan struct{}, requests), make(chan struct{})
+	up := s.ups[0]
+	up.Undelimited, up.BeforeState = true, func() {
+		asked <- struct{}{}
+		<-confirm
+	}
+	g := s.gateway(t)
+	g.awaitReady(t)
+	var conns []*connection
+	for n := range requests {
+		c, err := dial(g.front())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		require.NoError(t, c.send("order", fmt.Sprintf("r-%d", n), 0))
+		conns = append(conns, c)
+	}
+	<-asked
+	require.NoError(t, procs.Await("all requests to be answered", func() bool { return len(up.Runs()) == requests }))
+	require.NoError(t, g.Freeze())
+	close(confirm)
+	time.Sleep(confirmsWithin)
+	require.NoError(t, g.Signal(syscall.SIGCONT))
+	statuses := map[int]int{}
+	for _, c := range conns {
+		status, _, err := c.answer()
+		require.NoError(t, err)
+		statuses[status]++
+	}
+	require.Equal(t, map[int]int{http.StatusOK: requests}, statuses)
+}
--- a/standin/upstream/state.go
+++ b/standin/upstream/state.go
@@ -37,6 +37,9 @@
 	if req.Method != http.MethodGet || req.URL.Path != ReportPath && req.URL.Path != HealthPath {
 		return false, false
 	}
+	if s.BeforeState != nil {
+		s.BeforeState()
+	}
 	s.mu.Lock()
 	s.stateCalls++
 	body := ""
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -79,6 +79,9 @@
 	// Script, if set, answers runs in place of the upstream. It must be set before the first
 	// request.
 	Script Script
+	// BeforeState, if set, is called before each call for the state is answered. It must be set
+	// before the first request.
+	BeforeState func()
 	// RestTime is the Retry-After that Rest sends. It must be set before the first
 	// request.
 	RestTime time.Duration
