poison: requests sent after a crash have not caused it

What callers saw: sound requests were counted as involved in crashes of upstreams behind ports that go on listening. Such a request is sent to the dead upstream and broken off within 500 ms of the crash, which a refused connection would have prevented.

Cause: all connections to an upstream that break within crashMergeWindow of the first were taken for broken by the same crash, also those of requests that were sent only then.

Change: a broken connection counts only for a request that was sent before the first one broke. If the process was found to have outlived that one, the next break is another event as before.

--- a/decision/poison/poison.go
+++ b/decision/poison/poison.go
@@ -43,6 +43,8 @@
 	Fingerprint uint64
 	Upstream    string
 	At          time.Time
+	// Sent is when the request was sent to the upstream; zero if that is not known.
+	Sent time.Time
 	// Parts are the shared parts of the request's prompt, in order. It is empty if the
 	// upstream had been writing the answer, which shows that the parts are not the cause.
 	Parts []uint64
--- a/decision/poison/suspicion.go
+++ b/decision/poison/suspicion.go
@@ -35,7 +35,8 @@
 // ConnectionBroken records that a connection to an upstream broke while a request ran. If
 // probe is set, the caller probes the upstream and reports the result to
 // ProbeFinished. If an earlier probe has already shown a crash, the request was
-// involved in it and crashed is set. The crash has the request, the upstream and the
+// involved in it and crashed is set. A request that was sent after the first of the connections
+// broke is not: it found the upstream down. The crash has the request, the upstream and the
 // current time.
 func (s *CrashSuspicions) ConnectionBroken(c Crash) (probe, crashed bool) {
 	s.expire(c.At)
@@ -48,6 +49,9 @@
 		s.byUpstream[c.Upstream] = next
 		return true, false
 	}
+	if c.Sent.After(suspect.at) {
+		return false, false
+	}
 	if suspect.probed {
 		return false, suspect.crashed
 	}
--- a/decision/poison/suspicion_test.go
+++ b/decision/poison/suspicion_test.go
@@ -124,3 +124,31 @@
 	s.Alive("u", start.Add(time.Second))
 	require.Empty(t, s.Restarted(start.Add(time.Second), "u"), "the crash is known")
 }
+
+// An upstream is down behind something that goes on listening, so that requests are still sent to
+// it and broken off. They did not end it.
+func TestRequestsSentAfterACrashAreBlamedForIt(t *testing.T) {
+	for name, tc := range map[string]struct {
+		sent     time.Duration
+		involved bool
+	}{"sent before the first connection broke": {-1, true}, "sent after": {1, false}} {
+		t.Run(name, func(t *testing.T) {
+			s := NewCrashSuspicions()
+			want := []Crash{report(1, "u", 0)}
+			s.ConnectionBroken(want[0])
+			second := report(2, "u", crashMergeWindow/4)
+			second.Sent = start.Add(tc.sent)
+			probe, _ := s.ConnectionBroken(second)
+			require.False(t, probe)
+			if tc.involved {
+				second.At = start
+				want = append(want, second)
+			}
+			require.Equal(t, want, s.ProbeFinished("u", true))
+			third := report(3, "u", crashMergeWindow/2)
+			third.Sent = start.Add(tc.sent)
+			_, crashed := s.ConnectionBroken(third)
+			require.Equal(t, tc.involved, crashed)
+		})
+	}
+}
