gateway: a restored upstream list names earlier processes

What callers saw: after the store came back from a copy with earlier start times, answers without a length of upstreams that were listed with these were broken off, and requests whose connections had broken shortly before were blamed for a restart.

Cause: the list was taken for the latest word on which process runs. It is late after a restart and early after a restore; the processes themselves and earlier lists know better.

Evidence: TestRestoredListBlamesRequestsForARestart without the check of earlier lists: Should be empty, but was [[{1 i ...}]] ...

Change: the start times of an upstream's processes are remembered by ID and address, at most 8, the one learned last is that of the running process. A start time in the list that is known is no news, and one that was listed before is no restart. Start times need not rise, as hosts' clocks may be set back.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -45,7 +45,7 @@
 	}
 	f := r.fingerprint()
 	g.mu.Lock()
-	crash := poison.Crash{Fingerprint: f, Upstream: u.ID, At: g.trueTime()}
+	crash := poison.Crash{Fingerprint: f, Upstream: u.ID, At: g.trueTime(), Sent: r.progress.sentAt}
 	if !r.progress.provesParts(time.Now()) {
 		crash.Parts = r.sharedParts()
 	}
@@ -153,7 +153,7 @@
 		return false
 	}
 	listed, ok := list.upstreams[u.ID]
-	return ok && listed.StartMillis != u.StartMillis
+	return ok && listed.StartMillis != u.StartMillis && !g.processStarts.isEarlier(listed)
 }
 
 // watchBreak asks an upstream in the background why its connections broke, if that is not under
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,7 +47,7 @@
 	pool     *exchange.Pool
 	// inquiries are the questions to upstreams whether they have outlived their answers.
 	inquiries       inquiries
-	processStarts   processStarts
+	processStarts   *processStarts
 	confirmTimeouts confirmTimeouts
 	// bodyMemory and answerMemory bound the memory of the bodies of requests, and of answers
 	// and events, all together.
@@ -151,7 +151,7 @@
 		objects:         platform.NewObjects(settings.Store, storeTimeout),
 		pool:            exchange.NewPool(),
 		inquiries:       inquiries{active: map[uint64][]*inquiry{}},
-		processStarts:   processStarts{stated: map[string]statedStart{}},
+		processStarts:   newProcessStarts(),
 		confirmTimeouts: confirmTimeouts{last: confirmTimeout, other: shortConfirmTimeout},
 		bodyMemory:      membudget.New(bodyMemory(settings)),
 		answerMemory:    membudget.New(bodyMemory(settings)),
--- a/gateway/processes.go
+++ b/gateway/processes.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 
 	"jaylink/serving"
@@ -14,51 +15,91 @@
 	service *serving.Service
 }
 
-// processStarts holds the start times that upstreams have stated themselves. Where such an
-// upstream is listed with an earlier one, it was started again and the list does not know yet.
+// maxStarts limits the start times that are remembered of an upstream.
+const maxStarts = 8
+
+// processStarts holds the start times of the processes of each upstream, the latest one last. An
+// upstream may be listed with an earlier one: the list does not know of its restart yet, or the
+// store has been restored.
 type processStarts struct {
 	mu sync.Mutex
-	// stated holds the latest statement by the ID of the upstream.
-	stated map[string]statedStart
+	// byPlace has them by the ID and the address of the upstream.
+	byPlace map[place][]int64
+	// listed has those that were ever in the upstream list.
+	listed map[place][]int64
 }
 
-// statedStart is the start time that an upstream stated while it was listed as an instance.
-type statedStart struct {
-	instance    uint64
-	startMillis int64
+func newProcessStarts() *processStarts {
+	return &processStarts{byPlace: map[place][]int64{}, listed: map[place][]int64{}}
 }
 
-// learn records that an upstream has stated its start time.
-func (s *processStarts) learn(listed serving.Upstream, startMillis int64) {
-	if listed.StartMillis == 0 || startMillis == 0 {
+// place is where an upstream is listed.
+type place struct{ id, address string }
+
+func placeOf(u serving.Upstream) place { return place{u.ID, u.Address} }
+
+// learn records that an upstream has stated its start time. The clock of its host may have been
+// set back, so that a later process may have started earlier.
+func (s *processStarts) learn(u serving.Upstream, startMillis int64) {
+	if u.StartMillis == 0 || startMillis == 0 {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if startMillis == listed.StartMillis {
-		delete(s.stated, listed.ID)
-		return
-	}
-	s.stated[listed.ID] = statedStart{listed.Instance(), startMillis}
+	starts := s.byPlace[placeOf(u)]
+	starts = slices.DeleteFunc(starts, func(start int64) bool { return start == startMillis })
+	s.byPlace[placeOf(u)] = latestStarts(starts, startMillis)
 }
 
-// current returns an upstream with the start time that its process stated last.
+// current returns an upstream with the start time of its latest process.
 func (s *processStarts) current(listed serving.Upstream) serving.Upstream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if known, ok := s.stated[listed.ID]; ok && known.instance == listed.Instance() {
-		listed.StartMillis = known.startMillis
+	if starts := s.byPlace[placeOf(listed)]; listed.StartMillis != 0 && len(starts) > 0 {
+		listed.StartMillis = starts[len(starts)-1]
 	}
 	return listed
 }
 
-// retain forgets the upstreams that are not listed any more.
-func (s *processStarts) retain(listed map[string]serving.Upstream) {
+// isEarlier reports whether an upstream is listed with the start time of an earlier process.
+func (s *processStarts) isEarlier(listed serving.Upstream) bool {
+	return s.current(listed).StartMillis != listed.StartMillis
+}
+
+// list records the start times in the upstream list and forgets the upstreams that are not listed
+// any more. A start time that is known says nothing about the latest process.
+func (s *processStarts) list(listed map[string]serving.Upstream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, known := range s.stated {
-		if u, ok := listed[id]; !ok || u.Instance() != known.instance {
-			delete(s.stated, id)
+	for at := range s.byPlace {
+		if u, ok := listed[at.id]; !ok || u.Address != at.address {
+			delete(s.byPlace, at)
+			delete(s.listed, at)
 		}
 	}
+	for _, u := range listed {
+		if u.StartMillis == 0 {
+			continue
+		}
+		at := placeOf(u)
+		if starts := s.byPlace[at]; !slices.Contains(starts, u.StartMillis) {
+			s.byPlace[at] = latestStarts(starts, u.StartMillis)
+		}
+		if starts := s.listed[at]; !slices.Contains(starts, u.StartMillis) {
+			s.listed[at] = latestStarts(starts, u.StartMillis)
+		}
+	}
+}
+
+// latestStarts returns the start times that are remembered with a further one.
+func latestStarts(starts []int64, startMillis int64) []int64 {
+	starts = append(starts, startMillis)
+	return starts[max(len(starts)-maxStarts, 0):]
+}
+
+// wasListed reports whether an upstream is or was in the upstream list with its start time.
+func (s *processStarts) wasListed(u serving.Upstream) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Contains(s.listed[placeOf(u)], u.StartMillis)
 }
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -201,6 +201,7 @@
 		return nil
 	}
 	next := mergeUpstreams(before, c, time.Now(), g.missingGrace(), g.log.Warn)
+	restarted := g.newProcesses(before, next)
 	g.setUpstreams(next)
 	if len(next.missing) > 0 {
 		g.afterDelay(ctx, g.missingGrace(), g.dropMissing)
@@ -215,8 +216,23 @@
 		g.afterDelay(ctx, withholdTime, g.releaseWithheld)
 		g.noticeEra(next.position.Era)
 	}
+	return g.crashesOf(restarted)
+}
+
+// newProcesses returns the IDs of upstreams that are another process in the next list than in the
+// one before. A restored store lists earlier processes, and later those that ran before again.
+func (g *Gateway) newProcesses(before, next *upstreamList) []string {
+	if before == nil {
+		return nil
+	}
+	ids := restartedUpstreams(before.upstreams, next.upstreams)
+	return slices.DeleteFunc(ids, func(id string) bool { return g.processStarts.wasListed(next.upstreams[id]) })
+}
+
+// crashesOf returns the crashes that restarts of upstreams show, by upstream. The caller holds mu.
+func (g *Gateway) crashesOf(restarted []string) [][]poison.Crash {
 	var crashes [][]poison.Crash
-	for _, id := range restartedUpstreams(before.upstreams, next.upstreams) {
+	for _, id := range restarted {
 		if list := g.suspicions.Restarted(g.trueTime(), id); len(list) > 0 {
 			g.metrics.crashes.Inc(1)
 			crashes = append(crashes, list)
@@ -260,7 +276,7 @@
 		g.logUpstreamChanges(before, next)
 	}
 	g.upstreams.Store(next)
-	g.processStarts.retain(next.upstreams)
+	g.processStarts.list(next.upstreams)
 	g.upstreamIDs = make(map[uint32]string, len(next.upstreams))
 	for id := range next.upstreams {
 		g.upstreamIDs[hashKey(id)] = id
