gateway: reset the connection of broken answers without chunks or a length

What callers saw: a stream, or an answer too long to be buffered, that was broken off looked complete to callers of HTTP/1.0. They know no chunks, so that such an answer ends with its connection, and it was closed in the same way as after the last byte.

Cause: answers are broken off by a close of the caller's connection, which says something only if the body has a length or chunks. It is the same unconfirmed end that upstreams' answers can have, on the other side.

Evidence, on the code before: TestBrokenAnswerLooksCompleteToCallersWithoutChunks/cut_in_an_event, .../upstream_crashes, TestBrokenLongAnswerLooksCompleteToCallersWithoutChunks/cut: Expected error with "connection reset by peer" in chain but got nil. (the caller had two of the events and a clean end).

Change: from the head of such an answer to its complete end, the connection is set to end with a reset, which also holds when the process is stopped or killed. Callers of HTTP/1.1 are not concerned. After: go test ./gateway -run CallersWithoutChunks -count=3 passes, and so does -run 'Caller|Stop|Idle|Pipelin|Slow|Stream|Long|Unsealed|Recover|Relay|Cut' (67 s, busy machine).

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -80,7 +80,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	r := &request{
-		CallerHeaders: platform.DecodeCaller(hr.Header), http: hr, reply: reply{w: w}, target: hr.RequestURI, arrived: time.Now(),
+		CallerHeaders: platform.DecodeCaller(hr.Header), http: hr, reply: newReply(w, hr), target: hr.RequestURI, arrived: time.Now(),
 	}
 	defer r.releaseBuffers()
 	r.progress.lastEvent = r.LastEvent
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -127,6 +127,7 @@
 		}
 		switch {
 		case result == delivered:
+			r.reply.end()
 			g.logRequest(r, "answered", r.reply.status, r.progress.reason)
 			return
 		case result == callerGone || ctx.Err() != nil:
--- a/gateway/callerconns.go
+++ b/gateway/callerconns.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -147,6 +148,29 @@
 	return c.Conn.Close()
 }
 
+// callerConnKey is the key of the connection in the context of its requests.
+type callerConnKey struct{}
+
+// withCallerConn is the http.Server.ConnContext hook.
+func withCallerConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, c)
+}
+
+// resetOnClose makes the connection end with a reset instead of a close, also if the process is
+// killed.
+func (c *callerConn) resetOnClose(reset bool) {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	seconds := -1
+	if reset {
+		seconds = 0
+	}
+	// An error means that the connection is closed.
+	_ = tcp.SetLinger(seconds)
+}
+
 // CloseWrite lets http.Server send the end of its answer before it closes the connection.
 func (c *callerConn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/gateway/listen.go
+++ b/gateway/listen.go
@@ -38,7 +38,7 @@
 	}
 	if callers != nil {
 		g.front = newCallerListener(l, callers)
-		l, server.ConnState = g.front, callers.track
+		l, server.ConnState, server.ConnContext = g.front, callers.track, withCallerConn
 	}
 	g.servers = append(g.servers, server)
 	g.tasks.Add(1)
--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -21,6 +21,17 @@
 	w http.ResponseWriter
 	// status is the status that has been sent, or 0.
 	status int
+	// conn is the connection of a caller that takes no chunks; nil for others. The end of a body
+	// without a length shows there as that of the connection alone.
+	conn *callerConn
+}
+
+func newReply(w http.ResponseWriter, hr *http.Request) reply {
+	p := reply{w: w}
+	if !hr.ProtoAtLeast(1, 1) {
+		p.conn, _ = hr.Context().Value(callerConnKey{}).(*callerConn)
+	}
+	return p
 }
 
 // begun reports whether the caller has the head of an answer.
@@ -37,9 +48,19 @@
 	}
 	p.status = status
 	maps.Copy(p.w.Header(), header)
+	if p.conn != nil {
+		p.conn.resetOnClose(true)
+	}
 	p.w.WriteHeader(status)
 }
 
+// end marks an answer as complete whose body was sent as it arrived.
+func (p *reply) end() {
+	if p.conn != nil {
+		p.conn.resetOnClose(false)
+	}
+}
+
 // Write sends a part of the body after begin.
 func (p *reply) Write(data []byte) (int, error) {
 	n, err := p.w.Write(data)
