--- a/gateway/forwarder_test.go
+++ b/gateway/forwarder_test.go
@@ -1,8 +1,10 @@
 package gateway_test
 
 import (
+	"bufio"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"testing"
 
@@ -18,6 +20,8 @@
 	target string
 	// silent keeps connections open that can't be forwarded; otherwise they are closed.
 	silent bool
+	// reply is what answers each request that can't be forwarded, if set.
+	reply  string
 	conns  []net.Conn
 	closed bool
 	tasks  sync.WaitGroup
@@ -42,6 +46,13 @@
 	f.silent = true
 }
 
+// answerWith answers requests that can't be forwarded from now on, like a proxy of HTTP.
+func (f *forwarder) answerWith(reply string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reply = reply
+}
+
 // forwardTo makes new connections go to another address.
 func (f *forwarder) forwardTo(target string) {
 	f.mu.Lock()
@@ -64,10 +75,14 @@
 		return
 	}
 	f.mu.Lock()
-	target, silent := f.target, f.silent
+	target, silent, reply := f.target, f.silent, f.reply
 	f.mu.Unlock()
 	server, err := net.Dial("tcp", target)
 	if err != nil {
+		if reply != "" {
+			_, _ = http.ReadRequest(bufio.NewReader(client))
+			_, _ = io.WriteString(client, reply)
+		}
 		if silent {
 			_, _ = io.Copy(io.Discard, client)
 		}
