exchange: don't end long requests of upstreams that are paused

A caller with a long request got 502, or its request was repeated elsewhere, where its upstream was paused for more than 1.2 s: a process that is stopped, or a host without processor time.

Cause: TCP_USER_TIMEOUT is meant for hosts that are gone. Linux also applies it where the peer acknowledges every probe and its receive buffer is full, which is so when the process does not read. Class: silence taken for an end (docs/incidents/silent-upstreams.md); here it is the kernel that judges.

Change: requests of more than 4 KB, which may not fit into a receive buffer, have no user timeout; it is set again before the next short request on the connection. What ends them is the silence of the answer, with an alternative reserved, or the deadline. The price: a host that vanishes with a long request that may run once is noticed at the deadline (504), no more after 1.2 s (502). Not tested: a host that vanishes, which takes a network that drops packets. go test ./upstream/...

--- a/upstream/exchange/conn.go
+++ b/upstream/exchange/conn.go
@@ -18,7 +18,7 @@
 const (
 	dialTimeout = 500 * time.Millisecond
 	// userTimeout is the TCP user timeout: the maximum time that sent bytes may
-	// remain unacknowledged.
+	// remain unacknowledged, or that a full receive buffer may hold back the next ones.
 	userTimeout = 1200 * time.Millisecond
 	// probeIdle, probeInterval and probeCount configure TCP keep-alive.
 	probeIdle     = time.Second
@@ -40,6 +40,8 @@
 	// limited is true if reads are limited to remaining more bytes.
 	limited   bool
 	remaining int
+	// hasNoUserTimeout is set while there is no TCP user timeout.
+	hasNoUserTimeout bool
 	// onSilence, if set, is asked when nothing has arrived by the read deadline. hasWaited is
 	// set once it has been put off for bytes that had arrived.
 	onSilence Silence
@@ -57,13 +59,39 @@
 	KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
 	},
-	Control: func(_, _ string, raw syscall.RawConn) error {
-		var err error
-		controlErr := raw.Control(func(fd uintptr) {
-			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-		})
-		return errors.Join(controlErr, err)
-	},
+	Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, userTimeout) },
+}
+
+// setUserTimeout sets the TCP user timeout of a socket; 0 means none.
+func setUserTimeout(raw syscall.RawConn, d time.Duration) error {
+	var err error
+	controlErr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	})
+	return errors.Join(controlErr, err)
+}
+
+// allowFullWindow removes the user timeout for a request that may not fit into the upstream's
+// receive buffer, or sets it again. The kernel applies it to an upstream that acknowledges all
+// bytes and does not read, such as a paused process.
+func (c *conn) allowFullWindow(allowed bool) error {
+	if c.hasNoUserTimeout == allowed {
+		return nil
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	timeout := userTimeout
+	if allowed {
+		timeout = 0
+	}
+	c.hasNoUserTimeout = allowed
+	return setUserTimeout(raw, timeout)
 }
 
 func dial(ctx context.Context, address string) (*conn, error) {
--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -159,9 +159,13 @@
 	if err != nil {
 		return nil, &Error{Step: "write", Err: err}
 	}
+	isShort := len(head)+len(req.Body) <= inlineWriteSize
+	if err := c.allowFullWindow(!isShort); err != nil {
+		return nil, &Error{Step: "write", Err: err}
+	}
 	c.addID(req.ID)
 	w := requestWrite{done: make(chan struct{})}
-	if len(head)+len(req.Body) <= inlineWriteSize {
+	if isShort {
 		w.run(c, head, req.Body)
 		if !w.complete.Load() {
 			return nil, &Error{Step: "write", Sent: w.begun, Err: w.err}
