soak: judge upstreams that work on a request beside the next one

TWICE also holds where a request goes on at another upstream while the first still works 400 ms later. The soak could not see that: runs lasted 90 ms, and nothing noted when their work ended.

The stand-in notes for each run from when until when it worked (the latter is when it was done or noticed that its caller had left), as a process also in its records. checkWork judges these times. It leaves out entries that were disturbed and paths that were faulty; the time for which a process was stopped does not count. The new series `works` has upstreams that work on for 2.5 s after the first event, which is longer than entries wait if another one can go on.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -31,6 +31,8 @@
 	undelimited       bool
 	pace              time.Duration
 	proxy             *proxy
+	// paused has the times in which the process was stopped.
+	paused timeline
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -57,9 +59,11 @@
 	}},
 	{"process_paused", func(f *fleet, rng *rand.Rand, hold time.Duration) string {
 		p := f.processes[rng.IntN(len(f.processes))]
+		resumed := p.paused.begin()
 		p.signal(syscall.SIGSTOP)
 		time.Sleep(hold)
 		p.signal(syscall.SIGCONT)
+		resumed()
 		time.Sleep(endPause)
 		return p.id
 	}},
@@ -209,6 +213,7 @@
 	arrivals    []upstream.Arrival
 	runs        []upstream.Run
 	partCrashes []upstream.PartCrash
+	works       []upstream.Work
 }
 
 // readSeen collects what all upstreams have noted.
@@ -218,6 +223,7 @@
 		out.arrivals = append(out.arrivals, b.Arrivals()...)
 		out.runs = append(out.runs, b.Runs()...)
 		out.partCrashes = append(out.partCrashes, b.PartCrashes()...)
+		out.works = append(out.works, b.Works()...)
 	}
 	for _, p := range f.processes {
 		records, err := p.readRecords()
@@ -232,6 +238,8 @@
 				out.runs = append(out.runs, *r.Run)
 			case r.PartCrash != nil:
 				out.partCrashes = append(out.partCrashes, *r.PartCrash)
+			case r.Work != nil:
+				out.works = append(out.works, *r.Work)
 			}
 		}
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -91,6 +91,8 @@
 	// that are given out again and for late refusals.
 	visitorStream = 1 << 43
 	reuseStream   = 1 << 44
+	// workStream is for upstreams that work on in silence.
+	workStream = 1 << 45
 	// kindStream is for what the upstreams are like.
 	kindStream = 1 << 37
 )
@@ -183,6 +185,7 @@
 	series := map[uint64][]fault{
 		faultStream: faults, noticeStream: notices, limitStream: limits, partStream: parts,
 		restoreStream: restores, promiseStream: promises, endStream: ends, visitorStream: visitors, reuseStream: reuses,
+		workStream: works,
 	}
 	if o.Processes > 0 {
 		series[processStream] = processes
@@ -296,6 +299,7 @@
 	}
 	checkOrder(f, s, observations, report)
 	checkRuns(f, s, observations, report)
+	checkWork(f, s.works, report)
 	checkGone(f, f.promptArrivals(), observations, report)
 	checkWithdrawn(f, runs, report)
 	r.LostKept = checkKept(f, observations, report)
--- a/internal/soak/timeline.go
+++ b/internal/soak/timeline.go
@@ -38,3 +38,16 @@
 	}
 	return true
 }
+
+// lastEnd returns the end of the last disturbance that had ended before a time, or the zero value.
+func (t *timeline) lastEnd(before time.Time) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var last time.Time
+	for _, s := range t.spans {
+		if s.to.After(last) && s.to.Before(before) {
+			last = s.to
+		}
+	}
+	return last
+}
--- a/standin/upstream/fault.go
+++ b/standin/upstream/fault.go
@@ -69,4 +69,6 @@
 	CrashInAnswer
 	// SkipEvent leaves out the first event of a stream.
 	SkipEvent
+	// Stall works on for long after the first event of a stream, without an event.
+	Stall
 )
--- a/standin/upstream/record.go
+++ b/standin/upstream/record.go
@@ -13,6 +13,7 @@
 	Arrival   *Arrival   `json:",omitempty"`
 	Run       *Run       `json:",omitempty"`
 	PartCrash *PartCrash `json:",omitempty"`
+	Work      *Work      `json:",omitempty"`
 }
 
 // record writes a record as one line. The upstream can't go on if that fails.
--- a/standin/upstream/stream.go
+++ b/standin/upstream/stream.go
@@ -72,6 +72,9 @@
 		if fault == SkipEvent && n == resumed+1 {
 			continue
 		}
+		if fault == Stall && n == resumed+2 && !s.stall(c) {
+			return false
+		}
 		time.Sleep(s.Pace)
 		data := s.event(n, run)
 		if fault == HoldUnnumbered {
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -94,6 +94,7 @@
 	listener net.Listener
 	fault    Fault
 	runs     []Run
+	works    []Work
 	arrivals []Arrival
 	// limits lists the changes of the limit in order, and named the answers that
 	// stated one.
@@ -274,6 +275,7 @@
 	s.runs = append(s.runs, run)
 	s.mu.Unlock()
 	s.record(Record{Run: &run})
+	defer s.endWork(run, time.Now())
 	if s.playScript(c, run) {
 		return false
 	}
