soak: test which requests count as lost on kept connections

The test has a stand-in that got the request, and cases with a disturbed entry, a disturbed upstream and a request that was not passed on.

go test -run "Seen|LeftOut" -count 3 ./internal/soak passes.

--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -75,26 +76,61 @@
 	}
 }
 
-// What a proxy may have kept back does not count as late.
-func TestArrivalsThatMayHaveBeenHeldBackAreLeftOut(t *testing.T) {
+// arrived returns an upstream behind a proxy that has got a request with the ID "r", and when.
+func arrived(t *testing.T) (*backend, time.Time) {
+	t.Helper()
 	s, err := upstream.Start("i-1", "127.0.0.1")
 	require.NoError(t, err)
-	defer s.Close()
+	t.Cleanup(s.Close)
 	req, err := caller.Call{Method: http.MethodGet, Target: "/status/r", ID: "r"}.Request(t.Context(), s.Address())
 	require.NoError(t, err)
 	resp, err := http.DefaultClient.Do(req)
 	require.NoError(t, err)
 	require.NoError(t, resp.Body.Close())
-	p := &proxy{}
-	f := &fleet{upstreams: []*backend{{Server: s, proxy: p}}}
+	return &backend{Server: s, proxy: &proxy{}}, s.Arrivals()[0].At
+}
+
+// What a proxy may have kept back does not count as late.
+func TestArrivalsThatMayHaveBeenHeldBackAreLeftOut(t *testing.T) {
+	b, at := arrived(t)
+	f := &fleet{upstreams: []*backend{b}}
 	require.Len(t, f.promptArrivals(), 1)
-	arrived := s.Arrivals()[0].At
-	p.harmed.spans = []span{{arrived.Add(-time.Hour), arrived.Add(-contactTime - 1)}}
+	b.proxy.harmed.spans = []span{{at.Add(-time.Hour), at.Add(-contactTime - 1)}}
 	require.Len(t, f.promptArrivals(), 1, "long before")
-	p.harmed.spans = []span{{arrived.Add(-time.Hour), arrived.Add(-contactTime)}}
+	b.proxy.harmed.spans = []span{{at.Add(-time.Hour), at.Add(-contactTime)}}
 	require.Empty(t, f.promptArrivals())
 }
 
+// Requests from kept connections that are closed without an answer are counted, unless their
+// entry or upstream was disturbed.
+func TestRequestsLostOnKeptConnectionsAreSeen(t *testing.T) {
+	b, at := arrived(t)
+	v := observation{id: "r", entry: "e", kept: true, started: at.Add(-time.Second), sent: at, ended: at.Add(time.Second)}
+	during := []span{{at, at.Add(time.Millisecond)}}
+	for name, c := range map[string]struct {
+		upstream, entry []span
+		id              string
+		requests, lost  int
+	}{
+		"too many":            {nil, nil, "r", maxLostKept + 1, maxLostKept + 1},
+		"few":                 {nil, nil, "r", maxLostKept, maxLostKept},
+		"not passed on":       {nil, nil, "other", maxLostKept + 1, 0},
+		"upstream was faulty": {during, nil, "r", maxLostKept + 1, 0},
+		"entry was paused":    {nil, during, "r", maxLostKept + 1, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := &entry{name: "e"}
+			b.proxy.disturbed.spans, e.disturbed.spans = c.upstream, c.entry
+			f := &fleet{upstreams: []*backend{b}, entries: []*entry{e}}
+			v.id = c.id
+			lost := 0
+			got := violations(func(r func(string, ...any)) { lost = checkKept(f, slices.Repeat([]observation{v}, c.requests), r) })
+			require.Equal(t, c.lost, lost)
+			require.Equal(t, c.lost > maxLostKept, len(got) > 0, got)
+		})
+	}
+}
+
 // Runs at another service, and of other bytes than those that were sent, are seen.
 func TestRunsThatNobodyAskedForAreSeen(t *testing.T) {
 	f := testFleet(time.Hour)
