gateway: leave the idle time of callers' connections to their list alone

What callers saw (LOST): with an idle time of more than 2 minutes in the configuration, a kept connection was closed after 2 minutes, and the next request on it crossed the close. With any idle time, a request that had arrived by the 2 minutes on a starved entry, unread, was dropped.

Cause: http.Server had an IdleTimeout of its own beside the list of connections. It ends with the deadline of a read, which fails whether or not bytes are there.

Evidence: TestConnectionIsClosedBeforeTheEndOfItsIdleTime/long, a request after 8 of 10 minutes.

callerserver_test.go:61: Received unexpected error: io: read/write on closed pipe

Change: the front server has no idle timeout; without a configured one the list uses 2 minutes. The internal ports keep theirs.

Ruled out by the same test: shorter configured times, and none, were kept to before and are after.

--- a/gateway/listen.go
+++ b/gateway/listen.go
@@ -15,7 +15,8 @@
 	// not taken from the configuration, which may change while headers are being
 	// read.
 	readHeaderTimeout = 10 * time.Second
-	// idleTimeout closes idle connections if the configuration sets no limit.
+	// idleTimeout closes idle connections of callers if the configuration sets no limit, and
+	// those of the internal ports.
 	idleTimeout = 2 * time.Minute
 )
 
@@ -29,16 +30,10 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
-	}
+	server := g.newServer(handler, callers)
 	if callers != nil {
 		g.front = newCallerListener(l, callers)
-		l, server.ConnState = g.front, callers.track
+		l = g.front
 	}
 	g.servers = append(g.servers, server)
 	g.tasks.Add(1)
@@ -51,12 +46,27 @@
 	return nil
 }
 
+// newServer returns an HTTP server; callers keeps its connections and may be nil.
+func (g *Gateway) newServer(handler http.Handler, callers *callerConns) *http.Server {
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
+	}
+	if callers != nil {
+		// callers closes idle connections.
+		server.IdleTimeout, server.ConnState = -1, callers.track
+	}
+	return server
+}
+
 // idleLimit returns how long a caller's connection may be idle under the active
-// configuration; 0 means no limit.
+// configuration.
 func (g *Gateway) idleLimit() time.Duration {
-	c := g.config.Load()
-	if c == nil {
-		return 0
+	if c := g.config.Load(); c != nil && c.Limits.IdleTimeout > 0 {
+		return c.Limits.IdleTimeout
 	}
-	return c.Limits.IdleTimeout
+	return idleTimeout
 }
