gateway: name the time for the rest of a refused body

drainTimeout was the time for the rest of an upstream's answer that is not relayed, and for the rest of a caller's body that is not read. The second has a name of its own. No change of behaviour; go test ./gateway -run 'TestRequestWithoutTheRest|Refus' passes.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -244,12 +244,15 @@
 	g.sendProblem(r, status, 0, code)
 }
 
+// restOfBodyTimeout is how long the rest of a request's body is read that is not needed any more.
+const restOfBodyTimeout = 100 * time.Millisecond
+
 // sendProblem sends an answer of this entry to the caller.
 func (g *Gateway) sendProblem(r *request, status int, retryAfter time.Duration, code reason.Reason) {
 	if !r.hasBody {
 		// The server reads what is left of the body before it sends the answer. Only response
 		// writers of tests don't support deadlines.
-		_ = http.NewResponseController(r.reply.w).SetReadDeadline(time.Now().Add(drainTimeout))
+		_ = http.NewResponseController(r.reply.w).SetReadDeadline(time.Now().Add(restOfBodyTimeout))
 	}
 	if err := r.reply.problem(r.RequestID, status, retryAfter, string(code)); err != nil {
 		g.abortConnection(r, "failed")
