gateway: drop a long failure only for an upstream that takes the request

What callers saw: an upstream failed an idempotent request with an answer of over 1 MB, and the retry budget was empty or no other upstream could take it. They got 502 in place of the upstream's answer.

An answer that is too long to keep is dropped if the request can go on elsewhere, which was judged by the number of upstreams. The next attempt was refused afterwards.

Evidence: TestLongFailureIsDroppedWithoutAnAlternative/retry_budget_empty, before:

expected: 500 actual : 502

Change: the next attempt is reserved first, as for a silent upstream. canTryAnother is gone; it was the last of the two answers to the same question.

After: go test ./gateway -run 'LongFailure|Resum|LongAnswer|Relay|EndInDoubt|Memory|Unsealed|Cut| Retr|Fail' and go test ./decision/answer pass.

--- a/decision/answer/answer.go
+++ b/decision/answer/answer.go
@@ -83,10 +83,10 @@
 
 // DecideLong returns what is done with an answer that Decide wants to be read to its end and
 // that is longer than what may be buffered. Without a seal nothing shows that its bytes are
-// an answer at all. mayRetry is set if the request could be sent to another upstream.
-func DecideLong(h Head, use Use, mayRetry bool) Use {
+// an answer at all. goesOn is set if the request is certain to be sent to another upstream.
+func DecideLong(h Head, use Use, goesOn bool) Use {
 	switch {
-	case use == Keep && (mayRetry || !h.Sealed):
+	case use == Keep && (goesOn || !h.Sealed):
 		return Fail
 	case !h.Sealed:
 		return Reject
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -83,7 +83,8 @@
 		if isFull {
 			g.metrics.unbuffered.Inc(1)
 		}
-		return g.relayLong(ctx, r, t, a, buffer, answer.DecideLong(h, use, g.canTryAnother(r, r.progress.attempts))), nil
+		goesOn := use == answer.Keep && g.reserveAlternative(r, r.progress.attempts)
+		return g.relayLong(ctx, r, t, a, buffer, answer.DecideLong(h, use, goesOn)), nil
 	}
 	if err == nil {
 		err = g.checkEnd(ctx, r, a)
@@ -104,18 +105,6 @@
 	return delivered, buffered
 }
 
-// canTryAnother reports whether a request could be sent to yet another upstream after
-// the given number of attempts.
-func (g *Gateway) canTryAnother(r *request, attempts int) bool {
-	if !r.route.Repeatable() || attempts >= r.route.MaxAttempts {
-		return false
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	blocked := g.table.Blocked(time.Now(), g.placementRequest(r))
-	return g.table.Count(r.service.Name)-blocked.Paused-blocked.Limited > len(r.progress.tried)
-}
-
 // handleFailure ends an attempt in which the upstream has failed the request.
 func (g *Gateway) handleFailure(r *request, t *placement.Ticket, status int) attemptResult {
 	g.endAttempt(t, placement.Failed)
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// reserveAlternative reserves another upstream for a request whose upstream is silent, and
-// reports whether there is one.
+// reserveAlternative reserves another upstream for a request whose upstream is silent or has
+// failed, and reports whether there is one.
 func (g *Gateway) reserveAlternative(r *request, attempts int) bool {
 	if !silentAttempt(r, attempts).MayMove() {
 		return false
