--- a/gateway/confirm.go
+++ b/gateway/confirm.go
@@ -132,11 +132,11 @@
 // processAfterEnd returns what the process of a request's upstream says after the end of its
 // answer. It is unknown after a timeout, and once the request is certain to go on elsewhere.
 func (g *Gateway) processAfterEnd(ctx context.Context, r *request) answer.Process {
-	u := r.progress.upstream
-	q, begins := g.inquiries.join(u.Instance())
+	p := r.progress.process
+	q, begins := g.inquiries.join(p.started.Instance())
 	defer g.inquiries.leave(q)
 	if begins {
-		go g.runInquiries(q, u, r.service)
+		go g.runInquiries(q, p)
 	}
 	mayMove, onSilence := silentAttempt(r, r.progress.attempts).MayMove(), g.onSilence(r, r.progress.attempts)
 	pause := time.NewTimer(g.confirmTimeouts.other)
@@ -158,30 +158,36 @@
 }
 
 // runInquiries runs an inquiry and those that are its turn to run afterwards.
-func (g *Gateway) runInquiries(q *inquiry, u serving.Upstream, service *serving.Service) {
+func (g *Gateway) runInquiries(q *inquiry, p process) {
 	for q != nil {
-		process := answer.Unknown
-		g.withRecover("inquiry", func() { process = g.inquire(q.ctx, u, service) })
-		q = g.inquiries.finish(u.Instance(), q, process)
+		var seen answer.Inquiry
+		g.withRecover("inquiry", func() { g.inquire(q.ctx, p, &seen) })
+		q = g.inquiries.finish(p.started.Instance(), q, seen.Process)
 	}
 }
 
-// inquire asks an upstream what it is until that tells whether its process still runs.
-func (g *Gateway) inquire(ctx context.Context, u serving.Upstream, service *serving.Service) answer.Process {
-	targets := platform.StateTargets(u, service)
-	var seen answer.Inquiry
-	for pause := confirmPause; len(targets) > 0; pause *= 2 {
-		for _, target := range targets {
-			seen.Add(u, g.askState(ctx, u, target))
-			if seen.Process != answer.Unknown {
-				return seen.Process
-			}
+// inquire asks an upstream what it is until that tells whether its process still runs. It returns
+// the time of the last call, or zero if there is nothing to call.
+func (g *Gateway) inquire(ctx context.Context, p process, seen *answer.Inquiry) time.Time {
+	for pause := confirmPause; ; pause *= 2 {
+		asked := g.askAll(ctx, p, seen)
+		if asked.IsZero() || seen.Process != answer.Unknown || !sleep(ctx, pause) {
+			return asked
 		}
-		if !sleep(ctx, pause) {
+	}
+}
+
+// askAll asks an upstream what it is, once at each path. It returns the time of the last call.
+func (g *Gateway) askAll(ctx context.Context, p process, seen *answer.Inquiry) time.Time {
+	var asked time.Time
+	for _, target := range platform.StateTargets(p.started, p.service) {
+		asked = time.Now()
+		seen.Add(p.started, g.askState(ctx, p.listed, target))
+		if seen.Process != answer.Unknown {
 			break
 		}
 	}
-	return answer.Unknown
+	return asked
 }
 
 // askState asks an upstream once what it is.
@@ -197,6 +203,7 @@
 	}
 	statement := platform.DecodeState(reply.Status, reply.Header, reply.Body)
 	statement.Answered = true
+	g.processStarts.learn(u, statement.StartMillis)
 	return statement
 }
 
