gateway: bound the time for a part of a head at the end of the idle time

What operators would see: a caller that sends the first byte of a request on a kept connection, and nothing more, keeps its connection and the entry's file open for ever.

Cause: at the end of the idle time a connection on which bytes have arrived stays open, and nothing looked at it again. net/http limits the time for a head only from its fourth byte on.

Evidence: TestConnectionWithAPartOfAHeadStaysOpen, before:

callerserver_test.go:102: Should be false: still open

Change: such a connection has 10 s more for the head, as any request has. A request that is parsed by then stops the timer.

After: go test ./gateway -race -run 'TestConnectionWithAPart|TestConnectionIsClosedBefore| TestIdleConn|TestRequestAtTheEnd|Pipelined' passes.

--- a/gateway/callerconns.go
+++ b/gateway/callerconns.go
@@ -18,18 +18,20 @@
 type callerConns struct {
 	// limit returns the longest idle time; 0 means no limit.
 	limit func() time.Duration
+	// headTimeout is how long a request may lack a part of its head at the end of the idle time.
+	headTimeout time.Duration
 
 	mu   sync.Mutex
 	open map[*callerConn]struct{}
 }
 
 func newCallerConns(limit func() time.Duration) *callerConns {
-	return &callerConns{limit: limit, open: map[*callerConn]struct{}{}}
+	return &callerConns{limit: limit, headTimeout: readHeaderTimeout, open: map[*callerConn]struct{}{}}
 }
 
 // add returns the connection to use in place of c.
 func (k *callerConns) add(c net.Conn) *callerConn {
-	conn := &callerConn{Conn: c, closed: k.remove}
+	conn := &callerConn{Conn: c, closed: k.remove, headTimeout: k.headTimeout}
 	if socket, ok := c.(syscall.Conn); ok {
 		// An error means that the connection is closed; the server will notice.
 		conn.raw, _ = socket.SyscallConn()
@@ -79,6 +81,8 @@
 	raw syscall.RawConn
 	// closed is called once the connection has been closed.
 	closed func(*callerConn)
+	// headTimeout is that of callerConns.
+	headTimeout time.Duration
 
 	mu sync.Mutex
 	// isRead is set before the first byte is read since the connection was opened or became
@@ -167,19 +171,35 @@
 	if limit <= 0 || c.isClosed {
 		return
 	}
+	c.arm(limit, c.closeIdle)
+}
+
+// arm has f called after a time unless the connection has entered another state by then. The
+// caller holds mu.
+func (c *callerConn) arm(after time.Duration, f func()) {
 	var timer *time.Timer
-	timer = time.AfterFunc(limit, func() { c.closeIdle(&timer) })
+	timer = time.AfterFunc(after, func() {
+		c.mu.Lock()
+		isCurrent := c.idle == timer
+		c.mu.Unlock()
+		if isCurrent {
+			f()
+		}
+	})
 	c.idle = timer
 }
 
-// closeIdle closes the connection at the end of its idle time unless timer was stopped too
-// late to keep it from ending.
-func (c *callerConn) closeIdle(timer **time.Timer) {
+// closeIdle closes the connection at the end of its idle time. The head of a request that has
+// begun to arrive gets some more time.
+func (c *callerConn) closeIdle() {
+	if c.closeUnused() {
+		return
+	}
 	c.mu.Lock()
-	isCurrent := c.idle == *timer
-	c.mu.Unlock()
-	if isCurrent {
-		c.closeUnused()
+	defer c.mu.Unlock()
+	if c.idle != nil {
+		// An error of Close does not matter: the connection is not used again.
+		c.arm(c.headTimeout, func() { _ = c.Close() })
 	}
 }
 
--- a/gateway/callerserver_test.go
+++ b/gateway/callerserver_test.go
@@ -75,3 +75,32 @@
 		})
 	}
 }
+
+// A caller sends the first byte of a request on a kept connection, and nothing more. The connection
+// does not stay open for ever.
+func TestConnectionWithAPartOfAHeadStaysOpen(t *testing.T) {
+	k := newCallerConns(func() time.Duration { return 300 * time.Millisecond })
+	k.headTimeout = time.Millisecond
+	g := &Gateway{log: slog.New(slog.DiscardHandler)}
+	server := g.newServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), k)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(newCallerListener(inner, k)) }()
+	client, err := net.Dial("tcp", inner.Addr().String())
+	require.NoError(t, err)
+	_, err = io.WriteString(client, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	answers := bufio.NewReader(client)
+	resp, err := http.ReadResponse(answers, nil)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	_, err = io.WriteString(client, "G")
+	require.NoError(t, err)
+	require.NoError(t, client.SetReadDeadline(time.Now().Add(time.Minute)))
+	_, err = answers.ReadByte()
+	require.False(t, isTimeout(err), "still open")
+	require.NoError(t, server.Close())
+	require.ErrorIs(t, <-served, http.ErrServerClosed)
+	require.NoError(t, client.Close())
+}
