--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -44,6 +44,12 @@
 	death  death
 	// wasFaulty is set once a fault was injected.
 	wasFaulty bool
+	// disturbed has the times of faults of the proxy and of its server, and alive ends that of
+	// the server's death.
+	disturbed timeline
+	alive     func()
+	// harmed has the times of the faults of the proxy alone.
+	harmed timeline
 	// held makes the proxy keep all bytes until it is unset, which released announces.
 	held     bool
 	released *sync.Cond
@@ -62,6 +68,12 @@
 	return p, nil
 }
 
+func (p *proxy) currentTarget() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.target
+}
+
 func (p *proxy) address() string { return p.addr }
 
 // down ends the open connections and treats new ones as the proxy's death says, until up is
@@ -69,7 +81,9 @@
 func (p *proxy) down() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.isDown = true
+	if !p.isDown {
+		p.isDown, p.alive = true, p.disturbed.begin()
+	}
 	if p.death.port == portRefuses {
 		// An error means that the listener is closed already.
 		_ = p.listener.Close()
@@ -90,6 +104,9 @@
 	if p.closed {
 		return
 	}
+	if p.isDown {
+		p.alive()
+	}
 	p.isDown = false
 	for c := range p.conns {
 		reset(c)
@@ -130,7 +147,7 @@
 	if p.meetsDeadPort(client) {
 		return
 	}
-	server, err := net.Dial("tcp", p.target)
+	server, err := net.Dial("tcp", p.currentTarget())
 	if err != nil {
 		return
 	}
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -79,6 +79,9 @@
 	// Script, if set, answers runs in place of the upstream. It must be set before the first
 	// request.
 	Script Script
+	// BeforeState, if set, is called before each call for the state is answered. It must be set
+	// before the first request.
+	BeforeState func()
 	// RestTime is the Retry-After that Rest sends. It must be set before the first
 	// request.
 	RestTime time.Duration
@@ -91,6 +94,7 @@
 	listener net.Listener
 	fault    Fault
 	runs     []Run
+	works    []Work
 	arrivals []Arrival
 	// limits lists the changes of the limit in order, and named the answers that
 	// stated one.
@@ -271,6 +275,7 @@
 	s.runs = append(s.runs, run)
 	s.mu.Unlock()
 	s.record(Record{Run: &run})
+	defer s.endWork(run, time.Now())
 	if s.playScript(c, run) {
 		return false
 	}
