--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -183,7 +183,7 @@
 func (g *Gateway) askUntilKnown(p process, seen answer.Inquiry) {
 	ctx, cancel := context.WithTimeout(g.givenUp, poison.RestartNoticeTime)
 	defer cancel()
-	for pause := minWatchPause; sleep(ctx, pause) && g.isListed(p.listed); pause = min(2*pause, maxWatchPause) {
+	for pause := minWatchPause; sleep(ctx, pause) && g.isListed(p.listed) && g.expectedToRun(p.listed); pause = min(2*pause, maxWatchPause) {
 		// What holds a connection open without an upstream does not close it when there is one.
 		call, end := context.WithTimeout(ctx, watchCallTimeout)
 		asked := g.askAll(call, p, &seen)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -86,7 +86,8 @@
 	limitedUpstreams metrics.Gauge
 	// crashes counts upstream crashes that this entry detected itself.
 	crashes metrics.Counter
-	// inquiries counts the calls to upstreams by which the ends of answers are confirmed.
+	// inquiries counts the calls by which upstreams are asked what they are, after the ends of
+	// answers and after their connections broke.
 	inquiries metrics.Counter
 	// deadlyParts is the number of parts of prompts that are known to crash upstreams, and
 	// droppedEvidence the requests and parts that were involved in crashes and not
