--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -83,6 +83,7 @@
 		CallerHeaders: platform.DecodeCaller(hr.Header), http: hr, reply: newReply(w, hr), target: hr.RequestURI, arrived: time.Now(),
 	}
 	defer r.releaseBuffers()
+	defer g.answerPanic(r)
 	r.progress.lastEvent = r.LastEvent
 	if refused := g.admit(r); refused != nil {
 		g.refuse(r, refused)
@@ -255,7 +256,7 @@
 	// Only response writers of tests don't support deadlines.
 	_ = control.SetReadDeadline(r.deadline)
 	buffer := r.newBuffer(g.bodyMemory)
-	_, err := buffer.ReadFrom(http.MaxBytesReader(r.reply.w, r.http.Body, bound))
+	err := buffer.ReadAll(http.MaxBytesReader(r.reply.w, r.http.Body, bound))
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
