internal/socket: one look at unread bytes for callers and upstreams

gateway/callerconns.go and upstream/exchange/conn.go looked at sockets in the same way, each with its own copy. Both use internal/socket now; nothing else changes.

--- a/gateway/callerconns.go
+++ b/gateway/callerconns.go
@@ -1,14 +1,13 @@
 package gateway
 
 import (
-	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"jaylink/internal/socket"
 )
 
 // callerConns are the open connections of callers. It closes those that have been idle for
@@ -112,9 +111,9 @@
 	hasArrived := false
 	// The next read fails with the same error.
 	_ = c.raw.Read(func(fd uintptr) bool {
-		n, err := peek(fd)
-		hasArrived = n > 0
-		return !errors.Is(err, unix.EAGAIN)
+		state := socket.Look(fd)
+		hasArrived = state == socket.Unread
+		return state != socket.Quiet
 	})
 	return hasArrived
 }
@@ -214,14 +213,5 @@
 	if c.raw == nil {
 		return false
 	}
-	n := 0
-	err := c.raw.Control(func(fd uintptr) { n, _ = peek(fd) })
-	return err == nil && n > 0
-}
-
-// peek returns how many bytes of a socket can be read, 0 or 1.
-func peek(fd uintptr) (int, error) {
-	var first [1]byte
-	n, _, err := unix.Recvfrom(int(fd), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	return n, err
+	return socket.StateOf(c.raw) == socket.Unread
 }
--- a/upstream/exchange/conn.go
+++ b/upstream/exchange/conn.go
@@ -12,6 +12,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
+
+	"jaylink/internal/socket"
 )
 
 // Timeouts and sizes of connections to upstreams.
@@ -136,7 +138,7 @@
 // afterDeadline returns how much longer to wait after a read deadline. If this process has
 // been held up, bytes that came in time are still to be read.
 func (c *conn) afterDeadline() time.Duration {
-	if !c.hasWaited && c.state() == unread {
+	if !c.hasWaited && c.state() == socket.Unread {
 		c.hasWaited = true
 		return catchUpTime
 	}
@@ -181,43 +183,17 @@
 
 // isClean reports whether an idle connection is open and has no unread data. Unread
 // data would belong to no request.
-func (c *conn) isClean() bool { return c.r.Buffered() == 0 && c.state() == quiet }
-
-// socketState is what the next read of a connection would return.
-type socketState int
-
-const (
-	// closed: an error or the end of the connection.
-	closed socketState = iota
-	// quiet: nothing yet.
-	quiet
-	// unread: data.
-	unread
-)
+func (c *conn) isClean() bool { return c.r.Buffered() == 0 && c.state() == socket.Quiet }
 
 // state returns the state of the connection's socket.
-func (c *conn) state() socketState {
+func (c *conn) state() socket.State {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return quiet
+		return socket.Quiet
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return closed
-	}
-	state := closed
-	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		n, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		switch {
-		case errors.Is(err, unix.EAGAIN):
-			state = quiet
-		case err == nil && n > 0:
-			state = unread
-		}
-	})
-	if err != nil {
-		return closed
+		return socket.Closed
 	}
-	return state
+	return socket.StateOf(raw)
 }
