gateway: end the upstreams of TestFirstUpstreamWorksOnBesideTheNext with the test

What was seen: once, on a busy machine (load about 60), the subtest "half-closed, direct" did not end: the binary was ended by its time limit (-test.timeout 270s) after 3m12s in it. No check had failed. The dump shows the test in its cleanup, waiting for the second upstream, and three of that upstream's requests at

gateway/stillworks_test.go:116: noticed <- <-left

Cause: a result of the first upstream is there once, but the second upstream can get the request several times when it is silent on a slow machine. Each further request waited for a result that never came, and the cleanup for it.

Change: both upstreams stop waiting when the test's function has ended. The checks are the same: the first result decides, and an answer before it fails the test.

Evidence: the dump alone.

--- a/gateway/stillworks_test.go
+++ b/gateway/stillworks_test.go
@@ -105,7 +105,10 @@
 					if c.halfCloses {
 						_ = conn.(*net.TCPConn).CloseWrite()
 					}
-					left <- c.work(conn)
+					select {
+					case left <- c.work(conn):
+					case <-t.Context().Done():
+					}
 				})
 				first.mute = c.halfCloses
 				if path == "proxy" {
@@ -113,7 +116,15 @@
 				}
 				noticed := make(chan bool, 1)
 				second := d.rawUpstream("i-2", service, func(conn net.Conn, req *http.Request) {
-					noticed <- <-left
+					// A silent request is sent again on a slow machine, and there is one result.
+					select {
+					case ok := <-left:
+						select {
+						case noticed <- ok:
+						case <-t.Context().Done():
+						}
+					case <-t.Context().Done():
+					}
 					writes("HTTP/1.1 200 OK\r\nSEAL\r\nContent-Length: 0\r\n\r\n")(conn, req)
 				})
 				d.store.PutUpstream("i-2", service, second.listener.Addr().String(), "zone-b", "ready")
