--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -83,7 +83,8 @@
 		if isFull {
 			g.metrics.unbuffered.Inc(1)
 		}
-		return g.relayLong(ctx, r, t, a, buffer, answer.DecideLong(h, use, g.canTryAnother(r, r.progress.attempts))), nil
+		goesOn := use == answer.Keep && g.reserveAlternative(r, r.progress.attempts)
+		return g.relayLong(ctx, r, t, a, buffer, answer.DecideLong(h, use, goesOn)), nil
 	}
 	if err == nil {
 		err = g.checkEnd(ctx, r, a)
@@ -104,18 +105,6 @@
 	return delivered, buffered
 }
 
-// canTryAnother reports whether a request could be sent to yet another upstream after
-// the given number of attempts.
-func (g *Gateway) canTryAnother(r *request, attempts int) bool {
-	if !r.route.Repeatable() || attempts >= r.route.MaxAttempts {
-		return false
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	blocked := g.table.Blocked(time.Now(), g.placementRequest(r))
-	return g.table.Count(r.service.Name)-blocked.Paused-blocked.Limited > len(r.progress.tried)
-}
-
 // handleFailure ends an attempt in which the upstream has failed the request.
 func (g *Gateway) handleFailure(r *request, t *placement.Ticket, status int) attemptResult {
 	g.endAttempt(t, placement.Failed)
@@ -244,12 +233,15 @@
 	g.sendProblem(r, status, 0, code)
 }
 
+// restOfBodyTimeout is how long the rest of a request's body is read that is not needed any more.
+const restOfBodyTimeout = 100 * time.Millisecond
+
 // sendProblem sends an answer of this entry to the caller.
 func (g *Gateway) sendProblem(r *request, status int, retryAfter time.Duration, code reason.Reason) {
 	if !r.hasBody {
 		// The server reads what is left of the body before it sends the answer. Only response
 		// writers of tests don't support deadlines.
-		_ = http.NewResponseController(r.reply.w).SetReadDeadline(time.Now().Add(drainTimeout))
+		_ = http.NewResponseController(r.reply.w).SetReadDeadline(time.Now().Add(restOfBodyTimeout))
 	}
 	if err := r.reply.problem(r.RequestID, status, retryAfter, string(code)); err != nil {
 		g.abortConnection(r, "failed")
