--- a/gateway/listen.go
+++ b/gateway/listen.go
@@ -57,7 +57,7 @@
 	}
 	if callers != nil {
 		// callers closes idle connections.
-		server.IdleTimeout, server.ConnState = -1, callers.track
+		server.IdleTimeout, server.ConnState, server.ConnContext = -1, callers.track, withCallerConn
 	}
 	return server
 }
