silence, gateway: one least remaining time for attempts

The decision about silent upstreams and the gateway each had a constant of 20 ms for the same bound. No change of behaviour; go test ./decision/silence and ./gateway -run 'Deadline|Silent|LongFailure|Refus' pass.

--- a/decision/silence/silence.go
+++ b/decision/silence/silence.go
@@ -9,8 +9,8 @@
 
 import "time"
 
-// minRemaining is the least remaining time with which a request is sent elsewhere.
-const minRemaining = 20 * time.Millisecond
+// MinRemaining is the least remaining time with which a request is sent to an upstream.
+const MinRemaining = 20 * time.Millisecond
 
 // Attempt is an attempt whose upstream is silent.
 type Attempt struct {
@@ -38,5 +38,5 @@
 
 // Suits reports whether the other upstream could answer in time.
 func (a Alternative) Suits() bool {
-	return a.Found && a.Remaining >= max(a.Predicted, minRemaining)
+	return a.Found && a.Remaining >= max(a.Predicted, MinRemaining)
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"jaylink/decision/notrun"
 	"jaylink/decision/placement"
 	"jaylink/decision/reason"
+	"jaylink/decision/silence"
 	"jaylink/platform"
 	"jaylink/serving"
 	"jaylink/upstream/exchange"
@@ -17,8 +18,6 @@
 const (
 	// maxDeclined is how many upstreams may decline a request before it is refused.
 	maxDeclined = 3
-	// minRemaining is the least remaining time with which an attempt is started.
-	minRemaining = 20 * time.Millisecond
 	// nonRepeatableMaxIdle is the longest idle time of a connection that is reused for
 	// a request that may not be repeated. It is shorter than the upstreams' idle
 	// timeouts.
@@ -161,7 +160,7 @@
 		return false
 	case p.mayHaveRun && !r.route.Repeatable():
 		return false
-	case time.Until(r.deadline) < minRemaining:
+	case time.Until(r.deadline) < silence.MinRemaining:
 		return false
 	}
 	g.mu.Lock()
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -6,6 +6,7 @@
 
 	"jaylink/decision/placement"
 	"jaylink/decision/reason"
+	"jaylink/decision/silence"
 	"jaylink/serving"
 )
 
@@ -117,7 +118,7 @@
 	if o := time.Duration(lateFactor * float64(r.route.Objective)); o > 0 {
 		bound = min(bound, max(o, c.PredictedIdle+o/2))
 	}
-	if c.Predicted <= bound && remaining >= minRemaining {
+	if c.Predicted <= bound && remaining >= silence.MinRemaining {
 		return nil
 	}
 	wait := max(c.Predicted-bound, minRetryAfter)
