standin: end the work of a slow upstream whose caller has left

The entry's log shows that it gave the first attempt up after 801 ms and that the request was answered 23 ms later from the other upstream.

A runner that the entry reaches sees that.

Change: in pauses of 100 ms and more the stand-in watches its connection. Shorter ones are slept as before.

--- a/standin/upstream/stream.go
+++ b/standin/upstream/stream.go
@@ -75,7 +75,9 @@
 		if fault == Stall && n == resumed+2 && !s.stall(c) {
 			return false
 		}
-		time.Sleep(s.Pace)
+		if !s.pause(c) {
+			return false
+		}
 		data := s.event(n, run)
 		if fault == HoldUnnumbered {
 			data = UnnumberedEvent(n)
@@ -144,6 +146,22 @@
 	return true
 }
 
+// longPace is from which pace on an upstream looks whether the caller has left.
+const longPace = 100 * time.Millisecond
+
+// pause waits for the time before an event or a plain answer. It returns false if the caller closes
+// the connection in a long one.
+func (s *Server) pause(c net.Conn) bool {
+	if s.Pace < longPace {
+		time.Sleep(s.Pace)
+		return true
+	}
+	closed := s.closedWithin(c, s.Pace)
+	// An error means that the connection is closed, which the write shows.
+	_ = c.SetReadDeadline(time.Time{})
+	return !closed
+}
+
 // countClosed counts a connection that the caller closed before the answer was complete.
 func (s *Server) countClosed() {
 	s.mu.Lock()
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -362,7 +362,9 @@
 }
 
 func (s *Server) servePlain(c net.Conn, req *http.Request, id string, fault Fault) bool {
-	time.Sleep(s.Pace)
+	if !s.pause(c) {
+		return false
+	}
 	headers := s.answerHeaders(fault) + s.limitHeader(id)
 	body := "answer to " + req.RequestURI
 	if fault == CrashInAnswer {
