gateway: look up a listed upstream in one place

The crash probe asked the upstream list for an ID in three functions, each with its own check for an entry that has no list yet; two of these came with the question to upstreams whose connections broke. No change of behaviour: go test -run 'Proxy|Killed|TakesOver|Cut|Crash|Forward|Unlisted|Restored|Poison|Deadly' ./gateway passes.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -82,11 +82,7 @@
 // expectedToRun reports whether an upstream is in the upstream list and has not announced
 // that it is shutting down, neither there nor in its answers.
 func (g *Gateway) expectedToRun(u serving.Upstream) bool {
-	list := g.upstreams.Load()
-	if list == nil {
-		return false
-	}
-	if listed, ok := list.upstreams[u.ID]; !ok || listed.Draining {
+	if listed, ok := g.listedUpstream(u.ID); !ok || listed.Draining {
 		return false
 	}
 	g.mu.Lock()
@@ -135,24 +131,26 @@
 	return crashes
 }
 
-// isListed reports whether the upstream list has an upstream's process, as one that is not
-// shutting down.
-func (g *Gateway) isListed(u serving.Upstream) bool {
+// listedUpstream returns the entry that the upstream list has for an ID.
+func (g *Gateway) listedUpstream(id string) (serving.Upstream, bool) {
 	list := g.upstreams.Load()
 	if list == nil {
-		return false
+		return serving.Upstream{}, false
 	}
-	listed, ok := list.upstreams[u.ID]
+	u, ok := list.upstreams[id]
+	return u, ok
+}
+
+// isListed reports whether the upstream list has an upstream's process, as one that is not
+// shutting down.
+func (g *Gateway) isListed(u serving.Upstream) bool {
+	listed, ok := g.listedUpstream(u.ID)
 	return ok && !listed.Draining && listed.Instance() == u.Instance()
 }
 
 // isReplaced reports whether the upstream list has another process under an upstream's ID.
 func (g *Gateway) isReplaced(u serving.Upstream) bool {
-	list := g.upstreams.Load()
-	if list == nil {
-		return false
-	}
-	listed, ok := list.upstreams[u.ID]
+	listed, ok := g.listedUpstream(u.ID)
 	return ok && listed.StartMillis != u.StartMillis && !g.processStarts.isEarlier(listed)
 }
 
