gateway: one set-up for upstreams that are killed behind a forwarder

Three tests wrote the same set-up, and four the same check that an answer can be seen to be incomplete.

--- a/gateway/answeringproxy_test.go
+++ b/gateway/answeringproxy_test.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"jaylink/standin/upstream"
 )
 
 // proxyReplies are answers of a proxy whose upstream is gone, in its own name.
@@ -28,21 +26,15 @@
 				d := newDeployment(t)
 				d.confirmsSoon = true
 				d.configure()
-				bad, err := upstream.Start("i-bad", "127.0.0.1")
-				require.NoError(t, err)
-				t.Cleanup(bad.Close)
-				f := newForwarder(t, bad.Address())
+				bad, f := d.killedUpstream(tc.service, tc.crash)
 				f.answerWith(reply)
-				bad.Undelimited, bad.Down = true, time.Minute
-				bad.SetFault(tc.crash)
-				d.listForwarded(bad, f, tc.service)
 				if tc.goesOn {
 					d.upstreamIn("zone-b", "i-good", tc.service)
 				}
 				a := d.startEntry("entry-1").send(t, tc.call)
 				require.Len(t, bad.Runs(), 1)
 				if !tc.goesOn {
-					require.True(t, a.err != nil || a.status == http.StatusBadGateway, "status %d, body %q", a.status, a.body)
+					requireBrokenOff(t, a)
 					return
 				}
 				require.NoError(t, a.err)
@@ -60,19 +52,13 @@
 		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t)
 			d.configure()
-			bad, err := upstream.Start("i-bad", "127.0.0.1")
-			require.NoError(t, err)
-			t.Cleanup(bad.Close)
-			f := newForwarder(t, bad.Address())
+			bad, f := d.killedUpstream(tc.service, tc.crash)
 			next := startRestarted(t, "i-next")
 			bad.Crashed = func() {
 				f.forwardTo(next.Address())
 				d.store.DeleteUpstream("i-bad")
 				d.store.PutUpstreamProcess("i-next", tc.service, f.address(), "zone-a", "ready", time.Now().UnixMilli())
 			}
-			bad.Undelimited, bad.Down = true, time.Minute
-			bad.SetFault(tc.crash)
-			d.listForwarded(bad, f, tc.service)
 			if tc.goesOn {
 				d.upstreamIn("zone-b", "i-good", tc.service)
 			}
@@ -80,7 +66,7 @@
 			require.Len(t, bad.Runs(), 1)
 			if !tc.goesOn {
 				require.Empty(t, next.Runs())
-				require.True(t, a.err != nil || a.status == http.StatusBadGateway, "status %d, body %q", a.status, a.body)
+				requireBrokenOff(t, a)
 				return
 			}
 			require.NoError(t, a.err)
--- a/gateway/cutanswer_test.go
+++ b/gateway/cutanswer_test.go
@@ -82,5 +82,5 @@
 		resetAfter(c, "HTTP/1.1 200 OK\r\n"+sealedHead(req)+"Content-Type: text/event-stream\r\n\r\n"+completeStream())
 	})
 	a := d.startEntry("entry-1").send(t, streamCall("once", "r-1"))
-	require.True(t, a.err != nil || a.status == http.StatusBadGateway, "status %d, body %q", a.status, a.body)
+	requireBrokenOff(t, a)
 }
--- a/gateway/unconfirmedend_test.go
+++ b/gateway/unconfirmedend_test.go
@@ -37,6 +37,25 @@
 	d.store.PutUpstream(s.ID, service, f.address(), "zone-a", "ready")
 }
 
+// killedUpstream lists an upstream behind a forwarder. It dies for long in its first answer, which
+// ends with its connection.
+func (d *deployment) killedUpstream(service string, crash upstream.Fault) (*upstream.Server, *forwarder) {
+	s, err := upstream.Start("i-bad", "127.0.0.1")
+	require.NoError(d.t, err)
+	d.t.Cleanup(s.Close)
+	f := newForwarder(d.t, s.Address())
+	s.Undelimited, s.Down = true, time.Minute
+	s.SetFault(crash)
+	d.listForwarded(s, f, service)
+	return s, f
+}
+
+// requireBrokenOff requires that a caller can see that its answer is incomplete.
+func requireBrokenOff(t *testing.T, a answer) {
+	t.Helper()
+	require.True(t, a.err != nil || a.status == http.StatusBadGateway, "status %d, body %q", a.status, a.body)
+}
+
 // The process of an upstream is killed while it writes an answer that ends with its connection.
 // What it was reached through goes on listening. The caller must get the whole answer or see
 // that it is incomplete.
@@ -51,20 +70,14 @@
 				d := newDeployment(t)
 				d.confirmsSoon = true
 				d.configure()
-				bad, err := upstream.Start("i-bad", "127.0.0.1")
-				require.NoError(t, err)
-				t.Cleanup(bad.Close)
-				f := newForwarder(t, bad.Address())
+				bad, f := d.killedUpstream(tc.service, tc.crash)
 				prepare(t, f, bad)
-				bad.Undelimited, bad.Down = true, time.Minute
-				bad.SetFault(tc.crash)
-				d.listForwarded(bad, f, tc.service)
 				good := d.upstreamIn("zone-b", "i-good", tc.service)
 				a := d.startEntry("entry-1").send(t, tc.call)
 				require.Len(t, bad.Runs(), 1)
 				if !tc.goesOn {
 					require.Empty(t, good.Runs())
-					require.True(t, a.err != nil || a.status == http.StatusBadGateway, "status %d, body %q", a.status, a.body)
+					requireBrokenOff(t, a)
 					return
 				}
 				require.Len(t, good.Runs(), 1)
