gateway: ask upstreams for the ends of their answers on connections older than the request

Cause: the end of an answer without a length was confirmed by the ID alone. It can be used again by another process, and a full service refuses its health check without one. Class: absence of evidence taken for evidence; and evidence that was there was not looked at.

Ruled out: heads and chunks (cut at every byte before, none accepted); engines, whose start times already tell processes apart.

Change: the kernel closes the connections of a process that ends. Upstreams are asked on an idle connection that was opened before the request was sent, if there is one. A reply there shows that the process still runs, whether it names itself or refuses the call; if all such connections have been closed by an upstream that is expected to run, an ID proves nothing any more. A process that is known to run since a time explains no break before it. recordAlive replaces two copies.

--- a/decision/answer/end.go
+++ b/decision/answer/end.go
@@ -40,22 +40,32 @@
 	ID string
 	// StartMillis is the start time of the process in Unix milliseconds, 0 if not stated.
 	StartMillis int64
+	// TurnedAway is set if the reply states that the call has not run, and names no request: the
+	// upstream is full.
+	TurnedAway bool
+	// Kept is set if the connection of the call was opened before the request was sent. The kernel
+	// closes the connections of a process that ends, so that the process behind it is the same.
+	Kept bool
 }
 
+// isOwn reports whether a reply is that of an upstream, as opposed to something in front of it.
+func (s Statement) isOwn() bool { return s.ID != "" || s.StartMillis != 0 || s.TurnedAway }
+
 // Inquiry collects statements until they tell whether the process that an upstream was still
 // runs. The zero value has none.
 type Inquiry struct {
 	Process Process
-	// Refused is set if Process is Gone because nothing listens, and Certain if a start time
-	// has told it.
-	Refused, Certain bool
+	// Refused is set if Process is Gone because nothing listens, Certain if a start time has told
+	// it, and Kept if a connection has that is older than the request: nothing shows whether the
+	// process has answered requests from before that.
+	Refused, Certain, Kept bool
 	// interrupted is set once a call had no reply. The process may have been replaced then
 	// by one with the same ID.
 	interrupted bool
 }
 
 // Add takes the next statement into account. An ID can be used again by a later process, a start
-// time can't.
+// time and a connection can't.
 func (i *Inquiry) Add(u serving.Upstream, s Statement) {
 	i.interrupted = i.interrupted || !s.Answered
 	startsKnown := u.StartMillis != 0 && s.StartMillis != 0
@@ -63,8 +73,8 @@
 	case i.Process != Unknown:
 	case s.Refused, s.ID != "" && s.ID != u.ID, startsKnown && s.StartMillis != u.StartMillis:
 		i.Process, i.Refused, i.Certain = Gone, s.Refused, startsKnown
-	case startsKnown, s.ID != "" && !i.interrupted:
-		i.Process, i.Certain = Running, startsKnown
+	case startsKnown, s.Kept && s.isOwn(), s.ID != "" && !i.interrupted:
+		i.Process, i.Certain, i.Kept = Running, startsKnown, s.Kept
 	}
 }
 
--- a/decision/answer/end_test.go
+++ b/decision/answer/end_test.go
@@ -51,6 +51,37 @@
 	}
 }
 
+// A reply on a connection that is older than the request is one of the process that wrote the
+// answer, if it is an upstream's at all and not to another request.
+func TestReplyOnAKeptConnectionIsOfTheSameProcess(t *testing.T) {
+	u := serving.Upstream{ID: "i-1", StartMillis: 7}
+	for _, tc := range []struct {
+		statement Statement
+		want      Process
+	}{
+		{Statement{ID: "i-1"}, Running},
+		{Statement{TurnedAway: true}, Running},
+		{Statement{StartMillis: 7}, Running},
+		{Statement{}, Unknown},
+		{Statement{ID: "i-2"}, Gone},
+		{Statement{ID: "i-1", StartMillis: 8}, Gone},
+	} {
+		for _, interrupted := range []bool{false, true} {
+			var i Inquiry
+			if interrupted {
+				i.Add(u, Statement{})
+			}
+			tc.statement.Answered, tc.statement.Kept = true, true
+			i.Add(u, tc.statement)
+			require.Equal(t, tc.want, i.Process, "%+v, interrupted %t", tc.statement, interrupted)
+			require.Equal(t, tc.want == Running, i.Process == Running && i.Kept, "%+v", tc.statement)
+		}
+	}
+	var i Inquiry
+	i.Add(u, Statement{Answered: true, TurnedAway: true})
+	require.Equal(t, Unknown, i.Process, "a refusal on a new connection names no process")
+}
+
 // Nothing listens where connections are refused. What comes later is another process.
 func TestProcessThatIsGoneStaysGone(t *testing.T) {
 	var i Inquiry
--- a/decision/poison/suspicion.go
+++ b/decision/poison/suspicion.go
@@ -83,13 +83,17 @@
 }
 
 // Alive records that the process of an upstream has stated, when asked at a time, that it still
-// runs. The connections that broke before did not break in a crash.
-func (s *CrashSuspicions) Alive(upstream string, asked time.Time) {
+// runs, and that it has run since another time. The connections that broke between them did not
+// break in a crash.
+func (s *CrashSuspicions) Alive(upstream string, since, asked time.Time) {
 	suspect := s.byUpstream[upstream]
-	if suspect == nil || suspect.crashed || suspect.last.After(asked) {
+	if suspect == nil || suspect.crashed || suspect.last.After(asked) || suspect.at.Before(since) {
 		return
 	}
-	suspect.alive, suspect.earlier = true, nil
+	suspect.alive = true
+	if suspect.earlier != nil && !suspect.earlier.at.Before(since) {
+		suspect.earlier = nil
+	}
 }
 
 // Answered records that an upstream has answered a request that was sent at a time.
--- a/decision/poison/suspicion_test.go
+++ b/decision/poison/suspicion_test.go
@@ -109,19 +109,19 @@
 			s := NewCrashSuspicions()
 			s.ConnectionBroken(report(1, "u", 0))
 			s.ConnectionBroken(report(2, "u", 10))
-			s.Alive("u", start.Add(tc.asked))
+			s.Alive("u", time.Time{}, start.Add(tc.asked))
 			require.Empty(t, s.ProbeFinished("u", false))
 			require.Len(t, s.Restarted(start.Add(time.Second), "u"), tc.want)
 		})
 	}
 	s := NewCrashSuspicions()
 	s.ConnectionBroken(report(1, "u", 0))
-	s.Alive("u", start.Add(1))
+	s.Alive("u", time.Time{}, start.Add(1))
 	s.ProbeFinished("u", false)
 	probe, _ := s.ConnectionBroken(report(2, "u", 2))
 	require.True(t, probe, "the next break has another cause")
 	require.Equal(t, []Crash{report(2, "u", 2)}, s.ProbeFinished("u", true))
-	s.Alive("u", start.Add(time.Second))
+	s.Alive("u", time.Time{}, start.Add(time.Second))
 	require.Empty(t, s.Restarted(start.Add(time.Second), "u"), "the crash is known")
 }
 
@@ -152,3 +152,20 @@
 		})
 	}
 }
+
+// A process may have taken the place of one that crashed before it started.
+func TestLaterProcessExplainsAnEarlierBreak(t *testing.T) {
+	s := NewCrashSuspicions()
+	s.ConnectionBroken(report(1, "u", 0))
+	require.Empty(t, s.ProbeFinished("u", false))
+	s.Alive("u", start.Add(time.Second), start.Add(2*time.Second))
+	require.Equal(t, []Crash{report(1, "u", 0)}, s.Restarted(start.Add(3*time.Second), "u"))
+
+	s = NewCrashSuspicions()
+	s.ConnectionBroken(report(1, "u", 0))
+	require.Empty(t, s.ProbeFinished("u", false))
+	s.ConnectionBroken(report(2, "u", 2*time.Second))
+	s.Alive("u", start.Add(time.Second), start.Add(3*time.Second))
+	require.Empty(t, s.ProbeFinished("u", false))
+	require.Equal(t, []Crash{report(1, "u", 0)}, s.Restarted(start.Add(4*time.Second), "u"))
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -177,7 +177,7 @@
 func (g *Gateway) attempt(ctx context.Context, r *request, choice placement.Choice) (attemptResult, *bufferedAnswer) {
 	p := &r.progress
 	p.upstream, p.notRun = choice.Upstream, notrun.None
-	p.process = process{choice.Upstream, g.processStarts.current(choice.Upstream), r.service}
+	p.process = process{choice.Upstream, g.processStarts.current(choice.Upstream), r.service, time.Now()}
 	p.tried = append(p.tried, choice.Upstream.ID)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/gateway/confirm.go
+++ b/gateway/confirm.go
@@ -11,7 +11,6 @@
 
 	"jaylink/decision/answer"
 	"jaylink/platform"
-	"jaylink/serving"
 	"jaylink/upstream/exchange"
 )
 
@@ -32,6 +31,9 @@
 	last, other time.Duration
 }
 
+// keptCallTimeout limits a call on a kept connection. Another connection is opened after that.
+const keptCallTimeout = 200 * time.Millisecond
+
 // maxInquiries bounds the inquiries to one process that are under way at the same time.
 const maxInquiries = 4
 
@@ -47,6 +49,9 @@
 	waiting int
 	// begun is set once the question is under way.
 	begun bool
+	// sent is when the first of the requests was sent whose ends this inquiry, or an earlier one that
+	// it may finish, is about.
+	sent time.Time
 }
 
 // inquiries holds the inquiries to each process of an upstream, the oldest first. At most the
@@ -56,17 +61,21 @@
 	active map[uint64][]*inquiry
 }
 
-// join returns the inquiry that an end of an answer has to wait for, and whether the caller has
-// to run it.
-func (s *inquiries) join(instance uint64) (q *inquiry, begins bool) {
+// join returns the inquiry that the end of the answer to a request has to wait for, and whether the
+// caller has to run it. sent is when that request was sent.
+func (s *inquiries) join(instance uint64, sent time.Time) (q *inquiry, begins bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := s.active[instance]
 	n := len(list)
+	if n > 0 {
+		sent = earlier(sent, list[n-1].sent)
+	}
 	if n > 0 && !list[n-1].begun {
 		q = list[n-1]
+		q.sent = sent
 	} else {
-		q = newInquiry()
+		q = newInquiry(sent)
 		q.begun = n < maxInquiries
 		s.active[instance] = append(list, q)
 		begins = q.begun
@@ -75,9 +84,17 @@
 	return q, begins
 }
 
-func newInquiry() *inquiry {
+func newInquiry(sent time.Time) *inquiry {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &inquiry{ctx: ctx, cancel: cancel, done: make(chan struct{})}
+	return &inquiry{ctx: ctx, cancel: cancel, done: make(chan struct{}), sent: sent}
+}
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
 }
 
 // leave ends an inquiry that nobody waits for any more. One that has not begun waits for its
@@ -133,7 +150,7 @@
 // answer. It is unknown after a timeout, and once the request is certain to go on elsewhere.
 func (g *Gateway) processAfterEnd(ctx context.Context, r *request) answer.Process {
 	p := r.progress.process
-	q, begins := g.inquiries.join(p.started.Instance())
+	q, begins := g.inquiries.join(p.started.Instance(), p.sent)
 	defer g.inquiries.leave(q)
 	if begins {
 		go g.runInquiries(q, p)
@@ -161,6 +178,7 @@
 func (g *Gateway) runInquiries(q *inquiry, p process) {
 	for q != nil {
 		var seen answer.Inquiry
+		p.sent = q.sent
 		g.withRecover("inquiry", func() { g.inquire(q.ctx, p, &seen) })
 		q = g.inquiries.finish(p.started.Instance(), q, seen.Process)
 	}
@@ -182,7 +200,13 @@
 	var asked time.Time
 	for _, target := range platform.StateTargets(p.started, p.service) {
 		asked = time.Now()
-		seen.Add(p.started, g.askState(ctx, p.listed, target))
+		g.askKept(ctx, p, target, seen)
+		if seen.Process != answer.Unknown {
+			break
+		}
+		asked = time.Now()
+		reply, err := g.pool.Ask(ctx, p.listed.Address, target)
+		g.addStatement(p, seen, reply, err, false)
 		if seen.Process != answer.Unknown {
 			break
 		}
@@ -190,21 +214,37 @@
 	return asked
 }
 
-// askState asks an upstream once what it is.
-func (g *Gateway) askState(ctx context.Context, u serving.Upstream, target string) answer.Statement {
+// askKept asks an upstream what it is on a connection that is older than the request, if there is
+// one.
+func (g *Gateway) askKept(ctx context.Context, p process, target string, seen *answer.Inquiry) {
+	ctx, cancel := context.WithTimeout(ctx, keptCallTimeout)
+	defer cancel()
+	reply, err := g.pool.AskKept(ctx, p.listed.Address, target, p.sent)
+	switch {
+	case errors.Is(err, exchange.ErrNoneKept):
+	case errors.Is(err, exchange.ErrKeptClosed) && !g.expectedToRun(p.listed):
+		// An upstream that leaves closes its idle connections.
+	default:
+		g.addStatement(p, seen, reply, err, true)
+	}
+}
+
+// addStatement takes the result of a call to an upstream for what it is into account. kept is set
+// if the connection of the call was older than the request.
+func (g *Gateway) addStatement(p process, seen *answer.Inquiry, reply exchange.Reply, err error, kept bool) {
 	g.metrics.inquiries.Inc(1)
-	reply, err := g.pool.Ask(ctx, u.Address, target)
+	var statement answer.Statement
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
-		return answer.Statement{Refused: true}
+		statement.Refused = true
 	case err != nil:
-		g.log.Debug("upstream did not say whether it runs", "upstream", u.ID, "target", target, "err", err)
-		return answer.Statement{}
+		g.log.Debug("upstream did not say whether it runs", "upstream", p.listed.ID, "kept_connection", kept, "err", err)
+	default:
+		statement = platform.DecodeState(reply.Status, reply.Header, reply.Body)
+		statement.Kept = kept
+		g.processStarts.learn(p.listed, statement.StartMillis)
 	}
-	statement := platform.DecodeState(reply.Status, reply.Header, reply.Body)
-	statement.Answered = true
-	g.processStarts.learn(u, statement.StartMillis)
-	return statement
+	seen.Add(p.started, statement)
 }
 
 // checkEnd returns an error unless an answer that has been read to its end is known to be whole.
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -110,16 +110,15 @@
 	if isListed && seen.Process == answer.Unknown && !asked.IsZero() {
 		defer g.watchBreak(p, seen)
 	}
-	g.recordCrashes(g.settings.Name, g.endSuspicion(p.listed, seen, asked, crashed, isListed))
+	g.recordCrashes(g.settings.Name, g.endSuspicion(p, seen, asked, crashed, isListed))
 }
 
 // endSuspicion records the result of a probe and returns the crashes that it shows.
-func (g *Gateway) endSuspicion(u serving.Upstream, seen answer.Inquiry, asked time.Time, crashed, wasListed bool) []poison.Crash {
+func (g *Gateway) endSuspicion(p process, seen answer.Inquiry, asked time.Time, crashed, wasListed bool) []poison.Crash {
+	u := p.listed
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if seen.Process == answer.Running && seen.Certain {
-		g.suspicions.Alive(u.ID, g.trueTime().Add(-time.Since(asked)))
-	}
+	g.recordAlive(p, seen, asked)
 	crashes := g.suspicions.ProbeFinished(u.ID, crashed)
 	if !crashed && wasListed && g.isReplaced(u) {
 		// The list has changed while the probe was under way.
@@ -207,12 +206,25 @@
 			g.metrics.crashes.Inc(1)
 		}
 		return crashes
-	case seen.Certain:
-		g.suspicions.Alive(p.listed.ID, g.trueTime().Add(-time.Since(asked)))
 	}
+	g.recordAlive(p, seen, asked)
 	return nil
 }
 
+// recordAlive records that the process to which a request was sent still runs, if the upstream has
+// shown that. The caller holds mu.
+func (g *Gateway) recordAlive(p process, seen answer.Inquiry, asked time.Time) {
+	now := g.trueTime()
+	var since time.Time
+	switch {
+	case seen.Process != answer.Running || !seen.Certain && !seen.Kept:
+		return
+	case !seen.Certain:
+		since = now.Add(-time.Since(p.sent))
+	}
+	g.suspicions.Alive(p.listed.ID, since, now.Add(-time.Since(asked)))
+}
+
 // endCrashProbe releases the requests that wait for a probe. The next probe of the upstream
 // may have begun by then.
 func (g *Gateway) endCrashProbe(upstream string, done chan struct{}) {
--- a/gateway/processes.go
+++ b/gateway/processes.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"jaylink/serving"
 )
@@ -13,6 +14,8 @@
 	// started is the upstream with the start time of the process, as far as it is known.
 	started serving.Upstream
 	service *serving.Service
+	// sent is when the request was sent: connections that are older are to this process.
+	sent time.Time
 }
 
 // maxStarts limits the start times that are remembered of an upstream.
--- a/gateway/rawupstream_test.go
+++ b/gateway/rawupstream_test.go
@@ -21,6 +21,9 @@
 	// serve writes the answer to a request, whose body is not read yet, and returns. The
 	// connection is closed afterwards.
 	serve func(c net.Conn, req *http.Request)
+	// keeps, if set, answers a request after which the connection is kept. serve gets those for
+	// which it reports false.
+	keeps func(c net.Conn, req *http.Request) bool
 	// mute closes calls for the state without an answer.
 	mute bool
 	// beforeState, if set, is called before each call for the state is answered.
@@ -66,9 +69,18 @@
 }
 
 func (s *rawUpstream) answer(c net.Conn) {
-	req, err := http.ReadRequest(bufio.NewReader(c))
+	r := bufio.NewReader(c)
+	for s.answerNext(c, r) {
+	}
+}
+
+// answerNext answers the next request on a connection and reports whether that is kept.
+func (s *rawUpstream) answerNext(c net.Conn, r *bufio.Reader) bool {
+	req, err := http.ReadRequest(r)
 	switch {
 	case err != nil:
+	case s.keeps != nil && s.keeps(c, req):
+		return true
 	case req.URL.Path != upstream.ReportPath && req.URL.Path != upstream.HealthPath:
 		s.requests.Add(1)
 		s.serve(c, req)
@@ -78,21 +90,27 @@
 		}
 		if s.full.Add(-1) >= 0 {
 			_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
-			return
+			return false
 		}
 		body := fmt.Sprintf(`{"born":%d}`, upstream.FirstStart)
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", s.id, len(body), body)
 	}
+	return false
 }
 
 func (s *rawUpstream) close() {
 	_ = s.listener.Close()
+	s.closeConnections()
+	s.tasks.Wait()
+}
+
+// closeConnections closes all connections, as the end of a process does.
+func (s *rawUpstream) closeConnections() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	for c := range s.conns {
 		_ = c.Close()
 	}
-	s.mu.Unlock()
-	s.tasks.Wait()
 }
 
 // sealedHead returns the beginning of the head of an answer to a request.
--- a/upstream/exchange/conn.go
+++ b/upstream/exchange/conn.go
@@ -50,7 +50,8 @@
 	hasWaited bool
 	// ids are the hashed IDs of the requests that were sent.
 	ids []uint64
-	// idleSince is the end of the last exchange.
+	// opened is when the connection was established, and idleSince the end of the last exchange.
+	opened    time.Time
 	idleSince time.Time
 	// expires is the time after which the idle connection must not be used.
 	expires time.Time
@@ -101,7 +102,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out := &conn{Conn: c}
+	out := &conn{Conn: c, opened: time.Now()}
 	out.r = bufio.NewReaderSize(out, readBuffer)
 	return out, nil
 }
--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -141,6 +141,11 @@
 	if err != nil {
 		return nil, &Error{Step: "connect", Err: err}
 	}
+	return p.doOn(ctx, c, address, req)
+}
+
+// doOn is Do on a connection that was acquired.
+func (p *Pool) doOn(ctx context.Context, c *conn, address string, req *Request) (*Answer, error) {
 	stop := context.AfterFunc(ctx, c.abort)
 	a, err := p.send(c, address, req)
 	if err != nil {
--- a/upstream/exchange/pool.go
+++ b/upstream/exchange/pool.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"jaylink/internal/socket"
 )
 
 // defaultKeepAlive is how long an idle connection is kept if the upstream states no
@@ -85,6 +87,40 @@
 	return nil
 }
 
+// takeKept removes a clean idle connection that was opened before a time from the pool, the most
+// recently used one first.
+func (p *Pool) takeKept(address string, opened time.Time) (*conn, error) {
+	err := ErrNoneKept
+	for {
+		c := p.popOpenedBefore(address, opened)
+		switch {
+		case c == nil:
+			return nil, err
+		case !time.Now().Before(c.expires):
+			// The upstream closes it for being idle.
+		case c.isClean():
+			return c, nil
+		case c.state() == socket.Closed:
+			err = ErrKeptClosed
+		}
+		p.discard(address, c)
+	}
+}
+
+// popOpenedBefore removes the most recently used idle connection that was opened before a time.
+func (p *Pool) popOpenedBefore(address string, opened time.Time) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	for i, c := range slices.Backward(list) {
+		if c.opened.Before(opened) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
 // addOpen changes the number of connections to an upstream by n.
 func (p *Pool) addOpen(address string, n int) {
 	p.mu.Lock()
--- a/upstream/exchange/probe.go
+++ b/upstream/exchange/probe.go
@@ -59,16 +59,47 @@
 // Ask calls an upstream with GET and reads the whole response. The connection is a new one, so
 // that the response can't be to another request.
 func (p *Pool) Ask(ctx context.Context, address, target string) (Reply, error) {
-	a, err := p.Do(ctx, address, &Request{
+	a, err := p.Do(ctx, address, stateCall(address, target))
+	if err != nil {
+		return Reply{}, err
+	}
+	return a.readReply()
+}
+
+// ErrNoneKept means that there is no idle connection to an upstream that was opened before a
+// time, and ErrKeptClosed that all such connections have been closed.
+var (
+	ErrNoneKept   = errors.New("no idle connection was opened before")
+	ErrKeptClosed = errors.New("all idle connections that were opened before have been closed")
+)
+
+// AskKept is Ask on an idle connection that was opened before a time. The kernel closes the
+// connections of a process that ends, so that the process which replies has run since then.
+func (p *Pool) AskKept(ctx context.Context, address, target string, opened time.Time) (Reply, error) {
+	c, err := p.takeKept(address, opened)
+	if err != nil {
+		return Reply{}, err
+	}
+	a, err := p.doOn(ctx, c, address, stateCall(address, target))
+	if err != nil {
+		return Reply{}, err
+	}
+	return a.readReply()
+}
+
+// stateCall returns the request of Ask.
+func stateCall(address, target string) *Request {
+	return &Request{
 		Method: http.MethodGet, Target: target, Host: address, NewConnection: true,
 		CheckHead: func(status int, _ http.Header) HeadCheck {
 			// A refusal may come once more, and would then not tell to what it belongs.
 			return HeadCheck{Matches: true, Anonymous: status != http.StatusOK}
 		},
-	})
-	if err != nil {
-		return Reply{}, err
 	}
+}
+
+// readReply reads the whole response to a call of Ask and closes it.
+func (a *Answer) readReply() (Reply, error) {
 	defer a.Close()
 	body, err := io.ReadAll(io.LimitReader(a, maxReply+1))
 	switch {
