entry: give a silent upstream up only once the next attempt is certain

What callers saw: streams and requests whose engine was silent for recovery.stall or recovery.first_token were given up; then the retry budget or the number of attempts refused the next one, and they got 503 with "ran: unknown", though the engine would have gone on.

Cause: the watchdog of the call decided by itself, before the retry rules were asked.

Change: the watchdog asks at its timeout, and every 100 ms after that. The core takes the retry and looks for another upstream first (SilenceEvent) and answers with GiveUpAction; the attempt's end then uses what was taken. Without an alternative the attempt goes on until the deadline.

--- a/decision/core.go
+++ b/decision/core.go
@@ -109,6 +109,9 @@
 	element *list.Element
 	flow    *flow
 	queue   *serviceQueue
+	// granted is the retry that was taken when the running attempt was given up for its silence,
+	// or nil.
+	granted *retry.Verdict
 	// timedOut is set when the deadline passes, or the entry stops, while an
 	// attempt or a claim is pending.
 	timedOut bool
@@ -153,6 +156,8 @@
 		out = c.handleClaim(now, ev)
 	case AttemptEvent:
 		out = c.handleAttempt(now, ev)
+	case SilenceEvent:
+		out = c.handleSilence(now, ev)
 	case CrashEvent:
 		out = c.handleCrash(now, ev.Crash)
 	case LoadEvent:
@@ -336,6 +341,7 @@
 	c.observeRoute(now, r, u.Name)
 	r.phase = phaseRunning
 	r.attempts++
+	r.granted = nil
 	r.attemptStarted = now
 	r.upstream = u.Name
 	c.timers.set(r, r.deadline)
--- a/decision/retry.go
+++ b/decision/retry.go
@@ -15,16 +15,7 @@
 	if ev.Outcome == OutcomeConnectFailed {
 		r.connectFailures++
 	}
-	v := retry.Check(c.cfg.Rules, &retry.Attempt{
-		Number:      r.attempts - r.move.count - r.connectFailures,
-		MaxAttempts: r.res.MaxAttempts,
-		Reason:      why,
-		Ran:         r.ran,
-		Idempotent:  r.res.Idempotent,
-		Resumable:   ev.Resumable,
-		Relayed:     ev.Relayed,
-		Jitter:      ev.Jitter,
-	})
+	v := c.takeRetry(r, ev)
 	if v.Refusal != "" {
 		return c.refuse(now, r, v.Refusal)
 	}
@@ -49,6 +40,30 @@
 	return nil
 }
 
+// takeRetry returns whether and when a failed attempt may be followed by another one. That was
+// decided already if the attempt was given up for its silence.
+func (c *Core) takeRetry(r *request, ev AttemptEvent) retry.Verdict {
+	if granted := r.granted; granted != nil {
+		r.granted = nil
+		return *granted
+	}
+	return retry.Check(c.cfg.Rules, failedAttempt(r, ev, r.ran))
+}
+
+// failedAttempt describes a failed attempt for the retry rules.
+func failedAttempt(r *request, ev AttemptEvent, ran reason.Ran) *retry.Attempt {
+	return &retry.Attempt{
+		Number:      r.attempts - r.move.count - r.connectFailures,
+		MaxAttempts: r.res.MaxAttempts,
+		Reason:      retryReason(ev.Outcome),
+		Ran:         ran,
+		Idempotent:  r.res.Idempotent,
+		Resumable:   ev.Resumable,
+		Relayed:     ev.Relayed,
+		Jitter:      ev.Jitter,
+	}
+}
+
 // triedAll reports whether the request has failed on every upstream of its
 // service that is not leaving.
 func (c *Core) triedAll(r *request) bool {
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -132,6 +132,7 @@
 		// another upstream, so they are not subject to these timeouts.
 		call.FirstToken = e.settings.Recovery.FirstToken.Std()
 		call.Stall = e.settings.Recovery.Stall.Std()
+		call.OnSilence = func() bool { return e.driver.upstreamSilent(rec, a) }
 	}
 	res := e.upstreams.Complete(ctx, call)
 	if res.FinishReason != "" {
--- a/entry/driver.go
+++ b/entry/driver.go
@@ -97,6 +97,8 @@
 		d.startAttempt(a)
 	case decision.CancelAction:
 		d.cancelAttempt(a.ID)
+	case decision.GiveUpAction:
+		d.giveUpAttempt(a)
 	case decision.CrashAction:
 		d.reportCrash(a.Crash)
 	case decision.MoveAction:
@@ -145,6 +147,32 @@
 	}
 }
 
+// upstreamSilent reports to the core that the upstream of an attempt is silent, and whether the
+// attempt is given up.
+func (d *driver) upstreamSilent(rec *Record, a decision.DispatchAction) bool {
+	v, _ := rec.read(0)
+	d.step(decision.SilenceEvent{
+		ID: rec.ID, Attempt: a.Attempt, Relayed: v.total, Resumable: rec.Call.Completion != nil, Jitter: rand.Float64(),
+	})
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	if !rec.attempt.givenUp && !rec.attempt.silent {
+		rec.attempt.silent = true
+		d.log.Info("upstream silent, no alternative", "request_id", rec.ID, "upstream", a.Upstream, "attempt", a.Attempt)
+	}
+	return rec.attempt.givenUp
+}
+
+// giveUpAttempt marks an attempt as one that its watchdog is to end.
+func (d *driver) giveUpAttempt(a decision.GiveUpAction) {
+	rec := d.records.get(a.ID)
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	if rec.attempt.id.number == a.Attempt {
+		rec.attempt.givenUp = true
+	}
+}
+
 // finish gives the record its final answer and settles its claim.
 func (d *driver) finish(now time.Time, id string, p *Problem) {
 	rec := d.records.get(id)
--- a/guarantees/g2_answer_test.go
+++ b/guarantees/g2_answer_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -67,6 +68,28 @@
 	})
 }
 
+// allFrozenTime is how long all engines are stopped: longer than a stall and the wait for the first
+// token of the next attempt.
+const allFrozenTime = 3500 * time.Millisecond
+
+// All engines are stopped for longer than a stream may be silent. No other one can take the
+// requests, so that their callers wait, and get their whole answers.
+func TestAllUpstreamsFrozenFailRequests(t *testing.T) {
+	f := newAnswerFleet(t)
+	results := f.start("one")
+	f.awaitTokens(20, "a1", "a2")
+	for _, name := range []string{"a1", "a2"} {
+		require.NoError(t, f.Nodes[name].Signal(syscall.SIGSTOP))
+	}
+	time.Sleep(allFrozenTime)
+	for _, name := range []string{"a1", "a2"} {
+		require.NoError(t, f.Nodes[name].Signal(syscall.SIGCONT))
+	}
+	testfleet.Report(t, testfleet.Guarantee{
+		Number: 2, Fault: "all_upstreams_frozen", Cases: callerCount, Violations: f.countViolations(results),
+	})
+}
+
 // sendRequest performs one HTTP call and returns its status, headers and body. Status
 // 0 means that the response was incomplete or missing.
 func sendRequest(t *testing.T, method, url, account string, header http.Header, body string) (int, http.Header, string) {
--- a/trace/read.go
+++ b/trace/read.go
@@ -60,6 +60,7 @@
 	"request": codecFor[decision.RequestEvent](),
 	"claim":   codecFor[decision.ClaimEvent](),
 	"attempt": codecFor[decision.AttemptEvent](),
+	"silence": codecFor[decision.SilenceEvent](),
 	"load":    codecFor[decision.LoadEvent](),
 	"cache":   codecFor[decision.CacheEvent](),
 	"leaving": codecFor[decision.LeavingEvent](),
--- a/trace/record.go
+++ b/trace/record.go
@@ -150,6 +150,8 @@
 		return fmt.Sprintf("dispatch %s %d %s", a.ID, a.Attempt, a.Upstream)
 	case decision.CancelAction:
 		return "cancel " + a.ID
+	case decision.GiveUpAction:
+		return fmt.Sprintf("give up %s %d", a.ID, a.Attempt)
 	case decision.MoveAction:
 		return fmt.Sprintf("move %s %d", a.ID, a.Attempt)
 	case decision.FinishAction:
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -29,6 +29,9 @@
 	// FirstToken is the timeout for the first event, and Stall the timeout
 	// between two events; 0 means no timeout.
 	FirstToken, Stall time.Duration
+	// OnSilence, if set, is asked at a timeout whether the attempt is given up, and again every
+	// 100 ms.
+	OnSilence func() bool
 	// Emit is called for each piece of text with its number of tokens.
 	Emit func(text string, tokens int) error
 }
@@ -42,7 +45,7 @@
 		return Result{Outcome: decision.OutcomeServerError, Ran: reason.RanNo, Err: oops.In("upstream").Wrap(err)}
 	}
 	url := "http://" + call.Address + "/v1/completions"
-	w := newWatchdog(ctx, call.FirstToken)
+	w := newWatchdog(ctx, call.FirstToken, call.OnSilence)
 	defer w.stop()
 	req, err := http.NewRequestWithContext(w.ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
