exchange: count the time to connect in steps, not by the clock

What callers saw: an entry without processor time for 0.5 s gave up connections that the kernel had opened meanwhile. Their requests went elsewhere or were refused (connect_failed, no_upstream).

Cause: time also passes while a process does not run, and Go's timers fire before it looks at its sockets. Class: silence that is the entry's own is taken for the upstream's.

Change: the timeout of a connection attempt, and of a call on a kept connection, ends after ten steps of 50 ms; a step of which the process has missed a part counts as one.

--- a/gateway/confirm.go
+++ b/gateway/confirm.go
@@ -31,9 +31,6 @@
 	last, other time.Duration
 }
 
-// keptCallTimeout limits a call on a kept connection. Another connection is opened after that.
-const keptCallTimeout = 200 * time.Millisecond
-
 // maxInquiries bounds the inquiries to one process that are under way at the same time.
 const maxInquiries = 4
 
@@ -217,8 +214,6 @@
 // askKept asks an upstream what it is on a connection that is older than the request, if there is
 // one.
 func (g *Gateway) askKept(ctx context.Context, p process, target string, seen *answer.Inquiry) {
-	ctx, cancel := context.WithTimeout(ctx, keptCallTimeout)
-	defer cancel()
 	reply, err := g.pool.AskKept(ctx, p.listed.Address, target, p.sent)
 	switch {
 	case errors.Is(err, exchange.ErrNoneKept):
--- a/upstream/exchange/conn.go
+++ b/upstream/exchange/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -18,7 +19,12 @@
 
 // Timeouts and sizes of connections to upstreams.
 const (
-	dialTimeout = 500 * time.Millisecond
+	// dialTimeout limits the time to connect, and keptCallTimeout a call of AskKept. They are
+	// counted in steps of timeoutStep, because time also passes while this process does not run,
+	// and the kernel goes on meanwhile.
+	dialTimeout     = 500 * time.Millisecond
+	keptCallTimeout = 500 * time.Millisecond
+	timeoutStep     = 50 * time.Millisecond
 	// userTimeout is the TCP user timeout: the maximum time that sent bytes may
 	// remain unacknowledged, or that a full receive buffer may hold back the next ones.
 	userTimeout = 1200 * time.Millisecond
@@ -58,7 +64,6 @@
 }
 
 var dialer = &net.Dialer{
-	Timeout: dialTimeout,
 	KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
 	},
@@ -98,15 +103,58 @@
 }
 
 func dial(ctx context.Context, address string) (*conn, error) {
+	ctx, cancel := withSteppedTimeout(ctx, dialTimeout)
+	defer cancel()
 	c, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, err
+		return nil, errors.Join(err, context.Cause(ctx))
 	}
 	out := &conn{Conn: c, opened: time.Now()}
 	out.r = bufio.NewReaderSize(out, readBuffer)
 	return out, nil
 }
 
+// errTimeout is the cause of a context that has ended at its timeout.
+var errTimeout = errors.New("timeout")
+
+// withSteppedTimeout is context.WithTimeout for a timeout that is counted in steps.
+func withSteppedTimeout(ctx context.Context, timeout time.Duration) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := afterSteps(int(timeout/timeoutStep), timeoutStep, func() { cancel(errTimeout) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+// afterSteps calls f after a number of steps, unless stop is called before. A step of which this
+// process has missed a part counts as one.
+func afterSteps(steps int, step time.Duration, f func()) (stop func()) {
+	var mu sync.Mutex
+	var timer *time.Timer
+	stopped := false
+	mu.Lock()
+	defer mu.Unlock()
+	timer = time.AfterFunc(step, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if steps--; stopped {
+			return
+		}
+		if steps > 0 {
+			timer.Reset(step)
+			return
+		}
+		f()
+	})
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		stopped = true
+		timer.Stop()
+	}
+}
+
 // Read implements io.Reader.
 func (c *conn) Read(p []byte) (int, error) {
 	if !c.limited {
--- a/upstream/exchange/probe.go
+++ b/upstream/exchange/probe.go
@@ -80,6 +80,8 @@
 	if err != nil {
 		return Reply{}, err
 	}
+	ctx, cancel := withSteppedTimeout(ctx, keptCallTimeout)
+	defer cancel()
 	a, err := p.doOn(ctx, c, address, stateCall(address, target))
 	if err != nil {
 		return Reply{}, err
