gateway: don't confirm the end of an earlier answer by an ID alone

What callers could see: an answer without a length that a killed process had broken off was given as whole, because the next process with its ID confirmed a later answer of its own while the first was still in doubt (ORDER, MIXED).

Cause: the reply to a later inquiry finished all earlier ones of the same upstream. That holds for a start time and for a connection that is older than all their requests, not for an ID: calls of the earlier inquiry that went unanswered were forgotten.

Change: Inquiry.ShowsEarlier decides. The log line of a request says what the upstream was known to be at the end of an answer that needs it (upstream_at_end), so that a stream that ends too early tells by which evidence.

--- a/decision/answer/end.go
+++ b/decision/answer/end.go
@@ -29,6 +29,27 @@
 	return "unknown"
 }
 
+// String describes what an inquiry has found out, and by what, for logs.
+func (i Inquiry) String() string {
+	switch {
+	case i.Process == Unknown:
+		return i.Process.String()
+	case i.Refused:
+		return i.Process.String() + " by refusal"
+	case i.Certain:
+		return i.Process.String() + " by start time"
+	case i.Kept:
+		return i.Process.String() + " by connection"
+	}
+	return i.Process.String() + " by ID"
+}
+
+// ShowsEarlier reports whether the state that was found out is also the one at ends of answers before
+// the inquiry began. An ID may have passed to another process meanwhile.
+func (i Inquiry) ShowsEarlier() bool {
+	return i.Process == Gone || i.Process == Running && (i.Certain || i.Kept)
+}
+
 // Statement is the result of a call to an upstream's address for what listens there, which was
 // sent after the end of an answer. The zero value is a call without a reply.
 type Statement struct {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -84,6 +84,8 @@
 	lastEventAt  time.Time
 	// notRun is the proof that the latest attempt has not run, if there is one.
 	notRun notrun.Proof
+	// end is what the upstream has said after the end of an answer that needs it, for the log.
+	end string
 	// reason is why the latest failed attempt failed, and detail is an error text for
 	// the log.
 	reason reason.Reason
--- a/gateway/confirm.go
+++ b/gateway/confirm.go
@@ -39,9 +39,9 @@
 type inquiry struct {
 	ctx    context.Context
 	cancel context.CancelFunc
-	// done is closed once process is the reply.
-	done    chan struct{}
-	process answer.Process
+	// done is closed once reply is there.
+	done  chan struct{}
+	reply answer.Inquiry
 	// waiting is the number of requests that wait for the reply.
 	waiting int
 	// begun is set once the question is under way.
@@ -106,9 +106,8 @@
 }
 
 // finish gives the reply to those who wait for it, and returns the inquiry that the caller has to
-// run next, or nil. A process whose state is known had that state, or still ran, at the ends of
-// the earlier inquiries, too.
-func (s *inquiries) finish(instance uint64, q *inquiry, process answer.Process) *inquiry {
+// run next, or nil. It is given to earlier inquiries, too, if it shows how their ends came about.
+func (s *inquiries) finish(instance uint64, q *inquiry, reply answer.Inquiry) *inquiry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := s.active[instance]
@@ -118,11 +117,11 @@
 		return nil
 	}
 	first := i
-	if process != answer.Unknown {
+	if reply.ShowsEarlier() {
 		first = 0
 	}
 	for _, finished := range list[first : i+1] {
-		finished.process = process
+		finished.reply = reply
 		close(finished.done)
 		finished.cancel()
 	}
@@ -144,8 +143,8 @@
 }
 
 // processAfterEnd returns what the process of a request's upstream says after the end of its
-// answer. It is unknown after a timeout, and once the request is certain to go on elsewhere.
-func (g *Gateway) processAfterEnd(ctx context.Context, r *request) answer.Process {
+// answer. That is unknown after a timeout, and once the request is certain to go on elsewhere.
+func (g *Gateway) processAfterEnd(ctx context.Context, r *request) answer.Inquiry {
 	p := r.progress.process
 	q, begins := g.inquiries.join(p.started.Instance(), p.sent)
 	defer g.inquiries.leave(q)
@@ -159,13 +158,13 @@
 	for waited := g.confirmTimeouts.other; ; waited += alternativePoll {
 		select {
 		case <-q.done:
-			return q.process
+			return q.reply
 		case <-ctx.Done():
-			return answer.Unknown
+			return answer.Inquiry{}
 		case <-pause.C:
 		}
 		if waited >= g.confirmTimeouts.last || mayMove && onSilence() <= 0 {
-			return answer.Unknown
+			return answer.Inquiry{}
 		}
 		pause.Reset(alternativePoll)
 	}
@@ -177,7 +176,7 @@
 		var seen answer.Inquiry
 		p.sent = q.sent
 		g.withRecover("inquiry", func() { g.inquire(q.ctx, p, &seen) })
-		q = g.inquiries.finish(p.started.Instance(), q, seen.Process)
+		q = g.inquiries.finish(p.started.Instance(), q, seen)
 	}
 }
 
@@ -250,7 +249,8 @@
 		end.RequestWritten = a.RequestWritten()
 	}
 	if end.NeedsProcess() {
-		end.Process = g.processAfterEnd(ctx, r)
+		seen := g.processAfterEnd(ctx, r)
+		end.Process, r.progress.end = seen.Process, seen.String()
 	}
 	if end.Whole() {
 		return nil
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -41,6 +41,9 @@
 	if p.notRun != notrun.None {
 		attrs = append(attrs, "not_run", string(p.notRun))
 	}
+	if p.end != "" {
+		attrs = append(attrs, "upstream_at_end", p.end)
+	}
 	if p.detail != "" {
 		attrs = append(attrs, "detail", p.detail)
 	}
