soak: give each upstream start times of its own

Both servers state 1 as their first start time, so that the entry, which had sent the request to the first process of i-1 as far as it knew, took the reply {"born":1} for that of the same process; the two other streams that waited with it, sent to the process of a later start, were broken off as they should be. On the platform the start time is the millisecond of the start, so that two processes of one address can't share it.

Ruled out: connections that are older than the request (all had been closed at the death), an ID (the report names none), a length or chunks (the upstream sends neither).

Change: start times are a million apart from one server of the rig to the next.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -8,6 +8,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -85,6 +86,8 @@
 	// restoring is held while the store is away and restored, and writes while the operator
 	// or an upstream writes to it.
 	restoring, writes sync.Mutex
+	// started counts the servers of upstreams.
+	started atomic.Int64
 	// configuration and registrations are what the operator and the upstreams have written.
 	configuration metastore.Configuration
 	registrations map[string]registration
@@ -235,7 +238,7 @@
 	f.upstreamCount++
 	id := fmt.Sprintf("i-%d", f.upstreamCount)
 	f.mu.Unlock()
-	s, err := upstream.Start(id, "127.0.0.1")
+	s, err := f.startServer(id)
 	if err != nil {
 		return err
 	}
@@ -253,6 +256,16 @@
 	return nil
 }
 
+// startGap is the difference between the first start times of two upstreams, in milliseconds. It is
+// more than the number of times that one starts again: no two processes state the same time.
+const startGap = 1_000_000
+
+// startServer starts the server of a new upstream.
+func (f *fleet) startServer(id string) (*upstream.Server, error) {
+	s := &upstream.Server{ID: id}
+	return s, s.Listen("127.0.0.1:0", upstream.FirstStart+startGap*f.started.Add(1))
+}
+
 // describe sets the properties that all upstreams have.
 func (f *fleet) describe(s *upstream.Server, service string, p *proxy) {
 	s.Pace, s.NamesRuns, s.GappedIDs = f.drawPace(service), true, f.gappedIDs
--- a/internal/soak/reuse.go
+++ b/internal/soak/reuse.go
@@ -42,7 +42,7 @@
 	if old.service == engines {
 		service = counter
 	}
-	s, err := upstream.Start(id, "127.0.0.1")
+	s, err := f.startServer(id)
 	if err != nil {
 		return "", err
 	}
