gateway: ask engines on a new connection, and believe less of what kept connections show

- A late answer to an earlier request on the kept connection counted as a call without a reply, after which an ID proves nothing.
It counts as no call now.
- A full plain service lets its health check wait for a slot; the call on the kept connection was ended after 500 ms and its place given up.
It has 900 of the 1,000 ms now.
- Upstreams drop idle connections, at times sooner than they say.
That all are closed counts only if one of them was in use within the last second.
- Engines state their start time, which needs no other evidence: they are asked as before.

Evidence: from the code and PROTOCOL's text on idle channels and health checks; the first is in TestReplyOnAKeptConnectionIsOfTheSameProcess.

--- a/decision/answer/end.go
+++ b/decision/answer/end.go
@@ -64,6 +64,8 @@
 	// TurnedAway is set if the reply states that the call has not run, and names no request: the
 	// upstream is full.
 	TurnedAway bool
+	// NamesRequest is set if the reply names a request, which the call does not.
+	NamesRequest bool
 	// Kept is set if the connection of the call was opened before the request was sent. The kernel
 	// closes the connections of a process that ends, so that the process behind it is the same.
 	Kept bool
@@ -88,6 +90,10 @@
 // Add takes the next statement into account. An ID can be used again by a later process, a start
 // time and a connection can't.
 func (i *Inquiry) Add(u serving.Upstream, s Statement) {
+	if s.Kept && s.NamesRequest {
+		// The late answer to an earlier request may have been written at any time.
+		return
+	}
 	i.interrupted = i.interrupted || !s.Answered
 	startsKnown := u.StartMillis != 0 && s.StartMillis != 0
 	switch {
--- a/decision/answer/end_test.go
+++ b/decision/answer/end_test.go
@@ -80,6 +80,10 @@
 	var i Inquiry
 	i.Add(u, Statement{Answered: true, TurnedAway: true})
 	require.Equal(t, Unknown, i.Process, "a refusal on a new connection names no process")
+	i.Add(u, Statement{Answered: true, ID: "i-1", NamesRequest: true, Kept: true})
+	require.Equal(t, Unknown, i.Process, "the answer to an earlier request")
+	i.Add(u, Statement{Answered: true, ID: "i-1"})
+	require.Equal(t, Running, i.Process, "the answer to an earlier request says nothing")
 }
 
 // Nothing listens where connections are refused. What comes later is another process.
--- a/gateway/confirm.go
+++ b/gateway/confirm.go
@@ -195,13 +195,15 @@
 func (g *Gateway) askAll(ctx context.Context, p process, seen *answer.Inquiry) time.Time {
 	var asked time.Time
 	for _, target := range platform.StateTargets(p.started, p.service) {
-		asked = time.Now()
-		g.askKept(ctx, p, target, seen)
+		if !target.StatesStart {
+			asked = time.Now()
+			g.askKept(ctx, p, target.Path, seen)
+		}
 		if seen.Process != answer.Unknown {
 			break
 		}
 		asked = time.Now()
-		reply, err := g.pool.Ask(ctx, p.listed.Address, target)
+		reply, err := g.pool.Ask(ctx, p.listed.Address, target.Path)
 		g.addStatement(p, seen, reply, err, false)
 		if seen.Process != answer.Unknown {
 			break
--- a/upstream/exchange/conn.go
+++ b/upstream/exchange/conn.go
@@ -23,8 +23,10 @@
 	// counted in steps of timeoutStep, because time also passes while this process does not run,
 	// and the kernel goes on meanwhile.
 	dialTimeout     = 500 * time.Millisecond
-	keptCallTimeout = 500 * time.Millisecond
+	keptCallTimeout = 900 * time.Millisecond
 	timeoutStep     = 50 * time.Millisecond
+	// recentUse is the time in which upstreams don't close a connection for being idle.
+	recentUse = time.Second
 	// userTimeout is the TCP user timeout: the maximum time that sent bytes may
 	// remain unacknowledged, or that a full receive buffer may hold back the next ones.
 	userTimeout = 1200 * time.Millisecond
--- a/upstream/exchange/pool.go
+++ b/upstream/exchange/pool.go
@@ -100,7 +100,7 @@
 			// The upstream closes it for being idle.
 		case c.isClean():
 			return c, nil
-		case c.state() == socket.Closed:
+		case c.state() == socket.Closed && time.Since(c.idleSince) < recentUse:
 			err = ErrKeptClosed
 		}
 		p.discard(address, c)
--- a/upstream/exchange/probe.go
+++ b/upstream/exchange/probe.go
@@ -67,7 +67,7 @@
 }
 
 // ErrNoneKept means that there is no idle connection to an upstream that was opened before a
-// time, and ErrKeptClosed that all such connections have been closed.
+// time, and ErrKeptClosed that all such connections have been closed, one of them right after its use.
 var (
 	ErrNoneKept   = errors.New("no idle connection was opened before")
 	ErrKeptClosed = errors.New("all idle connections that were opened before have been closed")
