soak: record the end of a pause before the process goes on

Cause: i-8 was stopped for 2.012 s, from just after the run's begin. The run ended 8 ms after the process was told to go on, which is within the 400 ms that it has, but the rig recorded the end of the pause after the signal had returned, later than the process recorded the end of its work. So the pause was not known to have ended, and was not taken out.

Change: the end is recorded before the signal. That is earlier, so the check is as strict or stricter.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -62,8 +62,9 @@
 		resumed := p.paused.begin()
 		p.signal(syscall.SIGSTOP)
 		time.Sleep(hold)
-		p.signal(syscall.SIGCONT)
+		// The process may record the end of its work before the signal has returned.
 		resumed()
+		p.signal(syscall.SIGCONT)
 		time.Sleep(endPause)
 		return p.id
 	}},
