exchange, gateway: read the evidence of connections once more

A connection attempt that timed out says so in its error, in place of two joined texts; the time after its last use in which the close of a connection counts is a property of the pool, so that the verdict of TestReplacedServiceConfirmsTheAnswerOfTheProcessBefore does not depend on the machine's speed; TestFullServiceCannotConfirmItsAnswer has the patience of the other tests of ends; the tests start a prepared gateway in one place. No change of behaviour otherwise.

--- a/decision/answer/end.go
+++ b/decision/answer/end.go
@@ -78,10 +78,12 @@
 // runs. The zero value has none.
 type Inquiry struct {
 	Process Process
-	// Refused is set if Process is Gone because nothing listens, Certain if a start time has told
-	// it, and Kept if a connection has that is older than the request: nothing shows whether the
-	// process has answered requests from before that.
-	Refused, Certain, Kept bool
+	// Refused is set if Process is Gone because nothing listens, and Certain if a start time has
+	// told it.
+	Refused, Certain bool
+	// Kept is set if a connection that is older than the request has shown that Process is Running.
+	// It says nothing about requests that were sent before it was opened.
+	Kept bool
 	// interrupted is set once a call had no reply. The process may have been replaced then
 	// by one with the same ID.
 	interrupted bool
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -20,6 +20,10 @@
 	g.SetConfirmTimeouts(d, d)
 }
 
+// SetRecentUse sets the time after its last use in which the close of a connection to an upstream counts
+// against its process. It must be called before Start.
+func (g *Gateway) SetRecentUse(d time.Duration) { g.pool.RecentUse = d }
+
 // SetConfirmTimeouts is SetConfirmTimeout with another time for requests that another upstream
 // could go on with.
 func (g *Gateway) SetConfirmTimeouts(last, other time.Duration) {
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -142,10 +142,16 @@
 func (d *deployment) startEntry(name string) *entry {
 	d.t.Helper()
 	e := d.newEntry(name)
+	d.start(e)
+	return e
+}
+
+// start starts a gateway and waits until it is ready.
+func (d *deployment) start(e *entry) {
+	d.t.Helper()
 	require.NoError(d.t, e.Start(d.t.Context()))
 	d.t.Cleanup(func() { e.stop(d.t) })
 	eventually(d.t, func() bool { return e.ready() })
-	return e
 }
 
 // newEntry returns a gateway that has not been started.
--- a/gateway/keptconnection_test.go
+++ b/gateway/keptconnection_test.go
@@ -50,7 +50,6 @@
 // is older than the request shows that its answer without a length is whole.
 func TestFullServiceCannotConfirmItsAnswer(t *testing.T) {
 	d := newDeployment(t)
-	d.confirmsSoon = true
 	d.configure()
 	s := d.rawUpstream("i-1", counterService, func(c net.Conn, req *http.Request) {
 		_, _ = io.Copy(io.Discard, req.Body)
@@ -86,7 +85,9 @@
 	keepsStatus(s)
 	f = newForwarder(t, s.listener.Addr().String())
 	d.store.PutUpstream("i-1", counterService, f.address(), "zone-a", "ready")
-	e := d.startEntry("entry-1")
+	e := d.newEntry("entry-1")
+	e.SetRecentUse(waitLimit)
+	d.start(e)
 	sendStatusTwice(t, e)
 	a := e.send(t, plainCall("order", "r-3"))
 	require.Empty(t, next.Runs())
--- a/gateway/lateconfirm_test.go
+++ b/gateway/lateconfirm_test.go
@@ -30,9 +30,7 @@
 func (d *deployment) sendInDoubt(call caller.Call, last, other time.Duration) answer {
 	e := d.newEntry("entry-1")
 	e.SetConfirmTimeouts(last, other)
-	require.NoError(d.t, e.Start(d.t.Context()))
-	d.t.Cleanup(func() { e.stop(d.t) })
-	eventually(d.t, func() bool { return e.ready() })
+	d.start(e)
 	call.Deadline = waitLimit
 	return e.send(d.t, call)
 }
--- a/upstream/exchange/conn.go
+++ b/upstream/exchange/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"os"
 	"slices"
@@ -25,8 +26,6 @@
 	dialTimeout     = 500 * time.Millisecond
 	keptCallTimeout = 900 * time.Millisecond
 	timeoutStep     = 50 * time.Millisecond
-	// recentUse is the time in which upstreams don't close a connection for being idle.
-	recentUse = time.Second
 	// userTimeout is the TCP user timeout: the maximum time that sent bytes may
 	// remain unacknowledged, or that a full receive buffer may hold back the next ones.
 	userTimeout = 1200 * time.Millisecond
@@ -109,7 +108,10 @@
 	defer cancel()
 	c, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, errors.Join(err, context.Cause(ctx))
+		if errors.Is(context.Cause(ctx), errTimeout) {
+			err = fmt.Errorf("dial tcp %s: %w", address, errTimeout)
+		}
+		return nil, err
 	}
 	out := &conn{Conn: c, opened: time.Now()}
 	out.r = bufio.NewReaderSize(out, readBuffer)
--- a/upstream/exchange/pool.go
+++ b/upstream/exchange/pool.go
@@ -22,12 +22,19 @@
 	mu   sync.Mutex
 	idle map[string][]*conn // by address, the last used at the end
 	open map[string]int     // connections by address, including those in use
+	// RecentUse is the time in which upstreams don't close a connection for being idle.
+	RecentUse time.Duration
 	// Opened, if set, is called after each new connection is established.
 	Opened func()
 }
 
+// defaultRecentUse is the RecentUse of a new pool.
+const defaultRecentUse = time.Second
+
 // NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{idle: map[string][]*conn{}, open: map[string]int{}} }
+func NewPool() *Pool {
+	return &Pool{idle: map[string][]*conn{}, open: map[string]int{}, RecentUse: defaultRecentUse}
+}
 
 // Open returns the number of connections to an upstream, including those in use and
 // those being established.
@@ -100,7 +107,7 @@
 			// The upstream closes it for being idle.
 		case c.isClean():
 			return c, nil
-		case c.state() == socket.Closed && time.Since(c.idleSince) < recentUse:
+		case c.state() == socket.Closed && time.Since(c.idleSince) < p.RecentUse:
 			err = ErrKeptClosed
 		}
 		p.discard(address, c)
