entry: send copies of a request with the holders that were chosen for them

Their holders went round every 2.1 s: 2 s for the lost owner and the 0.1 s of a holder that is not in its own list of holders.

Cause, read in the code: copies for several peers are sent at the same time, each with the list of holders that the record has then. When one peer has not taken its copies, that list is set to nil, so that the others get copies without holders and never take over. Class: a state is read later than the decision that rests on it.

Change: a copy carries the holders that were chosen when it was planned.

Evidence: TestHolderDoesNotKnowThatItIsOne fails without the new line (rank -1 in place of 1), passes with it.

--- a/entry/handover.go
+++ b/entry/handover.go
@@ -106,7 +106,7 @@
 // peer.
 func (ev *evacuation) copyAll(ctx context.Context, list []*Record) {
 	members, peers := ev.reachable()
-	batches := map[string][]*Record{}
+	batches := map[string][]plannedCopy{}
 	for _, rec := range list {
 		if handover.HoldersValid(rec.holderNames(), peers) {
 			continue
@@ -116,16 +116,23 @@
 			continue
 		}
 		for _, h := range holders {
-			batches[h.Name] = append(batches[h.Name], rec)
+			batches[h.Name] = append(batches[h.Name], plannedCopy{rec, holders})
 		}
 	}
 	var calls sync.WaitGroup
-	for name, records := range batches {
-		calls.Go(func() { ev.copyTo(ctx, members[name], records) })
+	for name, copies := range batches {
+		calls.Go(func() { ev.copyTo(ctx, members[name], copies) })
 	}
 	calls.Wait()
 }
 
+// plannedCopy is a request that is to be copied, with the holders that were chosen for it. The
+// record may get others before the copy is sent.
+type plannedCopy struct {
+	rec     *Record
+	holders []*peerpb.Member
+}
+
 // maxLinkTime bounds how long the copies of an evacuation may use this entry's
 // share of recovery.link, the bandwidth between regions that is reserved for
 // moves.
@@ -158,15 +165,16 @@
 }
 
 // copyTo sends copies to one peer, in messages of bounded size.
-func (ev *evacuation) copyTo(ctx context.Context, to *peerpb.Member, records []*Record) {
+func (ev *evacuation) copyTo(ctx context.Context, to *peerpb.Member, copies []plannedCopy) {
 	self := ev.peers.Self()
 	var batch []*peerpb.RequestCopy
 	size := 0
-	for _, rec := range records {
-		c := rec.toCopy(self)
+	for _, planned := range copies {
+		c := planned.rec.toCopy(self)
+		c.Holders = planned.holders
 		if size > 0 && size+copySize(c) > maxCopyBatch {
 			if !ev.sendCopies(ctx, to, batch) {
-				ev.excludePeer(to, records)
+				ev.excludePeer(to, copies)
 				return
 			}
 			batch, size = nil, 0
@@ -175,7 +183,7 @@
 		size += copySize(c)
 	}
 	if !ev.sendCopies(ctx, to, batch) {
-		ev.excludePeer(to, records)
+		ev.excludePeer(to, copies)
 	}
 }
 
@@ -199,12 +207,12 @@
 
 // excludePeer excludes a peer from the rest of the evacuation. The requests
 // that were to be copied to it get other holders in the next round.
-func (ev *evacuation) excludePeer(to *peerpb.Member, records []*Record) {
+func (ev *evacuation) excludePeer(to *peerpb.Member, copies []plannedCopy) {
 	ev.mu.Lock()
 	ev.unreachable[to.Name] = true
 	ev.mu.Unlock()
-	for _, rec := range records {
-		rec.update(func() { rec.ownership.holders = nil })
+	for _, planned := range copies {
+		planned.rec.update(func() { planned.rec.ownership.holders = nil })
 	}
 }
 
--- a/entry/handover_test.go
+++ b/entry/handover_test.go
@@ -94,6 +94,25 @@
 	require.NotContains(t, first.log.String(), `"msg":"request taken over"`)
 }
 
+// While copies of a request are sent, another of its holders turns out to be unreachable, so that the
+// record has no holders. The one that gets the copy has to know that it is a holder, or it never takes
+// the request over.
+func TestHolderDoesNotKnowThatItIsOne(t *testing.T) {
+	first := newFixture(t)
+	second := newFixture(t, func(s *Settings) { s.Name = "two" })
+	rec, err := fromCopy(captionCopy(first, "20"), time.Now())
+	require.NoError(t, err)
+	lost, holder := &peerpb.Member{Name: "lost", Address: "127.0.0.1:1"}, second.peers.Self()
+	planned := []plannedCopy{{rec, []*peerpb.Member{lost, holder}}}
+	ev := first.newEvacuation(time.Now().Add(time.Minute))
+	ev.excludePeer(lost, planned)
+	ev.copyTo(t.Context(), holder, planned)
+	copied := second.records.get(rec.ID)
+	require.NotNil(t, copied)
+	_, rank := copied.rank("two")
+	require.Equal(t, 1, rank)
+}
+
 // An owner that learns of a higher epoch stops driving the request, and later
 // text from its old attempt is dropped. A late announcement of a lower epoch
 // changes nothing.
