exchange: take idle connections from the pool in one place

popOpenedBefore was popIdle with another condition. The condition is a function now; that of a request has a name. No change of behaviour: the list is in the order of use, so that looking on behind a connection that was idle for too long finds none. go test -race ./upstream/exchange passes.

--- a/upstream/exchange/pool.go
+++ b/upstream/exchange/pool.go
@@ -48,7 +48,7 @@
 // that don't suit it stay in the pool.
 func (p *Pool) acquire(ctx context.Context, address string, req *Request) (*conn, error) {
 	for {
-		c := p.popIdle(address, req)
+		c := p.popIdle(address, req.suits)
 		if c == nil {
 			break
 		}
@@ -73,20 +73,14 @@
 	return c, nil
 }
 
-// popIdle removes the most recently used idle connection that suits a request from the pool,
-// so that surplus connections can expire. It returns nil if there is none.
-func (p *Pool) popIdle(address string, req *Request) *conn {
-	if req.NewConnection {
-		return nil
-	}
+// popIdle removes the most recently used idle connection that suits from the pool, so that
+// surplus connections can expire. It returns nil if there is none.
+func (p *Pool) popIdle(address string, suits func(*conn) bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
 	for i, c := range slices.Backward(list) {
-		if req.MaxIdle > 0 && time.Since(c.idleSince) > req.MaxIdle {
-			return nil
-		}
-		if !c.hasCarried(req.ID) {
+		if suits(c) {
 			p.idle[address] = slices.Delete(list, i, i+1)
 			return c
 		}
@@ -94,12 +88,18 @@
 	return nil
 }
 
+// suits reports whether the request may be sent on an idle connection.
+func (r *Request) suits(c *conn) bool {
+	isFresh := r.MaxIdle == 0 || time.Since(c.idleSince) <= r.MaxIdle
+	return !r.NewConnection && isFresh && !c.hasCarried(r.ID)
+}
+
 // takeKept removes a clean idle connection that was opened before a time from the pool, the most
 // recently used one first.
 func (p *Pool) takeKept(address string, opened time.Time) (*conn, error) {
 	err := ErrNoneKept
 	for {
-		c := p.popOpenedBefore(address, opened)
+		c := p.popIdle(address, func(c *conn) bool { return c.opened.Before(opened) })
 		switch {
 		case c == nil:
 			return nil, err
@@ -114,20 +114,6 @@
 	}
 }
 
-// popOpenedBefore removes the most recently used idle connection that was opened before a time.
-func (p *Pool) popOpenedBefore(address string, opened time.Time) *conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := p.idle[address]
-	for i, c := range slices.Backward(list) {
-		if c.opened.Before(opened) {
-			p.idle[address] = slices.Delete(list, i, i+1)
-			return c
-		}
-	}
-	return nil
-}
-
 // addOpen changes the number of connections to an upstream by n.
 func (p *Pool) addOpen(address string, n int) {
 	p.mu.Lock()
