gateway: don't learn a start time from a late answer

What callers could have seen: sound answers without a length broken off as those of another process. A call for the state on a kept connection may get the late answer to an earlier request. It is no evidence, but a number "born" in its body was remembered as the upstream's start time.

Evidence: TestLateAnswerStatesTheStartTime failed before (start time 9 in place of 7), passes now.

--- a/gateway/confirm.go
+++ b/gateway/confirm.go
@@ -238,7 +238,9 @@
 	default:
 		statement = platform.DecodeState(reply.Status, reply.Header, reply.Body)
 		statement.Kept = kept
-		g.processStarts.learn(p.listed, statement.StartMillis)
+		if !kept || !statement.NamesRequest {
+			g.processStarts.learn(p.listed, statement.StartMillis)
+		}
 	}
 	seen.Add(p.started, statement)
 }
--- a/gateway/inquiries_test.go
+++ b/gateway/inquiries_test.go
@@ -1,13 +1,17 @@
 package gateway
 
 import (
+	"log/slog"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"jaylink/decision/answer"
+	"jaylink/platform"
 	"jaylink/serving"
+	"jaylink/upstream/exchange"
 )
 
 // A process ends with an answer and is replaced under its ID. The new one answers a later inquiry, about
@@ -50,3 +54,15 @@
 		})
 	}
 }
+
+// The late answer to an earlier request arrives on a kept connection in place of a health check. What
+// stands in its body is not the start time of the upstream.
+func TestLateAnswerStatesTheStartTime(t *testing.T) {
+	g := New(platform.Settings{Name: "e", Bounds: bounds()}, slog.New(slog.DiscardHandler))
+	u := serving.Upstream{ID: "i-1", Address: "127.0.0.1:1", StartMillis: 7}
+	reply := exchange.Reply{Status: http.StatusOK, Header: http.Header{"Request-Id": {"r-1"}}, Body: []byte(`{"born":9}`)}
+	var seen answer.Inquiry
+	g.addStatement(process{listed: u, started: u}, &seen, reply, nil, true)
+	require.Equal(t, u, g.processStarts.current(u))
+	require.Equal(t, answer.Unknown, seen.Process)
+}
