--- a/review/play2/client.go
+++ b/review/play2/client.go
@@ -28,8 +28,13 @@
 	return fmt.Sprintf("%s: status %d, %d bytes, whole, after %d ms", a.id, a.status, len(a.body), a.took.Milliseconds())
 }
 
-// ask sends one request on a new connection and reads the answer.
-func (w *world) ask(g *gateway, method, path, extra, body string, budget time.Duration) (a answer) {
+// ask sends one request with the tenant's key on a new connection and reads the answer.
+func (w *world) ask(g *gateway, method, path, extra, body string, budget time.Duration) answer {
+	return w.askWith(g, clientKey, method, path, extra, body, budget)
+}
+
+// askWith is ask with any key.
+func (w *world) askWith(g *gateway, key, method, path, extra, body string, budget time.Duration) (a answer) {
 	a.id = w.newID()
 	began := time.Now()
 	defer func() {
@@ -49,7 +54,7 @@
 		length = fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
 	w.note("client sends %s %s %s to %s", a.id, method, path, g.name)
-	if _, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nKey: %s\r\n%s%s\r\n%s", method, path, clientHost, a.id, budget.Milliseconds(), clientKey, extra, length, body); err != nil {
+	if _, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nKey: %s\r\n%s%s\r\n%s", method, path, clientHost, a.id, budget.Milliseconds(), key, extra, length, body); err != nil {
 		a.err = err
 		return a
 	}
--- a/review/play2/world.go
+++ b/review/play2/world.go
@@ -48,6 +48,8 @@
 	http     *http.Server
 	address  string
 	gateways []*gateway
+	// tenants are those of the next config.
+	tenants []any
 
 	mu     sync.Mutex
 	record *os.File
@@ -75,7 +77,8 @@
 	}
 	w := &world{
 		trouble: trouble, began: time.Now(), dir: dir, store: metastore.New(), record: f, out: bufio.NewWriter(f),
-		block: fmt.Sprintf("127.%d.%d.", 64+rand.IntN(128), 1+rand.IntN(254)),
+		tenants: []any{map[string]any{"name": tenant, "api-keys": []string{clientKey}, "billing-unit": "tokens", "plain-tokens": 200, "rate-per-s": 500879, "burst": 500879}},
+		block:   fmt.Sprintf("127.%d.%d.", 64+rand.IntN(128), 1+rand.IntN(254)),
 	}
 	w.note("disruption: %t", trouble)
 	l, err := net.Listen("tcp", w.ip(200)+":0")
@@ -254,6 +257,6 @@
 	w.store.Put("config", "main", map[string]any{
 		"version": version, "routes": list, "services": services,
 		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-		"tenants": []any{map[string]any{"name": tenant, "api-keys": []string{clientKey}, "billing-unit": "tokens", "plain-tokens": 200, "rate-per-s": 500879, "burst": 500879}},
+		"tenants": w.tenants,
 	})
 }
