review: case 10, sound requests are refused for good after others crash servers

Four requests that crash their servers have the first part of their prompts blamed, which sound requests have too: these are answered 400 from then on.

--- a/review/play2/server.go
+++ b/review/play2/server.go
@@ -27,6 +27,7 @@
 
 	mu       sync.Mutex
 	listens  string
+	isDown   bool
 	born     int64
 	listener net.Listener
 	conns    map[*net.TCPConn]bool
@@ -105,6 +106,26 @@
 	return nil
 }
 
+// crashFor ends the process and starts it again after a time. A process that has ended stays so.
+func (s *server) crashFor(down time.Duration) {
+	s.mu.Lock()
+	isDown := s.isDown
+	s.isDown = true
+	s.mu.Unlock()
+	if isDown {
+		return
+	}
+	s.crash()
+	time.Sleep(down)
+	if err := s.restart(); err != nil {
+		s.w.note("server %s is not back: %v", s.id, err)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isDown = false
+}
+
 // talk answers the requests of one connection.
 func (s *server) talk(c *net.TCPConn) {
 	defer func() {
