--- a/review/play2/case8.go
+++ b/review/play2/case9.go
@@ -7,15 +7,15 @@
 	"time"
 )
 
-func init() { cases["8"] = lastTenantRemoved }
+func init() { cases["9"] = lastTenantRemoved }
 
-// Case 8: after a change of the config, requests are sent until the bound has passed by far.
+// Case 9: after a change of the config, requests are sent until the bound has passed by far.
 const (
 	configApply  = 2500 * time.Millisecond
 	afterApply   = time.Second
-	requestsOf8  = 20
+	requestsOf9  = 20
 	unknownKey   = "no-config-ever-held-this-key"
-	budgetOf8    = 2 * time.Second
+	budgetOf9    = 2 * time.Second
 	pauseBetween = 50 * time.Millisecond
 )
 
@@ -39,10 +39,10 @@
 		return nil, err
 	}
 	var broken []string
-	if a := w.askWith(w.gateways[0], clientKey, http.MethodGet, "/order-lookup/7", "", "", budgetOf8); a.status != http.StatusOK {
+	if a := w.askWith(w.gateways[0], clientKey, http.MethodGet, "/order-lookup/7", "", "", budgetOf9); a.status != http.StatusOK {
 		return nil, fmt.Errorf("a request with the key of a tenant gets %d", a.status)
 	}
-	if a := w.askWith(w.gateways[0], unknownKey, http.MethodGet, "/order-lookup/7", "", "", budgetOf8); a.status != http.StatusUnauthorized {
+	if a := w.askWith(w.gateways[0], unknownKey, http.MethodGet, "/order-lookup/7", "", "", budgetOf9); a.status != http.StatusUnauthorized {
 		broken = append(broken, fmt.Sprintf("ROUTE: a request with an unknown key gets %d under the first config", a.status))
 	}
 	if w.trouble {
@@ -51,10 +51,10 @@
 	}
 	w.putConfig(2, routes, nil, []string{"workshop-desk"})
 	time.Sleep(configApply + afterApply)
-	for i := range requestsOf8 {
+	for i := range requestsOf9 {
 		g := w.gateways[i%len(w.gateways)]
 		for _, key := range []string{clientKey, unknownKey} {
-			a := w.askWith(g, key, http.MethodPost, "/slot-booking/7", "", "wheel", budgetOf8)
+			a := w.askWith(g, key, http.MethodPost, "/slot-booking/7", "", "wheel", budgetOf9)
 			switch {
 			case a.status != http.StatusOK:
 			case key == unknownKey:
