review: the stand-ins of the cases use the project's codecs and store

They had names of the platform's protocol in Go files, which only the adapter and the project's stand-ins may have.

--- a/review/play2/case10.go
+++ b/review/play2/case10.go
@@ -5,9 +5,10 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
+
+	"jaylink/platform"
 )
 
 func init() { cases["10"] = soundPartRefused }
@@ -31,10 +32,10 @@
 )
 
 func soundPartRefused(w *world) ([]string, error) {
-	w.putConfig(1, []route{{name: "repair-assessment", kind: "streaming", service: "advisor-models", attempts: 2, timeoutMs: 12000, aimMs: 1000, resume: true}}, []string{"advisor-models"}, nil)
+	w.putConfig([]route{{name: "repair-assessment", kind: "streaming", service: "advisor-models", attempts: 2, timeoutMs: 12000, resume: true}}, []string{"advisor-models"}, nil)
 	stream := func(s *server, c *net.TCPConn, r *http.Request) bool {
 		id := r.Header.Get("Request-Id")
-		if strings.HasSuffix(r.Header.Get("Prefix-Hash"), deadlyEnd) {
+		if isDeadly(platform.DecodeCaller(r.Header)) {
 			time.Sleep(eventPace)
 			go s.crashFor(downOf10)
 			return false
@@ -118,7 +119,7 @@
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests:
 		return false
 	}
-	return a.status >= 300 && a.status < 500 && a.header.Get("Response-Seal") == ""
+	return a.status >= 300 && a.status < 500 && !platform.DecodeAnswer(a.status, a.header).Sealed
 }
 
 // sendDeadly sends the requests that crash their servers, each with a body and a last part of its
@@ -132,16 +133,21 @@
 	defer wg.Wait()
 	for n := range deadlyOf10 {
 		wg.Go(func() {
-			extra := fmt.Sprintf("Model: m\r\nToken-Count: 6610,80\r\nPrefix-Hash: %s,%x%s\r\n", firstPart, 0x200000+n, deadlyEnd)
+			extra := fmt.Sprintf("Model: m\r\nToken-Count: 6610,80\r\nPrefix-Hash: %s,%x:%d\r\n", firstPart, 0x200000+n, deadlyTokens)
 			w.ask(w.gateways[n%len(w.gateways)], http.MethodPost, "/repair-assessment/7", extra, fmt.Sprintf("wheel that can't be read, %d", n), budgetOf10)
 		})
 		time.Sleep(betweenDeadly)
 	}
 }
 
-// deadlyEnd is the size of the last part of a deadly request, by which the servers know it, and
+// isDeadly reports whether a request crashes its server.
+func isDeadly(r platform.CallerHeaders) bool {
+	return r.Prompt != nil && r.Prompt.Parts[len(r.Prompt.Parts)-1].Tokens == deadlyTokens
+}
+
+// deadlyTokens is the size of the last part of a deadly request, by which the servers know it, and
 // betweenDeadly the time between two of them.
 const (
-	deadlyEnd     = ":1229"
+	deadlyTokens  = 1229
 	betweenDeadly = 400 * time.Millisecond
 )
--- a/review/play2/case6.go
+++ b/review/play2/case6.go
@@ -4,10 +4,11 @@
 	"fmt"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"jaylink/platform"
 )
 
 func init() { cases["6"] = resetWhileFrozen }
@@ -22,16 +23,13 @@
 )
 
 func resetWhileFrozen(w *world) ([]string, error) {
-	w.putConfig(1, []route{{name: "repair-assessment", kind: "streaming", service: "advisor-models", attempts: 2, timeoutMs: 12000, aimMs: 1000, resume: true}}, []string{"advisor-models"}, nil)
+	w.putConfig([]route{{name: "repair-assessment", kind: "streaming", service: "advisor-models", attempts: 2, timeoutMs: 12000, resume: true}}, []string{"advisor-models"}, nil)
 	var mu sync.Mutex
 	pausing := map[*net.TCPConn]bool{}
 	pauses := make(chan struct{}, 100)
 	stream := func(s *server, c *net.TCPConn, r *http.Request) bool {
 		id := r.Header.Get("Request-Id")
-		from := 0
-		if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
-			from = last + 1
-		}
+		from := int(platform.DecodeCaller(r.Header).LastEvent + 1)
 		if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", id, s.sealOf(id)); err != nil {
 			return false
 		}
--- a/review/play2/case7.go
+++ b/review/play2/case7.go
@@ -28,9 +28,9 @@
 }
 
 func restartBehindACut(w *world) ([]string, error) {
-	w.putConfig(1, []route{
-		{name: "order-lookup", kind: "idempotent", service: "workshop-desk", attempts: 2, timeoutMs: 2000, aimMs: 120},
-		{name: "slot-booking", kind: "non_idempotent", service: "workshop-desk", attempts: 2, timeoutMs: 2000, aimMs: 120},
+	w.putConfig([]route{
+		{name: "order-lookup", kind: "idempotent", service: "workshop-desk", attempts: 2, timeoutMs: 2000},
+		{name: "slot-booking", kind: "non_idempotent", service: "workshop-desk", attempts: 2, timeoutMs: 2000},
 	}, nil, []string{"workshop-desk"})
 	began := make(chan *server, 100)
 	answerInParts := func(s *server, c *net.TCPConn, r *http.Request) bool {
--- a/review/play2/case9.go
+++ b/review/play2/case9.go
@@ -21,10 +21,10 @@
 
 func lastTenantRemoved(w *world) ([]string, error) {
 	routes := []route{
-		{name: "slot-booking", kind: "non_idempotent", service: "workshop-desk", attempts: 2, timeoutMs: 2000, aimMs: 120},
-		{name: "order-lookup", kind: "idempotent", service: "workshop-desk", attempts: 2, timeoutMs: 2000, aimMs: 120},
+		{name: "slot-booking", kind: "non_idempotent", service: "workshop-desk", attempts: 2, timeoutMs: 2000},
+		{name: "order-lookup", kind: "idempotent", service: "workshop-desk", attempts: 2, timeoutMs: 2000},
 	}
-	w.putConfig(1, routes, nil, []string{"workshop-desk"})
+	w.putConfig(routes, nil, []string{"workshop-desk"})
 	answerAtOnce := func(s *server, c *net.TCPConn, r *http.Request) bool {
 		id := r.Header.Get("Request-Id")
 		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nContent-Length: 2\r\n\r\nok", id, s.sealOf(id))
@@ -45,11 +45,15 @@
 	if a := w.askWith(w.gateways[0], unknownKey, http.MethodGet, "/order-lookup/7", "", "", budgetOf9); a.status != http.StatusUnauthorized {
 		broken = append(broken, fmt.Sprintf("ROUTE: a request with an unknown key gets %d under the first config", a.status))
 	}
-	if w.trouble {
-		w.tenants = []any{}
-		w.note("the operator removes the last tenant")
+	err := w.changeConfig(2, func(config map[string]any) {
+		if w.trouble {
+			w.note("the operator removes the last tenant")
+			config["tenants"] = []any{}
+		}
+	})
+	if err != nil {
+		return nil, err
 	}
-	w.putConfig(2, routes, nil, []string{"workshop-desk"})
 	time.Sleep(configApply + afterApply)
 	for i := range requestsOf9 {
 		g := w.gateways[i%len(w.gateways)]
--- a/review/play2/server.go
+++ b/review/play2/server.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"jaylink/platform"
 )
 
 // server is a server of a service. Its process can end and start again under the same ID.
@@ -78,10 +80,7 @@
 	s.mu.Lock()
 	born := s.born
 	s.mu.Unlock()
-	s.w.store.Put("servers", s.id, map[string]any{
-		"service": s.service, "address": s.address, "zone": zone, "version": "v1", "slots": s.slots, "state": "ready",
-		"cold-left-ms": 0, "sequence": 1, "born": born,
-	})
+	s.w.store.PutUpstreamProcess(s.id, s.service, s.address, zone, "ready", born)
 }
 
 // crash ends the process: the kernel closes its connections and its port.
@@ -144,7 +143,7 @@
 		if err != nil {
 			return
 		}
-		switch wanted := req.Header.Get("Target-Instance"); {
+		switch {
 		case req.URL.Path == "/health":
 			_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nServer-Load: 0,0,%d\r\nContent-Length: 0\r\n\r\n", s.id, s.slots)
 		case req.URL.Path == "/v1/report" && s.engine:
@@ -152,10 +151,8 @@
 			report := fmt.Sprintf(`{"stage":"prefill_decode","models":[{"name":"m","version":1,"lora-adapters":[]}],"busy":false,"sequence":1,"waiting":0,"running":0,"kv-used":0,"kv-total":444000,"transfer-handles":0,"born":%d}`, s.born)
 			s.mu.Unlock()
 			_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(report), report)
-		case wanted != "" && wanted != s.id:
-			_, err = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", req.Header.Get("Request-Id"), s.id)
 		default:
-			s.w.note("server %s runs %s %s, %d bytes, Last-Event-Id %q, Deadline-Ms %s", s.id, req.Header.Get("Request-Id"), req.URL.Path, len(body), req.Header.Get("Last-Event-Id"), req.Header.Get("Deadline-Ms"))
+			s.w.note("server %s runs %s %s, %d bytes, from event %d on", s.id, req.Header.Get("Request-Id"), req.URL.Path, len(body), platform.DecodeCaller(req.Header).LastEvent+1)
 			if !s.handle(s, c, req) {
 				return
 			}
--- a/review/play2/world.go
+++ b/review/play2/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -32,6 +33,8 @@
 	tenant     = "tenant-1"
 	binary     = "target/jaylink"
 	zone       = "vasteras"
+	maxBody    = 4 << 20
+	allowance  = 500_879
 	// startLimit is how long gateways may take until they are ready, and settleTime how long they
 	// run before the first request, so that they know each other.
 	startLimit = 15 * time.Second
@@ -48,8 +51,6 @@
 	http     *http.Server
 	address  string
 	gateways []*gateway
-	// tenants are those of the next config.
-	tenants []any
 
 	mu     sync.Mutex
 	record *os.File
@@ -77,8 +78,7 @@
 	}
 	w := &world{
 		trouble: trouble, began: time.Now(), dir: dir, store: metastore.New(), record: f, out: bufio.NewWriter(f),
-		tenants: []any{map[string]any{"name": tenant, "api-keys": []string{clientKey}, "billing-unit": "tokens", "plain-tokens": 200, "rate-per-s": 500879, "burst": 500879}},
-		block:   fmt.Sprintf("127.%d.%d.", 64+rand.IntN(128), 1+rand.IntN(254)),
+		block: fmt.Sprintf("127.%d.%d.", 64+rand.IntN(128), 1+rand.IntN(254)),
 	}
 	w.note("disruption: %t", trouble)
 	l, err := net.Listen("tcp", w.ip(200)+":0")
@@ -231,32 +231,31 @@
 type route struct {
 	name, kind, service string
 	attempts, timeoutMs int
-	aimMs               int
 	resume              bool
 }
 
-// putConfig writes the config with engines and plain services.
-func (w *world) putConfig(version int, routes []route, engines, plain []string) {
-	var list, services []any
-	for _, r := range routes {
-		list = append(list, map[string]any{
-			"name": r.name, "host": clientHost, "path-prefix": "/" + r.name + "/", "kind": r.kind, "service": r.service, "timeout-ms": r.timeoutMs,
-			"target-latency-ms": r.aimMs, "priority": 0, "max-attempts": r.attempts, "anonymous": false, "sticky": r.kind == "streaming",
-			"stream-resume": r.resume, "gap-aim-ms": 300,
-		})
+// putConfig writes the first config, with engines and plain services.
+func (w *world) putConfig(routes []route, engines, plain []string) {
+	c := metastore.Configuration{
+		Version: 1, Engines: engines, Plain: plain, MaxBodyBytes: maxBody,
+		Customer: metastore.Customer{Name: tenant, Keys: []string{clientKey}, Rate: allowance, Burst: allowance},
 	}
-	for _, name := range engines {
-		services = append(services, map[string]any{
-			"name": name, "health-path": "/health", "max-connections": 240, "protocol": "h1",
-			"engine": map[string]any{"slots": 32, "kv-capacity": 444000},
+	for _, r := range routes {
+		c.Routes = append(c.Routes, metastore.Route{
+			Name: r.name, Host: clientHost, Service: r.service, Kind: r.kind, Attempts: r.attempts, Resumable: r.resume, TimeoutMs: r.timeoutMs,
 		})
 	}
-	for _, name := range plain {
-		services = append(services, map[string]any{"name": name, "health-path": "/health", "max-connections": 110, "protocol": "h1"})
+	w.store.PutConfiguration(c)
+}
+
+// changeConfig writes the next version of the config after a change.
+func (w *world) changeConfig(version int, change func(config map[string]any)) error {
+	var config map[string]any
+	if err := json.Unmarshal(w.store.Spec("config", "main"), &config); err != nil {
+		return err
 	}
-	w.store.Put("config", "main", map[string]any{
-		"version": version, "routes": list, "services": services,
-		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-		"tenants": w.tenants,
-	})
+	config["version"] = version
+	change(config)
+	w.store.Put("config", "main", config)
+	return nil
 }
