review: the stand-ins of the cases state their load and keep to their slots

Servers run as many requests at once as their entry says, state how many run and wait, and answer 421 to a request for another one. Case 7 writes its answers within a tenth of a second.

--- a/review/play2/case10.go
+++ b/review/play2/case10.go
@@ -15,8 +15,8 @@
 
 // Case 10: the deadly requests and the sound ones that have their first part in common with them.
 const (
-	serversOf10 = 9
-	deadlyOf10  = 4
+	serversOf10 = 18
+	deadlyOf10  = 3
 	// soundOf10 requests have the first part in common with the deadly ones, which come after
 	// soundBefore of them.
 	soundOf10   = 26
@@ -25,18 +25,19 @@
 	otherPace   = 250 * time.Millisecond
 	downOf10    = 3 * time.Second
 	eventsOf10  = 8
-	budgetOf10  = 12 * time.Second
+	pieceTime   = 40 * time.Millisecond
+	budgetOf10  = 10 * time.Second
 	// firstPart begins the prompts of one kind of work, and otherFirstPart those of another one.
 	firstPart      = "5c1e07a2:5382"
 	otherFirstPart = "77aa01c3:5382"
 )
 
 func soundPartRefused(w *world) ([]string, error) {
-	w.putConfig([]route{{name: "repair-assessment", kind: "streaming", service: "advisor-models", attempts: 2, timeoutMs: 12000, resume: true}}, []string{"advisor-models"}, nil)
+	w.putConfig([]route{{name: "verse-draft", kind: "streaming", service: "caption-lm", attempts: 2, timeoutMs: 10000, resume: true}}, []string{"caption-lm"}, nil)
 	stream := func(s *server, c *net.TCPConn, r *http.Request) bool {
 		id := r.Header.Get("Request-Id")
 		if isDeadly(platform.DecodeCaller(r.Header)) {
-			time.Sleep(eventPace)
+			time.Sleep(pieceTime / 2)
 			go s.crashFor(downOf10)
 			return false
 		}
@@ -48,13 +49,13 @@
 			if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
 				return false
 			}
-			time.Sleep(2 * eventPace)
+			time.Sleep(pieceTime)
 		}
 		_, err := io.WriteString(c, "0\r\n\r\n")
 		return err == nil
 	}
 	for i := range serversOf10 {
-		if err := w.startServer(&server{id: fmt.Sprintf("i-advisor-%d", i+1), service: "advisor-models", engine: true, slots: 32, handle: stream}); err != nil {
+		if err := w.startServer(&server{id: fmt.Sprintf("i-caption-%d", i+1), service: "caption-lm", engine: true, handle: stream}); err != nil {
 			return nil, err
 		}
 	}
@@ -65,7 +66,7 @@
 	sent, refused := 0, 0
 	ask := func(n int, first string) answer {
 		extra := fmt.Sprintf("Model: m\r\nToken-Count: 6610,80\r\nPrefix-Hash: %s,%x:1228\r\n", first, 0x100000+n)
-		a := w.ask(w.gateways[n%len(w.gateways)], http.MethodPost, "/repair-assessment/7", extra, fmt.Sprintf("wheel %d", n), budgetOf10)
+		a := w.ask(w.gateways[n%len(w.gateways)], http.MethodPost, "/verse-draft/7", extra, fmt.Sprintf("verse %d", n), budgetOf10)
 		mu.Lock()
 		defer mu.Unlock()
 		sent++
@@ -107,7 +108,7 @@
 	close(stop)
 	<-others
 	w.note("%d of %d sound requests were refused for good", refused, sent)
-	if refused*500 > 5*500+sent {
+	if all := sent + deadlyOf10; refused*500 > 5*500+all {
 		return []string{fmt.Sprintf("DENIED: %d of %d sound requests were ended with a 4xx of the system's own", refused, sent)}, nil
 	}
 	return nil, nil
@@ -134,7 +135,7 @@
 	for n := range deadlyOf10 {
 		wg.Go(func() {
 			extra := fmt.Sprintf("Model: m\r\nToken-Count: 6610,80\r\nPrefix-Hash: %s,%x:%d\r\n", firstPart, 0x200000+n, deadlyTokens)
-			w.ask(w.gateways[n%len(w.gateways)], http.MethodPost, "/repair-assessment/7", extra, fmt.Sprintf("wheel that can't be read, %d", n), budgetOf10)
+			w.ask(w.gateways[n%len(w.gateways)], http.MethodPost, "/verse-draft/7", extra, fmt.Sprintf("verse that can not be read, %d", n), budgetOf10)
 		})
 		time.Sleep(betweenDeadly)
 	}
--- a/review/play2/case7.go
+++ b/review/play2/case7.go
@@ -13,11 +13,11 @@
 
 // Case 7: an answer is written in two parts, and the disruption falls between them.
 const (
-	// serversOf7 is so large that one server is no more than a fifth.
-	serversOf7 = 5
+	// serversOf7 is so large that one server is no more than 0.17 of them.
+	serversOf7 = 6
 	roundsOf7  = 5
 	partOf7    = 400
-	betweenOf7 = 600 * time.Millisecond
+	betweenOf7 = 100 * time.Millisecond
 	budgetOf7  = 2 * time.Second
 )
 
@@ -45,7 +45,7 @@
 		return false
 	}
 	for i := range serversOf7 {
-		if err := w.startServer(&server{id: fmt.Sprintf("i-desk-%d", i+1), service: "workshop-desk", slots: 6, linked: true, handle: answerInParts}); err != nil {
+		if err := w.startServer(&server{id: fmt.Sprintf("i-desk-%d", i+1), service: "workshop-desk", linked: true, handle: answerInParts}); err != nil {
 			return nil, err
 		}
 	}
@@ -97,11 +97,11 @@
 // restartBehindCut cuts one of the servers off, which crashes behind the cut and is back before
 // the cut heals.
 func restartBehindCut(w *world, serving map[*server]bool) error {
-	time.Sleep(50 * time.Millisecond)
+	time.Sleep(10 * time.Millisecond)
 	for s := range serving {
 		w.note("server %s is cut off", s.id)
 		s.link.setCut(true)
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(20 * time.Millisecond)
 		s.crash()
 		time.Sleep(time.Second)
 		if err := s.restart(); err != nil {
--- a/review/play2/case9.go
+++ b/review/play2/case9.go
@@ -31,7 +31,7 @@
 		return err == nil
 	}
 	for i := range 3 {
-		if err := w.startServer(&server{id: fmt.Sprintf("i-desk-%d", i+1), service: "workshop-desk", slots: 6, handle: answerAtOnce}); err != nil {
+		if err := w.startServer(&server{id: fmt.Sprintf("i-desk-%d", i+1), service: "workshop-desk", handle: answerAtOnce}); err != nil {
 			return nil, err
 		}
 	}
--- a/review/play2/server.go
+++ b/review/play2/server.go
@@ -23,18 +23,34 @@
 	link   *link
 	// engine is set for a model server, which has a report.
 	engine bool
-	slots  int
 	// handle answers a request that the server runs; it reports whether the connection is kept.
 	handle func(s *server, c *net.TCPConn, r *http.Request) bool
 
 	mu       sync.Mutex
 	listens  string
+	running  int
+	waiting  int
+	places   chan struct{}
 	isDown   bool
 	born     int64
 	listener net.Listener
 	conns    map[*net.TCPConn]bool
 }
 
+// slots is how many requests a server runs at the same time, as its entry in the store has it. Others
+// wait.
+const slots = 16
+
+// instanceHeader is the header that names the only server that may run a request.
+var instanceHeader = func() string {
+	for name, values := range platform.EncodeAttempt(http.Header{}, platform.Attempt{Instance: "instance", LastEvent: -1}) {
+		if values[0] == "instance" {
+			return name
+		}
+	}
+	panic("no header names the server")
+}()
+
 // startServer starts a server and enters it in the store.
 func (w *world) startServer(s *server) error {
 	l, err := net.Listen("tcp", w.ip(100)+":0")
@@ -58,6 +74,7 @@
 func (s *server) serve(l net.Listener) {
 	s.mu.Lock()
 	s.listener, s.conns, s.born = l, map[*net.TCPConn]bool{}, time.Now().UnixMilli()
+	s.running, s.waiting, s.places = 0, 0, make(chan struct{}, slots)
 	s.mu.Unlock()
 	s.w.note("server %s runs at %s", s.id, s.address)
 	go func() {
@@ -125,6 +142,39 @@
 	s.isDown = false
 }
 
+// load returns the numbers of requests that run and wait.
+func (s *server) load() (running, waiting int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running, s.waiting
+}
+
+// run answers a request once there is a place for it, and reports whether the connection is kept.
+func (s *server) run(c *net.TCPConn, req *http.Request, size int) bool {
+	s.mu.Lock()
+	places := s.places
+	s.waiting++
+	s.mu.Unlock()
+	places <- struct{}{}
+	s.change(places, -1, 1)
+	defer func() {
+		s.change(places, 0, -1)
+		<-places
+	}()
+	s.w.note("server %s runs %s %s, %d bytes, from event %d on", s.id, req.Header.Get("Request-Id"), req.URL.Path, size, platform.DecodeCaller(req.Header).LastEvent+1)
+	return s.handle(s, c, req)
+}
+
+// change adds to the counts of the process that has the given places, unless it has ended.
+func (s *server) change(places chan struct{}, waiting, running int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.places == places {
+		s.waiting += waiting
+		s.running += running
+	}
+}
+
 // talk answers the requests of one connection.
 func (s *server) talk(c *net.TCPConn) {
 	defer func() {
@@ -143,17 +193,22 @@
 		if err != nil {
 			return
 		}
+		id := req.Header.Get("Request-Id")
+		wanted := req.Header.Get(instanceHeader)
+		running, waiting := s.load()
 		switch {
 		case req.URL.Path == "/health":
-			_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nServer-Load: 0,0,%d\r\nContent-Length: 0\r\n\r\n", s.id, s.slots)
+			_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nServer-Load: %d,%d,%d\r\nContent-Length: 0\r\n\r\n", s.id, running, waiting, slots)
 		case req.URL.Path == "/v1/report" && s.engine:
 			s.mu.Lock()
-			report := fmt.Sprintf(`{"stage":"prefill_decode","models":[{"name":"m","version":1,"lora-adapters":[]}],"busy":false,"sequence":1,"waiting":0,"running":0,"kv-used":0,"kv-total":444000,"transfer-handles":0,"born":%d}`, s.born)
+			born := s.born
 			s.mu.Unlock()
+			report := fmt.Sprintf(`{"stage":"prefill_decode","models":[{"name":"m","version":1,"lora-adapters":[]}],"busy":false,"sequence":0,"waiting":%d,"running":%d,"kv-used":%d,"kv-total":400000,"transfer-handles":0,"born":%d}`, waiting, running, running*tokensOfRun, born)
 			_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(report), report)
+		case wanted != "" && wanted != s.id:
+			_, err = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, s.id)
 		default:
-			s.w.note("server %s runs %s %s, %d bytes, from event %d on", s.id, req.Header.Get("Request-Id"), req.URL.Path, len(body), platform.DecodeCaller(req.Header).LastEvent+1)
-			if !s.handle(s, c, req) {
+			if !s.run(c, req, len(body)) {
 				return
 			}
 		}
@@ -163,6 +218,9 @@
 	}
 }
 
+// tokensOfRun is the memory that a run takes, about that of the prompts that are sent.
+const tokensOfRun = 1500
+
 // sealOf is the proof that a server puts into its answer.
 func (s *server) sealOf(id string) string { return "seal." + s.id + "." + id }
 
