exchange: check the end that a read finds against the socket

Cause: the kernel reports a reset once. After a freeze, the deadline of a read is handled before the reset. The look for bytes that came in time used MSG_PEEK, which took the report, and treated an ended connection like a silent one. If the attempt could not move to another upstream, the read went on and found a proper end; the upstream confirmed that its process runs, and the stream counted as whole.

A write that takes the report is ruled out: the requests were written before.

Fix: at a deadline, the entry asks with poll whether something has arrived, which takes nothing, and reads it, be it bytes, the end or a reset. And whatever takes a report, poll still shows that a connection was broken: an end that a read finds on such a connection, with the report gone, breaks the answer off. A connection that the upstream closed first and reset later keeps its report, and its proper end. `jaylink entry` reads its upstreams in the same way.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -75,7 +75,7 @@
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	return &http.Client{
 		Transport: checkedTransport{&http.Transport{
-			DialContext:         dialCounted(metered(dialer.DialContext, meter)),
+			DialContext:         dialUpstream(dialer.DialContext, meter),
 			DisableKeepAlives:   single,
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: maxIdlePerHost,
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http/httptrace"
 	"sync"
+
+	"jaylink/internal/socket"
 )
 
 // countedConn counts the bytes that the operating system accepted for sending. It
@@ -90,6 +92,23 @@
 	return c.sentBytes()
 }
 
+// dialUpstream wraps a dial function for connections to upstreams. meter may be nil.
+func dialUpstream(dial dialFunc, meter MeterFunc) dialFunc {
+	return dialCounted(metered(dialChecked(dial), meter))
+}
+
+// dialChecked wraps a dial function so that reads of its connections find an end only where the
+// upstream has closed the connection.
+func dialChecked(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return socket.Conn{Conn: conn}, nil
+	}
+}
+
 // dialCounted wraps a dial function so that it returns a countedConn.
 func dialCounted(dial dialFunc) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/upstream/exchange/conn.go
+++ b/upstream/exchange/conn.go
@@ -33,8 +33,7 @@
 	probeIdle     = time.Second
 	probeInterval = time.Second
 	probeCount    = 2
-	// catchUpTime is how long a read may take longer for bytes that had arrived by its
-	// deadline.
+	// catchUpTime is how long a read may take longer for what had arrived by its deadline.
 	catchUpTime = 100 * time.Millisecond
 	// readBuffer is the size of a connection's read buffer in bytes.
 	readBuffer = 4096
@@ -52,7 +51,7 @@
 	// hasNoUserTimeout is set while there is no TCP user timeout.
 	hasNoUserTimeout bool
 	// onSilence, if set, is asked when nothing has arrived by the read deadline. hasWaited is
-	// set once it has been put off for bytes that had arrived.
+	// set once it has been put off for what had arrived.
 	onSilence Silence
 	hasWaited bool
 	// ids are the hashed IDs of the requests that were sent.
@@ -175,7 +174,10 @@
 // readOn reads, and goes on after the read deadline as long as onSilence wants.
 func (c *conn) readOn(p []byte) (int, error) {
 	for {
-		n, err := c.Conn.Read(p)
+		n, err := socket.Read(c.Conn, p)
+		if errors.Is(err, socket.ErrEndUnknown) {
+			err = fmt.Errorf("%w: %w", ErrUnconfirmedEnd, err)
+		}
 		if n > 0 || c.onSilence == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
@@ -189,9 +191,9 @@
 }
 
 // afterDeadline returns how much longer to wait after a read deadline. If this process has
-// been held up, bytes that came in time are still to be read.
+// been held up, what came in time is still to be read: bytes, the end or a reset.
 func (c *conn) afterDeadline() time.Duration {
-	if !c.hasWaited && c.state() == socket.Unread {
+	if !c.hasWaited && c.hasArrived() {
 		c.hasWaited = true
 		return catchUpTime
 	}
@@ -238,7 +240,14 @@
 // data would belong to no request.
 func (c *conn) isClean() bool { return c.r.Buffered() == 0 && c.state() == socket.Quiet }
 
-// state returns the state of the connection's socket.
+// hasArrived reports whether the next read has something to return. Unlike state, it leaves the
+// report of a reset to that read.
+func (c *conn) hasArrived() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	return ok && socket.HasArrived(sc)
+}
+
+// state returns the state of the connection's socket while no answer is read from it.
 func (c *conn) state() socket.State {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
--- a/upstream/exchange/exchange_test.go
+++ b/upstream/exchange/exchange_test.go
@@ -146,6 +146,32 @@
 	require.Equal(t, 2, *opened)
 }
 
+// An idle connection that was reset or closed must not carry a request. The look at it takes the report
+// of a reset.
+func TestIdleConnectionThatHasEndedCarriesARequest(t *testing.T) {
+	for name, end := range map[string]func(t *testing.T, c net.Conn){"reset": resetConn, "close": closeConn} {
+		t.Run(name, func(t *testing.T) {
+			answered := make(chan struct{})
+			address := serve(t, func(t *testing.T, c net.Conn, r *bufio.Reader, n int) {
+				send(t, c, responseTo(readRequest(r), itoa(n)))
+				if n == 1 {
+					<-answered
+					end(t, c)
+				}
+			})
+			p, opened := newPool(t)
+			_, err := get(t, p, address, request("/a"))
+			require.NoError(t, err)
+			close(answered)
+			require.NoError(t, p.AwaitIdleEnd(address))
+			body, err := get(t, p, address, request("/b"))
+			require.NoError(t, err)
+			require.Equal(t, itoa(2), body)
+			require.Equal(t, 2, *opened)
+		})
+	}
+}
+
 // serveConcurrently starts a server that serves connections concurrently and returns
 // its address.
 func serveConcurrently(t *testing.T) string {
