soak: freeze entries while the connections to their upstreams are reset

Upstreams send an event every 15 ms, so that a stream is over, or has unread data, when a reset meets a frozen entry; and entries that use all cores rarely handle a deadline before the reset.

`--frozen` runs a series of its own: entries on one core are stopped, connections to upstreams, some of them slow, are reset within 200 ms, and the entries go on after up to 3 s. Without the flag, seeds play as before.

--- a/cmd/jaylink/soak.go
+++ b/cmd/jaylink/soak.go
@@ -24,8 +24,9 @@
 	callers := cmd.Flag("callers", "Number of callers.").Default("12").Int()
 	processes := cmd.Flag("processes", "Number of further upstreams that are processes of their own.").Default("4").Int()
 	planned := cmd.Flag("planned", "No faults: only stops, hangups and configuration changes, in which no request may be lost.").Bool()
+	frozen := cmd.Flag("frozen", "No faults but frozen entries: their connections to upstreams are reset while they stand still.").Bool()
 	cmd.Action(func(*kingpin.ParseContext) error {
-		return runSoak(*first, *count, soak.Options{For: *length, Entries: *entries, Upstreams: *upstreams, Callers: *callers, Processes: *processes, Planned: *planned})
+		return runSoak(*first, *count, soak.Options{For: *length, Entries: *entries, Upstreams: *upstreams, Callers: *callers, Processes: *processes, Planned: *planned, Frozen: *frozen})
 	})
 }
 
--- a/internal/soak/entry.go
+++ b/internal/soak/entry.go
@@ -79,6 +79,9 @@
 	}
 	cmd := exec.Command(f.binary, "gateway", "--settings", e.settings)
 	cmd.Stdout, cmd.Stderr = log, log
+	if f.oneCore {
+		cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -33,6 +33,18 @@
 	return e.name
 }
 
+// pause stops an entry's process for the time of a call.
+func (e *entry) pause(meanwhile func()) {
+	e.fault.Lock()
+	defer e.fault.Unlock()
+	defer e.disturbed.begin()()
+	e.markDisturbed()
+	e.signal(syscall.SIGSTOP)
+	meanwhile()
+	e.signal(syscall.SIGCONT)
+	e.markDisturbed()
+}
+
 // onProxy injects faults into a proxy for the hold time.
 func onProxy(p *proxy, hold time.Duration, change func(*proxy)) {
 	defer p.disturbed.begin()()
@@ -52,6 +64,13 @@
 	return ""
 }
 
+// resetConnections resets all connections to an upstream.
+func (b *backend) resetConnections() {
+	defer b.proxy.disturbed.begin()()
+	b.proxy.update(func(p *proxy) { p.wasFaulty = true })
+	b.proxy.resetAll()
+}
+
 // beOdd injects a fault into an upstream for the hold time.
 func (b *backend) beOdd(kind upstream.Fault, hold time.Duration) {
 	defer b.proxy.disturbed.begin()()
@@ -69,14 +88,7 @@
 	}},
 	{"entry_paused", func(f *fleet, rng *rand.Rand, hold time.Duration) string {
 		e := anyEntry(f, rng)
-		e.fault.Lock()
-		defer e.fault.Unlock()
-		defer e.disturbed.begin()()
-		e.markDisturbed()
-		e.signal(syscall.SIGSTOP)
-		time.Sleep(hold)
-		e.signal(syscall.SIGCONT)
-		e.markDisturbed()
+		e.pause(func() { time.Sleep(hold) })
 		return e.name
 	}},
 	{"entry_hangup", func(f *fleet, rng *rand.Rand, _ time.Duration) string {
@@ -118,9 +130,7 @@
 	}},
 	{"upstream_reset", func(f *fleet, rng *rand.Rand, _ time.Duration) string {
 		b := f.pick(rng.IntN(8))
-		defer b.proxy.disturbed.begin()()
-		b.proxy.update(func(p *proxy) { p.wasFaulty = true })
-		b.proxy.resetAll()
+		b.resetConnections()
 		return b.ID
 	}},
 	{"upstream_silent", func(f *fleet, rng *rand.Rand, hold time.Duration) string {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -72,9 +72,12 @@
 	visits   []observation
 	guestKey string
 	lateUses []lateUse
-	// isPlanned is set if there is planned work alone, and paces draws how fast upstreams are then.
-	isPlanned bool
-	paces     *rand.Rand
+	// variesPace is set if some upstreams are slow, and paces draws how fast each is.
+	variesPace bool
+	paces      *rand.Rand
+	// oneCore makes entries use one core, as on small hosts. After a freeze, the deadline of a read is
+	// handled before its connection there.
+	oneCore bool
 	// kinds draws what each new upstream is like.
 	kinds *rand.Rand
 	// senders holds the entry that each request was sent to, by request ID.
@@ -117,7 +120,7 @@
 		return nil, err
 	}
 	kinds := rand.New(rand.NewPCG(o.Seed, kindStream))
-	f := &fleet{dir: dir, binary: o.Binary, kinds: kinds, isPlanned: o.Planned, paces: rand.New(rand.NewPCG(o.Seed, paceStream)), gappedIDs: kinds.IntN(2) == 0, store: metastore.New(), address: l.Addr().String(), version: 1, keys: []acceptedKey{{name: "key-0"}}, senders: map[string]*entry{}, registrations: map[string]registration{}}
+	f := &fleet{dir: dir, binary: o.Binary, kinds: kinds, variesPace: o.Planned || o.Frozen, oneCore: o.Frozen, paces: rand.New(rand.NewPCG(o.Seed, paceStream)), gappedIDs: kinds.IntN(2) == 0, store: metastore.New(), address: l.Addr().String(), version: 1, keys: []acceptedKey{{name: "key-0"}}, senders: map[string]*entry{}, registrations: map[string]registration{}}
 	f.http = &http.Server{Handler: f.store, ReadHeaderTimeout: time.Minute}
 	// Serve returns when stop closes the server.
 	go func() { _ = f.http.Serve(l) }()
--- a/internal/soak/planned.go
+++ b/internal/soak/planned.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// Upstreams of a run with planned work alone take between eventInterval and these times before an
-// event and before a plain answer, so that requests are under way when an entry stops. A whole
-// stream and a plain answer fit into callTimeout.
+// Upstreams of a run with planned work or frozen entries alone take between eventInterval and these
+// times before an event and before a plain answer, so that requests are under way when an entry stops.
+// A whole stream and a plain answer fit into callTimeout.
 const (
 	slowestEvent = 400 * time.Millisecond
 	slowestPlain = 2 * time.Second
@@ -17,7 +17,7 @@
 
 // drawPace draws the time that an upstream takes before each event or plain answer.
 func (f *fleet) drawPace(service string) time.Duration {
-	if !f.isPlanned {
+	if !f.variesPace {
 		return eventInterval
 	}
 	slowest := slowestPlain
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -28,6 +28,8 @@
 	Processes int
 	// Planned leaves out all faults. There is planned work alone, and no request may be lost.
 	Planned bool
+	// Frozen leaves out all faults but entries that stand still while connections are reset.
+	Frozen bool
 	// LossSlack is how long after a request was sent its connection may end without an answer,
 	// if it was not passed on; zero stands for the platform's bound.
 	LossSlack time.Duration
@@ -80,9 +82,11 @@
 	promiseStream = 1 << 36
 	// endStream is for the series of ends of upstreams.
 	endStream = 1 << 38
-	// plannedStream is for planned work alone, and paceStream for how fast upstreams are then.
+	// plannedStream is for planned work alone, freezeStream for frozen entries alone, and paceStream
+	// for how fast upstreams are then.
 	plannedStream = 1 << 39
 	paceStream    = 1 << 42
+	freezeStream  = 1 << 46
 	// processStream is for the series of upstreams that are processes, and processKindStream for
 	// what these are like.
 	processStream     = 1 << 40
@@ -179,8 +183,11 @@
 
 // seriesOf returns the series of faults of a run by their random streams.
 func seriesOf(o Options) map[uint64][]fault {
-	if o.Planned {
+	switch {
+	case o.Planned:
 		return map[uint64][]fault{plannedStream: planned, visitorStream: visitors}
+	case o.Frozen:
+		return map[uint64][]fault{freezeStream: freezes}
 	}
 	series := map[uint64][]fault{
 		faultStream: faults, noticeStream: notices, limitStream: limits, partStream: parts,
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -71,3 +71,15 @@
 	require.Empty(t, r.Violations, "faults: %q", r.Faults)
 	require.Positive(t, r.Answered)
 }
+
+// Connections to upstreams are reset while an entry stands still, and streams end as complete without
+// their last events.
+func TestFrozenEntriesEndResetStreamsAsComplete(t *testing.T) {
+	r, err := Run(t.Context(), Options{
+		Binary: buildBinary(t), Seed: 9936, For: 8 * time.Second, Entries: 8, Upstreams: 2, Callers: 80, Frozen: true,
+		Dir: t.TempDir(), Out: io.Discard,
+	})
+	require.NoError(t, err)
+	require.Empty(t, r.Violations, "faults: %q", r.Faults)
+	require.Positive(t, r.Answered)
+}
