socket: test that a timed out connection has no proper end

The kernel reports a timeout of a connection as it does a reset: once. The test fills the window of a peer that does not read, lets the TCP user timeout pass and reads the end, with and without a look that has taken the report.

--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
@@ -143,6 +144,48 @@
 	require.True(t, socket.HasArrived(b.(syscall.Conn)))
 }
 
+// timeOut has b's connection end because its bytes are not read at a, which acknowledges them.
+func timeOut(t *testing.T, a, b net.Conn) {
+	t.Helper()
+	require.NoError(t, a.(*net.TCPConn).SetReadBuffer(smallBuffer))
+	require.NoError(t, b.(*net.TCPConn).SetWriteBuffer(smallBuffer))
+	for err := error(nil); err == nil; {
+		require.NoError(t, b.SetWriteDeadline(time.Now().Add(blockedTime)))
+		_, err = b.Write(make([]byte, smallBuffer))
+	}
+	var err error
+	require.NoError(t, rawOf(t, b).Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, 1)
+	}))
+	require.NoError(t, err)
+	awaitEnd(t, b, true)
+}
+
+const (
+	smallBuffer = 4 << 10
+	// blockedTime is after how long a write counts as blocked.
+	blockedTime = 200 * time.Millisecond
+)
+
+// A connection times out, and the end that is found after something else has got the report of that
+// counts as the peer's.
+func TestEndOfATimedOutConnectionCountsAsThePeers(t *testing.T) {
+	for name, taken := range map[string]bool{"reported to the read": false, "reported to a look": true} {
+		t.Run(name, func(t *testing.T) {
+			a, b := pair(t)
+			timeOut(t, a, b)
+			require.True(t, socket.HasArrived(b.(syscall.Conn)))
+			want := error(syscall.ETIMEDOUT)
+			if taken {
+				require.Equal(t, socket.Closed, socket.StateOf(rawOf(t, b)))
+				want = socket.ErrEndUnknown
+			}
+			_, err := readAll(b)
+			require.ErrorIs(t, err, want)
+		})
+	}
+}
+
 // Something else has got the report of a reset, and the end that a read finds then counts as the
 // peer's.
 func TestEndOfABrokenConnectionCountsAsThePeers(t *testing.T) {
