upstream: one stand-in for the load report in the tests of ends

Two tests of answers without a length had the same code for reading a request and answering one for the load report.

--- a/upstream/takenreset_test.go
+++ b/upstream/takenreset_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"syscall"
 	"testing"
 
@@ -54,14 +53,7 @@
 func TestResetThatSomethingElseHasSeenIsWhole(t *testing.T) {
 	drained := make(chan struct{})
 	p := newTCPUpstream(t, func(_ *tcpUpstream, c net.Conn, r *bufio.Reader) {
-		req, err := http.ReadRequest(r)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, req.Body)
-		if req.URL.Path == "/load" {
-			const report = `{"uptime_ms":60000}`
-			_, _ = fmt.Fprintf(c, loadReply, len(report), report)
+		if !readCall(c, r) {
 			return
 		}
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
--- a/upstream/unflushed_test.go
+++ b/upstream/unflushed_test.go
@@ -50,20 +50,27 @@
 	return c.Conn.Close()
 }
 
-// answerUndelimited reads each request and answers it without a length. Its load report shows
-// that the process has run for long.
-func answerUndelimited(_ *tcpUpstream, c net.Conn, r *bufio.Reader) {
+// readCall reads a request and reports whether it has to be answered. It answers one for the load
+// report itself, which shows that the process has run for long.
+func readCall(c net.Conn, r *bufio.Reader) bool {
 	req, err := http.ReadRequest(r)
 	if err != nil {
-		return
+		return false
 	}
 	_, _ = io.Copy(io.Discard, req.Body)
 	if req.URL.Path == "/load" {
 		const report = `{"uptime_ms":60000}`
 		_, _ = fmt.Fprintf(c, loadReply, len(report), report)
-		return
+		return false
+	}
+	return true
+}
+
+// answerUndelimited answers each request without a length.
+func answerUndelimited(_ *tcpUpstream, c net.Conn, r *bufio.Reader) {
+	if readCall(c, r) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nanswer")
 	}
-	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nanswer")
 }
 
 // A request fits into the transport's buffer, which tells that it was written before a byte was
