--- a/upstream/exchange/silence_test.go
+++ b/upstream/exchange/silence_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"io"
 	"net"
 	"os"
@@ -226,7 +225,7 @@
 			require.ErrorIs(t, a.TakeReport(), syscall.ECONNRESET)
 			_, err := io.ReadAll(a)
 			require.ErrorIs(t, err, exchange.ErrUnconfirmedEnd)
-			require.False(t, errors.Is(err, io.EOF))
+			require.NotErrorIs(t, err, io.EOF)
 		})
 	}
 }
