review: add case 11, a peer that freezes hides a leaving upstream

A watcher that freezes right after it has announced a configuration and an upstream list holds up the other entries for two timeouts of 1 s. They send orders to an upstream later than drain-ms after the store has accepted that it leaves, and orders are lost when it exits.

--- /dev/null
+++ b/review/rig3/leaving.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const (
+	caseHost  = "ficu95.example"
+	caseKey   = "3d3zji9n73hh2b9wu3fe"
+	orderPath = "/baye92/2f"
+	workTime  = 40 * time.Millisecond
+)
+
+// deskConfig is a configuration with one route to the plain service.
+func deskConfig(version int) map[string]any {
+	route := func(name, prefix, kind string) map[string]any {
+		return map[string]any{
+			"name": name, "host": caseHost, "path-prefix": prefix, "kind": kind, "timeout-ms": 2000, "target-latency-ms": 120,
+			"priority": 2, "service": "desk", "max-attempts": 2, "anonymous": false, "sticky": false, "stream-resume": false,
+		}
+	}
+	routes := []any{route("r-order", "/baye92/", "non_idempotent"), route("r-status", "/puxa403/", "idempotent")}
+	if version%2 == 0 {
+		routes = append(routes, route("r-extra", "/extra7/", "idempotent"))
+	}
+	return map[string]any{
+		"version": version, "routes": routes,
+		"services": []any{
+			map[string]any{"name": "desk", "health-path": "/health", "max-connections": 110, "protocol": "h1", "tls": false},
+			map[string]any{"name": "captions", "health-path": "/health", "max-connections": 210, "protocol": "h1", "tls": false},
+		},
+		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+		"tenants": []any{map[string]any{"name": "huka270", "api-keys": []string{caseKey}, "priority": 1, "rate-per-s": 0, "burst": 0}},
+	}
+}
+
+// entriesPerZone are those of a small deployment.
+var entriesPerZone = []struct {
+	zone  string
+	count int
+}{{"vasteras", 3}, {"jonkoping", 3}, {"orebro", 2}}
+
+func (f *fleet) startSmall() error {
+	for _, z := range entriesPerZone {
+		for n := range z.count {
+			if _, err := f.addEntry(fmt.Sprintf("frontend-%s-%d", z.zone, n+1), z.zone); err != nil {
+				return err
+			}
+		}
+	}
+	return f.awaitReady(15 * time.Second)
+}
+
+const (
+	leavingRounds = 15
+	roundTime     = 6500 * time.Millisecond
+	freezeTime    = 3200 * time.Millisecond
+	// startLead is the time from the start of a server to the end of the one that it replaces.
+	startLead = 20 * time.Millisecond
+	// configLag is the time from there to a new configuration.
+	configLag = 220 * time.Millisecond
+	// leaveLonger is how long a leaving server serves beyond the drain bound.
+	leaveLonger = 80 * time.Millisecond
+)
+
+// playLeaving replaces the servers of a service one after the other, with a new configuration beside
+// each. One of the entries that watch the store freezes right after it has announced both.
+func playLeaving(f *fleet, trouble bool) (bool, error) {
+	f.store.Put("config", "main", deskConfig(1))
+	var servers []*server
+	zoneNames := []string{"vasteras", "jonkoping", "orebro"}
+	add := func() error {
+		n := len(servers)
+		s, err := f.addServer(fmt.Sprintf("i-%08x", 0x908bf000+n), "desk", zoneNames[n%3], n, workTime)
+		servers = append(servers, s)
+		return err
+	}
+	for range 3 {
+		if err := add(); err != nil {
+			return false, err
+		}
+	}
+	if err := f.startSmall(); err != nil {
+		return false, err
+	}
+	cl, stop := f.startOrders(3, 25*time.Millisecond)
+	time.Sleep(6 * time.Second)
+	watchers := f.watchers()
+	for round := range leavingRounds {
+		began := time.Now()
+		// The next server starts first.
+		if err := add(); err != nil {
+			return false, err
+		}
+		time.Sleep(startLead)
+		servers[round].leave(f, leaveLonger)
+		time.Sleep(configLag)
+		f.store.Put("config", "main", deskConfig(round+2))
+		f.rec.add("configuration %d accepted by the store", round+2)
+		if trouble {
+			time.Sleep(time.Duration(60+rand.IntN(120)) * time.Millisecond)
+			f.freeze(watchers[round%len(watchers)], freezeTime)
+		}
+		time.Sleep(time.Until(began.Add(roundTime)))
+	}
+	stop()
+	return judgeLeaving(f, cl, servers), nil
+}
+
+// startOrders has clients send orders to every entry, each on a kept channel with a pause between two.
+func (f *fleet) startOrders(clientsPerEntry int, pause time.Duration) (cl *clients, stop func()) {
+	cl = &clients{rec: f.rec}
+	ended := make(chan struct{})
+	var wg sync.WaitGroup
+	for _, e := range f.entries {
+		for range clientsPerEntry {
+			wg.Go(func() { cl.loop(e, "POST", caseHost, orderPath, caseKey, 2*time.Second, pause, ended) })
+		}
+	}
+	return cl, func() {
+		close(ended)
+		wg.Wait()
+	}
+}
+
+// judgeLeaving looks for requests that reached a server too late, and for orders among them whose
+// answers were lost with the server.
+func judgeLeaving(f *fleet, cl *clients, servers []*server) bool {
+	byID := map[string]*sent{}
+	failed := 0
+	for _, s := range cl.all {
+		byID[s.id] = s
+		if s.status != 200 {
+			failed++
+			f.rec.add("%s sent to %s at %.3f: status %d after %v, %v", s.id, s.entry.name, s.at.Sub(f.rec.start).Seconds(), s.status, s.took.Round(time.Millisecond), s.err)
+		}
+	}
+	late, lost := 0, 0
+	for _, server := range servers {
+		for _, r := range server.runs {
+			if server.acked.IsZero() || r.at.Sub(server.acked) <= drainBound {
+				continue
+			}
+			s := byID[r.id]
+			if s == nil || !s.entry.inTouch(s.at) || !s.entry.inTouch(r.at) {
+				continue
+			}
+			late++
+			if !r.ended {
+				lost++
+			}
+			f.rec.add("LATE: %s through %s reached %s %d ms after the store had accepted that it leaves; ended %t; the client got %d",
+				r.id, s.entry.name, server.id, r.at.Sub(server.acked).Milliseconds(), r.ended, s.status)
+		}
+	}
+	f.rec.add("%d orders sent, %d without success; %d reached a leaving server too late, %d of them were lost with it", len(cl.all), failed, late, lost)
+	fmt.Printf("%d orders sent, %d without success; %d reached a leaving server too late, %d of them were lost with it\n", len(cl.all), failed, late, lost)
+	return late > 0
+}
