--- a/review/rig3/fleet.go
+++ b/review/rig3/fleet.go
@@ -29,8 +29,32 @@
 	contactBound = 3000 * time.Millisecond
 )
 
-// zones maps the availability zones of the deployment to their regions.
-var zones = map[string]string{"vasteras": "svealand", "orebro": "svealand", "jonkoping": "gotaland"}
+// deployment has the availability zones of a small deployment.
+type deployment struct {
+	// zones has them with the number of entries in each.
+	zones []zoneEntries
+	// regions maps them to their regions.
+	regions map[string]string
+}
+
+type zoneEntries struct {
+	zone    string
+	entries int
+}
+
+var (
+	workshops = deployment{
+		[]zoneEntries{{"vasteras", 3}, {"jonkoping", 3}, {"orebro", 2}},
+		map[string]string{"vasteras": "svealand", "orebro": "svealand", "jonkoping": "gotaland"},
+	}
+	studios = deployment{
+		[]zoneEntries{{"surat-a", 3}, {"mehsana-a", 3}, {"surat-b", 2}},
+		map[string]string{"surat-a": "west-guj", "surat-b": "west-guj", "mehsana-a": "north-guj"},
+	}
+)
+
+// zone returns the availability zone of the nth server.
+func (d deployment) zone(n int) string { return d.zones[n%len(d.zones)].zone }
 
 // record is the file with what was sent, answered and run. Lines have the time since the start.
 type record struct {
@@ -58,7 +82,7 @@
 	store     *metastore.Server
 	storeAddr string
 	entries   []*entry
-	ports     [4]int
+	at        deployment
 }
 
 // entry is one gateway process.
@@ -115,7 +139,7 @@
 // settingsText returns the settings file of an entry.
 func (f *fleet) settingsText(e *entry, first int) string {
 	var b strings.Builder
-	for zone, region := range zones {
+	for zone, region := range f.at.regions {
 		fmt.Fprintf(&b, "zones.%s=%s\n", zone, region)
 	}
 	port := func(n int) string { return net.JoinHostPort(e.ip, strconv.Itoa(first+n)) }
@@ -150,7 +174,7 @@
 platform.form=objects
 cloud-api.address=%s
 cloud-api.duties=usage_reporting
-`, e.name, e.ip, e.zone, zones[e.zone], port(0), port(1), first+2, first+17, f.storeAddr, f.storeAddr)
+`, e.name, e.ip, e.zone, f.at.regions[e.zone], port(0), port(1), first+2, first+17, f.storeAddr, f.storeAddr)
 	e.front = port(0)
 	return b.String()
 }
--- a/review/rig3/leaving.go
+++ b/review/rig3/leaving.go
@@ -37,15 +37,10 @@
 	}
 }
 
-// entriesPerZone are those of a small deployment.
-var entriesPerZone = []struct {
-	zone  string
-	count int
-}{{"vasteras", 3}, {"jonkoping", 3}, {"orebro", 2}}
-
+// startSmall starts the entries of a small deployment.
 func (f *fleet) startSmall() error {
-	for _, z := range entriesPerZone {
-		for n := range z.count {
+	for _, z := range f.at.zones {
+		for n := range z.entries {
 			if _, err := f.addEntry(fmt.Sprintf("frontend-%s-%d", z.zone, n+1), z.zone); err != nil {
 				return err
 			}
@@ -69,12 +64,12 @@
 // playLeaving replaces the servers of a service one after the other, with a new configuration beside
 // each. One of the entries that watch the store freezes right after it has announced both.
 func playLeaving(f *fleet, trouble bool) (bool, error) {
+	f.at = workshops
 	f.store.Put("config", "main", deskConfig(1))
 	var servers []*server
-	zoneNames := []string{"vasteras", "jonkoping", "orebro"}
 	add := func() error {
 		n := len(servers)
-		s, err := f.addServer(fmt.Sprintf("i-%08x", 0x908bf000+n), "desk", zoneNames[n%3], n, workTime)
+		s, err := f.addServer(fmt.Sprintf("i-%08x", 0x908bf000+n), "desk", f.at.zone(n), n, workTime)
 		servers = append(servers, s)
 		return err
 	}
