review: make late orders of case 12 visible as lost ones

An order takes 60 ms and the leaving upstream serves 60 ms beyond the drain bound, so that an order that reaches it too late ends with it.

--- a/review/rig3/leaving.go
+++ b/review/rig3/leaving.go
@@ -11,7 +11,7 @@
 	caseHost  = "ficu95.example"
 	caseKey   = "3d3zji9n73hh2b9wu3fe"
 	orderPath = "/baye92/2f"
-	workTime  = 40 * time.Millisecond
+	workTime  = 60 * time.Millisecond
 )
 
 // deskConfig is a configuration with one route to the plain service.
@@ -58,7 +58,7 @@
 	// configLag is the time from there to a new configuration.
 	configLag = 220 * time.Millisecond
 	// leaveLonger is how long a leaving server serves beyond the drain bound.
-	leaveLonger = 80 * time.Millisecond
+	leaveLonger = 60 * time.Millisecond
 )
 
 // playLeaving replaces the servers of a service one after the other, with a new configuration beside
@@ -81,7 +81,7 @@
 	if err := f.startSmall(); err != nil {
 		return false, err
 	}
-	cl, stop := f.startOrders(3, 25*time.Millisecond)
+	cl, stop := f.startOrders(3, 60*time.Millisecond)
 	time.Sleep(6 * time.Second)
 	watchers := f.watchers()
 	for round := range leavingRounds {
--- a/review/rig3/removed.go
+++ b/review/rig3/removed.go
@@ -15,10 +15,6 @@
 	deskServers    = 3
 	// leavingTogether is how many desk servers leave at the same time.
 	leavingTogether = 2
-	// deskWork is the time that an order takes, and vanishLonger how long a server that leaves serves
-	// beyond the drain bound.
-	deskWork     = 60 * time.Millisecond
-	vanishLonger = 60 * time.Millisecond
 	// replaceAfter is the time from the removal of servers to the start of others.
 	replaceAfter = 3200 * time.Millisecond
 	// changeLead is the time from another server's change of its entry to the removal of theirs.
@@ -34,7 +30,7 @@
 	var desk []*server
 	add := func() error {
 		n := len(desk)
-		s, err := f.addServer(fmt.Sprintf("i-%08x", 0x5c20a000+n), "desk", f.at.zone(n), n, deskWork)
+		s, err := f.addServer(fmt.Sprintf("i-%08x", 0x5c20a000+n), "desk", f.at.zone(n), n, workTime)
 		desk = append(desk, s)
 		return err
 	}
@@ -63,7 +59,7 @@
 		time.Sleep(changeLead)
 		if trouble {
 			for _, s := range desk[len(desk)-deskServers:][:leavingTogether] {
-				s.vanish(f, vanishLonger)
+				s.vanish(f, leaveLonger)
 			}
 		}
 		time.Sleep(replaceAfter)
