review: add case 13, a restart of all entries forgets deadly parts

All entries are killed at the same moment three times while requests with a part come that crashes its upstreams. What the entries knew of the part is gone each time, and six requests with it reach upstreams too late.

--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -11,6 +11,7 @@
 var cases = map[string]func(f *fleet, trouble bool) (bool, error){
 	"leaving": playLeaving,
 	"removed": playRemoved,
+	"deadly":  playDeadly,
 }
 
 func main() {
