--- a/review/rig3/fleet.go
+++ b/review/rig3/fleet.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -290,12 +289,3 @@
 	})
 	return list[:3]
 }
-
-// mustJSON encodes a value.
-func mustJSON(v any) string {
-	data, err := json.Marshal(v)
-	if err != nil {
-		panic(err)
-	}
-	return string(data)
-}
