--- a/review/rig3/client.go
+++ b/review/rig3/client.go
@@ -89,6 +89,7 @@
 		s.err = s.read(c)
 	}
 	s.took = time.Since(s.at)
+	cl.rec.add("%s %s sent to %s at %.3f: answered %d after %v, error %v", method, s.id, e.name, s.at.Sub(cl.rec.start).Seconds(), s.status, s.took.Round(time.Millisecond), s.err)
 	cl.mu.Lock()
 	cl.all = append(cl.all, s)
 	cl.mu.Unlock()
--- a/review/rig3/deadly.go
+++ b/review/rig3/deadly.go
@@ -150,7 +150,9 @@
 			}
 			e := f.entries[n%len(f.entries)]
 			wg.Go(func() {
-				status := f.verse(e, fmt.Sprintf("50%014x", n), firstPart, fmt.Sprintf("e4402b%02x", n%16))
+				id := fmt.Sprintf("50%014x", n)
+				status := f.verse(e, id, firstPart, fmt.Sprintf("e4402b%02x", n%16))
+				f.rec.add("sound %s sent to %s: answered %d", id, e.name, status)
 				mu.Lock()
 				defer mu.Unlock()
 				sound[status]++
@@ -195,6 +197,7 @@
 		}
 	}
 	if len(crashes) < fatalCrashes {
+		// The part was refused in time.
 		f.rec.add("only %d crashes", len(crashes))
 		return false
 	}
@@ -203,6 +206,7 @@
 	late := 0
 	for _, s := range list {
 		for _, a := range s.Arrivals() {
+			f.rec.add("%s ran at %s at %.3f", a.RequestID, s.ID, a.At.Sub(f.rec.start).Seconds())
 			e := through[a.RequestID]
 			if e == nil || !a.At.After(bound) || !e.inTouch(a.At) {
 				continue
--- a/review/rig3/leaving.go
+++ b/review/rig3/leaving.go
@@ -81,7 +81,7 @@
 	if err := f.startSmall(); err != nil {
 		return false, err
 	}
-	cl, stop := f.startOrders(3, 60*time.Millisecond)
+	cl, stop := f.startOrders(4, 55*time.Millisecond)
 	time.Sleep(6 * time.Second)
 	watchers := f.watchers()
 	for round := range leavingRounds {
@@ -130,7 +130,6 @@
 		byID[s.id] = s
 		if s.status != 200 {
 			failed++
-			f.rec.add("%s sent to %s at %.3f: status %d after %v, %v", s.id, s.entry.name, s.at.Sub(f.rec.start).Seconds(), s.status, s.took.Round(time.Millisecond), s.err)
 		}
 	}
 	late, lost := 0, 0
--- a/review/rig3/upstream.go
+++ b/review/rig3/upstream.go
@@ -155,11 +155,8 @@
 		return net.ErrClosed
 	}
 	s.runs = append(s.runs, run)
-	late := !s.acked.IsZero() && run.at.Sub(s.acked) > drainBound
 	s.mu.Unlock()
-	if late {
-		s.rec.add("server %s gets %s %s %d ms after the store accepted that it leaves", s.id, req.Method, id, run.at.Sub(s.acked).Milliseconds())
-	}
+	s.rec.add("server %s runs %s %s", s.id, req.Method, id)
 	time.Sleep(s.work)
 	s.mu.Lock()
 	defer s.mu.Unlock()
