--- a/review/rig3/client.go
+++ b/review/rig3/client.go
@@ -22,7 +22,6 @@
 	// status is that of the answer, or 0 if the channel ended without one.
 	status  int
 	err     error
-	seal    string
 	body    string
 	took    time.Duration
 	ordered bool
@@ -107,7 +106,7 @@
 	if err != nil {
 		return err
 	}
-	s.status, s.seal, s.body = resp.StatusCode, resp.Header.Get("Response-Seal"), string(data)
+	s.status, s.body = resp.StatusCode, string(data)
 	if resp.Close {
 		return errClosing
 	}
--- a/review/rig3/deadly.go
+++ b/review/rig3/deadly.go
@@ -36,30 +36,11 @@
 	herdTimes   = []time.Duration{4600 * time.Millisecond, 8700 * time.Millisecond, 12800 * time.Millisecond}
 )
 
-// verseConfig is a configuration with one resumable streaming route to model engines.
-func verseConfig() map[string]any {
-	return map[string]any{
-		"version": 1,
-		"routes": []any{map[string]any{
-			"name": "r-verse", "host": caseHost, "path-prefix": "/lohu930/", "kind": "streaming", "timeout-ms": 10000, "target-latency-ms": 800,
-			"priority": 0, "service": "captions", "max-attempts": 2, "anonymous": false, "sticky": true, "stream-resume": true, "gap-aim-ms": 300,
-		}},
-		"services": []any{map[string]any{
-			"name": "captions", "health-path": "/health", "max-connections": 210, "protocol": "h1", "tls": false,
-			"engine": map[string]any{"slots": 24, "kv-capacity": 444000},
-		}},
-		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-		"tenants": []any{map[string]any{"name": "huka270", "api-keys": []string{caseKey}, "priority": 1, "rate-per-s": 0, "burst": 0}},
-	}
-}
-
+// addEngine starts a model engine.
 func (f *fleet) addEngine(n int) (*upstream.Server, error) {
 	s := &upstream.Server{ID: fmt.Sprintf("i-%08x", 0x3ab40000+n), Pace: enginePace, DeadlyParts: []string{deadlyPart}, Down: engineDown, RenewsStart: true}
 	register := func() {
-		f.store.Put("servers", s.ID, map[string]any{
-			"service": "captions", "address": s.Address(), "zone": f.at.zone(n), "version": "v1", "slots": 24, "state": "ready",
-			"cold-left-ms": 0, "sequence": 1, "born": s.StartMillis(),
-		})
+		f.putServer(s.ID, "captions", s.Address(), f.at.zone(n), 24, "ready", 0, s.StartMillis())
 	}
 	s.Crashed = func() { f.rec.add("server %s crashes", s.ID) }
 	s.Restarted = func() {
@@ -124,7 +105,7 @@
 // twenty times as many sound ones, and kills all entries in between.
 func playDeadly(f *fleet, trouble bool) (bool, error) {
 	f.at = studios
-	f.store.Put("config", "main", verseConfig())
+	f.store.PutRaw("config", "main", verseConfig)
 	var list []*upstream.Server
 	for n := range engines {
 		s, err := f.addEngine(n)
--- a/review/rig3/leaving.go
+++ b/review/rig3/leaving.go
@@ -14,29 +14,6 @@
 	workTime  = 60 * time.Millisecond
 )
 
-// deskConfig is a configuration with one route to the plain service.
-func deskConfig(version int) map[string]any {
-	route := func(name, prefix, kind string) map[string]any {
-		return map[string]any{
-			"name": name, "host": caseHost, "path-prefix": prefix, "kind": kind, "timeout-ms": 2000, "target-latency-ms": 120,
-			"priority": 2, "service": "desk", "max-attempts": 2, "anonymous": false, "sticky": false, "stream-resume": false,
-		}
-	}
-	routes := []any{route("r-order", "/baye92/", "non_idempotent"), route("r-status", "/puxa403/", "idempotent")}
-	if version%2 == 0 {
-		routes = append(routes, route("r-extra", "/extra7/", "idempotent"))
-	}
-	return map[string]any{
-		"version": version, "routes": routes,
-		"services": []any{
-			map[string]any{"name": "desk", "health-path": "/health", "max-connections": 110, "protocol": "h1", "tls": false},
-			map[string]any{"name": "captions", "health-path": "/health", "max-connections": 210, "protocol": "h1", "tls": false},
-		},
-		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-		"tenants": []any{map[string]any{"name": "huka270", "api-keys": []string{caseKey}, "priority": 1, "rate-per-s": 0, "burst": 0}},
-	}
-}
-
 // startSmall starts the entries of a small deployment.
 func (f *fleet) startSmall() error {
 	for _, z := range f.at.zones {
@@ -65,7 +42,7 @@
 // each. One of the entries that watch the store freezes right after it has announced both.
 func playLeaving(f *fleet, trouble bool) (bool, error) {
 	f.at = workshops
-	f.store.Put("config", "main", deskConfig(1))
+	f.putDeskConfig(1)
 	var servers []*server
 	add := func() error {
 		n := len(servers)
@@ -93,7 +70,7 @@
 		time.Sleep(startLead)
 		servers[round].leave(f, leaveLonger)
 		time.Sleep(configLag)
-		f.store.Put("config", "main", deskConfig(round+2))
+		f.putDeskConfig(round + 2)
 		f.rec.add("configuration %d accepted by the store", round+2)
 		if trouble {
 			time.Sleep(time.Duration(60+rand.IntN(120)) * time.Millisecond)
--- a/review/rig3/removed.go
+++ b/review/rig3/removed.go
@@ -26,7 +26,7 @@
 // drain bound and a little longer. Later two others take their place.
 func playRemoved(f *fleet, trouble bool) (bool, error) {
 	f.at = studios
-	f.store.Put("config", "main", deskConfig(1))
+	f.putDeskConfig(1)
 	var desk []*server
 	add := func() error {
 		n := len(desk)
--- a/review/rig3/upstream.go
+++ b/review/rig3/upstream.go
@@ -52,10 +52,7 @@
 
 // register writes the server's entry into the store.
 func (s *server) register(f *fleet, state string, coldLeftMs int) {
-	f.store.Put("servers", s.id, map[string]any{
-		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": 6, "state": state,
-		"cold-left-ms": coldLeftMs, "sequence": 1, "born": s.born,
-	})
+	f.putServer(s.id, s.service, s.address, s.zone, 6, state, coldLeftMs, s.born)
 }
 
 // leave reports the planned shutdown. The server runs on for the drain bound and a little longer.
@@ -144,7 +141,7 @@
 		_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", status, s.id)
 		return err
 	}
-	if req.Header.Get("Target-Instance") != s.id {
+	if req.Header.Get(instanceHeader) != s.id {
 		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, s.id)
 		return err
 	}
