--- a/review/rig3/deadly.go
+++ b/review/rig3/deadly.go
@@ -23,7 +23,7 @@
 	verseTime    = 10 * time.Second
 	deadlyPart   = "5c1e07a2"
 	firstPart    = "91bd3f06"
-	soundPause   = 210 * time.Millisecond
+	soundPause   = 150 * time.Millisecond
 	herdDown     = 300 * time.Millisecond
 	allowedLate  = 3
 	fatalCrashes = 5
@@ -40,7 +40,7 @@
 func (f *fleet) addEngine(n int) (*upstream.Server, error) {
 	s := &upstream.Server{ID: fmt.Sprintf("i-%08x", 0x3ab40000+n), Pace: enginePace, DeadlyParts: []string{deadlyPart}, Down: engineDown, RenewsStart: true}
 	register := func() {
-		f.putServer(s.ID, "captions", s.Address(), f.at.zone(n), 24, "ready", 0, s.StartMillis())
+		f.putServer(s.ID, "captions", s.Address(), f.at.zone(n), 24, "ready", s.StartMillis())
 	}
 	s.Crashed = func() { f.rec.add("server %s crashes", s.ID) }
 	s.Restarted = func() {
--- a/review/rig3/leaving.go
+++ b/review/rig3/leaving.go
@@ -11,7 +11,9 @@
 	caseHost  = "ficu95.example"
 	caseKey   = "3d3zji9n73hh2b9wu3fe"
 	orderPath = "/baye92/2f"
-	workTime  = 60 * time.Millisecond
+	// statusPath is that of look-ups.
+	statusPath = "/puxa403/2f"
+	workTime   = 50 * time.Millisecond
 )
 
 // startSmall starts the entries of a small deployment.
@@ -58,7 +60,7 @@
 	if err := f.startSmall(); err != nil {
 		return false, err
 	}
-	cl, stop := f.startOrders(4, 55*time.Millisecond)
+	cl, stop := f.startClients(4, 0, 55*time.Millisecond)
 	time.Sleep(6 * time.Second)
 	watchers := f.watchers()
 	for round := range leavingRounds {
@@ -82,15 +84,19 @@
 	return judgeLeaving(f, cl, servers), nil
 }
 
-// startOrders has clients send orders to every entry, each on a kept channel with a pause between two.
-func (f *fleet) startOrders(clientsPerEntry int, pause time.Duration) (cl *clients, stop func()) {
+// startClients has clients send orders and others look-ups to every entry, each on a kept channel with a
+// pause between two.
+func (f *fleet) startClients(ordering, looking int, pause time.Duration) (cl *clients, stop func()) {
 	cl = &clients{rec: f.rec}
 	ended := make(chan struct{})
 	var wg sync.WaitGroup
 	for _, e := range f.entries {
-		for range clientsPerEntry {
+		for range ordering {
 			wg.Go(func() { cl.loop(e, "POST", caseHost, orderPath, caseKey, 2*time.Second, pause, ended) })
 		}
+		for range looking {
+			wg.Go(func() { cl.loop(e, "GET", caseHost, statusPath, caseKey, 2*time.Second, pause, ended) })
+		}
 	}
 	return cl, func() {
 		close(ended)
@@ -98,8 +104,8 @@
 	}
 }
 
-// judgeLeaving looks for requests that reached a server too late, and for orders among them whose
-// answers were lost with the server.
+// judgeLeaving looks for requests that reached a server too late, and for those among them that were lost
+// with the server.
 func judgeLeaving(f *fleet, cl *clients, servers []*server) bool {
 	byID := map[string]*sent{}
 	failed := 0
@@ -120,14 +126,14 @@
 				continue
 			}
 			late++
-			if !r.ended {
+			if !r.ended && s.status != 200 {
 				lost++
 			}
 			f.rec.add("LATE: %s through %s reached %s %d ms after the store had accepted that it leaves; ended %t; the client got %d",
 				r.id, s.entry.name, server.id, r.at.Sub(server.acked).Milliseconds(), r.ended, s.status)
 		}
 	}
-	f.rec.add("%d orders sent, %d without success; %d reached a leaving server too late, %d of them were lost with it", len(cl.all), failed, late, lost)
-	fmt.Printf("%d orders sent, %d without success; %d reached a leaving server too late, %d of them were lost with it\n", len(cl.all), failed, late, lost)
+	f.rec.add("%d requests sent, %d without success; %d reached a leaving server too late, %d of them were lost with it", len(cl.all), failed, late, lost)
+	fmt.Printf("%d requests sent, %d without success; %d reached a leaving server too late, %d of them were lost with it\n", len(cl.all), failed, late, lost)
 	return late > 0
 }
--- a/review/rig3/upstream.go
+++ b/review/rig3/upstream.go
@@ -10,7 +10,10 @@
 	"time"
 )
 
-// run is a request that a server has begun to run.
+// slots is the number of requests that a server runs at once, and queueLength how many may wait.
+const slots, queueLength = 6, 24
+
+// run is a request that has reached a server.
 type run struct {
 	id     string
 	server string
@@ -27,10 +30,13 @@
 	rec               *record
 	listener          net.Listener
 
-	mu    sync.Mutex
-	conns map[net.Conn]bool
-	gone  bool
-	runs  []*run
+	free chan struct{}
+
+	mu               sync.Mutex
+	conns            map[net.Conn]bool
+	gone             bool
+	runs             []*run
+	running, waiting int
 	// acked is when the store had accepted that the server leaves; zero if it does not.
 	acked time.Time
 }
@@ -42,22 +48,22 @@
 	}
 	s := &server{
 		id: id, service: service, zone: zone, address: l.Addr().String(), born: time.Now().UnixMilli(), work: work,
-		rec: f.rec, listener: l, conns: map[net.Conn]bool{},
+		rec: f.rec, listener: l, conns: map[net.Conn]bool{}, free: make(chan struct{}, slots),
 	}
 	go s.accept()
 	f.rec.add("server %s of %s at %s", id, service, s.address)
-	s.register(f, "ready", 0)
+	s.register(f, "ready")
 	return s, nil
 }
 
 // register writes the server's entry into the store.
-func (s *server) register(f *fleet, state string, coldLeftMs int) {
-	f.putServer(s.id, s.service, s.address, s.zone, 6, state, coldLeftMs, s.born)
+func (s *server) register(f *fleet, state string) {
+	f.putServer(s.id, s.service, s.address, s.zone, slots, state, s.born)
 }
 
 // leave reports the planned shutdown. The server runs on for the drain bound and a little longer.
 func (s *server) leave(f *fleet, longer time.Duration) {
-	s.register(f, "draining", 0)
+	s.register(f, "draining")
 	s.mu.Lock()
 	s.acked = time.Now()
 	s.mu.Unlock()
@@ -146,22 +152,69 @@
 		return err
 	}
 	run := &run{id: id, server: s.id, at: time.Now()}
-	s.mu.Lock()
-	if s.gone {
-		s.mu.Unlock()
-		return net.ErrClosed
+	s.rec.add("server %s gets %s %s", s.id, req.Method, id)
+	if !s.enter(run) {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\n%sContent-Length: 0\r\n\r\n", id, s.stateHeaders())
+		return err
 	}
-	s.runs = append(s.runs, run)
-	s.mu.Unlock()
-	s.rec.add("server %s runs %s %s", s.id, req.Method, id)
+	s.free <- struct{}{}
+	s.begin()
+	s.rec.add("server %s runs %s", s.id, id)
 	time.Sleep(s.work)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.gone {
+	<-s.free
+	if !s.finish(run) {
 		return net.ErrClosed
 	}
-	run.ended = true
 	body := "done " + id
-	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: seal-%s\r\nServer-Load: 1,0,6\r\nContent-Length: %d\r\n\r\n%s", id, id, len(body), body)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: seal-%s\r\n%sContent-Length: %d\r\n\r\n%s", id, id, s.stateHeaders(), len(body), body)
+	if err == nil && s.leaving() {
+		return errClosing
+	}
 	return err
 }
+
+// enter records a request that has reached the server, and reports whether it may wait for a slot.
+func (s *server) enter(r *run) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs = append(s.runs, r)
+	if s.gone || s.running+s.waiting >= slots+queueLength {
+		return false
+	}
+	s.waiting++
+	return true
+}
+
+// begin records that a request has got a slot.
+func (s *server) begin() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting--
+	s.running++
+}
+
+// finish records that a request is done, and reports whether the server is still there to answer it.
+func (s *server) finish(r *run) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+	r.ended = !s.gone
+	return r.ended
+}
+
+func (s *server) leaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.acked.IsZero()
+}
+
+// stateHeaders returns the headers in which an answer tells the server's state.
+func (s *server) stateHeaders() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := fmt.Sprintf("Server-Load: %d,%d,%d\r\n", s.running, s.waiting, slots)
+	if !s.acked.IsZero() {
+		h += "Connection: close\r\n"
+	}
+	return h
+}
--- a/review/rig3/wire.go
+++ b/review/rig3/wire.go
@@ -24,6 +24,6 @@
 }
 
 // putServer writes the entry of a server.
-func (f *fleet) putServer(id, service, address, zone string, slots int, state string, coldLeftMs int, born int64) {
-	f.store.PutRaw("servers", id, fmt.Sprintf(serverEntry, service, address, zone, slots, state, coldLeftMs, born))
+func (f *fleet) putServer(id, service, address, zone string, slots int, state string, born int64) {
+	f.store.PutRaw("servers", id, fmt.Sprintf(serverEntry, service, address, zone, slots, state, born))
 }
